--- /dev/null
+++ b/src/bendshed/cli/main.py
@@ -0,0 +1,25 @@
+"""Entry point. Exit codes: 0 done, 1 refused or failed, 2 the input is wrong."""
+
+from cleo.application import Application
+
+from bendshed import __version__
+from bendshed.cli.ask import AskCommand
+from bendshed.cli.node import NodeCommand
+from bendshed.cli.rehearse import DemoCommand, StandinCommand
+from bendshed.cli.settings import SettingsCheckCommand, SettingsShowCommand
+
+
+def main() -> int:
+    """Run the command line and return its exit code."""
+    application = Application("bendshed", __version__)
+    for command in (
+        NodeCommand(),
+        SettingsCheckCommand(),
+        SettingsShowCommand(),
+        AskCommand(),
+        StandinCommand(),
+        DemoCommand(),
+    ):
+        application.add(command)
+    application.auto_exits(False)
+    return application.run()
--- /dev/null
+++ b/src/bendshed/configuration/service.py
@@ -0,0 +1,329 @@
+"""How configuration is accepted, spread and kept.
+
+A change is accepted when the store has created the object ``configuration/changes/<revision>``;
+creating it again fails, so of two racing operators one wins and the other sees it. The object
+never changes, hence a lost answer is settled by reading the key: it holds either our operation
+id or another's. A node applies revision n only after n - 1, so nothing ever reverts, and a
+store that answers with old data changes nothing. Two readers per zone watch the store; all
+others hear the newest revision by gossip and fetch what they lack from the peer that told them.
+"""
+
+import asyncio
+import contextlib
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bendshed.configuration.document import (
+    AcceptedChange,
+    AnyChange,
+    ConfigurationDocument,
+    Snapshot,
+    UnknownName,
+    apply_change,
+)
+from bendshed.errors import ErrorKind, Refusal
+from bendshed.identifiers import rendezvous_rank
+from bendshed.logs import PartLog
+from bendshed.membership.service import MembershipService
+from bendshed.ports.clock import Clock
+from bendshed.ports.store import ObjectStore, StoredObject, StoreUnavailable, VersionConflict
+from bendshed.ports.transport import PeerUnreachable, Transport
+from bendshed.wire import peer_pb2 as wire
+
+CHANGES_PREFIX = "configuration/changes/"
+FETCH_METHOD = "configuration.fetch"
+REVISION_METHOD = "configuration.revision"
+READERS_PER_ZONE = 2
+WATCH_S = 10.0
+STORE_RETRY_S = 1.0
+FETCH_TIMEOUT_S = 2.0
+RECENT_CHANGES = 256
+"""Changes kept in memory, so that a peer that lags a little gets changes and no snapshot."""
+SETTLE_TRIES = 5
+
+log = PartLog("configuration")
+
+
+class ConfigurationCache(ABC):
+    """Where a disk node keeps the newest configuration."""
+
+    @abstractmethod
+    def load(self) -> Snapshot | None:
+        """Return what was kept; ``None``: nothing."""
+
+    @abstractmethod
+    def save(self, snapshot: Snapshot) -> None:
+        """Keep it durably."""
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The change is accepted under this revision."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """Where a revision is in force.
+
+    Attributes:
+        missing: node ids that hold an older revision.
+        silent: node ids that did not answer.
+
+    """
+
+    revision: int
+    reached: int
+    missing: list[str]
+    silent: list[str]
+
+
+class ConfigurationService:
+    """Holds the configuration in force on this node.
+
+    Invariant: ``snapshot.revision`` only rises, by applying change after change.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        cache: ConfigurationCache | None,
+        membership: MembershipService,
+        transport: Transport,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.snapshot = Snapshot()
+        self.on_change: list[Callable[[ConfigurationDocument], None]] = []
+        self._store = store
+        self._cache = cache
+        self._membership = membership
+        self._transport = transport
+        self._clock = clock
+        self._rng = rng
+        self._recent: dict[int, AcceptedChange] = {}
+        self._fetching = False
+        self._task: asyncio.Task[None] | None = None
+        self._fetches: set[asyncio.Task[None]] = set()
+        membership.on_revision.append(self._on_revision_seen)
+        transport.handlers[FETCH_METHOD] = self._on_fetch
+        transport.handlers[REVISION_METHOD] = self._on_revision_asked
+
+    @property
+    def document(self) -> ConfigurationDocument:
+        """The document in force here."""
+        return self.snapshot.document
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this node is one of its zone's readers of the store."""
+        me = self._membership.swim.me
+        zone = self._membership.live_zones().get(me.zone, [])
+        ranked = rendezvous_rank("configuration-reader", zone)
+        return me.node_id in ranked[:READERS_PER_ZONE]
+
+    def start(self) -> None:
+        """Load the kept configuration and begin to follow changes."""
+        kept = self._cache.load() if self._cache is not None else None
+        if kept is not None:
+            self._take_over(kept)
+        self._task = asyncio.create_task(self._read_forever())
+
+    async def stop(self) -> None:
+        """Stop following changes."""
+        tasks = [*self._fetches, *([self._task] if self._task is not None else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    # --- writing -------------------------------------------------------------------------
+
+    async def submit(self, body: AnyChange, author: str) -> Accepted | Refusal:
+        """Get a change accepted by the store, on top of the newest revision."""
+        operation_id = f"{self._rng.getrandbits(96):024x}"
+        for _ in range(SETTLE_TRIES):
+            try:
+                await self._catch_up()
+                outcome = await self._try_accept(body, author, operation_id)
+            except StoreUnavailable as error:
+                return Refusal(
+                    ErrorKind.STORE_UNAVAILABLE,
+                    f"the store does not answer ({error}); "
+                    f"SHOW CONFIGURATION tells later whether operation {operation_id} took effect",
+                )
+            except UnknownName as error:
+                return Refusal(ErrorKind.NOT_FOUND, str(error))
+            if outcome is not None:
+                return outcome
+        return Refusal(ErrorKind.CONFLICT, "other operators' changes kept winning; ask again")
+
+    async def _try_accept(self, body: AnyChange, author: str, operation_id: str) -> Accepted | None:
+        """Create the next revision's object; ``None``: another change won this revision."""
+        base = self.snapshot
+        revision = base.revision + 1
+        apply_change(base.document, body, revision)  # refuse before it is written
+        change = AcceptedChange(
+            operation_id=operation_id,
+            author=author,
+            at_ms=self._clock.wall_ms(),
+            base_revision=base.revision,
+            body=body,
+        )
+        content = change.model_dump_json().encode()
+        try:
+            await self._store.create(change_key(revision), content)
+        except (VersionConflict, StoreUnavailable):
+            return await self._settle(revision, operation_id)
+        self._apply(revision, change)
+        return Accepted(revision)
+
+    async def _settle(self, revision: int, operation_id: str) -> Accepted | None:
+        """After a conflict or a lost answer: read whose change has this revision."""
+        for attempt in range(SETTLE_TRIES):
+            try:
+                stored = await self._store.get(change_key(revision))
+            except StoreUnavailable:
+                if attempt == SETTLE_TRIES - 1:
+                    raise
+                await asyncio.sleep(STORE_RETRY_S)
+                continue
+            if stored is None:
+                return None
+            change = AcceptedChange.model_validate_json(stored.content)
+            self._apply(revision, change)
+            return Accepted(revision) if change.operation_id == operation_id else None
+        return None
+
+    async def wait_in_force(self, revision: int, timeout_s: float) -> InForce:
+        """Wait until every live node holds the revision; say which do not."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + timeout_s
+        while True:
+            state = await self._ask_all(revision)
+            if not state.missing and not state.silent:
+                return state
+            if loop.time() >= until:
+                return state
+            await asyncio.sleep(0.2)
+
+    async def _ask_all(self, revision: int) -> InForce:
+        me = self._membership.swim.me.node_id
+        others = [m.node_id for m in self._membership.view.live() if m.node_id != me]
+        answers = await asyncio.gather(*(self._ask_revision(node) for node in others))
+        missing = [
+            n for n, r in zip(others, answers, strict=True) if r is not None and r < revision
+        ]
+        silent = [n for n, r in zip(others, answers, strict=True) if r is None]
+        reached = 1 + len(others) - len(missing) - len(silent)
+        return InForce(revision, reached, missing, silent)
+
+    async def _ask_revision(self, node_id: str) -> int | None:
+        address = self._membership.view.address(node_id)
+        if address is None:
+            return None
+        question = wire.RevisionRequest().SerializeToString()
+        try:
+            reply = await self._transport.request(
+                address, REVISION_METHOD, question, FETCH_TIMEOUT_S
+            )
+        except PeerUnreachable:
+            return None
+        return wire.RevisionReply.FromString(reply).revision
+
+    # --- following -----------------------------------------------------------------------
+
+    async def _read_forever(self) -> None:
+        while True:
+            if not self.is_reader:
+                await asyncio.sleep(STORE_RETRY_S)
+                continue
+            try:
+                after = change_key(self.snapshot.revision)
+                self._apply_objects(await self._store.watch(CHANGES_PREFIX, after, WATCH_S))
+            except StoreUnavailable:
+                await asyncio.sleep(STORE_RETRY_S * self._rng.uniform(0.5, 1.5))
+
+    async def _catch_up(self) -> None:
+        after = change_key(self.snapshot.revision)
+        self._apply_objects(await self._store.list_after(CHANGES_PREFIX, after))
+
+    def _apply_objects(self, objects: list[StoredObject]) -> None:
+        for stored in objects:
+            revision = int(stored.key.removeprefix(CHANGES_PREFIX))
+            self._apply(revision, AcceptedChange.model_validate_json(stored.content))
+
+    def _apply(self, revision: int, change: AcceptedChange) -> None:
+        if revision != self.snapshot.revision + 1:
+            return  # known already, or a gap that a later read fills
+        self._recent[revision] = change
+        self._recent.pop(revision - RECENT_CHANGES, None)
+        with contextlib.suppress(UnknownName):
+            document = apply_change(self.document, change.body, revision)
+            self._take_over(Snapshot(revision=revision, document=document))
+            return
+        self._take_over(Snapshot(revision=revision, document=self.document))
+
+    def _take_over(self, snapshot: Snapshot) -> None:
+        if snapshot.revision <= self.snapshot.revision:
+            return
+        self.snapshot = snapshot
+        if self._cache is not None:
+            self._cache.save(snapshot)
+        self._membership.set_revision(snapshot.revision)
+        for on_change in self.on_change:
+            on_change(snapshot.document)
+
+    # --- between nodes -------------------------------------------------------------------
+
+    def _on_revision_seen(self, node_id: str, revision: int) -> None:
+        if revision <= self.snapshot.revision or self._fetching:
+            return
+        self._fetching = True
+        task = asyncio.get_running_loop().create_task(self._fetch(node_id))
+        self._fetches.add(task)
+        task.add_done_callback(self._fetches.discard)
+
+    async def _fetch(self, node_id: str) -> None:
+        try:
+            address = self._membership.view.address(node_id)
+            if address is None:
+                return
+            question = wire.ConfigurationRequest(have_revision=self.snapshot.revision)
+            payload = await self._transport.request(
+                address, FETCH_METHOD, question.SerializeToString(), FETCH_TIMEOUT_S
+            )
+            self._take_reply(wire.ConfigurationReply.FromString(payload))
+        except PeerUnreachable:
+            return  # the next gossip names a holder again
+        finally:
+            self._fetching = False
+
+    def _take_reply(self, reply: wire.ConfigurationReply) -> None:
+        if reply.snapshot_revision > self.snapshot.revision:
+            self._take_over(Snapshot.model_validate_json(reply.snapshot))
+        for row in reply.changes:
+            self._apply(row.revision, AcceptedChange.model_validate_json(row.change))
+
+    async def _on_fetch(self, payload: bytes) -> bytes:
+        have = wire.ConfigurationRequest.FromString(payload).have_revision
+        wanted = range(have + 1, self.snapshot.revision + 1)
+        reply = wire.ConfigurationReply()
+        if all(revision in self._recent for revision in wanted):
+            for revision in wanted:
+                change = self._recent[revision].model_dump_json().encode()
+                reply.changes.append(wire.ConfigurationChange(revision=revision, change=change))
+        else:
+            reply.snapshot_revision = self.snapshot.revision
+            reply.snapshot = self.snapshot.model_dump_json().encode()
+        return reply.SerializeToString()
+
+    async def _on_revision_asked(self, _payload: bytes) -> bytes:
+        return wire.RevisionReply(revision=self.snapshot.revision).SerializeToString()
+
+
+def change_key(revision: int) -> str:
+    """Key of a revision's change; keys sort like revisions."""
+    return f"{CHANGES_PREFIX}{revision:012d}"
--- /dev/null
+++ b/src/bendshed/consensus/host.py
@@ -0,0 +1,297 @@
+"""Runs all replicas of one node: ticks, durable writes, messages and proposals.
+
+One turn of the writer makes the writes of all groups durable in a single commit; the messages
+that had to wait for them leave afterwards. Messages to one peer travel together, so heartbeats
+cost one message per pair of nodes and not one per group.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from bendshed.consensus import raft
+from bendshed.logs import PartLog
+from bendshed.ports.log_storage import GroupWrite, LogStorage, StoredGroup
+from bendshed.ports.transport import Address, Transport
+from bendshed.wire import consensus_pb2 as wire
+
+CONSENSUS_METHOD = "consensus.batch"
+COMPACT_AFTER_ENTRIES = 2_000
+
+log = PartLog("consensus")
+
+
+class ReplicatedState(Protocol):
+    """What a group replicates. ``apply`` must be deterministic."""
+
+    def apply(self, data: bytes) -> object:
+        """Apply one committed command and return its result."""
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+
+    def restore(self, state: bytes) -> None:
+        """Replace the state."""
+
+
+class NotLeader(Exception):
+    """This node does not lead the group; ``leader_id`` may name who does."""
+
+    def __init__(self, leader_id: str) -> None:
+        super().__init__(leader_id)
+        self.leader_id = leader_id
+
+
+class NotCommitted(Exception):
+    """Proven: the command was dropped and will never be applied."""
+
+
+class CommitUnknown(Exception):
+    """The command was not seen to commit in time; it may still."""
+
+
+@dataclass(slots=True)
+class HostedGroup:
+    """A replica, its state machine and the proposals that wait on this node.
+
+    Attributes:
+        waiters: index -> (term, future of the command's result).
+        changed: set and replaced at each applied command.
+
+    """
+
+    replica: raft.RaftReplica
+    state: ReplicatedState
+    waiters: dict[int, tuple[int, asyncio.Future[object]]] = field(default_factory=dict)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class GroupHost:
+    """Shell around the replicas of one node."""
+
+    def __init__(
+        self,
+        storage: LogStorage,
+        transport: Transport,
+        rng: random.Random,
+        tick_s: float,
+        new_state: Callable[[int], ReplicatedState],
+        resolve: Callable[[str], Address | None],
+    ) -> None:
+        self.node_id = storage.node_id()
+        self.groups: dict[int, HostedGroup] = {}
+        self.on_role_changed: Callable[[int, raft.RoleChanged], None] = lambda _group, _change: None
+        self.commits = 0
+        self._storage = storage
+        self._transport = transport
+        self._rng = rng
+        self._tick_s = tick_s
+        self._new_state = new_state
+        self._resolve = resolve
+        self._writes: list[GroupWrite] = []
+        self._after_writes: list[wire.ConsensusMessage] = []
+        self._writing = False
+        self._work = asyncio.Event()
+        self._durable = asyncio.Event()
+        self._outbox: dict[str, list[wire.ConsensusMessage]] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Load the stored groups and begin to tick."""
+        for stored in self._storage.load():
+            self._add(stored)
+        self._transport.one_way_handlers[CONSENSUS_METHOD] = self._receive_batch
+        self._tasks = [
+            asyncio.create_task(self._tick_forever()),
+            asyncio.create_task(self._write_forever()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop ticking and writing."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def bootstrap(self, group_id: int, membership: wire.GroupMembership) -> None:
+        """Create a first replica of a new group, or do nothing if it exists."""
+        if group_id in self.groups:
+            return
+        snapshot = wire.Snapshot(index=1, term=1, membership=membership)
+        self._writes.append(GroupWrite(group_id, term=1, voted_for="", snapshot=snapshot))
+        self._work.set()
+        self._add(StoredGroup(group_id, 1, "", snapshot, []))
+
+    async def flush(self) -> None:
+        """Wait until everything written so far is durable."""
+        while self._writes or self._writing:
+            await self._durable.wait()
+
+    def _add(self, stored: StoredGroup) -> HostedGroup:
+        state = self._new_state(stored.group_id)
+        if stored.snapshot.state:
+            state.restore(stored.snapshot.state)
+        group = HostedGroup(raft.RaftReplica(self.node_id, stored, self._rng), state)
+        self.groups[stored.group_id] = group
+        return group
+
+    # --- proposals -----------------------------------------------------------------------
+
+    def ready_group(self, group_id: int) -> HostedGroup:
+        """Return the group if this node leads it and knows its past; raise ``NotLeader``."""
+        group = self.groups.get(group_id)
+        if group is None:
+            raise NotLeader("")
+        if not group.replica.is_ready_leader:
+            leader = group.replica.leader_id
+            raise NotLeader("" if leader == self.node_id else leader)
+        return group
+
+    async def propose(self, group_id: int, data: bytes, timeout_s: float) -> object:
+        """Commit a command and return the result of applying it.
+
+        Raises ``NotLeader``, ``NotCommitted`` (proven without effect) or ``CommitUnknown``.
+        """
+        group = self.ready_group(group_id)
+        term = group.replica.term
+        index, effects = group.replica.propose(data)
+        if index == 0:
+            raise NotLeader("")
+        future: asyncio.Future[object] = asyncio.get_running_loop().create_future()
+        group.waiters[index] = (term, future)
+        self._perform(group, effects)
+        try:
+            return await asyncio.wait_for(future, timeout_s)
+        except TimeoutError as error:
+            raise CommitUnknown(f"group {group_id} entry {index}") from error
+        finally:
+            group.waiters.pop(index, None)
+
+    def propose_membership(self, group_id: int, membership: wire.GroupMembership) -> bool:
+        """Start a membership change; ``False``: not now."""
+        group = self.groups[group_id]
+        index, effects = group.replica.propose_membership(membership)
+        self._perform(group, effects)
+        return index > 0
+
+    def hand_over(self) -> None:
+        """Ask another voter to lead each group that this node leads."""
+        for group in self.groups.values():
+            self._perform(group, group.replica.transfer_leadership())
+
+    def led_groups(self) -> list[int]:
+        """Groups that this node leads."""
+        return [n for n, g in self.groups.items() if g.replica.role is raft.Role.LEADER]
+
+    # --- events --------------------------------------------------------------------------
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(self._tick_s)
+            for group in list(self.groups.values()):
+                self._perform(group, group.replica.tick())
+                self._compact_if_long(group)
+
+    def _compact_if_long(self, group: HostedGroup) -> None:
+        replica = group.replica
+        if replica.applied_index - replica.snapshot_index >= COMPACT_AFTER_ENTRIES:
+            self._perform(group, replica.compact(replica.applied_index, group.state.snapshot()))
+
+    def _receive_batch(self, payload: bytes) -> None:
+        for message in wire.ConsensusBatch.FromString(payload).messages:
+            if message.receiver != self.node_id:
+                continue
+            group = self.groups.get(message.group_id)
+            if group is None:
+                group = self._join_as_learner(message)
+            if group is not None:
+                self._perform(group, group.replica.receive(message))
+
+    def _join_as_learner(self, message: wire.ConsensusMessage) -> HostedGroup | None:
+        """A leader writes to a group that this node does not hold yet: start empty."""
+        leader_writes = (wire.CONSENSUS_KIND_APPEND_REQUEST, wire.CONSENSUS_KIND_SNAPSHOT)
+        if message.kind not in leader_writes:
+            return None
+        log.say("joins a group as a learner", group=message.group_id)
+        return self._add(StoredGroup(message.group_id, 0, "", wire.Snapshot(), []))
+
+    # --- effects -------------------------------------------------------------------------
+
+    def _perform(self, group: HostedGroup, effects: list[raft.Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case raft.SendMessage(message, after_persist):
+                    self._send(message, after_persist)
+                case raft.Persist(write):
+                    self._writes.append(write)
+                    self._work.set()
+                case raft.Apply(entries):
+                    self._apply(group, entries)
+                case raft.Restore(snapshot):
+                    group.state.restore(snapshot.state)
+                    self._announce_change(group)
+                case raft.RoleChanged():
+                    self.on_role_changed(group.replica.group_id, effect)
+                    self._announce_change(group)
+
+    def _send(self, message: wire.ConsensusMessage, after_persist: bool) -> None:
+        if after_persist and (self._writes or self._writing):
+            self._after_writes.append(message)
+            self._work.set()
+            return
+        if not self._outbox:
+            asyncio.get_running_loop().call_soon(self._flush_outbox)
+        self._outbox.setdefault(message.receiver, []).append(message)
+
+    def _flush_outbox(self) -> None:
+        outbox = self._outbox
+        self._outbox = {}
+        for receiver, messages in outbox.items():
+            address = self._resolve(receiver)
+            if address is not None:
+                batch = wire.ConsensusBatch(messages=messages)
+                self._transport.send(address, CONSENSUS_METHOD, batch.SerializeToString())
+
+    def _apply(self, group: HostedGroup, entries: list[wire.LogEntry]) -> None:
+        for entry in entries:
+            result: object = None
+            if entry.kind == wire.ENTRY_KIND_COMMAND:
+                result = group.state.apply(entry.data)
+            term_and_future = group.waiters.get(entry.index)
+            if term_and_future is None or term_and_future[1].done():
+                continue
+            term, future = term_and_future
+            if term == entry.term:
+                future.set_result(result)
+            else:
+                future.set_exception(NotCommitted(f"entry {entry.index}"))
+        self._announce_change(group)
+
+    def _announce_change(self, group: HostedGroup) -> None:
+        group.changed.set()
+        group.changed = asyncio.Event()
+
+    async def _write_forever(self) -> None:
+        while True:
+            await self._work.wait()
+            self._work.clear()
+            writes, self._writes = self._writes, []
+            messages, self._after_writes = self._after_writes, []
+            if writes:
+                self._writing = True
+                await self._storage.commit(writes)
+                self._writing = False
+                self.commits += 1
+                self._durable.set()
+                self._durable = asyncio.Event()
+            for message in messages:
+                self._send(message, after_persist=False)
+            self._report_persisted(writes)
+
+    def _report_persisted(self, writes: list[GroupWrite]) -> None:
+        for write in writes:
+            group = self.groups.get(write.group_id)
+            if group is not None and write.entries:
+                last = write.entries[-1]
+                self._perform(group, group.replica.persisted(last.index, last.term))
--- /dev/null
+++ b/src/bendshed/consensus/placement.py
@@ -0,0 +1,139 @@
+"""Places the groups at the installation's beginning and replaces lost replicas later."""
+
+import asyncio
+
+from bendshed.consensus.host import GroupHost
+from bendshed.consensus.raft import Role
+from bendshed.consensus.repair import DiskNode, choose_replicas, next_membership
+from bendshed.identifiers import rendezvous_rank
+from bendshed.logs import PartLog
+from bendshed.membership.service import MembershipService
+from bendshed.ports.log_storage import LogStorage
+from bendshed.ports.store import ObjectStore, StoreUnavailable, VersionConflict
+from bendshed.settings.model import GroupsSection
+from bendshed.wire.consensus_pb2 import GroupMembership, Placement
+
+PLACEMENT_KEY = "placement"
+CHECK_INTERVAL_S = 0.5
+MAX_LEARNER_LAG = 100
+"""A learner that lacks fewer entries becomes a voter."""
+
+log = PartLog("placement")
+
+
+class PlacementService:
+    """Runs on disk nodes. The store is needed for the very first placement only."""
+
+    def __init__(
+        self,
+        host: GroupHost,
+        storage: LogStorage,
+        store: ObjectStore,
+        membership: MembershipService,
+        settings: GroupsSection,
+    ) -> None:
+        self._host = host
+        self._storage = storage
+        self._store = store
+        self._membership = membership
+        self._settings = settings
+        self._missing_since_s: dict[str, float] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to place and to repair."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """End."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while not self._storage.is_bootstrapped():
+            try:
+                await self._bootstrap()
+            except StoreUnavailable:
+                log.say("the store does not answer; the first placement waits")
+            if not self._storage.is_bootstrapped():
+                await asyncio.sleep(CHECK_INTERVAL_S)
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            self._repair()
+
+    # --- first placement -----------------------------------------------------------------
+
+    async def _bootstrap(self) -> None:
+        stored = await self._store.get(PLACEMENT_KEY)
+        if stored is None:
+            await self._create_placement()
+            return
+        placement = Placement.FromString(stored.content)
+        for group_id, membership in placement.groups.items():
+            if self._host.node_id in membership.voters:
+                self._host.bootstrap(group_id, membership)
+        await self._host.flush()
+        self._storage.mark_bootstrapped()
+        log.say("took part in the first placement", groups=len(self._host.groups))
+
+    async def _create_placement(self) -> None:
+        """The first disk node by rendezvous writes the placement, once enough are there."""
+        nodes = list(self._live_disk_nodes().values())
+        if len(nodes) < self._settings.bootstrap_disk_nodes:
+            return
+        names = [node.node_id for node in nodes]
+        if rendezvous_rank(PLACEMENT_KEY, names)[0] != self._host.node_id:
+            return
+        placement = Placement()
+        for group_id in range(self._settings.count):
+            voters = choose_replicas(group_id, nodes, self._settings.replicas)
+            placement.groups[group_id].CopyFrom(GroupMembership(voters=voters))
+        if len(nodes) < self._settings.replicas:
+            log.say("groups have too few replicas to outlive a disk", disk_nodes=len(nodes))
+        try:
+            await self._store.create(PLACEMENT_KEY, placement.SerializeToString())
+        except VersionConflict:
+            return
+
+    def _live_disk_nodes(self) -> dict[str, DiskNode]:
+        return {
+            member.node_id: DiskNode(member.node_id, member.zone)
+            for member in self._membership.view.live()
+            if member.has_disk
+        }
+
+    # --- repair --------------------------------------------------------------------------
+
+    def _repair(self) -> None:
+        live = self._live_disk_nodes()
+        gone = self._long_missing(live)
+        for group_id, group in self._host.groups.items():
+            replica = group.replica
+            if replica.role is not Role.LEADER or not replica.membership_settled:
+                continue
+            wanted = next_membership(
+                group_id,
+                replica.membership,
+                live,
+                gone,
+                replica.caught_up_learners(MAX_LEARNER_LAG),
+                self._settings.replicas,
+            )
+            if wanted is not None and self._host.propose_membership(group_id, wanted):
+                log.say("changes a group's replicas", group=group_id, voters=list(wanted.voters))
+
+    def _long_missing(self, live: dict[str, DiskNode]) -> set[str]:
+        """Replicas that have not been live for the time after which they are replaced."""
+        now_s = asyncio.get_running_loop().time()
+        members = {
+            node
+            for group in self._host.groups.values()
+            for node in (*group.replica.membership.voters, *group.replica.membership.learners)
+        }
+        missing = {node for node in members if node not in live}
+        self._missing_since_s = {
+            node: self._missing_since_s.get(node, now_s) for node in sorted(missing)
+        }
+        limit_s = self._settings.replace_after_s
+        return {node for node, since in self._missing_since_s.items() if now_s - since >= limit_s}
--- /dev/null
+++ b/src/bendshed/consensus/raft.py
@@ -0,0 +1,650 @@
+"""One replica of one group as a pure state machine (Raft, Ongaro 2014).
+
+Events go in through the public methods; each returns a list of effects. Nothing here waits,
+reads a clock or touches a disk. Follows the thesis: pre-vote (9.6), leader stickiness (4.2.3),
+leadership transfer (3.10), single-server membership changes (4.1), and parallel writes to the
+leader's own disk (10.2.1).
+"""
+
+import random
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from bendshed.ports.log_storage import GroupWrite, StoredGroup
+from bendshed.wire import consensus_pb2 as wire
+
+HEARTBEAT_TICKS = 3
+ELECTION_TICKS_MIN = 10
+ELECTION_TICKS_MAX = 20
+MAX_APPEND_ENTRIES = 128
+"""Entries in one append message."""
+MAX_IN_FLIGHT_ENTRIES = 1024
+"""Entries sent to a follower and not yet acknowledged."""
+
+
+class Role(StrEnum):
+    """Role of a replica in its group."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(frozen=True, slots=True)
+class SendMessage:
+    """Send to ``message.receiver``; ``after_persist``: only once earlier writes are durable."""
+
+    message: wire.ConsensusMessage
+    after_persist: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Persist:
+    """Make this write durable, then report ``persisted``."""
+
+    write: GroupWrite
+
+
+@dataclass(frozen=True, slots=True)
+class Apply:
+    """Apply these committed entries, in order."""
+
+    entries: list[wire.LogEntry]
+
+
+@dataclass(frozen=True, slots=True)
+class Restore:
+    """Replace the state machine by this snapshot."""
+
+    snapshot: wire.Snapshot
+
+
+@dataclass(frozen=True, slots=True)
+class RoleChanged:
+    """The replica's role, term or known leader changed."""
+
+    role: Role
+    term: int
+    leader_id: str
+
+
+Effect = SendMessage | Persist | Apply | Restore | RoleChanged
+
+
+@dataclass(slots=True)
+class Progress:
+    """What the leader knows of one follower.
+
+    Attributes:
+        next_index: first entry to send next.
+        match_index: last entry known to be durable there.
+        ticks_silent: ticks since its last reply.
+        snapshot_sent: index of a snapshot under way; 0: none.
+
+    """
+
+    next_index: int
+    match_index: int = 0
+    ticks_silent: int = 0
+    snapshot_sent: int = 0
+
+
+@dataclass(slots=True)
+class _Log:
+    """Entries after the snapshot. ``entries[0].index == snapshot.index + 1``."""
+
+    snapshot: wire.Snapshot
+    entries: list[wire.LogEntry] = field(default_factory=list)
+
+    @property
+    def last_index(self) -> int:
+        return self.entries[-1].index if self.entries else self.snapshot.index
+
+    @property
+    def last_term(self) -> int:
+        return self.entries[-1].term if self.entries else self.snapshot.term
+
+    def term_at(self, index: int) -> int | None:
+        """Term of the entry, ``None`` if it was compacted or does not exist."""
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        offset = index - self.snapshot.index - 1
+        if 0 <= offset < len(self.entries):
+            return self.entries[offset].term
+        return None
+
+    def between(self, first: int, last: int) -> list[wire.LogEntry]:
+        """Entries with ``first <= index <= last``."""
+        base = self.snapshot.index + 1
+        return self.entries[max(0, first - base) : max(0, last - base + 1)]
+
+    def truncate_from(self, index: int) -> None:
+        del self.entries[max(0, index - self.snapshot.index - 1) :]
+
+    def compact(self, snapshot: wire.Snapshot) -> None:
+        self.entries = self.between(snapshot.index + 1, self.last_index)
+        self.snapshot = snapshot
+
+
+class RaftReplica:
+    """A replica of one group.
+
+    Invariants: at most one leader per term; a committed entry is in the log of every later
+    leader; ``applied_index <= commit_index <= last_index``; a vote or an acknowledgement leaves
+    only after what it speaks of is durable.
+
+    Attributes:
+        term, voted_for: hard state.
+        role, leader_id: current role; the leader of this term, empty when unknown.
+        membership: the latest membership in the log, committed or not.
+        persisted_index: last own entry known to be durable.
+
+    """
+
+    def __init__(self, node_id: str, stored: StoredGroup, rng: random.Random) -> None:
+        self.node_id = node_id
+        self.group_id = stored.group_id
+        self.term = stored.term
+        self.voted_for = stored.voted_for
+        self.role = Role.FOLLOWER
+        self.leader_id = ""
+        self._log = _Log(stored.snapshot, list(stored.entries))
+        self.commit_index = stored.snapshot.index
+        self.applied_index = stored.snapshot.index
+        self.persisted_index = self._log.last_index
+        self.progress: dict[str, Progress] = {}
+        self._votes: set[str] = set()
+        self._rng = rng
+        self._ticks_since_leader = 0
+        self._ticks_since_heartbeat = 0
+        self._election_ticks = self._draw_election_ticks()
+        self._transfer_target = ""
+        self.membership = self._latest_membership()
+        self._effects: list[Effect] = []
+
+    # --- what others may ask -------------------------------------------------------------
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry in the log."""
+        return self._log.last_index
+
+    @property
+    def snapshot_index(self) -> int:
+        """Index up to which the log was compacted."""
+        return self._log.snapshot.index
+
+    @property
+    def has_committed_in_term(self) -> bool:
+        """Whether this leader has committed an entry of its own term."""
+        return self._log.term_at(self.commit_index) == self.term
+
+    @property
+    def is_ready_leader(self) -> bool:
+        """Leader that knows all earlier terms' entries to be settled."""
+        return self.role is Role.LEADER and self.has_committed_in_term
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this node votes in the group."""
+        return self.node_id in self.membership.voters
+
+    @property
+    def membership_settled(self) -> bool:
+        """Whether no membership change is uncommitted."""
+        pending = self._log.between(self.commit_index + 1, self.last_index)
+        return all(entry.kind != wire.ENTRY_KIND_MEMBERSHIP for entry in pending)
+
+    def caught_up_learners(self, max_lag: int) -> list[str]:
+        """Learners that lack at most ``max_lag`` entries; only known to the leader."""
+        return [
+            node
+            for node in self.membership.learners
+            if node in self.progress
+            and self.progress[node].match_index > 0
+            and self.last_index - self.progress[node].match_index <= max_lag
+        ]
+
+    # --- events --------------------------------------------------------------------------
+
+    def tick(self) -> list[Effect]:
+        """One unit of time has passed."""
+        if self.role is Role.LEADER:
+            self._tick_leader()
+        else:
+            self._ticks_since_leader += 1
+            if self._ticks_since_leader >= self._election_ticks and self.is_voter:
+                self._start_pre_vote()
+        return self._take_effects()
+
+    def propose(self, data: bytes) -> tuple[int, list[Effect]]:
+        """Append a command; returns its index, 0 when this replica is not the leader."""
+        if self.role is not Role.LEADER or self._transfer_target:
+            return 0, []
+        index = self._append_own(wire.ENTRY_KIND_COMMAND, data)
+        self._replicate_all()
+        return index, self._take_effects()
+
+    def propose_membership(self, membership: wire.GroupMembership) -> tuple[int, list[Effect]]:
+        """Append a membership that differs from the present one by a single replica."""
+        if not self.is_ready_leader or not self.membership_settled:
+            return 0, []
+        changed = set(membership.voters) ^ set(self.membership.voters)
+        if len(changed) > 1:
+            raise ValueError("a membership change may add or remove one voter")
+        index = self._append_own(wire.ENTRY_KIND_MEMBERSHIP, membership.SerializeToString())
+        self._adopt_membership(membership)
+        self._replicate_all()
+        return index, self._take_effects()
+
+    def persisted(self, last_index: int, entry_term: int) -> list[Effect]:
+        """The log is durable up to the entry ``last_index`` of ``entry_term``."""
+        if self._log.term_at(last_index) == entry_term:
+            self.persisted_index = max(self.persisted_index, last_index)
+        if self.role is Role.LEADER:
+            self._advance_commit()
+        return self._take_effects()
+
+    def transfer_leadership(self) -> list[Effect]:
+        """Ask the most advanced voter to take over; do nothing without one."""
+        if self.role is not Role.LEADER:
+            return []
+        voters = [node for node in self.membership.voters if node in self.progress]
+        alive = [n for n in voters if self.progress[n].ticks_silent < ELECTION_TICKS_MIN]
+        if not alive:
+            return []
+        target = max(sorted(alive), key=lambda node: self.progress[node].match_index)
+        self._transfer_target = target
+        self._maybe_send_timeout_now(target)
+        return self._take_effects()
+
+    def compact(self, index: int, state: bytes) -> list[Effect]:
+        """Replace the log up to ``index`` (applied) by a snapshot of the state."""
+        term = self._log.term_at(index)
+        if term is None or index <= self.snapshot_index or index > self.applied_index:
+            return []
+        snapshot = wire.Snapshot(
+            index=index, term=term, membership=self._membership_at(index), state=state
+        )
+        self._log.compact(snapshot)
+        self._persist(GroupWrite(self.group_id, snapshot=snapshot))
+        return self._take_effects()
+
+    def receive(self, message: wire.ConsensusMessage) -> list[Effect]:
+        """Handle a message of a peer."""
+        if self._is_disruptive(message):
+            return []
+        if message.term > self.term and not message.pre_vote:
+            leader = message.sender if message.kind == wire.CONSENSUS_KIND_APPEND_REQUEST else ""
+            self._become_follower(message.term, leader)
+        match message.kind:
+            case wire.CONSENSUS_KIND_VOTE_REQUEST:
+                self._on_vote_request(message)
+            case wire.CONSENSUS_KIND_VOTE_REPLY:
+                self._on_vote_reply(message)
+            case wire.CONSENSUS_KIND_APPEND_REQUEST:
+                self._on_append_request(message)
+            case wire.CONSENSUS_KIND_APPEND_REPLY:
+                self._on_append_reply(message)
+            case wire.CONSENSUS_KIND_SNAPSHOT:
+                self._on_snapshot(message)
+            case wire.CONSENSUS_KIND_TIMEOUT_NOW:
+                if message.term == self.term and self.is_voter:
+                    self._start_election(transfer=True)
+        return self._take_effects()
+
+    # --- elections -----------------------------------------------------------------------
+
+    def _is_disruptive(self, message: wire.ConsensusMessage) -> bool:
+        """A vote request while a leader is heard; a removed replica must not disturb."""
+        if message.kind != wire.CONSENSUS_KIND_VOTE_REQUEST or message.transfer:
+            return False
+        if self.role is Role.LEADER:
+            return not message.pre_vote and message.term > self.term and self._hears_majority()
+        return bool(self.leader_id) and self._ticks_since_leader < ELECTION_TICKS_MIN
+
+    def _hears_majority(self) -> bool:
+        heard = [
+            node
+            for node in self.membership.voters
+            if node == self.node_id
+            or (node in self.progress and self.progress[node].ticks_silent < ELECTION_TICKS_MIN)
+        ]
+        return len(heard) >= self._majority
+
+    @property
+    def _majority(self) -> int:
+        return len(self.membership.voters) // 2 + 1
+
+    def _start_pre_vote(self) -> None:
+        self._reset_election_timer()
+        self.role = Role.PRE_CANDIDATE
+        self.leader_id = ""
+        self._votes = {self.node_id}
+        if len(self._votes) >= self._majority:
+            self._start_election(transfer=False)
+            return
+        self._request_votes(term=self.term + 1, pre_vote=True, transfer=False)
+
+    def _start_election(self, transfer: bool) -> None:
+        self.term += 1
+        self.voted_for = self.node_id
+        self.role = Role.CANDIDATE
+        self.leader_id = ""
+        self._votes = {self.node_id}
+        self._reset_election_timer()
+        self._persist_hard_state()
+        if len(self._votes) >= self._majority:
+            self._become_leader()
+            return
+        self._request_votes(term=self.term, pre_vote=False, transfer=transfer)
+
+    def _request_votes(self, term: int, pre_vote: bool, transfer: bool) -> None:
+        for node in self.membership.voters:
+            if node == self.node_id:
+                continue
+            message = self._message(wire.CONSENSUS_KIND_VOTE_REQUEST, node)
+            message.term = term
+            message.pre_vote = pre_vote
+            message.transfer = transfer
+            message.previous_index = self._log.last_index
+            message.previous_term = self._log.last_term
+            self._send(message)
+
+    def _on_vote_request(self, message: wire.ConsensusMessage) -> None:
+        up_to_date = (message.previous_term, message.previous_index) >= (
+            self._log.last_term,
+            self._log.last_index,
+        )
+        if message.pre_vote:
+            granted = message.term > self.term and up_to_date and self.role is not Role.LEADER
+        else:
+            free = self.voted_for in ("", message.sender)
+            granted = message.term == self.term and free and up_to_date
+        if granted and not message.pre_vote:
+            self.voted_for = message.sender
+            self._reset_election_timer()
+            self._persist_hard_state()
+        reply = self._message(wire.CONSENSUS_KIND_VOTE_REPLY, message.sender)
+        reply.term = message.term if granted else self.term
+        reply.pre_vote = message.pre_vote
+        reply.granted = granted
+        self._send(reply)
+
+    def _on_vote_reply(self, message: wire.ConsensusMessage) -> None:
+        if message.pre_vote:
+            if not message.granted and message.term > self.term:
+                self._become_follower(message.term, "")
+                return
+            counts = self.role is Role.PRE_CANDIDATE and message.term == self.term + 1
+        else:
+            counts = self.role is Role.CANDIDATE and message.term == self.term
+        if not counts or not message.granted or message.sender not in self.membership.voters:
+            return
+        self._votes.add(message.sender)
+        if len(self._votes) < self._majority:
+            return
+        if self.role is Role.PRE_CANDIDATE:
+            self._start_election(transfer=False)
+        else:
+            self._become_leader()
+
+    def _become_leader(self) -> None:
+        self.role = Role.LEADER
+        self.leader_id = self.node_id
+        self._transfer_target = ""
+        self.progress = {
+            node: Progress(next_index=self._log.last_index + 1) for node in self._peers()
+        }
+        self._append_own(wire.ENTRY_KIND_EMPTY, b"")
+        self._announce_role()
+        self._replicate_all()
+
+    def _become_follower(self, term: int, leader_id: str) -> None:
+        changed = self.role is not Role.FOLLOWER or self.leader_id != leader_id
+        if term > self.term:
+            self.term = term
+            self.voted_for = ""
+            self._persist_hard_state()
+        self.role = Role.FOLLOWER
+        self.leader_id = leader_id
+        self._transfer_target = ""
+        self.progress = {}
+        if changed:
+            self._reset_election_timer()
+            self._announce_role()
+
+    # --- replication ---------------------------------------------------------------------
+
+    def _tick_leader(self) -> None:
+        for progress in self.progress.values():
+            progress.ticks_silent += 1
+        self._ticks_since_leader += 1
+        if self._ticks_since_leader >= ELECTION_TICKS_MAX:
+            self._ticks_since_leader = 0
+            self._transfer_target = ""
+            if not self._hears_majority():
+                self._become_follower(self.term, "")
+                return
+        self._ticks_since_heartbeat += 1
+        if self._ticks_since_heartbeat >= HEARTBEAT_TICKS:
+            self._ticks_since_heartbeat = 0
+            for node in self._peers():
+                self._replicate(node, heartbeat=True)
+
+    def _append_own(self, kind: "wire.EntryKind.ValueType", data: bytes) -> int:
+        entry = wire.LogEntry(index=self._log.last_index + 1, term=self.term, kind=kind, data=data)
+        self._log.entries.append(entry)
+        self._persist(GroupWrite(self.group_id, entries=[entry]))
+        return entry.index
+
+    def _replicate_all(self) -> None:
+        for node in self._peers():
+            self._replicate(node, heartbeat=False)
+
+    def _replicate(self, node: str, heartbeat: bool) -> None:
+        progress = self.progress[node]
+        previous = progress.next_index - 1
+        previous_term = self._log.term_at(previous)
+        if previous_term is None:
+            self._send_snapshot(node, progress, heartbeat)
+            return
+        in_flight = previous - progress.match_index
+        last = min(self._log.last_index, previous + MAX_APPEND_ENTRIES)
+        entries = [] if in_flight > MAX_IN_FLIGHT_ENTRIES else self._log.between(previous + 1, last)
+        if not entries and not heartbeat:
+            return
+        message = self._message(wire.CONSENSUS_KIND_APPEND_REQUEST, node)
+        message.previous_index = previous
+        message.previous_term = previous_term
+        message.commit_index = self.commit_index
+        message.entries.extend(entries)
+        if entries:
+            progress.next_index = entries[-1].index + 1
+        self._effects.append(SendMessage(message, after_persist=False))
+
+    def _send_snapshot(self, node: str, progress: Progress, heartbeat: bool) -> None:
+        if progress.snapshot_sent == self.snapshot_index and not heartbeat:
+            return
+        if progress.snapshot_sent == self.snapshot_index and progress.ticks_silent % 10:
+            return
+        progress.snapshot_sent = self.snapshot_index
+        message = self._message(wire.CONSENSUS_KIND_SNAPSHOT, node)
+        message.snapshot.CopyFrom(self._log.snapshot)
+        self._effects.append(SendMessage(message, after_persist=False))
+
+    def _on_append_request(self, message: wire.ConsensusMessage) -> None:
+        reply = self._message(wire.CONSENSUS_KIND_APPEND_REPLY, message.sender)
+        if message.term < self.term:
+            reply.previous_index = self._log.last_index
+            self._send(reply)
+            return
+        self._hear_leader(message.sender)
+        if message.previous_index < self.snapshot_index:
+            reply.granted = True
+            reply.previous_index = self.snapshot_index
+            self._send(reply)
+            return
+        if self._log.term_at(message.previous_index) != message.previous_term:
+            reply.previous_index = self._conflict_hint(message.previous_index)
+            self._send(reply)
+            return
+        self._store_entries(list(message.entries))
+        matched = message.previous_index + len(message.entries)
+        self._commit_to(min(message.commit_index, matched))
+        reply.granted = True
+        reply.previous_index = matched
+        self._send(reply)
+
+    def _conflict_hint(self, previous_index: int) -> int:
+        """Last index that may match: skip the whole conflicting term."""
+        index = min(previous_index, self._log.last_index + 1)
+        term = self._log.term_at(index)
+        while term is not None and index > self.commit_index and self._log.term_at(index) == term:
+            index -= 1
+        return max(min(index, previous_index - 1), self.commit_index)
+
+    def _store_entries(self, entries: list[wire.LogEntry]) -> None:
+        new = [e for e in entries if self._log.term_at(e.index) != e.term]
+        if not new:
+            return
+        first = new[0].index
+        write = GroupWrite(self.group_id, entries=[e for e in entries if e.index >= first])
+        if first <= self._log.last_index:
+            if first <= self.commit_index:
+                raise AssertionError("a committed entry would be overwritten")
+            write.truncate_from = first
+            self._log.truncate_from(first)
+            self.persisted_index = min(self.persisted_index, first - 1)
+        self._log.entries.extend(write.entries)
+        if write.truncate_from or any(e.kind == wire.ENTRY_KIND_MEMBERSHIP for e in write.entries):
+            self.membership = self._latest_membership()
+        self._persist(write)
+
+    def _on_append_reply(self, message: wire.ConsensusMessage) -> None:
+        progress = self.progress.get(message.sender)
+        if self.role is not Role.LEADER or message.term != self.term or progress is None:
+            return
+        progress.ticks_silent = 0
+        if not message.granted:
+            progress.next_index = max(progress.match_index, message.previous_index) + 1
+            self._replicate(message.sender, heartbeat=True)
+            return
+        progress.snapshot_sent = 0
+        progress.match_index = max(progress.match_index, message.previous_index)
+        progress.next_index = max(progress.next_index, progress.match_index + 1)
+        self._advance_commit()
+        if self.role is Role.LEADER:
+            self._maybe_send_timeout_now(message.sender)
+            self._replicate(message.sender, heartbeat=False)
+
+    def _maybe_send_timeout_now(self, node: str) -> None:
+        if node == self._transfer_target and (
+            self.progress[node].match_index == self._log.last_index
+        ):
+            message = self._message(wire.CONSENSUS_KIND_TIMEOUT_NOW, node)
+            self._effects.append(SendMessage(message, after_persist=False))
+
+    def _advance_commit(self) -> None:
+        matches = sorted(
+            self.persisted_index if node == self.node_id else self.progress[node].match_index
+            for node in self.membership.voters
+        )
+        candidate = matches[len(matches) - self._majority]
+        if candidate > self.commit_index and self._log.term_at(candidate) == self.term:
+            self._commit_to(candidate)
+            self._leave_if_removed()
+
+    def _leave_if_removed(self) -> None:
+        if self.node_id not in self.membership.voters and self.membership_settled:
+            self._become_follower(self.term, "")
+
+    def _commit_to(self, index: int) -> None:
+        if index <= self.commit_index:
+            return
+        self.commit_index = index
+        entries = self._log.between(self.applied_index + 1, index)
+        self.applied_index = index
+        self._effects.append(Apply(entries))
+
+    def _on_snapshot(self, message: wire.ConsensusMessage) -> None:
+        if message.term < self.term:
+            return
+        self._hear_leader(message.sender)
+        snapshot = message.snapshot
+        if snapshot.index > self.commit_index:
+            self._log = _Log(snapshot)
+            self.commit_index = snapshot.index
+            self.applied_index = snapshot.index
+            self.persisted_index = snapshot.index
+            self.membership = snapshot.membership
+            self._persist(GroupWrite(self.group_id, truncate_from=1, snapshot=snapshot))
+            self._effects.append(Restore(snapshot))
+        reply = self._message(wire.CONSENSUS_KIND_APPEND_REPLY, message.sender)
+        reply.granted = True
+        reply.previous_index = self.commit_index
+        self._send(reply)
+
+    # --- small pieces --------------------------------------------------------------------
+
+    def _hear_leader(self, leader_id: str) -> None:
+        self._ticks_since_leader = 0
+        if self.role is not Role.FOLLOWER or self.leader_id != leader_id:
+            self._become_follower(self.term, leader_id)
+
+    def _adopt_membership(self, membership: wire.GroupMembership) -> None:
+        self.membership = membership
+        if self.role is Role.LEADER:
+            for node in self._peers():
+                self.progress.setdefault(node, Progress(next_index=self._log.last_index))
+            for node in set(self.progress) - set(self._peers()):
+                del self.progress[node]
+
+    def _latest_membership(self) -> wire.GroupMembership:
+        return self._membership_at(self._log.last_index)
+
+    def _membership_at(self, index: int) -> wire.GroupMembership:
+        for entry in reversed(self._log.between(self.snapshot_index + 1, index)):
+            if entry.kind == wire.ENTRY_KIND_MEMBERSHIP:
+                return wire.GroupMembership.FromString(entry.data)
+        return self._log.snapshot.membership
+
+    def _peers(self) -> list[str]:
+        everyone = [*self.membership.voters, *self.membership.learners]
+        return [node for node in everyone if node != self.node_id]
+
+    def _draw_election_ticks(self) -> int:
+        return self._rng.randrange(ELECTION_TICKS_MIN, ELECTION_TICKS_MAX)
+
+    def _reset_election_timer(self) -> None:
+        self._ticks_since_leader = 0
+        self._election_ticks = self._draw_election_ticks()
+
+    def _message(
+        self, kind: "wire.ConsensusKind.ValueType", receiver: str
+    ) -> wire.ConsensusMessage:
+        return wire.ConsensusMessage(
+            group_id=self.group_id,
+            kind=kind,
+            term=self.term,
+            sender=self.node_id,
+            receiver=receiver,
+        )
+
+    def _send(self, message: wire.ConsensusMessage) -> None:
+        self._effects.append(SendMessage(message, after_persist=True))
+
+    def _persist(self, write: GroupWrite) -> None:
+        self._effects.append(Persist(write))
+
+    def _persist_hard_state(self) -> None:
+        self._persist(GroupWrite(self.group_id, term=self.term, voted_for=self.voted_for))
+
+    def _announce_role(self) -> None:
+        self._effects.append(RoleChanged(self.role, self.term, self.leader_id))
+
+    def _take_effects(self) -> list[Effect]:
+        effects = self._effects
+        self._effects = []
+        return effects
--- /dev/null
+++ b/src/bendshed/consensus/sqlite_storage.py
@@ -0,0 +1,183 @@
+"""Durable group logs in one SQLite file, one transaction per group commit.
+
+The write-ahead log would map a shared-memory file; with exclusive locking set first SQLite
+keeps that index in private memory instead. ``synchronous=FULL`` makes each commit durable.
+Every record carries a checksum: a bad record at the end of a log is a torn tail and is cut; a bad
+one in the middle raises ``StorageCorrupt``. Then the file is set aside and the node starts empty
+under a new identity (``quarantine``), so that what it forgot cannot count in any vote.
+"""
+
+import asyncio
+import secrets
+import sqlite3
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import xxhash
+
+from bendshed.logs import PartLog
+from bendshed.ports.log_storage import GroupWrite, LogStorage, StorageCorrupt, StoredGroup
+from bendshed.wire.consensus_pb2 import LogEntry, Snapshot
+
+SCHEMA = """
+CREATE TABLE IF NOT EXISTS identity (node_id TEXT NOT NULL, bootstrapped INTEGER NOT NULL);
+CREATE TABLE IF NOT EXISTS groups (
+    group_id INTEGER PRIMARY KEY, term INTEGER NOT NULL, voted_for TEXT NOT NULL,
+    snapshot BLOB NOT NULL, checksum INTEGER NOT NULL);
+CREATE TABLE IF NOT EXISTS entries (
+    group_id INTEGER NOT NULL, entry_index INTEGER NOT NULL, entry BLOB NOT NULL,
+    checksum INTEGER NOT NULL, PRIMARY KEY (group_id, entry_index)) WITHOUT ROWID;
+"""
+
+log = PartLog("storage")
+
+
+def _checksum(content: bytes) -> int:
+    return xxhash.xxh3_64_intdigest(content) >> 1  # SQLite integers are signed
+
+
+class SqliteLogStorage(LogStorage):
+    """All groups of one node in ``<folder>/log.sqlite``."""
+
+    def __init__(self, folder: Path) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        self._path = folder / "log.sqlite"
+        self._writer = ThreadPoolExecutor(max_workers=1, thread_name_prefix="log-writer")
+        self._database = self._writer.submit(self._open).result()
+        self._node_id = self._writer.submit(self._read_identity).result()
+
+    def _open(self) -> sqlite3.Connection:
+        database = sqlite3.connect(self._path, isolation_level=None)
+        database.execute("PRAGMA locking_mode=EXCLUSIVE")
+        database.execute("PRAGMA journal_mode=WAL")
+        database.execute("PRAGMA synchronous=FULL")
+        database.executescript(SCHEMA)
+        return database
+
+    def _read_identity(self) -> str:
+        row = self._database.execute("SELECT node_id FROM identity").fetchone()
+        if row is not None:
+            return str(row[0])
+        node_id = secrets.token_hex(8)
+        self._database.execute("INSERT INTO identity VALUES (?, 0)", (node_id,))
+        return node_id
+
+    def node_id(self) -> str:
+        """Identity of this data folder."""
+        return self._node_id
+
+    def load(self) -> list[StoredGroup]:
+        """Read all groups; see the module for what happens to bad records."""
+        try:
+            return self._writer.submit(self._load).result()
+        except sqlite3.DatabaseError as error:
+            raise StorageCorrupt(str(error)) from error
+
+    def _load(self) -> list[StoredGroup]:
+        groups = []
+        rows = self._database.execute("SELECT * FROM groups ORDER BY group_id").fetchall()
+        for group_id, term, voted_for, snapshot, checksum in rows:
+            if _checksum(snapshot) != checksum:
+                raise StorageCorrupt(f"snapshot of group {group_id}")
+            entries = self._load_entries(group_id)
+            groups.append(
+                StoredGroup(group_id, term, voted_for, Snapshot.FromString(snapshot), entries)
+            )
+        return groups
+
+    def _load_entries(self, group_id: int) -> list[LogEntry]:
+        rows = self._database.execute(
+            "SELECT entry_index, entry, checksum FROM entries WHERE group_id=? "
+            "ORDER BY entry_index",
+            (group_id,),
+        ).fetchall()
+        entries: list[LogEntry] = []
+        for position, (index, content, checksum) in enumerate(rows):
+            if _checksum(content) == checksum:
+                entries.append(LogEntry.FromString(content))
+                continue
+            if position < len(rows) - 1:
+                raise StorageCorrupt(f"entry {index} of group {group_id}")
+            log.say("a torn last entry was cut", group=group_id, index=index)
+            self._database.execute(
+                "DELETE FROM entries WHERE group_id=? AND entry_index>=?", (group_id, index)
+            )
+        return entries
+
+    async def commit(self, writes: list[GroupWrite]) -> None:
+        """Make the writes durable in one transaction, on the writer thread."""
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(self._writer, self._commit, writes)
+
+    def _commit(self, writes: list[GroupWrite]) -> None:
+        database = self._database
+        database.execute("BEGIN IMMEDIATE")
+        try:
+            for write in writes:
+                self._write_group(database, write)
+        except BaseException:
+            database.execute("ROLLBACK")
+            raise
+        database.execute("COMMIT")
+
+    def _write_group(self, database: sqlite3.Connection, write: GroupWrite) -> None:
+        group_id = write.group_id
+        empty = Snapshot().SerializeToString()
+        database.execute(
+            "INSERT OR IGNORE INTO groups VALUES (?, 0, '', ?, ?)",
+            (group_id, empty, _checksum(empty)),
+        )
+        if write.term is not None:
+            database.execute(
+                "UPDATE groups SET term=?, voted_for=? WHERE group_id=?",
+                (write.term, write.voted_for or "", group_id),
+            )
+        if write.truncate_from:
+            database.execute(
+                "DELETE FROM entries WHERE group_id=? AND entry_index>=?",
+                (group_id, write.truncate_from),
+            )
+        if write.snapshot is not None:
+            content = write.snapshot.SerializeToString()
+            database.execute(
+                "UPDATE groups SET snapshot=?, checksum=? WHERE group_id=?",
+                (content, _checksum(content), group_id),
+            )
+            database.execute(
+                "DELETE FROM entries WHERE group_id=? AND entry_index<=?",
+                (group_id, write.snapshot.index),
+            )
+        rows = [(entry.index, entry.SerializeToString()) for entry in write.entries]
+        database.executemany(
+            "INSERT OR REPLACE INTO entries VALUES (?, ?, ?, ?)",
+            [(group_id, index, content, _checksum(content)) for index, content in rows],
+        )
+
+    def is_bootstrapped(self) -> bool:
+        """Whether this folder has taken part in the first placement."""
+        return self._writer.submit(self._read_bootstrapped).result()
+
+    def _read_bootstrapped(self) -> bool:
+        row = self._database.execute("SELECT bootstrapped FROM identity").fetchone()
+        return bool(row[0])
+
+    def mark_bootstrapped(self) -> None:
+        """Remember that the first placement was carried out here."""
+        self._writer.submit(self._database.execute, "UPDATE identity SET bootstrapped=1").result()
+
+    def close(self) -> None:
+        """Close the file; later commits fail."""
+        self._writer.submit(self._database.close).result()
+        self._writer.shutdown()
+
+
+def quarantine(folder: Path) -> Path:
+    """Set a corrupt file aside; the next ``SqliteLogStorage`` is a new, empty identity."""
+    path = folder / "log.sqlite"
+    number = 1
+    while (aside := folder / f"log.sqlite.corrupt-{number}").exists():
+        number += 1
+    path.rename(aside)
+    for leftover in ("log.sqlite-wal", "log.sqlite-shm"):
+        (folder / leftover).unlink(missing_ok=True)
+    return aside
--- /dev/null
+++ b/src/bendshed/dispatch/calls.py
@@ -0,0 +1,109 @@
+"""Values of one call as an executor handles it, and the answer while it grows."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+from bendshed.errors import Refusal
+from bendshed.wire import programs_pb2 as wire
+
+
+@dataclass(frozen=True, slots=True)
+class CallRequest:
+    """One call of a program, as the gateway read it.
+
+    Attributes:
+        call_number: issue order over the whole program, from 1.
+        messages: the new messages only.
+        deadline_ms: wall clock; later the call is not started.
+        request_id: this HTTP request.
+
+    """
+
+    program_id: str
+    program_kind: str
+    tenant: str
+    branch: str
+    parent_branch: str
+    call_number: int
+    idempotency_key: str
+    body_digest: bytes
+    messages: tuple[wire.ChatMessage, ...]
+    unrepeatable: bool
+    deadline_ms: int
+    max_answer_tokens: int
+    priority: int
+    model: str
+    request_id: str
+    limits: wire.ProgramLimits
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Program and call number."""
+        return (self.program_id, self.call_number)
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The whole answer, committed."""
+
+    result: wire.CallResult
+
+
+Outcome = Answered | Refusal
+
+
+@dataclass(slots=True)
+class LiveAnswer:
+    """The bytes of an answer while they arrive; any number of readers, from the start.
+
+    Attributes:
+        chunks: server-sent events as the engine sent them, without the closing ``[DONE]``.
+        outcome: set last, once the group has committed it.
+
+    """
+
+    request: CallRequest
+    chunks: list[bytes] = field(default_factory=list)
+    outcome: Outcome | None = None
+    num_bytes: int = 0
+    _grown: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def append(self, chunk: bytes) -> None:
+        """Add bytes."""
+        self.chunks.append(chunk)
+        self.num_bytes += len(chunk)
+        self._wake()
+
+    def finish(self, outcome: Outcome) -> None:
+        """Set the outcome; nothing follows."""
+        self.outcome = outcome
+        self._wake()
+
+    def _wake(self) -> None:
+        self._grown.set()
+        self._grown = asyncio.Event()
+
+    async def read(self) -> AsyncIterator[bytes]:
+        """Bytes from the first one on, until the outcome is known."""
+        position = 0
+        while True:
+            if position < len(self.chunks):
+                chunk = self.chunks[position]
+                position += 1
+                yield chunk
+            elif self.outcome is not None:
+                return
+            else:
+                await self._grown.wait()
+
+    async def started(self) -> None:
+        """Wait for the first byte or the outcome."""
+        while not self.chunks and self.outcome is None:
+            await self._grown.wait()
+
+    async def wait(self) -> Outcome:
+        """Wait for the outcome."""
+        while self.outcome is None:
+            await self._grown.wait()
+        return self.outcome
--- /dev/null
+++ b/src/bendshed/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP side of a node: callers, operators, metrics."""
--- /dev/null
+++ b/src/bendshed/gateway/application.py
@@ -0,0 +1,257 @@
+"""The HTTP application of one node (blacksheep)."""
+
+import asyncio
+import hashlib
+import time
+from collections.abc import AsyncIterator
+from dataclasses import asdict
+
+import orjson
+from blacksheep import Application, Content, Request, Response, StreamedContent
+from eliot import start_action
+
+from bendshed.dispatch.calls import Answered, LiveAnswer
+from bendshed.errors import BendshedError, ErrorKind, Refusal
+from bendshed.gateway import chat
+from bendshed.gateway.metrics import Metrics
+from bendshed.logs import PartLog
+from bendshed.node import Node
+from bendshed.operators.answers import OperatorService
+from bendshed.platform.http import Handler, add_route
+from bendshed.programs.client import GroupUnavailable
+from bendshed.wire import programs_pb2 as wire
+
+JSON = b"application/json"
+EVENTS = b"text/event-stream"
+END_TIMEOUT_S = 15.0
+READY_TIMEOUT_S = 25.0
+READY_CHECK_S = 0.05
+
+log = PartLog("gateway")
+
+
+class Gateway:
+    """Routes of one node.
+
+    Attributes:
+        metrics: what the node counts.
+
+    """
+
+    def __init__(self, node: Node, operators: OperatorService) -> None:
+        self.metrics = Metrics()
+        self._node = node
+        self._operators = operators
+        self.application = self._build()
+
+    def _build(self) -> Application:
+        application = Application(show_error_details=False)
+        add_route(application, "POST", "/v1/chat/completions", self._guard(self._chat))
+        add_route(application, "GET", "/v1/programs/{program_id}", self._guard(self._show_program))
+        add_route(
+            application, "DELETE", "/v1/programs/{program_id}", self._guard(self._end_program)
+        )
+        add_route(application, "POST", "/operators/ask", self._guard(self._ask))
+        add_route(application, "GET", "/metrics", self._guard(self._metrics))
+        add_route(application, "GET", "/health", self._guard(self._health))
+        add_route(application, "GET", "/ready", self._guard(self._ready))
+        return application
+
+    def _guard(self, handler: Handler) -> Handler:
+        """Answer refusals raised inside a handler from the table."""
+
+        async def guarded(request: Request) -> Response:
+            try:
+                return await handler(request)
+            except BendshedError as error:
+                self.metrics.calls.labels(error.refusal.kind).inc()
+                return refuse(error.refusal)
+
+        return guarded
+
+    # --- callers -------------------------------------------------------------------------
+
+    def _tenant(self, request: Request) -> str:
+        token = _bearer_token(request)
+        tenant = self._node.configuration.document.tenant_of_token(token) if token else None
+        if tenant is None:
+            raise BendshedError(
+                Refusal(ErrorKind.UNAUTHORIZED, "no known bearer token; ask your operators for one")
+            )
+        return tenant
+
+    async def _chat(self, request: Request) -> Response:
+        arrived_s = time.monotonic()
+        tenant = self._tenant(request)
+        if self._node.draining:
+            raise BendshedError(
+                Refusal(
+                    ErrorKind.DRAINING,
+                    "this node is stopping; the request was not run, send it to another node",
+                )
+            )
+        parsed = chat.parse_call(
+            await request.read() or b"",
+            chat.call_headers(_headers(request)),
+            tenant,
+            self._node.configuration.document,
+            self._node.settings.programs,
+            self._node.ports.clock.wall_ms(),
+            f"{self._node.ports.rng.getrandbits(96):024x}",
+        )
+        if isinstance(parsed, Refusal):
+            raise BendshedError(parsed)
+        call = parsed.call
+        with start_action(
+            action_type="bendshed:call",
+            program=call.program_id,
+            call=call.call_number,
+            request=call.request_id,
+            tenant=tenant,
+        ):
+            live = self._node.executor.submit(call)
+        if isinstance(live, Refusal):
+            raise BendshedError(live)
+        if not parsed.stream:
+            return await self._answer_whole(live, parsed, arrived_s)
+        await live.started()
+        self.metrics.first_event_s.observe(time.monotonic() - arrived_s)
+        if not live.chunks and isinstance(live.outcome, Refusal):
+            raise BendshedError(live.outcome)
+
+        async def events() -> AsyncIterator[bytes]:
+            async for chunk in self._events(live, parsed, arrived_s):
+                yield chunk
+
+        return Response(200, None, StreamedContent(EVENTS, events))
+
+    async def _answer_whole(
+        self, live: LiveAnswer, parsed: chat.ParsedCall, arrived_s: float
+    ) -> Response:
+        outcome = await live.wait()
+        if isinstance(outcome, Refusal):
+            raise BendshedError(outcome)
+        await self._settle(parsed, outcome, arrived_s)
+        body = chat.whole_answer(live.request, outcome.result, int(time.time()))
+        return Response(200, None, Content(JSON, orjson.dumps(body)))
+
+    async def _events(
+        self, live: LiveAnswer, parsed: chat.ParsedCall, arrived_s: float
+    ) -> AsyncIterator[bytes]:
+        """The engine's events as they come; the closing ones only after the commit."""
+        async for chunk in live.read():
+            self.metrics.streamed_bytes.inc(len(chunk))
+            yield chunk
+        outcome = live.outcome
+        if isinstance(outcome, Answered):
+            await self._settle(parsed, outcome, arrived_s)
+            now_s = int(time.time())
+            if not live.chunks:
+                yield chat.stored_answer_events(live.request, outcome.result, now_s)
+            yield chat.closing_events(live.request, outcome.result, now_s)
+        elif isinstance(outcome, Refusal):
+            self.metrics.calls.labels(outcome.kind).inc()
+            yield chat.event(outcome.body())
+
+    async def _settle(self, parsed: chat.ParsedCall, outcome: Answered, arrived_s: float) -> None:
+        self.metrics.calls.labels("answered").inc()
+        self.metrics.call_s.observe(time.monotonic() - arrived_s)
+        if parsed.end_program:
+            await self._end(parsed.call.program_id, "by its caller")
+
+    async def _end(self, program_id: str, reason: str) -> wire.CallResult:
+        end = wire.EndProgram(program_id=program_id, reason=reason)
+        try:
+            return await self._node.client.command(
+                program_id, wire.ProgramCommand(end=end), END_TIMEOUT_S
+            )
+        except GroupUnavailable as error:
+            raise BendshedError(Refusal(ErrorKind.GROUP_UNAVAILABLE, str(error))) from error
+
+    async def _end_program(self, request: Request) -> Response:
+        tenant = self._tenant(request)
+        program_id = _route_value(request, "program_id")
+        await self._operators.require_tenant(program_id, tenant)
+        result = await self._end(program_id, "by its caller")
+        if result.refused_kind:
+            raise BendshedError(Refusal(ErrorKind(result.refused_kind), result.refused_detail))
+        return Response(204)
+
+    async def _show_program(self, request: Request) -> Response:
+        tenant = self._tenant(request)
+        row = await self._operators.require_tenant(_route_value(request, "program_id"), tenant)
+        return Response(200, None, Content(JSON, orjson.dumps(row)))
+
+    # --- operators, metrics --------------------------------------------------------------
+
+    async def _ask(self, request: Request) -> Response:
+        wanted = self._node.settings.operators.token_sha256
+        given = hashlib.sha256(_bearer_token(request).encode()).hexdigest()
+        if wanted is None or given != wanted:
+            raise BendshedError(Refusal(ErrorKind.UNAUTHORIZED, "the operators' token is needed"))
+        content = orjson.loads(await request.read() or b"{}")
+        author = str(content.get("author", "operator"))
+        answer = await self._operators.ask(str(content.get("statement", "")), author)
+        if isinstance(answer, Refusal):
+            raise BendshedError(answer)
+        return Response(200, None, Content(JSON, orjson.dumps(asdict(answer))))
+
+    async def _metrics(self, _request: Request) -> Response:
+        node, metrics = self._node, self.metrics
+        metrics.members.set(len(node.membership.view.live()))
+        metrics.led_groups.set(len(node.host.led_groups()) if node.host is not None else 0)
+        metrics.revision.set(node.configuration.snapshot.revision)
+        metrics.waiting.set(len(node.scheduler.waiting))
+        return Response(200, None, Content(b"text/plain; version=0.0.4", metrics.exposition()))
+
+    def _state(self) -> dict[str, object]:
+        node = self._node
+        return {
+            "node": node.node_id,
+            "draining": node.draining,
+            "members": len(node.membership.view.live()),
+            "revision": node.configuration.snapshot.revision,
+            "groups": len(node.client.leaders),
+            "runners": len(node.table.runners),
+        }
+
+    async def _health(self, _request: Request) -> Response:
+        return Response(200, None, Content(JSON, orjson.dumps(self._state())))
+
+    async def _ready(self, request: Request) -> Response:
+        """Wait until the state reaches the numbers in the query, such as ``?members=3``."""
+        wanted = {
+            name: int(values[0])
+            for name, values in request.query.items()
+            if name in ("members", "revision", "groups", "runners")
+        }
+        until_s = time.monotonic() + READY_TIMEOUT_S
+        while any(int(str(self._state()[name])) < least for name, least in wanted.items()):
+            if time.monotonic() > until_s:
+                return Response(503, None, Content(JSON, orjson.dumps(self._state())))
+            await asyncio.sleep(READY_CHECK_S)
+        return await self._health(request)
+
+
+def refuse(refusal: Refusal) -> Response:
+    """HTTP answer of a refusal, from the table."""
+    answer = refusal.answer
+    headers = []
+    if answer.retry_after_s is not None:
+        headers.append((b"Retry-After", str(answer.retry_after_s).encode()))
+    return Response(answer.status, headers, Content(JSON, orjson.dumps(refusal.body())))
+
+
+def _headers(request: Request) -> dict[str, str]:
+    return {name.decode().lower(): value.decode() for name, value in request.headers}
+
+
+def _bearer_token(request: Request) -> str:
+    value = request.get_first_header(b"Authorization") or b""
+    scheme, _, token = value.decode().partition(" ")
+    return token.strip() if scheme.lower() == "bearer" else ""
+
+
+def _route_value(request: Request, name: str) -> str:
+    values = request.route_values or {}
+    return str(values.get(name, ""))
--- /dev/null
+++ b/src/bendshed/gateway/chat.py
@@ -0,0 +1,224 @@
+"""Reads a chat-completions request into a call, and writes answers in that API's shape."""
+
+from collections.abc import Mapping
+from typing import Annotated, Any
+
+import orjson
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from bendshed.configuration.document import ConfigurationDocument, Tenant
+from bendshed.dispatch.calls import CallRequest
+from bendshed.errors import ErrorKind, Refusal
+from bendshed.identifiers import content_digest
+from bendshed.settings.model import ProgramsSection
+from bendshed.wire import programs_pb2 as wire
+
+HEADER_PREFIX = "x-bendshed-"
+DEFAULT_PROGRAM_KIND = "chat"
+DONE_EVENT = b"data: [DONE]\n\n"
+MAX_PRIORITY = 9
+
+Identifier = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$")]
+
+
+class ChatBody(BaseModel):
+    """What bendshed reads of the body; other fields of the API are accepted and unused."""
+
+    model_config = ConfigDict(extra="ignore")
+
+    model: Annotated[str, Field(min_length=1)]
+    messages: list[dict[str, Any]] = Field(min_length=1)
+    stream: bool = False
+    max_tokens: Annotated[int, Field(ge=1)] | None = None
+    max_completion_tokens: Annotated[int, Field(ge=1)] | None = None
+
+
+class CallHeaders(BaseModel):
+    """The ``X-Bendshed-*`` headers and ``Idempotency-Key``.
+
+    Attributes:
+        program: program id; without it the call is a program of its own.
+        program_kind: name under which operators declared it.
+        call: issue order over the whole program, from 1.
+        end: the program ends with this call.
+
+    """
+
+    model_config = ConfigDict(extra="forbid")
+
+    program: Identifier | None = None
+    program_kind: Identifier = DEFAULT_PROGRAM_KIND
+    branch: Identifier = "main"
+    parent_branch: Identifier = "main"
+    call: Annotated[int, Field(ge=1)] = 1
+    unrepeatable: bool = False
+    deadline_seconds: Annotated[float, Field(gt=0, le=86_400)] | None = None
+    priority: Annotated[int, Field(ge=0, le=MAX_PRIORITY)] | None = None
+    end: bool = False
+    idempotency_key: Annotated[str, Field(min_length=1, max_length=255)] | None = None
+
+
+class ParsedCall(BaseModel):
+    """A request that can be run, with how its caller wants the answer."""
+
+    model_config = ConfigDict(arbitrary_types_allowed=True, frozen=True)
+
+    call: CallRequest
+    stream: bool
+    end_program: bool
+
+
+def parse_call(
+    content: bytes,
+    headers: Mapping[str, str],
+    tenant_name: str,
+    document: ConfigurationDocument,
+    defaults: ProgramsSection,
+    now_ms: int,
+    request_id: str,
+) -> ParsedCall | Refusal:
+    """Check a request against the configuration in force."""
+    try:
+        body = ChatBody.model_validate_json(content)
+        fields = CallHeaders.model_validate(headers)
+    except ValidationError as error:
+        return Refusal(ErrorKind.BAD_REQUEST, _explain(error))
+    declaration = document.programs.get(fields.program_kind)
+    if declaration is None:
+        return Refusal(
+            ErrorKind.PROGRAM_NOT_DECLARED,
+            f"programs of kind {fields.program_kind!r} are not declared; "
+            "an operator declares them with DECLARE PROGRAM",
+        )
+    if body.model not in declaration.models:
+        return Refusal(
+            ErrorKind.MODEL_NOT_ALLOWED,
+            f"programs of kind {fields.program_kind!r} may not call model {body.model!r}; "
+            f"allowed: {', '.join(declaration.models)}",
+        )
+    tenant = document.tenants[tenant_name]
+    messages = tuple(_to_message(message) for message in body.messages)
+    program_id = fields.program or f"single-{request_id}"
+    deadline_s = fields.deadline_seconds or defaults.default_deadline_s
+    max_tokens = body.max_completion_tokens or body.max_tokens
+    call = CallRequest(
+        program_id=program_id,
+        program_kind=fields.program_kind,
+        tenant=tenant_name,
+        branch=fields.branch,
+        parent_branch=fields.parent_branch,
+        call_number=fields.call,
+        idempotency_key=fields.idempotency_key or f"{program_id}/{fields.call}",
+        body_digest=content_digest(
+            body.model, *(m.SerializeToString(deterministic=True).hex() for m in messages)
+        ),
+        messages=messages,
+        unrepeatable=fields.unrepeatable,
+        deadline_ms=now_ms + int(deadline_s * 1000),
+        max_answer_tokens=max_tokens or defaults.default_max_answer_tokens,
+        priority=_priority(tenant, fields.priority),
+        model=body.model,
+        request_id=request_id,
+        limits=wire.ProgramLimits(
+            max_turns=declaration.max_turns,
+            max_seconds=declaration.max_seconds,
+            max_tokens=declaration.max_tokens,
+        ),
+    )
+    return ParsedCall(call=call, stream=body.stream, end_program=fields.end)
+
+
+def call_headers(pairs: Mapping[str, str]) -> dict[str, str]:
+    """The headers that concern a call, by field name."""
+    fields = {
+        name.removeprefix(HEADER_PREFIX).replace("-", "_"): value
+        for name, value in pairs.items()
+        if name.startswith(HEADER_PREFIX)
+    }
+    if "idempotency-key" in pairs:
+        fields["idempotency_key"] = pairs["idempotency-key"]
+    return fields
+
+
+def _priority(tenant: Tenant, asked: int | None) -> int:
+    """A caller may make a call less urgent than its tenant's priority, never more."""
+    return tenant.priority if asked is None else max(tenant.priority, asked)
+
+
+def _to_message(message: dict[str, Any]) -> wire.ChatMessage:
+    extra = {k: v for k, v in message.items() if k not in ("role", "content")}
+    content = message.get("content")
+    if content is not None and not isinstance(content, str):
+        extra["content"] = content  # parts: travel unread
+        content = ""
+    return wire.ChatMessage(
+        role=str(message.get("role", "user")),
+        content=content or "",
+        extra_json=orjson.dumps(extra, option=orjson.OPT_SORT_KEYS).decode() if extra else "",
+    )
+
+
+def _explain(error: ValidationError) -> str:
+    """One line per problem: the field, then what would be right."""
+    rows = []
+    for row in error.errors():
+        field = ".".join(str(part) for part in row["loc"]) or "body"
+        rows.append(f"{field}: {row['msg']}")
+    return "; ".join(rows)
+
+
+# --- answers --------------------------------------------------------------------------------
+
+
+def usage_json(result: wire.CallResult) -> dict[str, Any]:
+    """Token counts in the usual API's shape."""
+    return {
+        "prompt_tokens": result.prompt_tokens,
+        "completion_tokens": result.answer_tokens,
+        "total_tokens": result.prompt_tokens + result.answer_tokens,
+        "prompt_tokens_details": {"cached_tokens": result.cached_tokens},
+    }
+
+
+def placement_json(result: wire.CallResult) -> dict[str, Any]:
+    """Where the call ran, for the ``bendshed`` field of an answer."""
+    node, _, _ = result.executor.partition("@")
+    return {"runner": result.runner, "attempt": result.attempt, "node": node}
+
+
+def whole_answer(call: CallRequest, result: wire.CallResult, created_s: int) -> dict[str, Any]:
+    """Body of an answer that is not streamed."""
+    message = {"role": "assistant", "content": result.answer}
+    return {
+        **_envelope(call, "chat.completion", created_s),
+        "choices": [{"index": 0, "message": message, "finish_reason": result.finish_reason}],
+        "usage": usage_json(result),
+        "bendshed": placement_json(result),
+    }
+
+
+def stored_answer_events(call: CallRequest, result: wire.CallResult, created_s: int) -> bytes:
+    """A stored answer as a stream: one content event and one with reason and usage."""
+    envelope = _envelope(call, "chat.completion.chunk", created_s)
+    delta = {"role": "assistant", "content": result.answer}
+    content = {**envelope, "choices": [{"index": 0, "delta": delta, "finish_reason": None}]}
+    last = {"index": 0, "delta": {}, "finish_reason": result.finish_reason}
+    end = {**envelope, "choices": [last], "usage": usage_json(result)}
+    return event(content) + event(end)
+
+
+def closing_events(call: CallRequest, result: wire.CallResult, created_s: int) -> bytes:
+    """Last events of a whole stream: where it ran, then ``[DONE]``."""
+    envelope = _envelope(call, "chat.completion.chunk", created_s)
+    where = {**envelope, "choices": [], "bendshed": placement_json(result)}
+    return event(where) + DONE_EVENT
+
+
+def event(content: dict[str, Any]) -> bytes:
+    """One server-sent event."""
+    return b"data: " + orjson.dumps(content) + b"\n\n"
+
+
+def _envelope(call: CallRequest, kind: str, created_s: int) -> dict[str, Any]:
+    identifier = f"chatcmpl-{call.program_id}-{call.call_number}"
+    return {"id": identifier, "object": kind, "created": created_s, "model": call.model}
--- /dev/null
+++ b/src/bendshed/membership/service.py
@@ -0,0 +1,150 @@
+"""Shell around the membership state machine: UDP datagrams, timers, join and anti-entropy."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from bendshed.logs import PartLog
+from bendshed.membership import swim
+from bendshed.ports.transport import Address, PeerUnreachable, Transport
+from bendshed.wire import peer_pb2 as wire
+
+SYNC_METHOD = "membership.sync"
+TICK_S = 0.1
+SYNC_INTERVAL_S = 30.0
+SYNC_TIMEOUT_S = 2.0
+JOIN_RETRY_S = 0.5
+
+log = PartLog("membership")
+
+
+class MembershipService:
+    """Keeps this node's membership current and tells subscribers what changed."""
+
+    def __init__(
+        self, me: wire.Member, transport: Transport, rng: random.Random, seeds: list[Address]
+    ) -> None:
+        self.swim = swim.SwimMembership(me, rng)
+        self.on_member: list[Callable[[wire.Member], None]] = []
+        self.on_runner: list[Callable[[wire.RunnerNotice], None]] = []
+        self.on_leader: list[Callable[[wire.LeaderHint], None]] = []
+        self.on_revision: list[Callable[[str, int], None]] = []
+        self._transport = transport
+        self._rng = rng
+        self._seeds = seeds
+        self._tasks: list[asyncio.Task[None]] = []
+        transport.datagram_handler = self._on_datagram
+        transport.handlers[SYNC_METHOD] = self._on_sync
+
+    @property
+    def view(self) -> swim.MembershipView:
+        """Members as known now."""
+        return self.swim.view
+
+    def start(self) -> None:
+        """Begin to probe and to join by the seeds."""
+        self._tasks = [
+            asyncio.create_task(self._tick_forever()),
+            asyncio.create_task(self._sync_forever()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop probing."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def leave(self) -> None:
+        """Announce that this node takes no new work."""
+        self._perform(self.swim.leave())
+
+    def notice_runner(self, notice: wire.RunnerNotice) -> None:
+        """Spread a notice about a back end."""
+        self._perform(self.swim.notice_runner(notice))
+
+    def notice_leader(self, hint: wire.LeaderHint) -> None:
+        """Spread a group's leader."""
+        self._perform(self.swim.notice_leader(hint))
+
+    def set_revision(self, revision: int) -> None:
+        """Spread that this node holds a configuration revision."""
+        self._perform(self.swim.set_revision(revision))
+
+    def live_zones(self) -> dict[str, list[str]]:
+        """Live node ids by zone."""
+        zones: dict[str, list[str]] = {}
+        for member in self.view.live():
+            zones.setdefault(member.zone, []).append(member.node_id)
+        return zones
+
+    # --- input ---------------------------------------------------------------------------
+
+    def _on_datagram(self, payload: bytes) -> None:
+        gossip = wire.Gossip.FromString(payload)
+        self._perform(self.swim.receive(gossip, asyncio.get_running_loop().time()))
+
+    async def _on_sync(self, payload: bytes) -> bytes:
+        self._merge(wire.MembershipSync.FromString(payload))
+        return self.swim.state().SerializeToString()
+
+    def _merge(self, state: wire.MembershipSync) -> None:
+        sender = state.members[0].node_id if state.members else ""
+        now_s = asyncio.get_running_loop().time()
+        self._perform(self.swim.sync(state, sender, now_s))
+
+    async def _tick_forever(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            self._perform(self.swim.tick(loop.time()))
+            await asyncio.sleep(TICK_S)
+
+    async def _sync_forever(self) -> None:
+        """Join by the seeds, then compare the whole state with a random peer now and then."""
+        while True:
+            joined = await self._sync_once()
+            if joined:
+                await asyncio.sleep(SYNC_INTERVAL_S * self._rng.uniform(0.5, 1.5))
+            else:
+                await asyncio.sleep(JOIN_RETRY_S)
+
+    async def _sync_once(self) -> bool:
+        peer = self._pick_peer()
+        if peer is None:
+            return False
+        mine = self.swim.state().SerializeToString()
+        try:
+            reply = await self._transport.request(peer, SYNC_METHOD, mine, SYNC_TIMEOUT_S)
+        except PeerUnreachable:
+            return len(self.view.live()) > 1
+        self._merge(wire.MembershipSync.FromString(reply))
+        return True
+
+    def _pick_peer(self) -> Address | None:
+        me = self.swim.me
+        others = [m for m in self.view.live() if m.node_id != me.node_id]
+        if others:
+            member = self._rng.choice(others)
+            return Address(member.host, member.peer_port)
+        seeds = [s for s in self._seeds if s != Address(me.host, me.peer_port)]
+        return self._rng.choice(seeds) if seeds else None
+
+    # --- effects -------------------------------------------------------------------------
+
+    def _perform(self, effects: list[swim.Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case swim.SendGossip(peer, gossip):
+                    self._transport.send_datagram(peer, gossip.SerializeToString())
+                case swim.MemberChanged(member):
+                    log.say("a member changed", member=member.node_id, status=member.status)
+                    for on_member in self.on_member:
+                        on_member(member)
+                case swim.RunnerNoticed(notice):
+                    for on_runner in self.on_runner:
+                        on_runner(notice)
+                case swim.LeaderNoticed(hint):
+                    for on_leader in self.on_leader:
+                        on_leader(hint)
+                case swim.RevisionSeen(node_id, revision):
+                    for on_revision in self.on_revision:
+                        on_revision(node_id, revision)
--- /dev/null
+++ b/src/bendshed/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' query and command language and who answers it."""
--- /dev/null
+++ b/src/bendshed/operators/language.py
@@ -0,0 +1,198 @@
+"""Parses the operators' language into typed statements (grammar by lark)."""
+
+from dataclasses import dataclass
+from functools import cache
+from importlib.resources import files
+from typing import Any
+
+from lark import Lark, Token, Transformer
+from lark.exceptions import UnexpectedCharacters, UnexpectedEOF, UnexpectedInput, UnexpectedToken
+from pydantic import ValidationError
+
+from bendshed.configuration.document import (
+    AnyChange,
+    CreatePool,
+    DeclareProgram,
+    DrainRunner,
+    LoadModel,
+    Pool,
+    ProgramDeclaration,
+    PutTenant,
+    SetBudget,
+    SetPriority,
+    Tenant,
+)
+from bendshed.errors import ErrorKind, Refusal
+
+
+@dataclass(frozen=True, slots=True)
+class Condition:
+    """``field comparison value``."""
+
+    field: str
+    comparison: str
+    value: str | int
+
+
+@dataclass(frozen=True, slots=True)
+class Show:
+    """Rows of one table."""
+
+    table: str
+    conditions: tuple[Condition, ...] = ()
+    order_by: str = ""
+    descending: bool = False
+    limit: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ExplainCall:
+    """Why a call is where it is."""
+
+    program_id: str
+    call_number: int
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeConfiguration:
+    """An order that becomes a change of the configuration."""
+
+    body: AnyChange
+
+
+@dataclass(frozen=True, slots=True)
+class StopProgram:
+    """End a program."""
+
+    program_id: str
+
+
+Statement = Show | ExplainCall | ChangeConfiguration | StopProgram
+
+
+def parse(text: str) -> Statement | Refusal:
+    """Parse one statement; a refusal points at the place and says what was expected."""
+    try:
+        tree = _parser().parse(text)
+        statement: Statement = _ToStatement().transform(tree)
+        return statement
+    except UnexpectedInput as error:
+        return Refusal(ErrorKind.BAD_REQUEST, _point_at(text, error))
+    except Exception as error:
+        cause = getattr(error, "orig_exc", error)
+        if isinstance(cause, ValidationError):
+            row = cause.errors()[0]
+            field = ".".join(str(part) for part in row["loc"])
+            return Refusal(ErrorKind.BAD_REQUEST, f"{field}: {row['msg']}")
+        raise
+
+
+@cache
+def _parser() -> Lark:
+    grammar = (files("bendshed.operators") / "grammar.lark").read_text()
+    return Lark(grammar, parser="lalr", lexer="contextual")
+
+
+def _point_at(text: str, error: UnexpectedInput) -> str:
+    expected: set[str] = set()
+    place = "somewhere"
+    if isinstance(error, UnexpectedEOF):
+        expected, place = {str(name) for name in error.expected}, "at the end"
+    elif isinstance(error, UnexpectedToken):
+        expected = set(error.accepts or error.expected)
+        place = f"at column {error.column}" if error.token.type != "$END" else "at the end"
+    elif isinstance(error, UnexpectedCharacters):
+        expected, place = set(error.allowed or ()), f"at column {error.column}"
+    names = ", ".join(sorted(str(name) for name in expected if name != "$END"))
+    excerpt = text.strip() or "(empty)"
+    return f"cannot read {excerpt!r} {place}; expected: {names}"
+
+
+class _ToStatement(Transformer[Token, Statement]):
+    """Builds statements; each method is named like its rule."""
+
+    def start(self, items: list[Statement]) -> Statement:
+        return items[0]
+
+    def bare_name(self, items: list[Token]) -> str:
+        return str(items[0])
+
+    def quoted_name(self, items: list[Token]) -> str:
+        return str(items[0])[1:-1]
+
+    def number(self, items: list[Token]) -> int:
+        return int(items[0])
+
+    def names(self, items: list[str]) -> list[str]:
+        return list(items)
+
+    def condition(self, items: list[Token]) -> Condition:
+        return Condition(str(items[0]), str(items[1]), items[2])
+
+    def where(self, items: list[Condition]) -> tuple[Condition, ...]:
+        return tuple(items)
+
+    def order(self, items: list[Token]) -> tuple[str, bool]:
+        return (str(items[0]), len(items) > 1)
+
+    def limit(self, items: list[Token]) -> int:
+        return int(items[0])
+
+    def show(self, items: list[object]) -> Show:
+        show = Show(str(items[0]).lower())
+        for item in items[1:]:
+            match item:
+                case int():
+                    show = Show(show.table, show.conditions, show.order_by, show.descending, item)
+                case (str() as field, bool() as descending):
+                    show = Show(show.table, show.conditions, field, descending, show.limit)
+                case tuple():
+                    show = Show(show.table, item)
+        return show
+
+    def explain(self, items: list[Token]) -> ExplainCall:
+        return ExplainCall(str(items[0]), int(items[1]))
+
+    def turns(self, items: list[Token]) -> tuple[str, int]:
+        return ("max_turns", int(items[0]))
+
+    def seconds(self, items: list[Token]) -> tuple[str, int]:
+        return ("max_seconds", int(items[0]))
+
+    def tokens(self, items: list[Token]) -> tuple[str, int]:
+        return ("max_tokens", int(items[0]))
+
+    def declare(self, items: list[Any]) -> ChangeConfiguration:
+        name, models, *limits = items
+        declaration = ProgramDeclaration.model_validate({"models": models, **dict(limits)})
+        return ChangeConfiguration(DeclareProgram(name=name, declaration=declaration))
+
+    def put_tenant(self, items: list[Token]) -> ChangeConfiguration:
+        fields = {"token_sha256": str(items[1])[1:-1], "budget_tokens": int(items[2])}
+        if len(items) > 3:
+            fields["priority"] = int(items[3])
+        tenant = Tenant.model_validate(fields)
+        return ChangeConfiguration(PutTenant(name=str(items[0]), tenant=tenant))
+
+    def set_budget(self, items: list[Token]) -> ChangeConfiguration:
+        return ChangeConfiguration(SetBudget(tenant=str(items[0]), budget_tokens=int(items[1])))
+
+    def set_priority(self, items: list[Token]) -> ChangeConfiguration:
+        return ChangeConfiguration(SetPriority(tenant=str(items[0]), priority=int(items[1])))
+
+    def drain(self, items: list[str]) -> ChangeConfiguration:
+        return ChangeConfiguration(DrainRunner(runner=items[0]))
+
+    def resume(self, items: list[str]) -> ChangeConfiguration:
+        return ChangeConfiguration(DrainRunner(runner=items[0], drain=False))
+
+    def create_pool(self, items: list[object]) -> ChangeConfiguration:
+        name, model, runners = items
+        pool = Pool.model_validate({"model": model, "runners": runners})
+        return ChangeConfiguration(CreatePool(name=str(name), pool=pool))
+
+    def stop(self, items: list[str]) -> StopProgram:
+        return StopProgram(items[0])
+
+    def load_model(self, items: list[str]) -> ChangeConfiguration:
+        return ChangeConfiguration(LoadModel(model=items[0], runner=items[1]))
--- /dev/null
+++ b/src/bendshed/platform/tcp_transport.py
@@ -0,0 +1,269 @@
+"""Transport over TCP (requests, one-way messages) and UDP (datagrams), on one port number.
+
+A frame on TCP is a protobuf ``Frame`` behind its length in four bytes. A connection carries
+requests and their replies in any order; messages written in one turn of the loop leave in one
+segment. Lost connections are opened again on the next message.
+"""
+
+import asyncio
+import contextlib
+import struct
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from google.protobuf.message import DecodeError
+
+from bendshed.logs import PartLog
+from bendshed.ports.transport import Address, PeerUnreachable, Transport
+from bendshed.wire.peer_pb2 import Frame
+
+LENGTH = struct.Struct("!I")
+MAX_FRAME_BYTES = 256 * 1024 * 1024
+CONNECT_TIMEOUT_S = 2.0
+MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+"""One-way messages to a peer that does not read are dropped beyond this."""
+HANDLER_FAILED = "handler_failed"
+
+log = PartLog("transport")
+
+
+class _Connection(asyncio.Protocol):
+    """One TCP connection, incoming or outgoing."""
+
+    def __init__(self, owner: "TcpTransport") -> None:
+        self._owner = owner
+        self._buffer = bytearray()
+        self.transport: asyncio.Transport | None = None
+        self.waiting: dict[int, asyncio.Future[bytes]] = {}
+        self._next_request_id = 1
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self._owner.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._owner.connections.discard(self)
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_exception(PeerUnreachable("connection lost"))
+        self.waiting.clear()
+        self.transport = None
+
+    def data_received(self, data: bytes) -> None:
+        self._buffer += data
+        self._owner.bytes_received += len(data)
+        position = 0
+        while len(self._buffer) - position >= LENGTH.size:
+            (size,) = LENGTH.unpack_from(self._buffer, position)
+            end = position + LENGTH.size + size
+            if size > MAX_FRAME_BYTES:
+                self.abort("a frame is too long")
+                return
+            if len(self._buffer) < end:
+                break
+            content = bytes(self._buffer[position + LENGTH.size : end])
+            position = end
+            try:
+                frame = Frame.FromString(content)
+            except DecodeError:
+                self.abort("a frame cannot be read")
+                return
+            self._owner.on_frame(self, frame)
+        del self._buffer[:position]
+
+    def abort(self, reason: str) -> None:
+        log.say("closes a connection", reason=reason)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def write(self, frame: Frame) -> None:
+        if self.transport is None:
+            return
+        content = frame.SerializeToString()
+        self._owner.bytes_sent += len(content) + LENGTH.size
+        self._owner.messages_sent += 1
+        self.transport.write(LENGTH.pack(len(content)) + content)
+
+    @property
+    def is_full(self) -> bool:
+        return (
+            self.transport is not None
+            and self.transport.get_write_buffer_size() > MAX_BUFFERED_BYTES
+        )
+
+    def begin_request(self) -> tuple[int, "asyncio.Future[bytes]"]:
+        request_id = self._next_request_id
+        self._next_request_id += 1
+        future: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        self.waiting[request_id] = future
+        return request_id, future
+
+
+class _Datagrams(asyncio.DatagramProtocol):
+    """UDP socket of a node."""
+
+    def __init__(self, owner: "TcpTransport") -> None:
+        self._owner = owner
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self._owner.bytes_received += len(data)
+        if self._owner.datagram_handler is None:
+            return
+        with contextlib.suppress(DecodeError):
+            self._owner.datagram_handler(data)
+
+
+class TcpTransport(Transport):
+    """The real network.
+
+    Attributes:
+        bytes_sent, bytes_received, messages_sent: totals since start, datagrams included.
+
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        super().__init__()
+        self.connections: set[_Connection] = set()
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.messages_sent = 0
+        self._host = host
+        self._port = port
+        self._server: asyncio.Server | None = None
+        self._datagrams: asyncio.DatagramTransport | None = None
+        self._outgoing: dict[Address, asyncio.Task[_Connection]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> Address:
+        """Listen on TCP, then on the same UDP port."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: _Connection(self), self._host, self._port)
+        port = self._server.sockets[0].getsockname()[1]
+        self._datagrams, _ = await loop.create_datagram_endpoint(
+            lambda: _Datagrams(self), local_addr=(self._host, port)
+        )
+        return Address(self._host, port)
+
+    async def close(self) -> None:
+        """Stop listening and close connections."""
+        if self._server is not None:
+            self._server.close()
+        if self._datagrams is not None:
+            self._datagrams.close()
+        for connection in list(self.connections):
+            if connection.transport is not None:
+                connection.transport.close()
+        tasks = [*self._tasks, *self._outgoing.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def request(self, peer: Address, method: str, payload: bytes, timeout_s: float) -> bytes:
+        """Send a request and wait for its reply."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self._connect(peer)
+                request_id, future = connection.begin_request()
+                connection.write(Frame(request_id=request_id, method=method, payload=payload))
+                try:
+                    return await future
+                finally:
+                    connection.waiting.pop(request_id, None)
+        except TimeoutError as error:
+            raise PeerUnreachable(f"{peer} did not answer {method} in time") from error
+
+    def send(self, peer: Address, method: str, payload: bytes) -> None:
+        """Send a one-way message; connect first if need be."""
+        frame = Frame(method=method, payload=payload)
+        connection = self._open_connection(peer)
+        if connection is not None:
+            self._write_one_way(connection, frame)
+        else:
+            self._spawn(self._send_after_connect(peer, frame))
+
+    async def _send_after_connect(self, peer: Address, frame: Frame) -> None:
+        with contextlib.suppress(PeerUnreachable):
+            self._write_one_way(await self._connect(peer), frame)
+
+    @staticmethod
+    def _write_one_way(connection: _Connection, frame: Frame) -> None:
+        if not connection.is_full:
+            connection.write(frame)
+
+    def send_datagram(self, peer: Address, payload: bytes) -> None:
+        """Send one datagram."""
+        if self._datagrams is not None and not self._datagrams.is_closing():
+            self.bytes_sent += len(payload)
+            self.messages_sent += 1
+            self._datagrams.sendto(payload, (peer.host, peer.port))
+
+    # --- connections ---------------------------------------------------------------------
+
+    async def _connect(self, peer: Address) -> _Connection:
+        """Return the connection to a peer; concurrent callers share one attempt."""
+        connection = self._open_connection(peer)
+        if connection is not None:
+            return connection
+        task = self._outgoing.get(peer)
+        if task is None or task.done():
+            task = asyncio.get_running_loop().create_task(self._open(peer))
+            self._outgoing[peer] = task
+        try:
+            return await asyncio.shield(task)
+        except (OSError, TimeoutError) as error:
+            raise PeerUnreachable(f"cannot connect to {peer}") from error
+
+    def _open_connection(self, peer: Address) -> _Connection | None:
+        """Connection to a peer if one is open now."""
+        task = self._outgoing.get(peer)
+        if task is None or not task.done() or task.cancelled() or task.exception() is not None:
+            return None
+        connection = task.result()
+        return connection if connection.transport is not None else None
+
+    async def _open(self, peer: Address) -> _Connection:
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, connection = await loop.create_connection(
+                lambda: _Connection(self), peer.host, peer.port
+            )
+        return connection
+
+    def on_frame(self, connection: _Connection, frame: Frame) -> None:
+        """Route one incoming frame."""
+        if frame.is_reply:
+            future = connection.waiting.pop(frame.request_id, None)
+            if future is None or future.done():
+                return
+            if frame.error_kind:
+                future.set_exception(PeerUnreachable(frame.error_detail))
+            else:
+                future.set_result(frame.payload)
+        elif frame.request_id == 0:
+            self._call_one_way(self.one_way_handlers.get(frame.method), frame.payload)
+        else:
+            self._spawn(self._answer(connection, frame))
+
+    @staticmethod
+    def _call_one_way(handler: Callable[[bytes], None] | None, payload: bytes) -> None:
+        if handler is not None:
+            handler(payload)
+
+    async def _answer(self, connection: _Connection, frame: Frame) -> None:
+        reply = Frame(request_id=frame.request_id, is_reply=True)
+        handler = self.handlers.get(frame.method)
+        try:
+            if handler is None:
+                raise LookupError(f"no method {frame.method}")
+            reply.payload = await handler(frame.payload)
+        except Exception as error:
+            log.say("a request failed", method=frame.method, error=repr(error))
+            reply.error_kind = HANDLER_FAILED
+            reply.error_detail = repr(error)
+        connection.write(reply)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/bendshed/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Abstract ports to everything outside the decisions; one adapter file per back end."""
--- /dev/null
+++ b/src/bendshed/ports/transport.py
@@ -0,0 +1,52 @@
+"""Port to the other nodes: requests, one-way messages and datagrams."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+Handler = Callable[[bytes], Awaitable[bytes]]
+OneWayHandler = Callable[[bytes], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """IP number and port that a node's peers use (TCP and UDP alike)."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class PeerUnreachable(Exception):
+    """The peer did not answer in time, refused the connection or broke it."""
+
+
+class Transport(ABC):
+    """Messages between nodes. Delivery is at most once and may be late or lost."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[str, Handler] = {}
+        self.one_way_handlers: dict[str, OneWayHandler] = {}
+        self.datagram_handler: OneWayHandler | None = None
+
+    @abstractmethod
+    async def start(self) -> Address:
+        """Listen; return the address in use."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Stop listening and close connections."""
+
+    @abstractmethod
+    async def request(self, peer: Address, method: str, payload: bytes, timeout_s: float) -> bytes:
+        """Send a request and return the reply's payload; raise ``PeerUnreachable``."""
+
+    @abstractmethod
+    def send(self, peer: Address, method: str, payload: bytes) -> None:
+        """Send a one-way message; it may be lost without notice."""
+
+    @abstractmethod
+    def send_datagram(self, peer: Address, payload: bytes) -> None:
+        """Send one datagram."""
--- /dev/null
+++ b/src/bendshed/process.py
@@ -0,0 +1,137 @@
+"""Runs one node as a process: HTTP server, signals, orderly stop."""
+
+import asyncio
+import contextlib
+import random
+import signal
+import socket
+import sys
+from collections.abc import Iterator
+
+import orjson
+import uvicorn
+
+from bendshed.configuration.file_cache import FileConfigurationCache
+from bendshed.consensus.sqlite_storage import SqliteLogStorage, quarantine
+from bendshed.gateway.application import Gateway
+from bendshed.logs import PartLog
+from bendshed.node import Node, NodePorts
+from bendshed.operators.answers import OperatorService
+from bendshed.platform.http import new_client
+from bendshed.platform.http_store import HttpMachineList, HttpObjectStore
+from bendshed.platform.openai_engine import OpenAiEngine
+from bendshed.platform.tcp_transport import TcpTransport
+from bendshed.ports.clock import SystemClock
+from bendshed.ports.log_storage import LogStorage, StorageCorrupt
+from bendshed.settings.model import Settings
+
+LEAVING_SPREAD_S = 0.5
+"""Time for the others to hear that this node leaves, before it closes."""
+
+log = PartLog("process")
+
+
+class HttpServer(uvicorn.Server):
+    """uvicorn in this process and loop; signals stay ours."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave the signal handlers alone."""
+        yield
+
+
+def serve_http(application: object, host: str, port: int) -> tuple[HttpServer, socket.socket]:
+    """Bind at once and return the server, still to be run with ``serve(sockets=[...])``."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, port))
+    config = uvicorn.Config(
+        application,  # type: ignore[arg-type]
+        loop="none",
+        http="httptools",
+        ws="none",
+        lifespan="on",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+    )
+    return HttpServer(config), listener
+
+
+def open_storage(settings: Settings) -> LogStorage | None:
+    """Open the data folder's log; a corrupt one is set aside and replaced by an empty one."""
+    folder = settings.node.data_folder
+    if folder is None:
+        return None
+    try:
+        storage = SqliteLogStorage(folder)
+        storage.load()
+    except StorageCorrupt as error:
+        aside = quarantine(folder)
+        log.say(
+            "the log is corrupt; this node starts empty under a new identity and its groups "
+            "heal from their peers",
+            reason=str(error),
+            kept_as=str(aside),
+        )
+        return SqliteLogStorage(folder)
+    return storage
+
+
+async def run_node(settings: Settings) -> None:
+    """Run until SIGTERM or SIGINT, then drain and return."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    host = str(settings.node.host)
+    transport = TcpTransport(host, settings.node.peer_port)
+    address = await transport.start()
+    client = new_client()
+    clock = SystemClock()
+    folder = settings.node.data_folder
+    ports = NodePorts(
+        transport=transport,
+        store=HttpObjectStore(client, settings.platform.object_api),
+        machine_list=HttpMachineList(client, settings.platform.machine_list),
+        new_engine=lambda machine: OpenAiEngine(client, machine.url),
+        storage=open_storage(settings),
+        cache=FileConfigurationCache(folder) if folder is not None else None,
+        clock=clock,
+        rng=random.Random(),
+        boot=clock.wall_ms(),
+    )
+    listener_port = settings.node.http_port
+    server, listener = serve_http(None, host, listener_port)
+    node = Node(settings, ports, address, listener.getsockname()[1])
+    gateway = Gateway(node, OperatorService(node))
+    server.config.app = gateway.application
+    node.start()
+    serving = loop.create_task(server.serve(sockets=[listener]))
+    me = node.membership.swim.me
+    announce(node_id=node.node_id, peer_port=me.peer_port, http_port=me.http_port)
+    await stopping.wait()
+    await _stop(settings, node, server, serving)
+    await client.close()
+
+
+async def _stop(
+    settings: Settings, node: Node, server: HttpServer, serving: "asyncio.Task[None]"
+) -> None:
+    """Finish every stream, then close. A second signal changes nothing."""
+    try:
+        async with asyncio.timeout(settings.node.drain_timeout_s):
+            await node.drain()
+            await asyncio.sleep(LEAVING_SPREAD_S)
+            server.should_exit = True
+            await serving
+    except TimeoutError:
+        log.say("the drain took too long; streams are cut")
+    await node.stop()
+
+
+def announce(**fields: object) -> None:
+    """Print one JSON line on standard output: the addresses in use, for whoever started us."""
+    sys.stdout.write(orjson.dumps(fields).decode() + "\n")
+    sys.stdout.flush()
--- /dev/null
+++ b/src/bendshed/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Programs and their calls: the replicated state, its leader's service and its client."""
--- /dev/null
+++ b/src/bendshed/programs/client.py
@@ -0,0 +1,101 @@
+"""Reaches the leader of a group from any node, across leader changes."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from bendshed.identifiers import group_of
+from bendshed.ports.transport import Address, PeerUnreachable, Transport
+from bendshed.wire import programs_pb2 as wire
+
+COMMAND_METHOD = "group.command"
+REPLY_MARGIN_S = 1.0
+"""Time that a leader may take beyond the wait that it was asked for."""
+RETRY_MIN_S = 0.02
+RETRY_MAX_S = 0.2
+
+
+class GroupUnavailable(Exception):
+    """No leader answered in time; whether the command took effect is unknown."""
+
+
+class GroupClient:
+    """Sends commands to group leaders; every command may be sent again without harm.
+
+    Attributes:
+        leaders: group -> node id of the leader last heard of (a hint).
+
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        rng: random.Random,
+        group_count: int,
+        resolve: Callable[[str], Address | None],
+        disk_nodes: Callable[[], list[str]],
+    ) -> None:
+        self.leaders: dict[int, str] = {}
+        self.group_count = group_count
+        self._transport = transport
+        self._rng = rng
+        self._resolve = resolve
+        self._disk_nodes = disk_nodes
+
+    async def command(
+        self, key: str, command: wire.ProgramCommand, timeout_s: float, wait_s: float = 0.0
+    ) -> wire.CallResult:
+        """Commit a command in the group of ``key`` (program id or tenant).
+
+        Args:
+            key: decides the group.
+            command: may be applied at most once however often it is sent.
+            timeout_s: over all tries; then ``GroupUnavailable``.
+            wait_s: how long the leader may wait for the call's turn or outcome.
+
+        """
+        request = wire.GroupRequest(
+            group_id=group_of(key, self.group_count), command=command, wait_ms=int(wait_s * 1000)
+        )
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + timeout_s
+        while loop.time() < give_up_at:
+            reply = await self._try_once(request, give_up_at - loop.time(), wait_s)
+            if reply is not None and reply.is_leader:
+                return reply.result
+            await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
+        raise GroupUnavailable(f"group {request.group_id} has no leader that answers")
+
+    async def _try_once(
+        self, request: wire.GroupRequest, left_s: float, wait_s: float
+    ) -> wire.GroupReply | None:
+        target = self._target(request.group_id)
+        address = self._resolve(target) if target else None
+        if address is None:
+            self.leaders.pop(request.group_id, None)
+            return None
+        timeout_s = min(left_s, wait_s + REPLY_MARGIN_S)
+        try:
+            payload = await self._transport.request(
+                address, COMMAND_METHOD, request.SerializeToString(), timeout_s
+            )
+        except PeerUnreachable:
+            self.leaders.pop(request.group_id, None)
+            return None
+        reply = wire.GroupReply.FromString(payload)
+        if not reply.is_leader:
+            self._follow_hint(request.group_id, reply.not_leader_hint)
+        return reply
+
+    def _follow_hint(self, group_id: int, hint: str) -> None:
+        if hint:
+            self.leaders[group_id] = hint
+        else:
+            self.leaders.pop(group_id, None)
+
+    def _target(self, group_id: int) -> str:
+        known = self.leaders.get(group_id)
+        if known is not None:
+            return known
+        candidates = self._disk_nodes()
+        return self._rng.choice(candidates) if candidates else ""
--- /dev/null
+++ b/src/bendshed/rehearsal/installation.py
@@ -0,0 +1,169 @@
+"""A small installation of real processes: stand-ins and nodes, for demo, tests and load."""
+
+import hashlib
+import signal
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import orjson
+from blacksheep import Content
+from blacksheep.client import ClientSession
+
+from bendshed.platform.http import new_client
+from bendshed.rehearsal.caller import ask
+from bendshed.rehearsal.launcher import HOST, Launcher, Started
+
+CALLER_TOKEN = "rehearsal-caller"
+OPERATOR_TOKEN = "rehearsal-operator"
+MODEL = "small"
+GROUP_COUNT = 4
+
+
+@dataclass(frozen=True, slots=True)
+class NodePlan:
+    """One node to start."""
+
+    name: str
+    zone: str
+    disk: bool
+
+
+DEFAULT_PLAN = (
+    NodePlan("node-1", "zone-a", disk=True),
+    NodePlan("node-2", "zone-b", disk=True),
+    NodePlan("node-3", "zone-c", disk=True),
+    NodePlan("node-4", "zone-c", disk=False),
+)
+
+
+def sha256(text: str) -> str:
+    """Hash of a token, as settings and configuration hold it."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+@dataclass(slots=True)
+class Installation:
+    """Processes of one rehearsal.
+
+    Attributes:
+        nodes: running nodes by name.
+        engines: engine stand-ins by runner id.
+
+    """
+
+    folder: Path
+    launcher: Launcher
+    client: ClientSession
+    platform: Started
+    tool: Started
+    nodes: dict[str, Started] = field(default_factory=dict)
+    engines: dict[str, Started] = field(default_factory=dict)
+    plans: dict[str, NodePlan] = field(default_factory=dict)
+
+    @classmethod
+    async def start(
+        cls, folder: Path, plan: tuple[NodePlan, ...] = DEFAULT_PLAN, engines: int = 2
+    ) -> "Installation":
+        """Start everything and wait until it serves."""
+        launcher = Launcher(folder)
+        try:
+            platform = await launcher.start("platform", "rehearse", "standin", "platform")
+            tool = await launcher.start("tool", "rehearse", "standin", "tool")
+            self = cls(folder, launcher, new_client(), platform, tool)
+            for number in range(1, engines + 1):
+                await self.start_engine(f"runner-{number}")
+            for node in plan:
+                await self.start_node(node)
+            await self.wait_ready(members=len(plan), groups=GROUP_COUNT, runners=engines)
+            await self.configure()
+        except BaseException:
+            await launcher.stop_all()
+            raise
+        return self
+
+    async def start_engine(self, runner_id: str) -> None:
+        """Start an engine stand-in and list it."""
+        started = await self.launcher.start(runner_id, "rehearse", "standin", "engine")
+        self.engines[runner_id] = started
+        await self.list_machine(runner_id, leaving=False)
+
+    async def list_machine(self, runner_id: str, leaving: bool) -> None:
+        """Write a line of the machine list."""
+        row = {
+            "machine_id": runner_id,
+            "kind": "engine",
+            "url": self.engines[runner_id].url,
+            "model": MODEL,
+            "zone": "zone-a",
+            "leaving": leaving,
+            "incarnation": 1,
+        }
+        content = Content(b"application/json", orjson.dumps(row))
+        response = await self.client.put(f"{self.platform.url}/machines/{runner_id}", content)
+        await response.read()
+
+    async def start_node(self, plan: NodePlan) -> Started:
+        """Start a node, or start it again over its old data folder."""
+        self.plans[plan.name] = plan
+        seeds = [node.peer_address for node in self.nodes.values()]
+        lines = [
+            "[node]",
+            f'name = "{plan.name}"',
+            f'zone = "{plan.zone}"',
+            f'host = "{HOST}"',
+            f"seeds = {orjson.dumps(seeds).decode()}",
+        ]
+        if plan.disk:
+            lines.append(f'data_folder = "{self.folder / plan.name}"')
+        lines += [
+            "[platform]",
+            f'object_api = "{self.platform.url}"',
+            f'machine_list = "{self.platform.url}"',
+            "machine_list_interval_s = 0.5",
+            "[groups]",
+            f"count = {GROUP_COUNT}",
+            "[operators]",
+            f'token_sha256 = "{sha256(OPERATOR_TOKEN)}"',
+        ]
+        path = self.folder / f"{plan.name}.toml"
+        path.write_text("\n".join(lines) + "\n")
+        started = await self.launcher.start(plan.name, "node", "--settings", str(path))
+        self.nodes[plan.name] = started
+        return started
+
+    async def kill_node(self, name: str) -> None:
+        """End a node with SIGKILL."""
+        await self.launcher.stop(self.nodes.pop(name), signal.SIGKILL)
+
+    async def stop_node(self, name: str) -> int:
+        """Stop a node in order; return its exit code."""
+        return await self.launcher.stop(self.nodes.pop(name))
+
+    async def wait_ready(self, **wanted: int) -> None:
+        """Wait until every node sees these numbers."""
+        query = "&".join(f"{name}={value}" for name, value in wanted.items())
+        for node in self.nodes.values():
+            response = await self.client.get(f"{node.url}/ready?{query}")
+            body = await response.read()
+            if response.status != 200:
+                raise TimeoutError(f"{node.name} is not ready: {body!r}, wanted {wanted}")
+
+    async def configure(self) -> None:
+        """Declare the program kind and the caller's tenant."""
+        await self.order(f"DECLARE PROGRAM chat MODELS {MODEL}")
+        await self.order(
+            f"PUT TENANT desk TOKEN SHA256 '{sha256(CALLER_TOKEN)}' BUDGET 10000000 PRIORITY 1"
+        )
+
+    async def order(self, statement: str, node: str = "") -> dict[str, object]:
+        """Ask an operators' statement at a node; raise on a refusal."""
+        target = self.nodes[node] if node else next(iter(self.nodes.values()))
+        status, body = await ask(self.client, target.url, OPERATOR_TOKEN, statement)
+        if status != 200:
+            raise RuntimeError(f"{statement}: {body}")
+        return body
+
+    async def stop(self) -> None:
+        """Stop every process that was started."""
+        await self.client.close()
+        await self.launcher.stop_all()
--- /dev/null
+++ b/src/bendshed/routing/runners.py
@@ -0,0 +1,159 @@
+"""What this node knows of the runners: soft state, rebuilt from reports at any time."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from bendshed.ports.engine import LoadReport
+from bendshed.ports.store import Machine
+from bendshed.wire.peer_pb2 import RunnerNotice
+
+DEFAULT_SLOTS = 8
+"""Concurrent requests that an engine takes, until its first load report."""
+REMEMBERED_PROGRAMS = 4096
+BREAKER_FAILURES = 3
+BREAKER_OPEN_S = 5.0
+
+
+@dataclass(slots=True)
+class Runner:
+    """One runner as this node sees it.
+
+    Attributes:
+        machine: its line of the machine list.
+        leaving: from any source: machine list, gossip, the engine's own word.
+        drained: by the operators' configuration.
+        report: latest load report; ``None``: none yet.
+        report_at_s: loop time of that report.
+        own_in_flight: attempts of this node under way there.
+        own_since_report: attempts sent since the report, which it does not yet show.
+        failures: failures in a row.
+        open_until_s: circuit breaker: no new work before this loop time.
+
+    """
+
+    machine: Machine
+    leaving: bool = False
+    drained: bool = False
+    report: LoadReport | None = None
+    report_at_s: float = 0.0
+    own_in_flight: int = 0
+    own_since_report: int = 0
+    failures: int = 0
+    open_until_s: float = 0.0
+
+    @property
+    def slots(self) -> int:
+        """Requests that it can run at once."""
+        return self.report.slots if self.report is not None else DEFAULT_SLOTS
+
+    @property
+    def expected_load(self) -> int:
+        """Requests that are likely to be there now: reported plus sent since."""
+        reported = self.report.running + self.report.waiting if self.report is not None else 0
+        return max(reported + self.own_since_report, self.own_in_flight)
+
+    def takes_work(self, now_s: float) -> bool:
+        """Whether new work may be sent there."""
+        return not self.leaving and not self.drained and now_s >= self.open_until_s
+
+    def has_free_slot(self) -> bool:
+        """Whether a request sent now would not wait in the engine."""
+        return self.expected_load < self.slots
+
+
+@dataclass(slots=True)
+class RunnerTable:
+    """All runners by id, and where programs ran last.
+
+    Attributes:
+        last_runner: program id -> runner that likely holds its KV cache (bounded).
+        notices: latest gossip by runner, kept for runners not yet listed.
+
+    """
+
+    runners: dict[str, Runner] = field(default_factory=dict)
+    last_runner: OrderedDict[str, str] = field(default_factory=OrderedDict)
+    notices: dict[str, RunnerNotice] = field(default_factory=dict)
+    drained: frozenset[str] = frozenset()
+
+    def update_list(self, machines: list[Machine]) -> list[RunnerNotice]:
+        """Take a new machine list; return notices worth spreading."""
+        news = []
+        listed = {m.machine_id: m for m in machines if m.kind == "engine"}
+        for runner_id, machine in listed.items():
+            runner = self.runners.get(runner_id)
+            if runner is None or runner.machine.incarnation < machine.incarnation:
+                runner = Runner(machine, drained=runner_id in self.drained)
+                self.runners[runner_id] = runner
+            runner.machine = machine
+            notice = self.notices.get(runner_id)
+            if notice is not None and notice.incarnation >= machine.incarnation:
+                runner.leaving = notice.leaving
+            if machine.leaving and not runner.leaving:
+                news.append(self._leaving_notice(runner))
+        for runner_id, runner in self.runners.items():
+            if runner_id not in listed and not runner.leaving:
+                news.append(self._leaving_notice(runner))
+        return news
+
+    def _leaving_notice(self, runner: Runner) -> RunnerNotice:
+        runner.leaving = True
+        return RunnerNotice(
+            runner_id=runner.machine.machine_id,
+            incarnation=runner.machine.incarnation,
+            leaving=True,
+        )
+
+    def mark_leaving(self, runner_id: str) -> RunnerNotice | None:
+        """The engine itself said that it leaves; return the notice to spread."""
+        runner = self.runners.get(runner_id)
+        if runner is None or runner.leaving:
+            return None
+        return self._leaving_notice(runner)
+
+    def take_notice(self, notice: RunnerNotice) -> None:
+        """Gossip about a runner."""
+        self.notices[notice.runner_id] = notice
+        runner = self.runners.get(notice.runner_id)
+        if runner is not None and notice.incarnation >= runner.machine.incarnation:
+            runner.leaving = notice.leaving
+
+    def set_drained(self, names: frozenset[str]) -> None:
+        """Take the operators' drained runners."""
+        self.drained = names
+        for runner_id, runner in self.runners.items():
+            runner.drained = runner_id in names
+
+    def take_report(self, runner_id: str, report: LoadReport, now_s: float) -> None:
+        """A load report arrived."""
+        runner = self.runners.get(runner_id)
+        if runner is not None:
+            runner.report = report
+            runner.report_at_s = now_s
+            runner.own_since_report = 0
+
+    def begin(self, runner_id: str, program_id: str) -> None:
+        """An attempt is about to be sent."""
+        runner = self.runners.get(runner_id)
+        if runner is not None:
+            runner.own_in_flight += 1
+            runner.own_since_report += 1
+        self.remember(program_id, runner_id)
+
+    def remember(self, program_id: str, runner_id: str) -> None:
+        """The program's KV cache is likely at this runner."""
+        self.last_runner[program_id] = runner_id
+        self.last_runner.move_to_end(program_id)
+        if len(self.last_runner) > REMEMBERED_PROGRAMS:
+            self.last_runner.popitem(last=False)
+
+    def end(self, runner_id: str, succeeded: bool, now_s: float) -> None:
+        """An attempt is over; failures in a row open the circuit breaker."""
+        runner = self.runners.get(runner_id)
+        if runner is None:
+            return
+        runner.own_in_flight = max(0, runner.own_in_flight - 1)
+        runner.own_since_report = max(0, runner.own_since_report - 1)
+        runner.failures = 0 if succeeded else runner.failures + 1
+        if runner.failures >= BREAKER_FAILURES:
+            runner.open_until_s = now_s + BREAKER_OPEN_S
--- /dev/null
+++ b/src/bendshed/settings/__init__.py
@@ -0,0 +1,1 @@
+"""A node's settings: TOML file, environment, flags; checked by pydantic."""
--- /dev/null
+++ b/src/bendshed/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Protobuf messages between nodes; the generated code is committed (``make wire``)."""
