--- a/src/bendshed/programs/state.py
+++ b/src/bendshed/programs/state.py
@@ -202,7 +202,9 @@
         program = self.programs[command.program_id]
         call = find_call(program, command.call_number)
         assert call is not None
-        if command.runner and call.status == wire.CALL_STATUS_QUEUED and is_runnable(program, call):
+        holds_cache = program.last_runner in ("", command.runner)
+        may_run = call.status == wire.CALL_STATUS_QUEUED and is_runnable(program, call)
+        if command.runner and holds_cache and may_run:
             return self._grant(
                 program, call, command.executor, command.request_id, command.runner, command.now_ms
             )
