--- a/src/bendshed/dispatch/executor.py
+++ b/src/bendshed/dispatch/executor.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
 
@@ -87,6 +87,7 @@
         client: GroupClient,
         scheduler: Scheduler,
         engine_of: Callable[[str], Engine | None],
+        confirm_runner: Callable[[str], Awaitable[bool]],
         transport: Transport,
         clock: Clock,
         rng: random.Random,
@@ -98,6 +99,7 @@
         self._client = client
         self._scheduler = scheduler
         self._engine_of = engine_of
+        self._confirm_runner = confirm_runner
         self._clock = clock
         self._rng = rng
         self._retries = RetryBudget()
@@ -343,8 +345,7 @@
         runner_id = granted.runner
         table = self._scheduler.table
         now_s = asyncio.get_running_loop().time
-        runner = table.runners.get(runner_id)
-        if runner is None or not runner.takes_work(now_s()):
+        if not await self._confirm_runner(runner_id):
             return await self._not_started(run, granted)
         table.begin(runner_id, run.request.program_id)
         succeeded = False
@@ -370,6 +371,7 @@
             return await self._not_started(run, granted)
         request = EngineRequest(
             attempt_id=attempt_id(run.request, granted.attempt),
+            request_id=run.request.request_id,
             program_id=run.request.program_id,
             model=run.request.model,
             messages=[*history, *run.request.messages],
--- a/src/bendshed/gateway/application.py
+++ b/src/bendshed/gateway/application.py
@@ -83,13 +83,6 @@
     async def _chat(self, request: Request) -> Response:
         arrived_s = time.monotonic()
         tenant = self._tenant(request)
-        if self._node.draining:
-            raise BendshedError(
-                Refusal(
-                    ErrorKind.DRAINING,
-                    "this node is stopping; the request was not run, send it to another node",
-                )
-            )
         parsed = chat.parse_call(
             await request.read() or b"",
             chat.call_headers(_headers(request)),
@@ -109,7 +102,7 @@
             request=call.request_id,
             tenant=tenant,
         ):
-            live = self._node.executor.submit(call)
+            live = self._node.submit(call)
         if isinstance(live, Refusal):
             raise BendshedError(live)
         if not parsed.stream:
--- a/src/bendshed/membership/service.py
+++ b/src/bendshed/membership/service.py
@@ -19,7 +19,12 @@
 
 
 class MembershipService:
-    """Keeps this node's membership current and tells subscribers what changed."""
+    """Keeps this node's membership current and tells subscribers what changed.
+
+    Attributes:
+        last_heard_s: loop time at which a peer was last heard.
+
+    """
 
     def __init__(
         self, me: wire.Member, transport: Transport, rng: random.Random, seeds: list[Address]
@@ -29,6 +34,7 @@
         self.on_runner: list[Callable[[wire.RunnerNotice], None]] = []
         self.on_leader: list[Callable[[wire.LeaderHint], None]] = []
         self.on_revision: list[Callable[[str, int], None]] = []
+        self.last_heard_s = float("-inf")
         self._transport = transport
         self._rng = rng
         self._seeds = seeds
@@ -81,7 +87,8 @@
 
     def _on_datagram(self, payload: bytes) -> None:
         gossip = wire.Gossip.FromString(payload)
-        self._perform(self.swim.receive(gossip, asyncio.get_running_loop().time()))
+        self.last_heard_s = asyncio.get_running_loop().time()
+        self._perform(self.swim.receive(gossip, self.last_heard_s))
 
     async def _on_sync(self, payload: bytes) -> bytes:
         self._merge(wire.MembershipSync.FromString(payload))
--- a/src/bendshed/node.py
+++ b/src/bendshed/node.py
@@ -12,7 +12,9 @@
 from bendshed.consensus.host import GroupHost
 from bendshed.consensus.placement import PlacementService
 from bendshed.consensus.raft import Role, RoleChanged
+from bendshed.dispatch.calls import CallRequest, LiveAnswer
 from bendshed.dispatch.executor import Executor
+from bendshed.errors import ErrorKind, Refusal
 from bendshed.logs import PartLog
 from bendshed.membership.service import MembershipService
 from bendshed.ports.clock import Clock
@@ -101,6 +103,7 @@
             self.client,
             self.scheduler,
             self.engine_of,
+            self._confirm_runner,
             ports.transport,
             ports.clock,
             rng,
@@ -167,6 +170,13 @@
             self._placement.start()
         log.say("started", node=self.node_id, zone=self.settings.node.zone)
 
+    def submit(self, call: CallRequest) -> LiveAnswer | Refusal:
+        """Take a call, or refuse it unrun while this node stops."""
+        if self.draining:
+            detail = "this node is stopping; the request was not run, send it to another node"
+            return Refusal(ErrorKind.DRAINING, detail)
+        return self.executor.submit(call)
+
     async def drain(self) -> None:
         """Take no new work, hand leadership over, and wait for every call under way."""
         self.draining = True
@@ -199,6 +209,9 @@
             self._engines[url] = self.ports.new_engine(runner.machine)
         return self._engines[url]
 
+    async def _confirm_runner(self, runner_id: str) -> bool:
+        return await self.monitor.confirm(runner_id)
+
     def _disk_nodes(self) -> list[str]:
         return [m.node_id for m in self.membership.view.live() if m.has_disk]
 
--- a/src/bendshed/platform/openai_engine.py
+++ b/src/bendshed/platform/openai_engine.py
@@ -102,7 +102,9 @@
         }
         try:
             response = await self._client.post(
-                f"{self._base_url}/v1/chat/completions", Content(JSON, orjson.dumps(body))
+                f"{self._base_url}/v1/chat/completions",
+                Content(JSON, orjson.dumps(body)),
+                headers=[(b"X-Request-Id", request.request_id.encode())],
             )
         except ConnectionRefusedError as error:
             raise EngineNotStarted(repr(error)) from error
--- a/src/bendshed/ports/engine.py
+++ b/src/bendshed/ports/engine.py
@@ -13,6 +13,7 @@
 
     Attributes:
         attempt_id: name of the stream at the engine; used to resume and cancel.
+        request_id: the caller's HTTP request, to follow a call across logs.
         program_id: whose KV cache may be held between turns.
         messages: the whole prompt.
         max_answer_tokens: upper bound of generated tokens.
@@ -21,6 +22,7 @@
     """
 
     attempt_id: str
+    request_id: str
     program_id: str
     model: str
     messages: list[ChatMessage]
@@ -72,12 +74,13 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Load as the engine reports it, with a lag."""
+    """Load as the engine reports it, with a lag; ``leaving`` is the engine's own word."""
 
     running: int
     waiting: int
     kv_used_share: float
     slots: int
+    leaving: bool = False
 
 
 class EngineStream(ABC):
--- a/src/bendshed/rehearsal/engine_model.py
+++ b/src/bendshed/rehearsal/engine_model.py
@@ -84,6 +84,7 @@
     """One emulated engine.
 
     Attributes:
+        leaving: refuses new work and says so; ``says_leaving``: only says so.
         starts: names of streams in the order they were started, for an oracle.
         prompts: prompt of each started stream, for an oracle.
         computed_tokens: prompt tokens that had to be computed.
@@ -95,6 +96,7 @@
     def __init__(self, parameters: EngineParameters) -> None:
         self.parameters = parameters
         self.leaving = False
+        self.says_leaving = False
         self.starts: list[str] = []
         self.prompts: dict[str, list[dict[str, Any]]] = {}
         self.computed_tokens = 0
@@ -186,6 +188,7 @@
             "waiting": len(self._waiting),
             "kv_used_share": len(self._cache) * BLOCK_TOKENS / self.parameters.kv_capacity_tokens,
             "slots": self.parameters.slots,
+            "leaving": self.leaving or self.says_leaving,
         }
 
     def release(self, program_id: str) -> None:
--- /dev/null
+++ b/src/bendshed/rehearsal/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""A whole installation under virtual time, with faults; runs the product's own node code."""
--- /dev/null
+++ b/src/bendshed/rehearsal/simulator/loop.py
@@ -0,0 +1,157 @@
+"""An asyncio event loop whose time is virtual, with processes that can be paused and killed.
+
+Every callback belongs to the process in whose context it was scheduled. A paused process's due
+callbacks are kept until it resumes; a killed one's are dropped, so no ``finally`` runs, as with
+SIGKILL.
+"""
+
+import asyncio
+import gc
+import selectors
+from collections.abc import Callable
+from contextvars import Context, ContextVar, copy_context
+from dataclasses import dataclass, field
+from typing import Any
+
+_PROCESS: "ContextVar[SimProcess | None]" = ContextVar("process", default=None)
+
+
+class Deadlock(Exception):
+    """Nothing is scheduled any more."""
+
+
+@dataclass(slots=True, eq=False)
+class SimProcess:
+    """One simulated process.
+
+    Attributes:
+        parked: callbacks that came due while it was paused.
+
+    """
+
+    name: str
+    context: Context = field(init=False)
+    paused: bool = False
+    dead: bool = False
+    parked: list[Callable[[], None]] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.context = copy_context()
+        self.context.run(_PROCESS.set, self)
+
+    def kill(self) -> None:
+        """End it at once."""
+        self.dead = True
+        self.parked.clear()
+
+    def resume(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Run what came due while it was paused, in order."""
+        self.paused = False
+        parked, self.parked = self.parked, []
+        for callback in parked:
+            loop.call_soon(callback, context=self.context.copy())
+
+    def spawn(self, loop: asyncio.AbstractEventLoop, work: Any) -> "asyncio.Task[Any]":
+        """Start a coroutine as a task of this process."""
+        return loop.create_task(work, context=self.context.copy())
+
+
+class _VirtualSelector(selectors.SelectSelector):
+    """Instead of waiting, move the loop's clock."""
+
+    loop: "VirtualTimeLoop"
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        if timeout is None:
+            raise Deadlock
+        self.loop.now_s += max(0.0, timeout)
+        return []
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """Deterministic loop; ``now_s`` advances only when nothing is ready."""
+
+    def __init__(self) -> None:
+        selector = _VirtualSelector()
+        selector.loop = self
+        self.now_s = 0.0
+        self._kept: set[asyncio.Task[Any]] = set()
+        self.set_task_factory(self._make_task)
+        super().__init__(selector)
+
+    def _make_task(
+        self, _loop: asyncio.AbstractEventLoop, work: Any, **options: Any
+    ) -> "asyncio.Task[Any]":
+        """Keep tasks of killed processes, so that none is collected while it waits."""
+        task: asyncio.Task[Any] = asyncio.Task(work, loop=self, **options)
+        self._kept.add(task)
+        task.add_done_callback(self._kept.discard)
+        return task
+
+    def abandon(self) -> None:
+        """Drop all tasks where they stand, and close."""
+        self.run_until_complete(self._drop_tasks())
+        self.close()
+
+    async def _drop_tasks(self) -> None:
+        for task in self._kept:
+            task._log_destroy_pending = False  # type: ignore[attr-defined]
+        self._kept.clear()
+        gc.collect()
+
+    def time(self) -> float:
+        """Virtual seconds since the loop was made."""
+        return self.now_s
+
+    def call_soon(  # type: ignore[override]
+        self, callback: Callable[..., object], *args: Any, context: Context | None = None
+    ) -> asyncio.Handle:
+        """Schedule for the process of the context."""
+        process = _process_of(context)
+        if process is None:
+            return super().call_soon(callback, *args, context=context)
+        box: list[asyncio.Handle] = []
+        handle = super().call_soon(_guarded, process, box, callback, args, context=context)
+        box.append(handle)
+        return handle
+
+    def call_at(  # type: ignore[override]
+        self,
+        when: float,
+        callback: Callable[..., object],
+        *args: Any,
+        context: Context | None = None,
+    ) -> asyncio.TimerHandle:
+        """Schedule for the process of the context."""
+        process = _process_of(context)
+        if process is None:
+            return super().call_at(when, callback, *args, context=context)
+        box: list[asyncio.Handle] = []
+        handle = super().call_at(when, _guarded, process, box, callback, args, context=context)
+        box.append(handle)
+        return handle
+
+
+def _process_of(context: Context | None) -> SimProcess | None:
+    return _PROCESS.get() if context is None else context.get(_PROCESS)
+
+
+def _guarded(
+    process: SimProcess,
+    box: list[asyncio.Handle],
+    callback: Callable[..., object],
+    args: tuple[Any, ...],
+) -> None:
+    if process.dead:
+        return
+    if process.paused:
+        process.parked.append(lambda: _unless_cancelled(box[0], callback, args))
+        return
+    callback(*args)
+
+
+def _unless_cancelled(
+    handle: asyncio.Handle, callback: Callable[..., object], args: tuple[Any, ...]
+) -> None:
+    if not handle.cancelled():
+        callback(*args)
--- /dev/null
+++ b/src/bendshed/rehearsal/simulator/network.py
@@ -0,0 +1,155 @@
+"""Simulated network between nodes: latency, cuts, loss, duplicates."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from bendshed.ports.transport import Address, PeerUnreachable, Transport
+from bendshed.rehearsal.simulator.loop import SimProcess
+
+LATENCY_S = 0.0015
+"""One way between zones, as in the brief's first user."""
+JITTER_S = 0.001
+MIN_GAP_S = 1e-6
+"""Messages of one connection arrive this far apart, so the loop keeps their order."""
+
+
+@dataclass(slots=True)
+class Network:
+    """All simulated transports by address.
+
+    Attributes:
+        cuts: directed pairs of hosts between which nothing passes.
+        datagram_loss: share of datagrams that are lost.
+        datagram_copies: share of datagrams that arrive twice.
+        slow_s: extra latency.
+
+    """
+
+    loop: asyncio.AbstractEventLoop
+    rng: random.Random
+    transports: dict[Address, "SimTransport"] = field(default_factory=dict)
+    cuts: set[tuple[str, str]] = field(default_factory=set)
+    datagram_loss: float = 0.0
+    datagram_copies: float = 0.0
+    slow_s: float = 0.0
+    faults: dict[str, int] = field(default_factory=dict)
+    _last_delivery_s: dict[tuple[Address, Address], float] = field(default_factory=dict)
+
+    def is_cut(self, source: str, target: str) -> bool:
+        """Whether messages from one host to the other are lost."""
+        return (source, target) in self.cuts
+
+    def latency_s(self) -> float:
+        """Draw a one-way latency."""
+        return LATENCY_S + self.slow_s + self.rng.uniform(0, JITTER_S)
+
+    def in_order_at(self, source: Address, target: Address) -> float:
+        """Arrival time on a connection: never before an earlier message."""
+        earliest = self._last_delivery_s.get((source, target), 0.0) + MIN_GAP_S
+        arrival = max(self.loop.time() + self.latency_s(), earliest)
+        self._last_delivery_s[source, target] = arrival
+        return arrival
+
+
+class SimTransport(Transport):
+    """A node's transport in the simulated network."""
+
+    def __init__(self, network: Network, process: SimProcess, address: Address) -> None:
+        super().__init__()
+        self.address = address
+        self.process = process
+        self._network = network
+
+    async def start(self) -> Address:
+        """Listen; a restarted node takes its address over."""
+        self._network.transports[self.address] = self
+        return self.address
+
+    async def close(self) -> None:
+        """Stop listening."""
+        if self._network.transports.get(self.address) is self:
+            del self._network.transports[self.address]
+
+    async def request(self, peer: Address, method: str, payload: bytes, timeout_s: float) -> bytes:
+        """Send a request; lost messages show as a timeout, a closed port at once."""
+        loop = asyncio.get_running_loop()
+        answer: asyncio.Future[bytes] = loop.create_future()
+        self._deliver(peer, lambda target: target.serve(self, method, payload, answer), answer)
+        try:
+            return await asyncio.wait_for(answer, timeout_s)
+        except TimeoutError as error:
+            raise PeerUnreachable(f"{peer} did not answer {method}") from error
+
+    def serve(
+        self, asker: "SimTransport", method: str, payload: bytes, answer: "asyncio.Future[bytes]"
+    ) -> None:
+        """Run a handler in this process and send its result back."""
+        asyncio.get_running_loop().create_task(self._serve(asker, method, payload, answer))
+
+    async def _serve(
+        self, asker: "SimTransport", method: str, payload: bytes, answer: "asyncio.Future[bytes]"
+    ) -> None:
+        try:
+            handler = self.handlers[method]
+            reply = await handler(payload)
+        except Exception as error:
+            failure = PeerUnreachable(repr(error))
+            self._deliver(asker.address, lambda _t: _fail(answer, failure), None)
+            return
+        self._deliver(asker.address, lambda _target: _succeed(answer, reply), None)
+
+    def send(self, peer: Address, method: str, payload: bytes) -> None:
+        """Send a one-way message."""
+
+        def arrive(target: "SimTransport") -> None:
+            handler = target.one_way_handlers.get(method)
+            if handler is not None:
+                handler(payload)
+
+        self._deliver(peer, arrive, None)
+
+    def send_datagram(self, peer: Address, payload: bytes) -> None:
+        """Send a datagram: may be lost, doubled or overtaken."""
+        network = self._network
+        if network.is_cut(self.address.host, peer.host):
+            return
+        copies = 1
+        if network.rng.random() < network.datagram_loss:
+            copies = 0
+        elif network.rng.random() < network.datagram_copies:
+            copies = 2
+        for _ in range(copies):
+            target = network.transports.get(peer)
+            if target is not None and target.datagram_handler is not None:
+                network.loop.call_later(
+                    network.latency_s(),
+                    target.datagram_handler,
+                    payload,
+                    context=target.process.context.copy(),
+                )
+
+    def _deliver(
+        self, peer: Address, arrive: object, refused: "asyncio.Future[bytes] | None"
+    ) -> None:
+        network = self._network
+        if network.is_cut(self.address.host, peer.host):
+            return
+        arrival = network.in_order_at(self.address, peer)
+        target = network.transports.get(peer)
+        if target is None or target.process.dead:
+            if refused is not None:
+                failure = PeerUnreachable(f"{peer} refused the connection")
+                network.loop.call_at(arrival, _fail, refused, failure)
+            return
+        network.loop.call_at(arrival, arrive, target, context=target.process.context.copy())  # type: ignore[arg-type]
+
+
+def _succeed(answer: "asyncio.Future[bytes]", reply: bytes) -> None:
+    if not answer.done():
+        answer.set_result(reply)
+
+
+def _fail(answer: "asyncio.Future[bytes]", failure: Exception) -> None:
+    if not answer.done():
+        answer.set_exception(failure)
--- a/src/bendshed/routing/monitor.py
+++ b/src/bendshed/routing/monitor.py
@@ -29,6 +29,8 @@
 
 LIST_METHOD = "machines.list"
 PEER_TIMEOUT_S = 2.0
+FRESH_S = 2.0
+"""After this long without a word from peers or the engine, the engine is asked before a send."""
 ENGINE_ERRORS = (EngineBroken, EngineNotStarted, NotSupported)
 
 log = PartLog("routing")
@@ -164,6 +166,26 @@
         except ENGINE_ERRORS:
             return
         self._table.take_report(runner_id, report, asyncio.get_running_loop().time())
+        if report.leaving:
+            self.engine_said_leaving(runner_id)
+
+    async def confirm(self, runner_id: str) -> bool:
+        """Whether new work may be sent to a runner now.
+
+        A node that was paused or cut off has an old view. Unless it has heard its peers or the
+        engine lately, it asks the engine itself, so a back end that left meanwhile gets nothing.
+        """
+        now_s = asyncio.get_running_loop().time()
+        runner = self._table.runners.get(runner_id)
+        if runner is None:
+            return False
+        heard_s = max(self._membership.last_heard_s, runner.report_at_s)
+        if now_s - heard_s > FRESH_S:
+            await self._poll_load(runner_id)
+            now_s = asyncio.get_running_loop().time()
+            if now_s - runner.report_at_s > FRESH_S:
+                return False
+        return runner.takes_work(now_s)
 
     # --- KV cache held by programs that are gone -----------------------------------------
 
--- a/src/bendshed/routing/runners.py
+++ b/src/bendshed/routing/runners.py
@@ -35,7 +35,7 @@
     leaving: bool = False
     drained: bool = False
     report: LoadReport | None = None
-    report_at_s: float = 0.0
+    report_at_s: float = float("-inf")
     own_in_flight: int = 0
     own_since_report: int = 0
     failures: int = 0
