Find leaders for reconciliation; complete a stream from the committed answer; drain waits to be spared

The reconciliation now looks for the leader like every command. - A caller heard a whole answer after part of a stream: another executor had resumed and finished the attempt. The rest is now taken from the committed answer. - A node heard one peer again after a cut and trusted its view; it now compares the whole state with a peer first. - A planned stop of a second replica left a group without a majority: the drain now waits until its groups have a majority without it, bounded.

--- a/src/bendshed/dispatch/executor.py
+++ b/src/bendshed/dispatch/executor.py
@@ -12,8 +12,10 @@
 from typing import Any
 
 from bendshed.dispatch.calls import Answered, CallRequest, LiveAnswer, Outcome
+from bendshed.dispatch.events import text_events
 from bendshed.dispatch.history import HistoryCache, HistoryMismatch
 from bendshed.dispatch.retry import RetryBudget, backoff_s
+from bendshed.dispatch.stream_summary import summarize
 from bendshed.errors import ErrorKind, Refusal, parse_kind
 from bendshed.logs import PartLog
 from bendshed.ports.clock import Clock
@@ -57,7 +59,8 @@
         live: what its callers read.
         order_until_s: loop time until which it may wait for its predecessor.
         failed_runners: where an attempt failed.
-        known: history that this node holds: last call number and digest.
+        known_call, known_digest: history that this node holds.
+        streamed_whole: the live answer holds a stream up to its last event.
 
     """
 
@@ -66,6 +69,7 @@
     failed_runners: set[str]
     known_call: int = 0
     known_digest: bytes = b""
+    streamed_whole: bool = False
 
     @property
     def request(self) -> CallRequest:
@@ -175,7 +179,24 @@
         while True:
             outcome, result = await self._step(run, result)
             if outcome is not None:
-                return outcome
+                return self._complete_stream(run, outcome)
+
+    def _complete_stream(self, run: _Run, outcome: Outcome) -> Outcome:
+        """Make the streamed bytes the whole committed answer, or refuse.
+
+        Another executor may have finished the attempt that this one was streaming; the rest is
+        then taken from the committed answer. Bytes of another attempt cannot be completed.
+        """
+        if not isinstance(outcome, Answered) or run.streamed_whole:
+            return outcome
+        streamed = summarize(b"".join(run.live.chunks)).text
+        if not outcome.result.answer.startswith(streamed):
+            detail = "another attempt answered; ask again with the same key for its answer"
+            return Refusal(ErrorKind.SUPERSEDED, detail)
+        created_s = self._clock.wall_ms() // 1000
+        rest = text_events(run.request, outcome.result, len(streamed), created_s)
+        run.live.append(rest)
+        return outcome
 
     async def _step(
         self, run: _Run, result: wire.CallResult
@@ -406,6 +427,7 @@
         for tries_left in reversed(range(MAX_RESUMES)):
             try:
                 await self._forward(run, stream)
+                run.streamed_whole = True
                 return stream.summary
             except EngineBroken:
                 if not tries_left:
@@ -442,16 +464,8 @@
             request = run.request
             self.history.put(request.program_id, request.branch, request.call_number, turn)
             return result
-        return self._superseded(run, result)
-
-    def _superseded(self, run: _Run, result: wire.CallResult) -> wire.CallResult:
-        """Another attempt won. Bytes of ours that a caller has seen cannot become its answer."""
-        if not run.live.num_bytes or result.status != wire.CALL_STATUS_FINISHED:
-            return result
-        return wire.CallResult(
-            refused_kind=ErrorKind.SUPERSEDED,
-            refused_detail="another attempt answered; ask again with the same key for its answer",
-        )
+        run.streamed_whole = False  # another attempt won
+        return result
 
     async def _not_started(self, run: _Run, granted: wire.CallResult) -> wire.CallResult:
         """Hand the attempt back unstarted and try elsewhere while that makes sense."""
@@ -503,9 +517,8 @@
         result = await self._finish(
             run, orphan, wire.ATTEMPT_OUTCOME_ANSWERED, summary, None, final=True
         )
-        if result.attempt == orphan.attempt:
-            return result
-        return self._superseded(run, result)
+        run.streamed_whole = result.attempt == orphan.attempt
+        return result
 
     async def _lost(self, run: _Run, orphan: wire.CallResult) -> wire.CallResult:
         """The orphan's stream cannot be had."""
--- a/src/bendshed/gateway/application.py
+++ b/src/bendshed/gateway/application.py
@@ -10,6 +10,7 @@
 from blacksheep import Application, Content, Request, Response, StreamedContent
 from eliot import start_action
 
+from bendshed.dispatch import events as answer_events
 from bendshed.dispatch.calls import Answered, LiveAnswer
 from bendshed.errors import BendshedError, ErrorKind, Refusal
 from bendshed.gateway import chat
@@ -125,7 +126,7 @@
         if isinstance(outcome, Refusal):
             raise BendshedError(outcome)
         await self._settle(parsed, outcome, arrived_s)
-        body = chat.whole_answer(live.request, outcome.result, int(time.time()))
+        body = answer_events.whole_answer(live.request, outcome.result, int(time.time()))
         return Response(200, None, Content(JSON, orjson.dumps(body)))
 
     async def _events(
@@ -139,12 +140,10 @@
         if isinstance(outcome, Answered):
             await self._settle(parsed, outcome, arrived_s)
             now_s = int(time.time())
-            if not live.chunks:
-                yield chat.stored_answer_events(live.request, outcome.result, now_s)
-            yield chat.closing_events(live.request, outcome.result, now_s)
+            yield answer_events.closing_events(live.request, outcome.result, now_s)
         elif isinstance(outcome, Refusal):
             self.metrics.calls.labels(outcome.kind).inc()
-            yield chat.event(outcome.body())
+            yield answer_events.event(outcome.body())
 
     async def _settle(self, parsed: chat.ParsedCall, outcome: Answered, arrived_s: float) -> None:
         self.metrics.calls.labels("answered").inc()
--- a/src/bendshed/membership/service.py
+++ b/src/bendshed/membership/service.py
@@ -14,6 +14,8 @@
 SYNC_INTERVAL_S = 30.0
 SYNC_TIMEOUT_S = 2.0
 JOIN_RETRY_S = 0.5
+SILENCE_S = 2.0
+"""Without a word from any peer for this long, news may have been missed."""
 
 log = PartLog("membership")
 
@@ -24,6 +26,8 @@
     Attributes:
         last_heard_s: loop time at which a peer was last heard.
 
+    After a silence (a pause, a cut, a start) what peers spread meanwhile may have been missed;
+    the view counts as current again only after a comparison of the whole state with a peer.
     """
 
     def __init__(
@@ -35,6 +39,7 @@
         self.on_leader: list[Callable[[wire.LeaderHint], None]] = []
         self.on_revision: list[Callable[[str, int], None]] = []
         self.last_heard_s = float("-inf")
+        self._missed_news = True
         self._transport = transport
         self._rng = rng
         self._seeds = seeds
@@ -87,9 +92,21 @@
 
     def _on_datagram(self, payload: bytes) -> None:
         gossip = wire.Gossip.FromString(payload)
-        self.last_heard_s = asyncio.get_running_loop().time()
+        self._note_heard()
         self._perform(self.swim.receive(gossip, self.last_heard_s))
 
+    def _note_heard(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self.last_heard_s > SILENCE_S:
+            self._missed_news = True
+        self.last_heard_s = now_s
+
+    @property
+    def is_current(self) -> bool:
+        """Whether news that all peers have would have reached this node."""
+        silent_s = asyncio.get_running_loop().time() - self.last_heard_s
+        return silent_s <= SILENCE_S and not self._missed_news
+
     async def _on_sync(self, payload: bytes) -> bytes:
         self._merge(wire.MembershipSync.FromString(payload))
         return self.swim.state().SerializeToString()
@@ -109,10 +126,12 @@
         """Join by the seeds, then compare the whole state with a random peer now and then."""
         while True:
             joined = await self._sync_once()
-            if joined:
-                await asyncio.sleep(SYNC_INTERVAL_S * self._rng.uniform(0.5, 1.5))
-            else:
+            pause_s = SYNC_INTERVAL_S * self._rng.uniform(0.5, 1.5) if joined else JOIN_RETRY_S
+            until_s = asyncio.get_running_loop().time() + pause_s
+            while asyncio.get_running_loop().time() < until_s:
                 await asyncio.sleep(JOIN_RETRY_S)
+                if joined and self._missed_news:
+                    break
 
     async def _sync_once(self) -> bool:
         peer = self._pick_peer()
@@ -122,8 +141,10 @@
         try:
             reply = await self._transport.request(peer, SYNC_METHOD, mine, SYNC_TIMEOUT_S)
         except PeerUnreachable:
-            return len(self.view.live()) > 1
+            return False
+        self._note_heard()
         self._merge(wire.MembershipSync.FromString(reply))
+        self._missed_news = False
         return True
 
     def _pick_peer(self) -> Address | None:
--- a/src/bendshed/node.py
+++ b/src/bendshed/node.py
@@ -3,6 +3,7 @@
 The same class runs as a process, many to a process, and under virtual time.
 """
 
+import asyncio
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -31,6 +32,10 @@
 from bendshed.settings.model import Settings
 from bendshed.wire import peer_pb2 as wire
 
+SPARED_FACTOR = 2.0
+"""A planned stop waits this many times the replacement delay for a lost replica's successor."""
+SPARED_CHECK_S = 0.25
+
 log = PartLog("node")
 
 
@@ -185,6 +190,30 @@
         if self.host is not None:
             self.host.hand_over()
         await self.executor.drain()
+        await self._wait_until_spared()
+
+    async def _wait_until_spared(self) -> None:
+        """Wait, within limits, until each group keeps a majority without this node."""
+        limit_s = SPARED_FACTOR * self.settings.groups.replace_after_s
+        for _ in range(int(limit_s / SPARED_CHECK_S)):
+            if not self._needed_groups():
+                return
+            await asyncio.sleep(SPARED_CHECK_S)
+        for group_id in self._needed_groups():
+            log.say("stops although a group needs it", group=group_id)
+
+    def _needed_groups(self) -> list[int]:
+        """Groups that would have no majority of live voters without this node."""
+        if self.host is None:
+            return []
+        live = {member.node_id for member in self.membership.view.live()} - {self.node_id}
+        needed = []
+        for group_id, group in self.host.groups.items():
+            voters = list(group.replica.membership.voters)
+            spared = len(live.intersection(voters)) > len(voters) // 2
+            if self.node_id in voters and len(voters) > 1 and not spared:
+                needed.append(group_id)
+        return needed
 
     async def stop(self) -> None:
         """Stop all parts."""
--- a/src/bendshed/platform/openai_engine.py
+++ b/src/bendshed/platform/openai_engine.py
@@ -8,6 +8,7 @@
 from blacksheep.client import ClientSession
 from blacksheep.client.connection import IncomingContent
 
+from bendshed.dispatch.stream_summary import summarize
 from bendshed.platform.http import CONNECTION_ERRORS
 from bendshed.ports.engine import (
     Engine,
@@ -56,27 +57,6 @@
         self.summary = summarize(b"".join(seen))
 
 
-def summarize(events: bytes) -> StreamSummary:
-    """Text, finish reason and usage of a whole stream."""
-    summary = StreamSummary()
-    pieces: list[str] = []
-    for line in events.split(END_OF_EVENT):
-        if not line.startswith(b"data: "):
-            continue
-        event: dict[str, Any] = orjson.loads(line[6:])
-        for choice in event.get("choices", ()):
-            pieces.append(choice.get("delta", {}).get("content") or "")
-            summary.finish_reason = choice.get("finish_reason") or summary.finish_reason
-        usage = event.get("usage")
-        if usage:
-            details = usage.get("prompt_tokens_details") or {}
-            summary.usage.prompt_tokens = usage["prompt_tokens"]
-            summary.usage.answer_tokens = usage["completion_tokens"]
-            summary.usage.cached_tokens = details.get("cached_tokens", 0)
-    summary.text = "".join(pieces)
-    return summary
-
-
 class OpenAiEngine(Engine):
     """One engine at ``base_url``.
 
--- a/src/bendshed/programs/client.py
+++ b/src/bendshed/programs/client.py
@@ -69,25 +69,34 @@
     async def _try_once(
         self, request: wire.GroupRequest, left_s: float, wait_s: float
     ) -> wire.GroupReply | None:
-        target = self._target(request.group_id)
+        timeout_s = min(left_s, wait_s + REPLY_MARGIN_S)
+        payload = await self.ask_leader(
+            request.group_id, COMMAND_METHOD, request.SerializeToString(), timeout_s
+        )
+        if payload is None:
+            return None
+        reply = wire.GroupReply.FromString(payload)
+        if not reply.is_leader:
+            self.follow_hint(request.group_id, reply.not_leader_hint)
+        return reply
+
+    async def ask_leader(
+        self, group_id: int, method: str, payload: bytes, timeout_s: float
+    ) -> bytes | None:
+        """Ask the supposed leader of a group once; ``None``: no answer, forget the supposition."""
+        target = self._target(group_id)
         address = self._resolve(target) if target else None
         if address is None:
-            self.leaders.pop(request.group_id, None)
+            self.leaders.pop(group_id, None)
             return None
-        timeout_s = min(left_s, wait_s + REPLY_MARGIN_S)
         try:
-            payload = await self._transport.request(
-                address, COMMAND_METHOD, request.SerializeToString(), timeout_s
-            )
+            return await self._transport.request(address, method, payload, timeout_s)
         except PeerUnreachable:
-            self.leaders.pop(request.group_id, None)
+            self.leaders.pop(group_id, None)
             return None
-        reply = wire.GroupReply.FromString(payload)
-        if not reply.is_leader:
-            self._follow_hint(request.group_id, reply.not_leader_hint)
-        return reply
 
-    def _follow_hint(self, group_id: int, hint: str) -> None:
+    def follow_hint(self, group_id: int, hint: str) -> None:
+        """A node that does not lead the group named who may; empty: nobody known."""
         if hint:
             self.leaders[group_id] = hint
         else:
--- a/src/bendshed/programs/service.py
+++ b/src/bendshed/programs/service.py
@@ -272,8 +272,8 @@
         request = wire.AliveRequest.FromString(payload)
         try:
             state = _state(self._host.ready_group(request.group_id))
-        except NotLeader:
-            return wire.AliveReply().SerializeToString()
+        except NotLeader as error:
+            return wire.AliveReply(leader_hint=error.leader_id).SerializeToString()
         gone = [name for name in request.program_ids if _is_gone(state.programs.get(name))]
         return wire.AliveReply(is_leader=True, gone=gone).SerializeToString()
 
--- a/src/bendshed/rehearsal/simulator/engines.py
+++ b/src/bendshed/rehearsal/simulator/engines.py
@@ -4,7 +4,8 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
-from bendshed.platform.openai_engine import message_to_json, summarize
+from bendshed.dispatch.stream_summary import summarize
+from bendshed.platform.openai_engine import message_to_json
 from bendshed.ports.engine import (
     Engine,
     EngineBroken,
--- a/src/bendshed/rehearsal/simulator/world.py
+++ b/src/bendshed/rehearsal/simulator/world.py
@@ -56,6 +56,7 @@
 GROUP_COUNT = 2
 START_LIMIT_S = 30.0
 QUIET_S = 45.0
+DRAIN_LIMIT_S = 300.0
 PROGRAM_TOKENS = 4_000
 TENANT = "desk"
 TENANT_TOKENS = 60_000
@@ -343,7 +344,11 @@
         node, process = holder.node, holder.process
         if node is None:
             return
-        await process.spawn(self.loop, node.drain())
+        drain = process.spawn(self.loop, node.drain())
+        while not drain.done():
+            await asyncio.sleep(0.1)
+            if process.dead:
+                return
         await asyncio.sleep(0.5)
         for channel in self.channels:
             if channel.process is process and not channel.sent_outcome:
@@ -435,6 +440,7 @@
         for name, holder in self.nodes.items():
             if holder.is_up and holder.process.paused:
                 self.resume_node(name)
+        self.wait_for(lambda: all(task.done() for task in self.drains), DRAIN_LIMIT_S)
         self.run_for(3.0)
         for name, holder in self.nodes.items():
             if not holder.is_up:
--- a/src/bendshed/routing/monitor.py
+++ b/src/bendshed/routing/monitor.py
@@ -30,7 +30,7 @@
 LIST_METHOD = "machines.list"
 PEER_TIMEOUT_S = 2.0
 FRESH_S = 2.0
-"""After this long without a word from peers or the engine, the engine is asked before a send."""
+"""A load report this old does not show whether the engine is leaving."""
 ENGINE_ERRORS = (EngineBroken, EngineNotStarted, NotSupported)
 
 log = PartLog("routing")
@@ -179,8 +179,7 @@
         runner = self._table.runners.get(runner_id)
         if runner is None:
             return False
-        heard_s = max(self._membership.last_heard_s, runner.report_at_s)
-        if now_s - heard_s > FRESH_S:
+        if not self._membership.is_current and now_s - runner.report_at_s > FRESH_S:
             await self._poll_load(runner_id)
             now_s = asyncio.get_running_loop().time()
             if now_s - runner.report_at_s > FRESH_S:
@@ -232,18 +231,16 @@
         return gone
 
     async def _ask_group(self, group_id: int, names: list[str]) -> list[str]:
-        leader = self._client.leaders.get(group_id)
-        address = self._membership.view.address(leader) if leader else None
-        if address is None:
-            return []
         question = programs_pb2.AliveRequest(group_id=group_id, program_ids=names)
-        try:
-            payload = await self._transport.request(
-                address, ALIVE_METHOD, question.SerializeToString(), PEER_TIMEOUT_S
-            )
-        except PeerUnreachable:
+        payload = await self._client.ask_leader(
+            group_id, ALIVE_METHOD, question.SerializeToString(), PEER_TIMEOUT_S
+        )
+        if payload is None:
             return []
-        return list(programs_pb2.AliveReply.FromString(payload).gone)
+        reply = programs_pb2.AliveReply.FromString(payload)
+        if not reply.is_leader:
+            self._client.follow_hint(group_id, reply.leader_hint)
+        return list(reply.gone)
 
 
 def _encode(machines: list[Machine]) -> bytes:
