Parts of a split membership find each other again

Change: such a probe carries the sender's record, and a quarter of the state comparisons go to a seed.

--- a/src/bendshed/membership/service.py
+++ b/src/bendshed/membership/service.py
@@ -14,6 +14,8 @@
 SYNC_INTERVAL_S = 30.0
 SYNC_TIMEOUT_S = 2.0
 JOIN_RETRY_S = 0.5
+SEED_SYNC_SHARE = 0.25
+"""Comparisons made with a seed, so that parts that lost each other meet again."""
 SILENCE_S = 2.0
 """Without a word from any peer for this long, news may have been missed."""
 
@@ -150,11 +152,12 @@
     def _pick_peer(self) -> Address | None:
         me = self.swim.me
         others = [m for m in self.view.live() if m.node_id != me.node_id]
-        if others:
+        if others and self._rng.random() >= SEED_SYNC_SHARE:
             member = self._rng.choice(others)
             return Address(member.host, member.peer_port)
         seeds = [s for s in self._seeds if s != Address(me.host, me.peer_port)]
-        return self._rng.choice(seeds) if seeds else None
+        addresses = seeds or [Address(m.host, m.peer_port) for m in others]
+        return self._rng.choice(addresses) if addresses else None
 
     # --- effects -------------------------------------------------------------------------
 
--- a/src/bendshed/membership/swim.py
+++ b/src/bendshed/membership/swim.py
@@ -291,7 +291,7 @@
         if dead:
             member = self.view.members[self._rng.choice(dead)]
             gossip = self._gossip(wire.GOSSIP_KIND_SPREAD, 0, member.node_id)
-            gossip.members.append(member)  # lets it refute
+            gossip.members.extend((member, self.me))  # lets it refute, and find the way back
             self._effects.append(SendGossip(Address(member.host, member.peer_port), gossip))
 
     # --- suspicion -----------------------------------------------------------------------
@@ -405,7 +405,7 @@
             return
         gossip = self._gossip(kind, sequence, target)
         if member.status == DEAD:
-            gossip.members.append(member)  # it is alive after all: lets it refute
+            gossip.members.extend((member, self.me))  # alive after all: lets it refute
         self._effects.append(SendGossip(Address(member.host, member.peer_port), gossip))
 
     def _gossip(self, kind: "wire.GossipKind.ValueType", sequence: int, target: str) -> wire.Gossip:
--- a/src/bendshed/rehearsal/simulator/world.py
+++ b/src/bendshed/rehearsal/simulator/world.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from ipaddress import IPv4Address
+from typing import Any
 
 from bendshed.configuration.document import (
     AnyChange,
@@ -344,20 +345,27 @@
         node, process = holder.node, holder.process
         if node is None:
             return
-        drain = process.spawn(self.loop, node.drain())
-        while not drain.done():
-            await asyncio.sleep(0.1)
-            if process.dead:
-                return
+        if not await self._run_in(process, node.drain()):
+            return
         await asyncio.sleep(0.5)
         for channel in self.channels:
             if channel.process is process and not channel.sent_outcome:
                 channel.record.cut_by_planned_stop = True
-        await process.spawn(self.loop, node.stop())
+        if not await self._run_in(process, node.stop()):
+            return
         process.kill()
         holder.node = None
         self._break_channels(process)
 
+    async def _run_in(self, process: SimProcess, work: Coroutine[Any, Any, None]) -> bool:
+        """Run to the end in a process; ``False``: the process was killed before."""
+        task = process.spawn(self.loop, work)
+        while not task.done():
+            await asyncio.sleep(0.1)
+            if process.dead:
+                return False
+        return True
+
     def cut(self, one: str, other: str, both_ways: bool) -> None:
         """Cut the way between two hosts."""
         self.count("cut both ways" if both_ways else "cut one way")
