--- a/src/bendshed/cli/main.py
+++ b/src/bendshed/cli/main.py
@@ -5,7 +5,7 @@
 from bendshed import __version__
 from bendshed.cli.ask import AskCommand
 from bendshed.cli.node import NodeCommand
-from bendshed.cli.rehearse import DemoCommand, StandinCommand
+from bendshed.cli.rehearse import DemoCommand, FuzzCommand, LoadCommand, StandinCommand
 from bendshed.cli.settings import SettingsCheckCommand, SettingsShowCommand
 
 
@@ -19,6 +19,8 @@
         AskCommand(),
         StandinCommand(),
         DemoCommand(),
+        LoadCommand(),
+        FuzzCommand(),
     ):
         application.add(command)
     application.auto_exits(False)
--- a/src/bendshed/cli/rehearse.py
+++ b/src/bendshed/cli/rehearse.py
@@ -1,14 +1,17 @@
 """``bendshed rehearse …``: stand-ins, demo, experiments."""
 
 import asyncio
+from dataclasses import asdict
+from pathlib import Path
 from typing import ClassVar
 
+import orjson
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
-from bendshed.cli.options import EXIT_BAD_INPUT, EXIT_DONE
+from bendshed.cli.options import EXIT_BAD_INPUT, EXIT_DONE, EXIT_FAILED, json_option
 
 STANDINS = ("platform", "engine", "tool")
 
@@ -37,6 +40,81 @@
         return EXIT_DONE
 
 
+class LoadCommand(Command):
+    """Measures what a node adds and costs."""
+
+    name = "rehearse load"
+    description = "Send paced calls directly and through nodes; print added time and cost."
+    help = "Example: <info>bendshed rehearse load --calls 200 --pace 0.05 --json</info>"
+    options: ClassVar[list[Option]] = [
+        option("calls", None, "Calls through nodes", flag=False, default="100"),
+        option("pace", None, "Seconds between two calls", flag=False, default="0.05"),
+        option("tokens", None, "Tokens of an answer at most", flag=False, default="24"),
+        json_option(),
+    ]
+
+    def handle(self) -> int:
+        """Run."""
+        from bendshed.rehearsal.load import run_load
+
+        work = run_load(
+            int(self.option("calls")), float(self.option("pace")), int(self.option("tokens"))
+        )
+        result = asdict(asyncio.run(work))
+        if self.option("json"):
+            self.line(orjson.dumps(result).decode())
+        else:
+            for name, value in result.items():
+                self.line(f"{name} = {value}")
+        return EXIT_FAILED if result["not_whole"] else EXIT_DONE
+
+
+class FuzzCommand(Command):
+    """Searches for broken promises under virtual time."""
+
+    name = "rehearse fuzz"
+    description = "Random failures against a simulated installation; a violation prints a trace."
+    help = (
+        "Example: <info>bendshed rehearse fuzz --seed 7 --steps 4000</info>, or "
+        "<info>bendshed rehearse fuzz --replay trace.json</info>.\n"
+        "Exit codes: 0 all promises held, 1 one did not."
+    )
+    options: ClassVar[list[Option]] = [
+        option("seed", None, "Seed of the first world", flag=False, default="1"),
+        option("steps", None, "Steps over all worlds", flag=False, default="1000"),
+        option("replay", None, "File with a printed trace", flag=False),
+        json_option(),
+    ]
+
+    def handle(self) -> int:
+        """Run."""
+        from bendshed.rehearsal.simulator import fuzz
+
+        if self.option("replay"):
+            seed, steps = fuzz.read_trace(Path(self.option("replay")).read_text())
+            world, violations = fuzz.run_world(seed, steps)
+            world.close()
+            for violation in violations:
+                self.line(f"promise {violation.promise}: {violation.detail}")
+            return EXIT_FAILED if violations else EXIT_DONE
+        report = fuzz.FuzzReport()
+        for report in fuzz.fuzz(int(self.option("seed")), int(self.option("steps"))):
+            if not self.option("json"):
+                self.line(
+                    f"{report.worlds} worlds, {report.steps} steps, "
+                    f"{report.simulated_s:.0f} s simulated in {report.real_s:.0f} s"
+                )
+        if self.option("json"):
+            self.line(orjson.dumps(asdict(report)).decode())
+        else:
+            self.line(f"faults: {report.faults}")
+            for violation_text in report.violations:
+                self.line(f"promise {violation_text}")
+            if report.trace:
+                self.line(f"trace: {report.trace}")
+        return EXIT_FAILED if report.violations else EXIT_DONE
+
+
 class DemoCommand(Command):
     """Runs the demo."""
 
--- a/src/bendshed/configuration/service.py
+++ b/src/bendshed/configuration/service.py
@@ -4,7 +4,7 @@
 creating it again fails, so of two racing operators one wins and the other sees it. The object
 never changes, hence a lost answer is settled by reading the key: it holds either our operation
 id or another's. A node applies revision n only after n - 1, so nothing ever reverts, and a
-store that answers with old data changes nothing. Two readers per zone watch the store; all
+store that answers with old data changes nothing. A few readers per zone watch the store; all
 others hear the newest revision by gossip and fetch what they lack from the peer that told them.
 """
 
@@ -35,7 +35,6 @@
 CHANGES_PREFIX = "configuration/changes/"
 FETCH_METHOD = "configuration.fetch"
 REVISION_METHOD = "configuration.revision"
-READERS_PER_ZONE = 2
 WATCH_S = 10.0
 STORE_RETRY_S = 1.0
 FETCH_TIMEOUT_S = 2.0
@@ -95,8 +94,10 @@
         transport: Transport,
         clock: Clock,
         rng: random.Random,
+        readers_per_zone: int,
     ) -> None:
         self.snapshot = Snapshot()
+        self._readers_per_zone = readers_per_zone
         self.on_change: list[Callable[[ConfigurationDocument], None]] = []
         self._store = store
         self._cache = cache
@@ -123,7 +124,7 @@
         me = self._membership.swim.me
         zone = self._membership.live_zones().get(me.zone, [])
         ranked = rendezvous_rank("configuration-reader", zone)
-        return me.node_id in ranked[:READERS_PER_ZONE]
+        return me.node_id in ranked[: self._readers_per_zone]
 
     def start(self) -> None:
         """Load the kept configuration and begin to follow changes."""
--- a/src/bendshed/dispatch/executor.py
+++ b/src/bendshed/dispatch/executor.py
@@ -424,16 +424,16 @@
         self, run: _Run, engine: Engine, name: str, stream: EngineStream
     ) -> StreamSummary:
         """Forward a stream to its end, resuming it where the connection broke."""
-        for tries_left in reversed(range(MAX_RESUMES)):
+        for tries in range(MAX_RESUMES + 1):
             try:
+                if tries:
+                    stream = await engine.resume(name)
                 await self._forward(run, stream)
                 run.streamed_whole = True
                 return stream.summary
-            except EngineBroken:
-                if not tries_left:
-                    raise
-            await asyncio.sleep(backoff_s(MAX_RESUMES - tries_left, self._rng))
-            stream = await engine.resume(name)
+            except EngineBroken as error:
+                log.say("a stream broke", attempt=name, reason=str(error))
+            await asyncio.sleep(backoff_s(tries + 1, self._rng))
         raise EngineBroken(name)
 
     async def _forward(self, run: _Run, stream: EngineStream) -> None:
--- a/src/bendshed/node.py
+++ b/src/bendshed/node.py
@@ -90,7 +90,13 @@
         seeds = [parse_address(text) for text in settings.node.seeds]
         self.membership = MembershipService(me, ports.transport, rng, seeds)
         self.configuration = ConfigurationService(
-            ports.store, ports.cache, self.membership, ports.transport, ports.clock, rng
+            ports.store,
+            ports.cache,
+            self.membership,
+            ports.transport,
+            ports.clock,
+            rng,
+            settings.platform.store_readers_per_zone,
         )
         self.client = GroupClient(
             ports.transport,
--- a/src/bendshed/rehearsal/simulator/fuzz.py
+++ b/src/bendshed/rehearsal/simulator/fuzz.py
@@ -268,10 +268,14 @@
 ) -> tuple[World, list[Violation]]:
     """Run one world through its steps, settle and judge it. The caller closes it."""
     world = World.started(seed, node_class)
-    fuzzer = Fuzzer(world)
-    for step in steps:
-        fuzzer.apply(step)
-    return world, world.settle()
+    try:
+        fuzzer = Fuzzer(world)
+        for step in steps:
+            fuzzer.apply(step)
+        return world, world.settle()
+    except BaseException:
+        world.close()
+        raise
 
 
 def fuzz(seed: int, steps: int) -> Iterator[FuzzReport]:
--- a/src/bendshed/rehearsal/simulator/world.py
+++ b/src/bendshed/rehearsal/simulator/world.py
@@ -205,7 +205,10 @@
                 seeds=seeds,
             ),
             platform=PlatformSection(
-                object_api="http://sim", machine_list="http://sim", machine_list_interval_s=1.0
+                object_api="http://sim",
+                machine_list="http://sim",
+                machine_list_interval_s=1.0,
+                store_readers_per_zone=1,
             ),
             groups=GroupsSection(count=GROUP_COUNT, replace_after_s=15.0),
             programs=ProgramsSection(idle_timeout_s=60.0, ended_kept_s=300.0),
--- a/src/bendshed/settings/model.py
+++ b/src/bendshed/settings/model.py
@@ -34,6 +34,7 @@
     object_api: Url
     machine_list: Url
     machine_list_interval_s: Annotated[float, Field(ge=0.1, le=60)] = 2.0
+    store_readers_per_zone: Annotated[int, Field(ge=1, le=10)] = 2
     engine_adapter: Literal["openai"] = "openai"
 
 
--- /dev/null
+++ b/tests/defects.py
@@ -0,0 +1,117 @@
+"""Planted defects, one and more per promise: patches made by tests, never in the product."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import Any
+from unittest import mock
+
+from bendshed.configuration.document import Snapshot
+from bendshed.configuration.service import ConfigurationService
+from bendshed.dispatch.executor import Executor
+from bendshed.dispatch.history import HistoryCache
+from bendshed.errors import ANSWERS, ErrorAnswer, ErrorKind, WasRun
+from bendshed.programs import state
+from bendshed.rehearsal.simulator.oracle import Violation
+from bendshed.routing.monitor import RunnerMonitor
+from bendshed.routing.runners import Runner
+from tests import scenarios
+
+
+@dataclass(frozen=True)
+class Defect:
+    promise: int
+    plant: Callable[[], Any]
+    seed: int = 1
+    scenario: Callable[[int], list[Violation]] = scenarios.random_world
+
+
+def _replace(owner: object, name: str, value: object) -> Callable[[], Any]:
+    return lambda: mock.patch.object(owner, name, value)
+
+
+async def _nothing(*_arguments: Any) -> None:
+    return None
+
+
+async def _no_programs(*_arguments: Any) -> list[str]:
+    return []
+
+
+async def _always(*_arguments: Any) -> bool:
+    return True
+
+
+def _no_history(*_arguments: Any) -> list[Any]:
+    return []
+
+
+async def _forward_all(self: Executor, run: Any, stream: Any) -> None:
+    """Forward a resumed stream from its first byte again."""
+    async for chunk in stream.events():
+        run.live.append(chunk)
+
+
+@contextmanager
+def _unavailable_means_not_run() -> Iterator[None]:
+    """Say "not run" where nothing is known."""
+    wrong = {ErrorKind.GROUP_UNAVAILABLE: ErrorAnswer(503, True, WasRun.NO, 2)}
+    with mock.patch.dict(ANSWERS, wrong):
+        yield
+
+
+@contextmanager
+def _order_is_ignored() -> Iterator[None]:
+    with (
+        mock.patch.object(state, "is_runnable", lambda _program, _call: True),
+        mock.patch.object(state, "_later_call_started", lambda _program, _number: False),
+    ):
+        yield
+
+
+@contextmanager
+def _leaving_is_ignored() -> Iterator[None]:
+    with (
+        mock.patch.object(RunnerMonitor, "confirm", _always),
+        mock.patch.object(Runner, "takes_work", lambda _self, _now: True),
+    ):
+        yield
+
+
+def _apply_any(self: ConfigurationService, revision: int, change: Any) -> None:
+    """Take whatever the store or a peer sends as the newest."""
+    self._recent[revision] = change
+    self.snapshot = Snapshot(revision=revision, document=self.document)
+    for on_change in self.on_change:
+        on_change(self.document)
+
+
+DEFECTS = {
+    "every call may run at once": Defect(
+        1,
+        _order_is_ignored,
+        scenario=scenarios.calls_arrive_out_of_order,
+    ),
+    "a kept history is not checked": Defect(2, _replace(HistoryCache, "assemble", _no_history)),
+    "the worst case is not reserved": Defect(
+        3, _replace(state.GroupStateMachine, "_worst_case_tokens", lambda *_: 1)
+    ),
+    "no reconciliation with the engines": Defect(4, _replace(RunnerMonitor, "_gone", _no_programs)),
+    "a resumed stream is sent twice": Defect(
+        5,
+        _replace(Executor, "_forward", _forward_all),
+        scenario=scenarios.connection_breaks_mid_stream,
+    ),
+    "unknown is told as not run": Defect(
+        6, _unavailable_means_not_run, scenario=scenarios.executor_cut_off_after_grant
+    ),
+    "a broken stream counts as not started": Defect(
+        7, _replace(Executor, "_broken", Executor._not_started), seed=16
+    ),
+    "leaving is ignored": Defect(8, _leaving_is_ignored, seed=2),
+    "the drain does not wait": Defect(9, _replace(Executor, "drain", _nothing), seed=7),
+    "news of a revision is ignored": Defect(
+        10, _replace(ConfigurationService, "_on_revision_seen", lambda *_: None)
+    ),
+    "any revision is taken": Defect(10, _replace(ConfigurationService, "_apply", _apply_any)),
+}
--- /dev/null
+++ b/tests/scenarios.py
@@ -0,0 +1,69 @@
+"""Scenarios that a planted defect fails and the product passes."""
+
+from unittest import mock
+
+from bendshed.rehearsal.simulator import world as world_module
+from bendshed.rehearsal.simulator.callers import PlannedCall
+from bendshed.rehearsal.simulator.fuzz import random_steps, run_world
+from bendshed.rehearsal.simulator.oracle import Violation
+from bendshed.rehearsal.simulator.world import World
+
+RANDOM_STEPS = 40
+
+
+def random_world(seed: int) -> list[Violation]:
+    """Random failures of one seed."""
+    world, violations = run_world(seed, random_steps(seed, RANDOM_STEPS))
+    world.close()
+    return violations
+
+
+def calls_arrive_out_of_order(seed: int) -> list[Violation]:
+    """The second call reaches one node well before the first reaches another."""
+    world = World.started(seed)
+    driver = world.start_program([])
+    for call, node in ((PlannedCall(2), "node-4"), (PlannedCall(1), "node-5")):
+        driver.calls.append(call)
+        world.send(driver.request(call, world.nodes[node].clock.wall_ms()), node)
+        world.run_for(2.0)
+    world.run_for(10.0)
+    return _settled(world)
+
+
+def connection_breaks_mid_stream(seed: int) -> list[Violation]:
+    """The way from the engine breaks for a moment while an answer is streamed."""
+    world = World.started(seed)
+    driver = world.start_program([PlannedCall(1), PlannedCall(2)])
+    world.wait_for(lambda: any(r.starts for r in world.runners.values()), 10.0)
+    world.run_for(0.4)
+    runner = next(name for name, r in world.runners.items() if r.starts)
+    for holder in world.nodes.values():
+        world.cut(runner, holder.host, both_ways=False)
+    world.run_for(0.12)
+    world.heal_network()
+    world.wait_for(lambda: driver.finished, 60.0)
+    return _settled(world)
+
+
+def executor_cut_off_after_grant(seed: int) -> list[Violation]:
+    """A call runs at its engine, and its executor can reach no group any more."""
+    with mock.patch.object(world_module, "CALLER_TIMEOUT_S", 200.0):
+        world = World.started(seed)
+        driver = world.start_program([])
+        call = PlannedCall(1, unrepeatable=True)
+        driver.calls.append(call)
+        world.send(driver.request(call, world.nodes["node-4"].clock.wall_ms()), "node-4")
+        world.wait_for(lambda: any(r.starts for r in world.runners.values()), 10.0)
+        host = world.nodes["node-4"].host
+        for other in world.nodes.values():
+            if other.host != host:
+                world.cut(host, other.host, both_ways=True)
+        world.run_for(100.0)
+        return _settled(world)
+
+
+def _settled(world: World) -> list[Violation]:
+    try:
+        return world.settle()
+    finally:
+        world.close()
