HTTP client by aiohttp; a failed part ends the process

Cause: under paced load a call never ended. The reading task of a streamed answer is referenced by nothing but its own connection, and the garbage collector took both; kept references then showed that closed idle connections are used again. Ruled out: the engine (idle), the group (the call stood as dispatched). The library's client also resends a request whose connection closed early, which would start a call twice. Change: the client side uses aiohttp behind one small class; background tasks report their failure and end the process instead of dying silently.

--- a/src/bendshed/cli/ask.py
+++ b/src/bendshed/cli/ask.py
@@ -72,18 +72,13 @@
 
 
 async def _ask(url: str, token: str, statement: str) -> tuple[int, dict[str, Any]]:
-    from blacksheep import Content
+    from bendshed.platform.http import HttpClient
 
-    from bendshed.platform.http import new_client
-
-    client = new_client()
-    content = Content(
-        b"application/json",
-        orjson.dumps({"statement": statement, "author": getpass.getuser()}),
-    )
-    headers = [(b"Authorization", f"Bearer {token}".encode())]
+    client = HttpClient()
+    content = orjson.dumps({"statement": statement, "author": getpass.getuser()})
+    headers = {"Authorization": f"Bearer {token}", "Content-Type": "application/json"}
     try:
-        response = await client.post(f"{url}/operators/ask", content, headers=headers)
-        return response.status, orjson.loads(await response.read() or b"{}")
+        answer = await client.send("POST", f"{url}/operators/ask", content, headers)
+        return answer.status, orjson.loads(answer.body or b"{}")
     finally:
         await client.close()
--- a/src/bendshed/configuration/service.py
+++ b/src/bendshed/configuration/service.py
@@ -30,6 +30,7 @@
 from bendshed.ports.clock import Clock
 from bendshed.ports.store import ObjectStore, StoredObject, StoreUnavailable, VersionConflict
 from bendshed.ports.transport import PeerUnreachable, Transport
+from bendshed.tasks import start_loop
 from bendshed.wire import peer_pb2 as wire
 
 CHANGES_PREFIX = "configuration/changes/"
@@ -131,7 +132,7 @@
         kept = self._cache.load() if self._cache is not None else None
         if kept is not None:
             self._take_over(kept)
-        self._task = asyncio.create_task(self._read_forever())
+        self._task = start_loop(self._read_forever(), "configuration")
 
     async def stop(self) -> None:
         """Stop following changes."""
--- a/src/bendshed/consensus/host.py
+++ b/src/bendshed/consensus/host.py
@@ -15,6 +15,7 @@
 from bendshed.logs import PartLog
 from bendshed.ports.log_storage import GroupWrite, LogStorage, StoredGroup
 from bendshed.ports.transport import Address, Transport
+from bendshed.tasks import start_loop
 from bendshed.wire import consensus_pb2 as wire
 
 CONSENSUS_METHOD = "consensus.batch"
@@ -104,8 +105,8 @@
             self._add(stored)
         self._transport.one_way_handlers[CONSENSUS_METHOD] = self._receive_batch
         self._tasks = [
-            asyncio.create_task(self._tick_forever()),
-            asyncio.create_task(self._write_forever()),
+            start_loop(self._tick_forever(), "consensus"),
+            start_loop(self._write_forever(), "consensus"),
         ]
 
     async def stop(self) -> None:
--- a/src/bendshed/consensus/placement.py
+++ b/src/bendshed/consensus/placement.py
@@ -11,6 +11,7 @@
 from bendshed.ports.log_storage import LogStorage
 from bendshed.ports.store import ObjectStore, StoreUnavailable, VersionConflict
 from bendshed.settings.model import GroupsSection
+from bendshed.tasks import start_loop
 from bendshed.wire.consensus_pb2 import GroupMembership, Placement
 
 PLACEMENT_KEY = "placement"
@@ -42,7 +43,7 @@
 
     def start(self) -> None:
         """Begin to place and to repair."""
-        self._task = asyncio.create_task(self._run())
+        self._task = start_loop(self._run(), "placement")
 
     async def stop(self) -> None:
         """End."""
--- a/src/bendshed/membership/service.py
+++ b/src/bendshed/membership/service.py
@@ -7,6 +7,7 @@
 from bendshed.logs import PartLog
 from bendshed.membership import swim
 from bendshed.ports.transport import Address, PeerUnreachable, Transport
+from bendshed.tasks import start_loop
 from bendshed.wire import peer_pb2 as wire
 
 SYNC_METHOD = "membership.sync"
@@ -57,8 +58,8 @@
     def start(self) -> None:
         """Begin to probe and to join by the seeds."""
         self._tasks = [
-            asyncio.create_task(self._tick_forever()),
-            asyncio.create_task(self._sync_forever()),
+            start_loop(self._tick_forever(), "membership"),
+            start_loop(self._sync_forever(), "membership"),
         ]
 
     async def stop(self) -> None:
--- a/src/bendshed/platform/openai_engine.py
+++ b/src/bendshed/platform/openai_engine.py
@@ -4,12 +4,9 @@
 from typing import Any
 
 import orjson
-from blacksheep import Content, Response
-from blacksheep.client import ClientSession
-from blacksheep.client.connection import IncomingContent
 
 from bendshed.dispatch.stream_summary import summarize
-from bendshed.platform.http import CONNECTION_ERRORS
+from bendshed.platform.http import CONNECTION_ERRORS, HttpAnswer, HttpClient, HttpStream, is_refused
 from bendshed.ports.engine import (
     Engine,
     EngineBroken,
@@ -23,7 +20,7 @@
     StreamUnknown,
 )
 
-JSON = b"application/json"
+JSON_HEADERS = {"Content-Type": "application/json"}
 END_OF_EVENT = b"\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
 
@@ -31,18 +28,16 @@
 class HttpEngineStream(EngineStream):
     """Reads server-sent events; whole events only, the closing ``[DONE]`` left out."""
 
-    def __init__(self, response: Response) -> None:
+    def __init__(self, answer: HttpStream) -> None:
         self.summary = StreamSummary()
-        self._response = response
+        self._answer = answer
 
     async def events(self) -> AsyncIterator[bytes]:
         """Raw events; the summary is complete when this ends without an error."""
         seen: list[bytes] = []
         rest = b""
-        content = self._response.content
-        assert isinstance(content, IncomingContent)
         try:
-            async for chunk in content.stream():
+            async for chunk in self._answer.chunks():
                 whole, separator, rest = (rest + chunk).rpartition(END_OF_EVENT)
                 if not separator:
                     continue
@@ -52,8 +47,6 @@
                     yield events
         except CONNECTION_ERRORS as error:
             raise EngineBroken(repr(error)) from error
-        if content.exc is not None:
-            raise EngineBroken(repr(content.exc))
         self.summary = summarize(b"".join(seen))
 
 
@@ -64,7 +57,7 @@
     ``/kv/holds`` and ``/orders``; an engine that answers 404 or 501 there lacks that part.
     """
 
-    def __init__(self, client: ClientSession, base_url: str) -> None:
+    def __init__(self, client: HttpClient, base_url: str) -> None:
         self._client = client
         self._base_url = base_url.rstrip("/")
 
@@ -80,39 +73,46 @@
             "stream": True,
             "stream_options": {"include_usage": True},
         }
+        headers = {**JSON_HEADERS, "X-Request-Id": request.request_id}
+        url = f"{self._base_url}/v1/chat/completions"
+        answer = await self._stream("POST", url, orjson.dumps(body), headers)
+        await self._raise_for_status(answer)
+        return HttpEngineStream(answer)
+
+    async def _stream(
+        self,
+        method: str,
+        url: str,
+        content: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> HttpStream:
         try:
-            response = await self._client.post(
-                f"{self._base_url}/v1/chat/completions",
-                Content(JSON, orjson.dumps(body)),
-                headers=[(b"X-Request-Id", request.request_id.encode())],
-            )
-        except ConnectionRefusedError as error:
-            raise EngineNotStarted(repr(error)) from error
+            return await self._client.stream(method, url, content, headers)
         except CONNECTION_ERRORS as error:
+            if is_refused(error):
+                raise EngineNotStarted(repr(error)) from error
             raise EngineBroken(repr(error)) from error
-        await self._raise_for_status(response)
-        return HttpEngineStream(response)
 
-    async def _raise_for_status(self, response: Response) -> None:
-        if response.status == 200:
+    async def _raise_for_status(self, answer: HttpStream) -> None:
+        if answer.status == 200:
             return
-        detail = (await response.read() or b"").decode(errors="replace")
-        if response.status in (429, 503):
-            raise EngineNotStarted(detail, leaving=b"leaving" in detail.encode())
-        if response.status == 409:
+        detail = (await answer.read()).decode(errors="replace")
+        if answer.status in (429, 503):
+            raise EngineNotStarted(detail, leaving="leaving" in detail)
+        if answer.status == 409:
             raise EngineNotStarted("the stream's name was cancelled")
-        if 400 <= response.status < 500:
+        if 400 <= answer.status < 500:
             raise EngineRejected(detail)
         raise EngineBroken(detail)
 
     async def resume(self, attempt_id: str) -> EngineStream:
         """Read a stream again from its first byte."""
-        response = await self._send("GET", f"/v1/streams/{attempt_id}")
-        if response.status == 404:
+        answer = await self._stream("GET", f"{self._base_url}/v1/streams/{attempt_id}")
+        if answer.status == 404:
             raise StreamUnknown(attempt_id)
-        if response.status != 200:
-            raise EngineBroken(f"status {response.status}")
-        return HttpEngineStream(response)
+        if answer.status != 200:
+            raise EngineBroken(f"status {answer.status}")
+        return HttpEngineStream(answer)
 
     async def cancel(self, attempt_id: str) -> None:
         """End a stream and keep its name from being started."""
@@ -134,30 +134,22 @@
     async def order(self, fence: int, order: str, argument: str) -> None:
         """Send a fenced order."""
         body = {"fence": fence, "order": order, "argument": argument}
-        await self._checked("POST", "/orders", Content(JSON, orjson.dumps(body)))
+        await self._checked("POST", "/orders", orjson.dumps(body))
 
-    async def _checked(self, method: str, path: str, content: Content | None = None) -> bytes:
-        response = await self._send(method, path, content)
-        body = await response.read() or b""
-        if response.status in (404, 501):
+    async def _checked(self, method: str, path: str, content: bytes | None = None) -> bytes:
+        answer = await self._send(method, f"{self._base_url}{path}", content)
+        if answer.status in (404, 501):
             raise NotSupported(path)
-        if response.status not in (200, 204):
-            raise EngineBroken(f"status {response.status}")
-        return body
+        if answer.status not in (200, 204):
+            raise EngineBroken(f"status {answer.status}")
+        return answer.body
 
-    async def _send(self, method: str, path: str, content: Content | None = None) -> Response:
-        url = f"{self._base_url}{path}"
+    async def _send(self, method: str, url: str, content: bytes | None) -> HttpAnswer:
         try:
-            match method:
-                case "GET":
-                    return await self._client.get(url)
-                case "DELETE":
-                    return await self._client.delete(url)
-                case _:
-                    return await self._client.post(url, content)
-        except ConnectionRefusedError as error:
-            raise EngineNotStarted(repr(error)) from error
+            return await self._client.send(method, url, content, JSON_HEADERS)
         except CONNECTION_ERRORS as error:
+            if is_refused(error):
+                raise EngineNotStarted(repr(error)) from error
             raise EngineBroken(repr(error)) from error
 
 
--- a/src/bendshed/process.py
+++ b/src/bendshed/process.py
@@ -7,6 +7,7 @@
 import socket
 import sys
 from collections.abc import Iterator
+from typing import Any
 
 import orjson
 import uvicorn
@@ -17,7 +18,7 @@
 from bendshed.logs import PartLog
 from bendshed.node import Node, NodePorts
 from bendshed.operators.answers import OperatorService
-from bendshed.platform.http import new_client
+from bendshed.platform.http import HttpClient
 from bendshed.platform.http_store import HttpMachineList, HttpObjectStore
 from bendshed.platform.openai_engine import OpenAiEngine
 from bendshed.platform.tcp_transport import TcpTransport
@@ -31,6 +32,10 @@
 log = PartLog("process")
 
 
+class NodeFailed(Exception):
+    """A part of the node failed; the process ends so that it is started anew."""
+
+
 class HttpServer(uvicorn.Server):
     """uvicorn in this process and loop; signals stay ours."""
 
@@ -85,10 +90,19 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    failed: list[str] = []
+
+    def on_failure(_loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        log.say("an error reached the loop", context=repr(context))
+        if "task" in context and isinstance(context.get("exception"), Exception):
+            failed.append(str(context["message"]))
+            stopping.set()
+
+    loop.set_exception_handler(on_failure)
     host = str(settings.node.host)
     transport = TcpTransport(host, settings.node.peer_port)
     address = await transport.start()
-    client = new_client()
+    client = HttpClient()
     clock = SystemClock()
     folder = settings.node.data_folder
     ports = NodePorts(
@@ -114,6 +128,8 @@
     await stopping.wait()
     await _stop(settings, node, server, serving)
     await client.close()
+    if failed:
+        raise NodeFailed("; ".join(failed))
 
 
 async def _stop(
--- a/src/bendshed/programs/service.py
+++ b/src/bendshed/programs/service.py
@@ -17,6 +17,7 @@
 from bendshed.ports.transport import Address, PeerUnreachable, Transport
 from bendshed.programs.client import COMMAND_METHOD, GroupClient, GroupUnavailable
 from bendshed.programs.state import GroupStateMachine
+from bendshed.tasks import start_loop
 from bendshed.wire import programs_pb2 as wire
 
 ALIVE_METHOD = "group.alive"
@@ -80,7 +81,7 @@
 
     def start(self) -> None:
         """Begin to sweep programs that ended or fell idle."""
-        self._task = asyncio.create_task(self._sweep_forever())
+        self._task = start_loop(self._sweep_forever(), "programs")
 
     async def stop(self) -> None:
         """Stop sweeping."""
--- a/src/bendshed/rehearsal/caller.py
+++ b/src/bendshed/rehearsal/caller.py
@@ -5,11 +5,8 @@
 from typing import Any
 
 import orjson
-from blacksheep import Content
-from blacksheep.client import ClientSession
-from blacksheep.client.connection import IncomingContent
 
-JSON = b"application/json"
+from bendshed.platform.http import HttpClient
 
 
 @dataclass(slots=True)
@@ -50,9 +47,10 @@
     max_tokens: int = 64
     deadline_s: float = 60.0
 
-    def headers(self, token: str) -> list[tuple[bytes, bytes]]:
+    def headers(self, token: str) -> dict[str, str]:
         """Request headers."""
-        fields = {
+        return {
+            "Content-Type": "application/json",
             "Authorization": f"Bearer {token}",
             "X-Bendshed-Program": self.program,
             "X-Bendshed-Program-Kind": self.kind,
@@ -63,7 +61,6 @@
             "X-Bendshed-Deadline-Seconds": str(self.deadline_s),
             "Idempotency-Key": f"{self.program}-{self.number}",
         }
-        return [(name.encode(), value.encode()) for name, value in fields.items()]
 
     def body(self) -> bytes:
         """Request body: the new message only."""
@@ -77,23 +74,21 @@
         )
 
 
-async def send_call(client: ClientSession, url: str, token: str, call: Call) -> CallReport:
+async def send_call(client: HttpClient, url: str, token: str, call: Call) -> CallReport:
     """Send one call and read its stream to the end."""
     report = CallReport()
     started_s = time.monotonic()
-    response = await client.post(
-        f"{url}/v1/chat/completions", Content(JSON, call.body()), headers=call.headers(token)
+    answer = await client.stream(
+        "POST", f"{url}/v1/chat/completions", call.body(), call.headers(token)
     )
-    report.status = response.status
-    if response.status != 200:
-        body = orjson.loads(await response.read() or b"{}")
+    report.status = answer.status
+    if answer.status != 200:
+        body = orjson.loads(await answer.read() or b"{}")
         report.error_kind = body.get("error", {}).get("kind", "unknown")
         report.duration_s = time.monotonic() - started_s
         return report
-    content = response.content
-    assert isinstance(content, IncomingContent)
     rest = b""
-    async for chunk in content.stream():
+    async for chunk in answer.chunks():
         *lines, rest = (rest + chunk).split(b"\n\n")
         for line in lines:
             _take_event(report, line.removeprefix(b"data: "), time.monotonic() - started_s)
@@ -120,10 +115,10 @@
 
 
 async def ask(
-    client: ClientSession, url: str, token: str, statement: str, author: str = "operator"
+    client: HttpClient, url: str, token: str, statement: str, author: str = "operator"
 ) -> tuple[int, dict[str, Any]]:
     """Ask an operators' statement; return status and body."""
-    content = Content(JSON, orjson.dumps({"statement": statement, "author": author}))
-    headers = [(b"Authorization", f"Bearer {token}".encode())]
-    response = await client.post(f"{url}/operators/ask", content, headers=headers)
-    return response.status, orjson.loads(await response.read() or b"{}")
+    content = orjson.dumps({"statement": statement, "author": author})
+    headers = {"Authorization": f"Bearer {token}", "Content-Type": "application/json"}
+    answer = await client.send("POST", f"{url}/operators/ask", content, headers)
+    return answer.status, orjson.loads(answer.body or b"{}")
--- a/src/bendshed/rehearsal/demo.py
+++ b/src/bendshed/rehearsal/demo.py
@@ -6,7 +6,6 @@
 from tempfile import TemporaryDirectory
 
 import orjson
-from blacksheep import Content
 
 from bendshed.rehearsal.caller import Call, CallReport, send_call
 from bendshed.rehearsal.installation import CALLER_TOKEN, Installation
@@ -72,9 +71,8 @@
 
 async def _use_tool(installation: Installation, seconds: float) -> None:
     """The program's own tool pause; bendshed does not see it."""
-    content = Content(b"application/json", orjson.dumps({"seconds": seconds}))
-    response = await installation.client.post(f"{installation.tool.url}/tools/catalog", content)
-    await response.read()
+    url = f"{installation.tool.url}/tools/catalog"
+    await installation.client.send("POST", url, orjson.dumps({"seconds": seconds}))
 
 
 def _print_table(rows: list[tuple[Call, str, CallReport]]) -> None:
--- a/src/bendshed/rehearsal/installation.py
+++ b/src/bendshed/rehearsal/installation.py
@@ -7,10 +7,8 @@
 from pathlib import Path
 
 import orjson
-from blacksheep import Content
-from blacksheep.client import ClientSession
 
-from bendshed.platform.http import new_client
+from bendshed.platform.http import HttpClient
 from bendshed.rehearsal.caller import ask
 from bendshed.rehearsal.launcher import HOST, Launcher, Started
 
@@ -54,7 +52,7 @@
 
     folder: Path
     launcher: Launcher
-    client: ClientSession
+    client: HttpClient
     platform: Started
     tool: Started
     nodes: dict[str, Started] = field(default_factory=dict)
@@ -72,7 +70,7 @@
                 launcher.start("platform", "rehearse", "standin", "platform"),
                 launcher.start("tool", "rehearse", "standin", "tool"),
             )
-            self = cls(folder, launcher, new_client(), platform, tool)
+            self = cls(folder, launcher, HttpClient(), platform, tool)
             names = [f"runner-{number}" for number in range(1, engines + 1)]
             await asyncio.gather(
                 self.start_node(plan[0]), *(self.start_engine(name) for name in names)
@@ -102,9 +100,8 @@
             "leaving": leaving,
             "incarnation": 1,
         }
-        content = Content(b"application/json", orjson.dumps(row))
-        response = await self.client.put(f"{self.platform.url}/machines/{runner_id}", content)
-        await response.read()
+        url = f"{self.platform.url}/machines/{runner_id}"
+        await self.client.send("PUT", url, orjson.dumps(row))
 
     async def start_node(self, plan: NodePlan) -> Started:
         """Start a node, or start it again over its old data folder."""
@@ -147,10 +144,9 @@
         """Wait until every node sees these numbers."""
         query = "&".join(f"{name}={value}" for name, value in wanted.items())
         for node in self.nodes.values():
-            response = await self.client.get(f"{node.url}/ready?{query}")
-            body = await response.read()
-            if response.status != 200:
-                raise TimeoutError(f"{node.name} is not ready: {body!r}, wanted {wanted}")
+            answer = await self.client.send("GET", f"{node.url}/ready?{query}")
+            if answer.status != 200:
+                raise TimeoutError(f"{node.name} is not ready: {answer.body!r}, wanted {wanted}")
 
     async def configure(self) -> None:
         """Declare the program kind and the caller's tenant."""
--- a/src/bendshed/rehearsal/load.py
+++ b/src/bendshed/rehearsal/load.py
@@ -13,10 +13,8 @@
 from tempfile import TemporaryDirectory
 
 import orjson
-from blacksheep import Content
-from blacksheep.client.connection import IncomingContent
 
-from bendshed.rehearsal.caller import JSON, Call, CallReport, send_call
+from bendshed.rehearsal.caller import Call, CallReport, send_call
 from bendshed.rehearsal.installation import CALLER_TOKEN, MODEL, Installation
 from bendshed.rehearsal.launcher import Started
 
@@ -121,13 +119,11 @@
         "stream": True,
     }
     started_s = time.monotonic()
-    response = await installation.client.post(
-        f"{engine.url}/v1/chat/completions", Content(JSON, orjson.dumps(body))
+    answer = await installation.client.stream(
+        "POST", f"{engine.url}/v1/chat/completions", orjson.dumps(body)
     )
-    content = response.content
-    assert isinstance(content, IncomingContent)
     first_s = 0.0
-    async for _ in content.stream():
+    async for _ in answer.chunks():
         first_s = first_s or time.monotonic() - started_s
     return first_s
 
--- a/src/bendshed/routing/monitor.py
+++ b/src/bendshed/routing/monitor.py
@@ -25,6 +25,7 @@
 from bendshed.routing.runners import RunnerTable
 from bendshed.routing.scheduler import Scheduler
 from bendshed.settings.model import RoutingSection
+from bendshed.tasks import start_loop
 from bendshed.wire import peer_pb2, programs_pb2
 
 LIST_METHOD = "machines.list"
@@ -81,7 +82,7 @@
             (self._poll_loads, self._settings.load_poll_interval_s),
             (self._reconcile, self._settings.reconcile_interval_s),
         )
-        self._tasks = [asyncio.create_task(self._repeat(work, s)) for work, s in loops]
+        self._tasks = [start_loop(self._repeat(work, s), "routing") for work, s in loops]
 
     async def stop(self) -> None:
         """End the loops."""
--- /dev/null
+++ b/src/bendshed/tasks.py
@@ -0,0 +1,29 @@
+"""Background tasks that must not end silently."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from bendshed.logs import PartLog
+
+log = PartLog("tasks")
+
+
+def start_loop(work: Coroutine[Any, Any, None], name: str) -> "asyncio.Task[None]":
+    """Start a task that runs until it is cancelled.
+
+    If it fails, the loop's exception handler hears of it; a process ends then (``process.py``),
+    since a node that lives on without one of its parts is worse than a restarted one.
+    """
+    task = asyncio.get_running_loop().create_task(work, name=name)
+    task.add_done_callback(_report_failure)
+    return task
+
+
+def _report_failure(task: "asyncio.Task[None]") -> None:
+    if task.cancelled() or task.exception() is None:
+        return
+    error = task.exception()
+    log.say("a part failed", part=task.get_name(), error=repr(error))
+    context = {"message": f"{task.get_name()} failed", "exception": error, "task": task}
+    task.get_loop().call_exception_handler(context)
