--- a/src/bendshed/cli/main.py
+++ b/src/bendshed/cli/main.py
@@ -5,7 +5,14 @@
 from bendshed import __version__
 from bendshed.cli.ask import AskCommand
 from bendshed.cli.node import NodeCommand
-from bendshed.cli.rehearse import DemoCommand, FuzzCommand, LoadCommand, StandinCommand
+from bendshed.cli.rehearse import (
+    DemoCommand,
+    FuzzCommand,
+    HollowCommand,
+    LoadCommand,
+    ScaleCommand,
+    StandinCommand,
+)
 from bendshed.cli.settings import SettingsCheckCommand, SettingsShowCommand
 
 
@@ -21,6 +28,8 @@
         DemoCommand(),
         LoadCommand(),
         FuzzCommand(),
+        ScaleCommand(),
+        HollowCommand(),
     ):
         application.add(command)
     application.auto_exits(False)
--- a/src/bendshed/cli/rehearse.py
+++ b/src/bendshed/cli/rehearse.py
@@ -115,6 +115,59 @@
         return EXIT_FAILED if report.violations else EXIT_DONE
 
 
+class HollowCommand(Command):
+    """Runs hollow nodes for a scale run."""
+
+    name = "rehearse hollow"
+    description = "Run several hollow nodes in this process (started by rehearse scale)."
+    help = "Example: started by <info>bendshed rehearse scale</info>, with its plan as JSON."
+    arguments: ClassVar[list[Argument]] = [argument("plan", "WorkerPlan as JSON")]
+
+    def handle(self) -> int:
+        """Run."""
+        from bendshed.rehearsal.scale.worker import WorkerPlan, run_worker
+
+        asyncio.run(run_worker(WorkerPlan(**orjson.loads(self.argument("plan")))))
+        return EXIT_DONE
+
+
+class ScaleCommand(Command):
+    """Measures control cost by size."""
+
+    name = "rehearse scale"
+    description = "Run hollow nodes beside real ones at growing sizes; write figures and plots."
+    help = (
+        "Example: <info>bendshed rehearse scale --sizes 10,40,120 --out scale.json</info>\n"
+        "Stops everything it started, also on an interrupt."
+    )
+    options: ClassVar[list[Option]] = [
+        option("sizes", None, "Numbers of hollow nodes", flag=False, default="10,40,120"),
+        option("out", None, "File for the figures (JSON)", flag=False),
+        option("plots", None, "Folder for one plot per slope", flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Run."""
+        from bendshed.rehearsal.scale.run import run_scale
+        from bendshed.rehearsal.scale.slopes import draw_plots, fit_slopes
+
+        sizes = [int(text) for text in self.option("sizes").split(",")]
+        results = asyncio.run(run_scale(sizes, self.line_error))
+        slopes = fit_slopes(results)
+        content = {
+            "results": [asdict(result) for result in results],
+            "slopes": [asdict(slope) for slope in slopes],
+        }
+        text = orjson.dumps(content, option=orjson.OPT_INDENT_2).decode()
+        if self.option("out"):
+            Path(self.option("out")).write_text(text + "\n")
+        else:
+            self.line(text)
+        if self.option("plots"):
+            draw_plots(results, slopes, Path(self.option("plots")))
+        return EXIT_DONE
+
+
 class DemoCommand(Command):
     """Runs the demo."""
 
--- a/src/bendshed/consensus/placement.py
+++ b/src/bendshed/consensus/placement.py
@@ -15,7 +15,7 @@
 from bendshed.wire.consensus_pb2 import GroupMembership, Placement
 
 PLACEMENT_KEY = "placement"
-CHECK_INTERVAL_S = 0.5
+CHECK_INTERVAL_S = 1.0
 MAX_LEARNER_LAG = 100
 """A learner that lacks fewer entries becomes a voter."""
 
--- a/src/bendshed/membership/service.py
+++ b/src/bendshed/membership/service.py
@@ -11,7 +11,7 @@
 from bendshed.wire import peer_pb2 as wire
 
 SYNC_METHOD = "membership.sync"
-TICK_S = 0.1
+TICK_S = 0.2
 SYNC_INTERVAL_S = 30.0
 SYNC_TIMEOUT_S = 2.0
 JOIN_RETRY_S = 0.5
--- a/src/bendshed/process.py
+++ b/src/bendshed/process.py
@@ -26,6 +26,7 @@
 from bendshed.ports.log_storage import LogStorage, StorageCorrupt
 from bendshed.settings.model import Settings
 
+LISTEN_BACKLOG = 1024
 LEAVING_SPREAD_S = 0.5
 """Time for the others to hear that this node leaves, before it closes."""
 
@@ -51,6 +52,7 @@
     listener = socket.socket(family, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((host, port))
+    listener.listen(LISTEN_BACKLOG)  # from now on a connection waits and is not refused
     config = uvicorn.Config(
         application,  # type: ignore[arg-type]
         loop="none",
--- a/src/bendshed/rehearsal/standins.py
+++ b/src/bendshed/rehearsal/standins.py
@@ -56,6 +56,7 @@
         add_route(application, "PUT", "/objects/{key}", self._put)
         add_route(application, "GET", "/objects", self._list)
         add_route(application, "GET", "/machines", self._machines)
+        add_route(application, "PUT", "/machines", self._put_machines)
         add_route(application, "PUT", "/machines/{machine}", self._put_machine)
         return application
 
@@ -107,6 +108,10 @@
     async def _machines(self, _request: Request) -> Response:
         return json_response(200, {"machines": list(self.machines.values())})
 
+    async def _put_machines(self, request: Request) -> Response:
+        self.machines = orjson.loads(await request.read() or b"{}")
+        return Response(204)
+
     async def _put_machine(self, request: Request) -> Response:
         row = orjson.loads(await request.read() or b"{}")
         self.machines[_route(request, "machine")] = row
