--- a/src/bendshed/cli/rehearse.py
+++ b/src/bendshed/cli/rehearse.py
@@ -26,17 +26,20 @@
     options: ClassVar[list[Option]] = [
         option("host", None, "Address to listen on", flag=False, default="127.0.0.1"),
         option("port", None, "Port; 0 takes a free one", flag=False, default="0"),
+        option("answer-tokens", None, "Tokens of an engine's answer", flag=False, default="24"),
     ]
 
     def handle(self) -> int:
         """Serve."""
+        from bendshed.rehearsal.engine_model import EngineParameters
         from bendshed.rehearsal.standins import run_standin
 
         kind = self.argument("kind")
         if kind not in STANDINS:
             self.line_error(f"kind: {kind}: name one of {', '.join(STANDINS)}")
             return EXIT_BAD_INPUT
-        asyncio.run(run_standin(kind, self.option("host"), int(self.option("port"))))
+        parameters = EngineParameters(answer_tokens=int(self.option("answer-tokens")))
+        asyncio.run(run_standin(kind, self.option("host"), int(self.option("port")), parameters))
         return EXIT_DONE
 
 
--- a/src/bendshed/rehearsal/installation.py
+++ b/src/bendshed/rehearsal/installation.py
@@ -61,7 +61,11 @@
 
     @classmethod
     async def start(
-        cls, folder: Path, plan: tuple[NodePlan, ...] = DEFAULT_PLAN, engines: int = 2
+        cls,
+        folder: Path,
+        plan: tuple[NodePlan, ...] = DEFAULT_PLAN,
+        engines: int = 2,
+        answer_tokens: int = 24,
     ) -> "Installation":
         """Start everything and wait until it serves."""
         launcher = Launcher(folder)
@@ -73,7 +77,8 @@
             self = cls(folder, launcher, HttpClient(), platform, tool)
             names = [f"runner-{number}" for number in range(1, engines + 1)]
             await asyncio.gather(
-                self.start_node(plan[0]), *(self.start_engine(name) for name in names)
+                self.start_node(plan[0]),
+                *(self.start_engine(name, answer_tokens) for name in names),
             )
             await asyncio.gather(*(self.start_node(node) for node in plan[1:]))
             await self.wait_ready(members=len(plan), groups=GROUP_COUNT, runners=engines)
@@ -83,9 +88,11 @@
             raise
         return self
 
-    async def start_engine(self, runner_id: str) -> None:
+    async def start_engine(self, runner_id: str, answer_tokens: int = 24) -> None:
         """Start an engine stand-in and list it."""
-        started = await self.launcher.start(runner_id, "rehearse", "standin", "engine")
+        started = await self.launcher.start(
+            runner_id, "rehearse", "standin", "engine", "--answer-tokens", str(answer_tokens)
+        )
         self.engines[runner_id] = started
         await self.list_machine(runner_id, leaving=False)
 
--- a/src/bendshed/rehearsal/load.py
+++ b/src/bendshed/rehearsal/load.py
@@ -45,7 +45,7 @@
 async def run_load(calls: int, pace_s: float, max_tokens: int) -> LoadResult:
     """Send ``calls`` calls, one each ``pace_s`` seconds, alternately direct and through nodes."""
     with TemporaryDirectory(prefix="bendshed-load-") as folder:
-        installation = await Installation.start(Path(folder))
+        installation = await Installation.start(Path(folder), answer_tokens=max_tokens)
         try:
             return await _measure(installation, calls, pace_s, max_tokens)
         finally:
--- a/src/bendshed/rehearsal/standins.py
+++ b/src/bendshed/rehearsal/standins.py
@@ -205,11 +205,13 @@
         return json_response(200, {"result": f"{_route(request, 'name')} done"})
 
 
-async def run_standin(kind: str, host: str, port: int) -> None:
+async def run_standin(
+    kind: str, host: str, port: int, parameters: EngineParameters = EngineParameters()
+) -> None:
     """Serve one stand-in until a signal."""
     applications = {
         "platform": lambda: StorePlatform().application(),
-        "engine": lambda: EngineServer(EngineModel(EngineParameters())).application(),
+        "engine": lambda: EngineServer(EngineModel(parameters)).application(),
         "tool": lambda: ToolServer().application(),
     }
     stopping = asyncio.Event()
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,20 @@
+"""The committed protobuf code is what the .proto files give."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from grpc_tools import protoc
+
+SOURCE = Path(__file__).parent.parent / "src"
+WIRE = SOURCE / "bendshed" / "wire"
+
+
+class GeneratedCodeTest(unittest.TestCase):
+    def test_it_is_current(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            files = sorted(str(path) for path in WIRE.glob("*.proto"))
+            self.assertEqual(protoc.main(["", f"-I{SOURCE}", f"--python_out={folder}", *files]), 0)
+            for fresh in sorted((Path(folder) / "bendshed" / "wire").glob("*_pb2.py")):
+                with self.subTest(file=fresh.name):
+                    self.assertEqual(fresh.read_text(), (WIRE / fresh.name).read_text())
