--- a/src/bendshed/dispatch/calls.py
+++ b/src/bendshed/dispatch/calls.py
@@ -67,7 +67,7 @@
     chunks: list[bytes] = field(default_factory=list)
     outcome: Outcome | None = None
     num_bytes: int = 0
-    _grown: asyncio.Event = field(default_factory=asyncio.Event)
+    _waiters: "list[asyncio.Future[None]]" = field(default_factory=list)
 
     def append(self, chunk: bytes) -> None:
         """Add bytes."""
@@ -81,29 +81,36 @@
         self._wake()
 
     def _wake(self) -> None:
-        self._grown.set()
-        self._grown = asyncio.Event()
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def _grown(self) -> None:
+        waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        await waiter
 
     async def read(self) -> AsyncIterator[bytes]:
-        """Bytes from the first one on, until the outcome is known."""
+        """Bytes from the first one on, until the outcome is known; what is there comes at once."""
         position = 0
         while True:
             if position < len(self.chunks):
-                chunk = self.chunks[position]
-                position += 1
-                yield chunk
+                pending = self.chunks[position:]
+                position += len(pending)
+                yield pending[0] if len(pending) == 1 else b"".join(pending)
             elif self.outcome is not None:
                 return
             else:
-                await self._grown.wait()
+                await self._grown()
 
     async def started(self) -> None:
         """Wait for the first byte or the outcome."""
         while not self.chunks and self.outcome is None:
-            await self._grown.wait()
+            await self._grown()
 
     async def wait(self) -> Outcome:
         """Wait for the outcome."""
         while self.outcome is None:
-            await self._grown.wait()
+            await self._grown()
         return self.outcome
--- a/src/bendshed/gateway/application.py
+++ b/src/bendshed/gateway/application.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import AsyncIterator
 from dataclasses import asdict
+from functools import partial
 
 import orjson
 from blacksheep import Application, Content, Request, Response, StreamedContent
@@ -112,11 +113,7 @@
         self.metrics.first_event_s.observe(time.monotonic() - arrived_s)
         if not live.chunks and isinstance(live.outcome, Refusal):
             raise BendshedError(live.outcome)
-
-        async def events() -> AsyncIterator[bytes]:
-            async for chunk in self._events(live, parsed, arrived_s):
-                yield chunk
-
+        events = partial(self._events, live, parsed, arrived_s)
         return Response(200, None, StreamedContent(EVENTS, events))
 
     async def _answer_whole(
