A rolling restart of every node under load cuts no stream; a node without configuration says so

Found by the test: a node just restarted without a disk answered 401 until it had heard the configuration. It now answers not_ready (503, not run, again in 1 s). Seen: four programs go on through the stop and start of all four nodes, no stream cut.

--- a/src/bendshed/errors.py
+++ b/src/bendshed/errors.py
@@ -24,6 +24,7 @@
     OVERLOADED = "overloaded"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     DRAINING = "draining"
+    NOT_READY = "not_ready"
     NO_RUNNER = "no_runner"
     GROUP_UNAVAILABLE = "group_unavailable"
     ENGINE_LOST = "engine_lost"
@@ -78,6 +79,7 @@
     ErrorKind.OVERLOADED: ErrorAnswer(503, True, _NO, 2),
     ErrorKind.DEADLINE_EXCEEDED: ErrorAnswer(504, False, _NO),
     ErrorKind.DRAINING: ErrorAnswer(503, True, _NO, 1),
+    ErrorKind.NOT_READY: ErrorAnswer(503, True, _NO, 1),
     ErrorKind.NO_RUNNER: ErrorAnswer(503, True, _NO, 2),
     ErrorKind.GROUP_UNAVAILABLE: ErrorAnswer(503, True, _UNKNOWN, 2),
     ErrorKind.ENGINE_LOST: ErrorAnswer(502, True, _YES, 1),
--- a/src/bendshed/gateway/application.py
+++ b/src/bendshed/gateway/application.py
@@ -74,6 +74,9 @@
     # --- callers -------------------------------------------------------------------------
 
     def _tenant(self, request: Request) -> str:
+        if self._node.configuration.snapshot.revision == 0:
+            detail = "this node has no configuration yet; ask again or ask another node"
+            raise BendshedError(Refusal(ErrorKind.NOT_READY, detail))
         token = _bearer_token(request)
         tenant = self._node.configuration.document.tenant_of_token(token) if token else None
         if tenant is None:
--- a/tests/test_smoke.py
+++ b/tests/test_smoke.py
@@ -5,6 +5,7 @@
 import unittest
 from pathlib import Path
 
+from bendshed.platform.http import CONNECTION_ERRORS
 from bendshed.rehearsal.caller import Call, send_call
 from bendshed.rehearsal.installation import CALLER_TOKEN, Installation
 
@@ -39,3 +40,55 @@
         code = await installation.stop_node("node-2")
         self.assertEqual(code, 0)
         self.assertTrue((await stream).whole)
+
+
+class RollingRestartTest(unittest.IsolatedAsyncioTestCase):
+    """Every node is stopped and started again under load: no stream is cut, no call is lost."""
+
+    PROGRAMS = 4
+
+    async def test_no_stream_is_cut(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            installation = await Installation.start(Path(folder))
+            try:
+                await self._restart_all(installation)
+            finally:
+                await installation.stop()
+
+    async def _restart_all(self, installation: Installation) -> None:
+        over = asyncio.Event()
+        programs = [
+            asyncio.create_task(self._program(installation, f"rolling-{number}", over))
+            for number in range(self.PROGRAMS)
+        ]
+        for name in list(installation.nodes):
+            self.assertEqual(await installation.stop_node(name), 0)
+            await installation.start_node(installation.plans[name])
+            await installation.wait_ready(members=4, groups=4, runners=2)
+        over.set()
+        turns = await asyncio.gather(*programs)
+        self.assertGreater(min(turns), 0)
+
+    async def _program(self, installation: Installation, program: str, over: asyncio.Event) -> int:
+        """Issue turns until told to end; return how many were whole."""
+        turns = 0
+        while not over.is_set():
+            call = Call(program, turns + 1, f"turn {turns + 1} of {program}")
+            await self._turn(installation, call, turns)
+            turns += 1
+        return turns
+
+    async def _turn(self, installation: Installation, call: Call, first: int) -> None:
+        """Try node after node; a stream that has begun must end whole."""
+        for number in range(first, first + 200):
+            nodes = list(installation.nodes.values())
+            node = nodes[number % len(nodes)]
+            try:
+                report = await send_call(installation.client, node.url, CALLER_TOKEN, call)
+            except CONNECTION_ERRORS:
+                continue  # stopped between look-up and connection
+            if report.status == 200:
+                self.assertTrue(report.whole, (node.name, report))
+                return
+            self.assertIn(report.error_kind, ("draining", "not_ready"), report)
+        self.fail(f"call {call.number} of {call.program} found no node")
