An ended program's orphaned calls are settled at once

Ruled out: the reconciliation (it asked, and the group said alive). Change: no grace after the end. Seen: the new scenario fails before (runner still holds p1) and passes after.

--- a/src/bendshed/programs/service.py
+++ b/src/bendshed/programs/service.py
@@ -330,7 +330,7 @@
             for call in program.calls
             if call.status == wire.CALL_STATUS_QUEUED and now_ms > call.deadline_ms
         ]
-        if idle_ms > ORPHAN_GRACE_MS:
+        if idle_ms > ORPHAN_GRACE_MS or program.ended_reason:  # an ended one is not resumed
             commands += [await self._settle_orphan(program, call) for call in open_calls]
         return [command for command in commands if command.WhichOneof("command")]
 
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -67,3 +67,16 @@
         return world.settle()
     finally:
         world.close()
+
+
+def executor_dies_and_program_ends(seed: int) -> list[Violation]:
+    """The executor of a call dies, nobody asks again, and the program is ended."""
+    world = World.started(seed)
+    driver = world.start_program([])
+    call = PlannedCall(1, unrepeatable=True)
+    driver.calls.append(call)
+    world.send(driver.request(call, world.nodes["node-4"].clock.wall_ms()), "node-4")
+    world.wait_for(lambda: any(r.starts for r in world.runners.values()), 10.0)
+    world.kill_node("node-4")
+    driver.finished = True
+    return _settled(world)
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -3,6 +3,7 @@
 import logging
 import unittest
 
+from tests import scenarios
 from tests.defects import DEFECTS
 
 PROMISES = set(range(1, 11))
@@ -28,3 +29,7 @@
         for scenario, seed in sorted({(d.scenario, d.seed) for d in DEFECTS.values()}, key=str):
             with self.subTest(scenario=scenario.__name__, seed=seed):
                 self.assertEqual(scenario(seed), [])
+
+    def test_an_orphan_of_an_ended_program_holds_nothing(self) -> None:
+        """Found by the search: the grace for resuming kept an ended program's cache held."""
+        self.assertEqual(scenarios.executor_dies_and_program_ends(1), [])
