--- a/src/bendshed/consensus/host.py
+++ b/src/bendshed/consensus/host.py
@@ -11,7 +11,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from bendshed.consensus import raft
+from bendshed.consensus import raft_types as raft
+from bendshed.consensus.raft import RaftReplica
 from bendshed.logs import PartLog
 from bendshed.ports.log_storage import GroupWrite, LogStorage, StoredGroup
 from bendshed.ports.transport import Address, Transport
@@ -63,7 +64,7 @@
 
     """
 
-    replica: raft.RaftReplica
+    replica: RaftReplica
     state: ReplicatedState
     waiters: dict[int, tuple[int, asyncio.Future[object]]] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -133,7 +134,7 @@
         state = self._new_state(stored.group_id)
         if stored.snapshot.state:
             state.restore(stored.snapshot.state)
-        group = HostedGroup(raft.RaftReplica(self.node_id, stored, self._rng), state)
+        group = HostedGroup(RaftReplica(self.node_id, stored, self._rng), state)
         self.groups[stored.group_id] = group
         return group
 
--- a/src/bendshed/consensus/placement.py
+++ b/src/bendshed/consensus/placement.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from bendshed.consensus.host import GroupHost
-from bendshed.consensus.raft import Role
+from bendshed.consensus.raft_types import Role
 from bendshed.consensus.repair import DiskNode, choose_replicas, next_membership
 from bendshed.identifiers import rendezvous_rank
 from bendshed.logs import PartLog
--- /dev/null
+++ b/src/bendshed/consensus/raft_types.py
@@ -0,0 +1,116 @@
+"""Values of the Raft state machine: roles, effects, a follower's progress, the log."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from bendshed.ports.log_storage import GroupWrite
+from bendshed.wire import consensus_pb2 as wire
+
+
+class Role(StrEnum):
+    """Role of a replica in its group."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(frozen=True, slots=True)
+class SendMessage:
+    """Send to ``message.receiver``; ``after_persist``: only once earlier writes are durable."""
+
+    message: wire.ConsensusMessage
+    after_persist: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Persist:
+    """Make this write durable, then report ``persisted``."""
+
+    write: GroupWrite
+
+
+@dataclass(frozen=True, slots=True)
+class Apply:
+    """Apply these committed entries, in order."""
+
+    entries: list[wire.LogEntry]
+
+
+@dataclass(frozen=True, slots=True)
+class Restore:
+    """Replace the state machine by this snapshot."""
+
+    snapshot: wire.Snapshot
+
+
+@dataclass(frozen=True, slots=True)
+class RoleChanged:
+    """The replica's role, term or known leader changed."""
+
+    role: Role
+    term: int
+    leader_id: str
+
+
+Effect = SendMessage | Persist | Apply | Restore | RoleChanged
+
+
+@dataclass(slots=True)
+class Progress:
+    """What the leader knows of one follower.
+
+    Attributes:
+        next_index: first entry to send next.
+        match_index: last entry known to be durable there.
+        ticks_silent: ticks since its last reply.
+        snapshot_sent: index of a snapshot under way; 0: none.
+
+    """
+
+    next_index: int
+    match_index: int = 0
+    ticks_silent: int = 0
+    snapshot_sent: int = 0
+
+
+@dataclass(slots=True)
+class ReplicaLog:
+    """Entries after the snapshot. ``entries[0].index == snapshot.index + 1``."""
+
+    snapshot: wire.Snapshot
+    entries: list[wire.LogEntry] = field(default_factory=list)
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self.entries[-1].index if self.entries else self.snapshot.index
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self.entries[-1].term if self.entries else self.snapshot.term
+
+    def term_at(self, index: int) -> int | None:
+        """Term of the entry, ``None`` if it was compacted or does not exist."""
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        offset = index - self.snapshot.index - 1
+        if 0 <= offset < len(self.entries):
+            return self.entries[offset].term
+        return None
+
+    def between(self, first: int, last: int) -> list[wire.LogEntry]:
+        """Entries with ``first <= index <= last``."""
+        base = self.snapshot.index + 1
+        return self.entries[max(0, first - base) : max(0, last - base + 1)]
+
+    def truncate_from(self, index: int) -> None:
+        """Delete the entries from ``index`` on."""
+        del self.entries[max(0, index - self.snapshot.index - 1) :]
+
+    def compact(self, snapshot: wire.Snapshot) -> None:
+        """Replace the entries that the snapshot covers."""
+        self.entries = self.between(snapshot.index + 1, self.last_index)
+        self.snapshot = snapshot
--- a/src/bendshed/dispatch/executor.py
+++ b/src/bendshed/dispatch/executor.py
@@ -13,6 +13,7 @@
 
 from bendshed.dispatch.calls import Answered, CallRequest, LiveAnswer, Outcome
 from bendshed.dispatch.events import text_events
+from bendshed.dispatch.group_commands import GroupCommands
 from bendshed.dispatch.history import HistoryCache, HistoryMismatch
 from bendshed.dispatch.retry import RetryBudget, backoff_s
 from bendshed.dispatch.stream_summary import summarize
@@ -35,12 +36,6 @@
 from bendshed.routing.scheduler import Scheduler, WaitingCall
 from bendshed.wire import programs_pb2 as wire
 
-SUBMIT_WAIT_S = 2.0
-"""How long one submission waits at the leader for the call's turn or outcome."""
-GROUP_TIMEOUT_S = 15.0
-"""How long a group may be without a leader before a call is given up."""
-FINISH_TIMEOUT_S = 60.0
-"""How long the outcome of a run call is offered to its group."""
 ORDER_WAIT_S = 10.0
 """How long a call waits for its predecessor."""
 MAX_ATTEMPTS = 4
@@ -100,7 +95,7 @@
         self.live: dict[tuple[str, int], LiveAnswer] = {}
         self.history = HistoryCache()
         self.on_runner_leaving: Callable[[str], None] = lambda _runner: None
-        self._client = client
+        self._group = GroupCommands(client, identity)
         self._scheduler = scheduler
         self._engine_of = engine_of
         self._confirm_runner = confirm_runner
@@ -243,30 +238,8 @@
 
     async def _submit(self, run: _Run) -> wire.CallResult:
         request = run.request
-        command = wire.SubmitCall(
-            program_id=request.program_id,
-            program_kind=request.program_kind,
-            tenant=request.tenant,
-            branch=request.branch,
-            parent_branch=request.parent_branch,
-            call_number=request.call_number,
-            idempotency_key=request.idempotency_key,
-            body_digest=request.body_digest,
-            messages=request.messages,
-            unrepeatable=request.unrepeatable,
-            deadline_ms=request.deadline_ms,
-            max_answer_tokens=request.max_answer_tokens,
-            executor=self.identity,
-            request_id=request.request_id,
-            limits=request.limits,
-            model=request.model,
-            runner=self._scheduler.try_now(self._waiting_call(run, "")),
-            known_call=run.known_call,
-            known_digest=run.known_digest,
-        )
-        return await self._client.command(
-            request.program_id, wire.ProgramCommand(submit=command), GROUP_TIMEOUT_S, SUBMIT_WAIT_S
-        )
+        runner = self._scheduler.try_now(self._waiting_call(run, ""))
+        return await self._group.submit(request, runner, run.known_call, run.known_digest)
 
     def _waiting_call(self, run: _Run, last_runner: str) -> WaitingCall:
         request = run.request
@@ -294,28 +267,11 @@
             served = self._scheduler.serves(run.request.model)
             kind = ErrorKind.DEADLINE_EXCEEDED if served else ErrorKind.NO_RUNNER
             return await self._give_up(run, kind)
-        return await self._ask_grant(run, runner, replaces_attempt=0)
-
-    async def _ask_grant(self, run: _Run, runner: str, replaces_attempt: int) -> wire.CallResult:
-        command = wire.DispatchCall(
-            program_id=run.request.program_id,
-            call_number=run.request.call_number,
-            executor=self.identity,
-            request_id=run.request.request_id,
-            runner=runner,
-            replaces_attempt=replaces_attempt,
-        )
-        return await self._command(run, wire.ProgramCommand(dispatch=command), GROUP_TIMEOUT_S)
+        return await self._group.ask_grant(run.request, runner, replaces_attempt=0)
 
     async def _give_up(self, run: _Run, kind: ErrorKind) -> wire.CallResult:
         """Commit that the call was not run; a grant that crossed is handed back."""
-        abandon = wire.AbandonCall(
-            program_id=run.request.program_id,
-            call_number=run.request.call_number,
-            request_id=run.request.request_id,
-            error_kind=kind,
-        )
-        result = await self._command(run, wire.ProgramCommand(abandon=abandon), GROUP_TIMEOUT_S)
+        result = await self._group.abandon(run.request, kind)
         if result.status == wire.CALL_STATUS_DISPATCHED and self._may_send(run, result):
             self._sent.add((*run.request.key, result.attempt))  # never send it
             return await self._finish(
@@ -323,11 +279,6 @@
             )
         return result
 
-    async def _command(
-        self, run: _Run, command: wire.ProgramCommand, timeout_s: float
-    ) -> wire.CallResult:
-        return await self._client.command(run.request.program_id, command, timeout_s)
-
     async def _finish(
         self,
         run: _Run,
@@ -337,22 +288,7 @@
         kind: ErrorKind | None,
         final: bool,
     ) -> wire.CallResult:
-        """Offer an attempt's outcome; a result of another attempt means ours came too late."""
-        usage = summary.usage
-        command = wire.FinishCall(
-            program_id=run.request.program_id,
-            call_number=run.request.call_number,
-            attempt=granted.attempt,
-            outcome=outcome,
-            answer=summary.text,
-            finish_reason=summary.finish_reason,
-            prompt_tokens=usage.prompt_tokens,
-            answer_tokens=usage.answer_tokens,
-            cached_tokens=usage.cached_tokens,
-            error_kind=kind or "",
-            final=final,
-        )
-        return await self._command(run, wire.ProgramCommand(finish=command), FINISH_TIMEOUT_S)
+        return await self._group.finish(run.request, granted.attempt, outcome, summary, kind, final)
 
     # --- attempts ------------------------------------------------------------------------
 
@@ -545,7 +481,7 @@
                 ErrorKind.ENGINE_LOST,
                 final=True,
             )
-        return await self._ask_grant(run, runner, replaces_attempt=orphan.attempt)
+        return await self._group.ask_grant(run.request, runner, replaces_attempt=orphan.attempt)
 
     async def _cancel(self, runner_id: str, name: str) -> bool:
         engine = self._engine_of(runner_id)
--- a/src/bendshed/node.py
+++ b/src/bendshed/node.py
@@ -12,7 +12,7 @@
 from bendshed.configuration.service import ConfigurationCache, ConfigurationService
 from bendshed.consensus.host import GroupHost
 from bendshed.consensus.placement import PlacementService
-from bendshed.consensus.raft import Role, RoleChanged
+from bendshed.consensus.raft_types import Role, RoleChanged
 from bendshed.dispatch.calls import CallRequest, LiveAnswer
 from bendshed.dispatch.executor import Executor
 from bendshed.errors import ErrorKind, Refusal
