--- a/src/bendshed/configuration/service.py
+++ b/src/bendshed/configuration/service.py
@@ -24,7 +24,6 @@
     apply_change,
 )
 from bendshed.errors import ErrorKind, Refusal
-from bendshed.identifiers import rendezvous_rank
 from bendshed.logs import PartLog
 from bendshed.membership.service import MembershipService
 from bendshed.ports.clock import Clock
@@ -122,10 +121,8 @@
     @property
     def is_reader(self) -> bool:
         """Whether this node is one of its zone's readers of the store."""
-        me = self._membership.swim.me
-        zone = self._membership.live_zones().get(me.zone, [])
-        ranked = rendezvous_rank("configuration-reader", zone)
-        return me.node_id in ranked[: self._readers_per_zone]
+        readers = self._membership.zone_readers()[: self._readers_per_zone]
+        return self._membership.swim.me.node_id in readers
 
     def start(self) -> None:
         """Load the kept configuration and begin to follow changes."""
--- a/src/bendshed/membership/service.py
+++ b/src/bendshed/membership/service.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 
+from bendshed.identifiers import rendezvous_rank
 from bendshed.logs import PartLog
 from bendshed.membership import swim
 from bendshed.ports.transport import Address, PeerUnreachable, Transport
@@ -15,6 +16,7 @@
 SYNC_INTERVAL_S = 30.0
 SYNC_TIMEOUT_S = 2.0
 JOIN_RETRY_S = 0.5
+READER_KEY = "configuration-reader"
 SEED_SYNC_SHARE = 0.25
 """Comparisons made with a seed, so that parts that lost each other meet again."""
 SILENCE_S = 2.0
@@ -84,12 +86,11 @@
         """Spread that this node holds a configuration revision."""
         self._perform(self.swim.set_revision(revision))
 
-    def live_zones(self) -> dict[str, list[str]]:
-        """Live node ids by zone."""
-        zones: dict[str, list[str]] = {}
-        for member in self.view.live():
-            zones.setdefault(member.zone, []).append(member.node_id)
-        return zones
+    def zone_readers(self) -> list[str]:
+        """Live nodes of this node's zone, in the order in which they read the platform."""
+        zone = self.swim.me.zone
+        nodes = [member.node_id for member in self.view.live() if member.zone == zone]
+        return rendezvous_rank(READER_KEY, nodes)
 
     # --- input ---------------------------------------------------------------------------
 
--- a/src/bendshed/platform/http.py
+++ b/src/bendshed/platform/http.py
@@ -46,7 +46,8 @@
             async for chunk in self._response.content.iter_any():
                 yield chunk
         finally:
-            self._response.close() if not self._response.content.at_eof() else None
+            if not self._response.content.at_eof():
+                self._response.close()
 
 
 class HttpClient:
--- a/src/bendshed/platform/openai_engine.py
+++ b/src/bendshed/platform/openai_engine.py
@@ -63,16 +63,7 @@
 
     async def generate(self, request: EngineRequest) -> EngineStream:
         """Start an attempt."""
-        body = {
-            "model": request.model,
-            "messages": [message_to_json(message) for message in request.messages],
-            "max_tokens": request.max_answer_tokens,
-            "priority": request.priority,
-            "request_id": request.attempt_id,
-            "program_id": request.program_id,
-            "stream": True,
-            "stream_options": {"include_usage": True},
-        }
+        body = request_body(request)
         headers = {**JSON_HEADERS, "X-Request-Id": request.request_id}
         url = f"{self._base_url}/v1/chat/completions"
         answer = await self._stream("POST", url, orjson.dumps(body), headers)
@@ -153,6 +144,20 @@
             raise EngineBroken(repr(error)) from error
 
 
+def request_body(request: EngineRequest) -> dict[str, Any]:
+    """Body of a chat-completions request for one attempt."""
+    return {
+        "model": request.model,
+        "messages": [message_to_json(message) for message in request.messages],
+        "max_tokens": request.max_answer_tokens,
+        "priority": request.priority,
+        "request_id": request.attempt_id,
+        "program_id": request.program_id,
+        "stream": True,
+        "stream_options": {"include_usage": True},
+    }
+
+
 def message_to_json(message: Any) -> dict[str, Any]:
     """Chat message as JSON; fields beyond role and content travel unread."""
     extra: dict[str, Any] = orjson.loads(message.extra_json) if message.extra_json else {}
--- a/src/bendshed/process.py
+++ b/src/bendshed/process.py
@@ -71,10 +71,11 @@
     folder = settings.node.data_folder
     if folder is None:
         return None
+    storage = SqliteLogStorage(folder)
     try:
-        storage = SqliteLogStorage(folder)
         storage.load()
     except StorageCorrupt as error:
+        storage.close()
         aside = quarantine(folder)
         log.say(
             "the log is corrupt; this node starts empty under a new identity and its groups "
--- a/src/bendshed/rehearsal/simulator/engines.py
+++ b/src/bendshed/rehearsal/simulator/engines.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from bendshed.dispatch.stream_summary import summarize
-from bendshed.platform.openai_engine import message_to_json
+from bendshed.platform.openai_engine import request_body
 from bendshed.ports.engine import (
     Engine,
     EngineBroken,
@@ -103,14 +103,7 @@
     async def generate(self, request: EngineRequest) -> EngineStream:
         """Start an attempt."""
         model = await self._reach()
-        body = {
-            "model": request.model,
-            "messages": [message_to_json(message) for message in request.messages],
-            "max_tokens": request.max_answer_tokens,
-            "priority": request.priority,
-            "request_id": request.attempt_id,
-            "program_id": request.program_id,
-        }
+        body = request_body(request)
         known = model.find(request.attempt_id) is not None
         try:
             stream = self._runner.process.context.copy().run(model.start, body)
--- a/src/bendshed/rehearsal/simulator/fuzz.py
+++ b/src/bendshed/rehearsal/simulator/fuzz.py
@@ -12,7 +12,6 @@
 from enum import StrEnum
 
 from bendshed.configuration.document import DrainRunner, SetBudget, SetPriority
-from bendshed.node import Node
 from bendshed.rehearsal.simulator.callers import PlannedCall
 from bendshed.rehearsal.simulator.oracle import Violation
 from bendshed.rehearsal.simulator.world import TENANT, TENANT_TOKENS, World
@@ -263,11 +262,9 @@
     ]
 
 
-def run_world(
-    seed: int, steps: list[Step], node_class: type[Node] = Node
-) -> tuple[World, list[Violation]]:
+def run_world(seed: int, steps: list[Step]) -> tuple[World, list[Violation]]:
     """Run one world through its steps, settle and judge it. The caller closes it."""
-    world = World.started(seed, node_class)
+    world = World.started(seed)
     try:
         fuzzer = Fuzzer(world)
         for step in steps:
--- a/src/bendshed/rehearsal/simulator/network.py
+++ b/src/bendshed/rehearsal/simulator/network.py
@@ -33,7 +33,6 @@
     datagram_loss: float = 0.0
     datagram_copies: float = 0.0
     slow_s: float = 0.0
-    faults: dict[str, int] = field(default_factory=dict)
     _last_delivery_s: dict[tuple[Address, Address], float] = field(default_factory=dict)
 
     def is_cut(self, source: str, target: str) -> bool:
--- a/src/bendshed/rehearsal/simulator/world.py
+++ b/src/bendshed/rehearsal/simulator/world.py
@@ -89,12 +89,10 @@
 
     Attributes:
         faults: how often each kind of fault was done.
-        node_class: replaced by tests that plant a defect.
 
     """
 
     seed: int
-    node_class: type[Node] = Node
     loop: VirtualTimeLoop = field(default_factory=VirtualTimeLoop)
     rng: random.Random = field(init=False)
     network: Network = field(init=False)
@@ -122,9 +120,9 @@
     # --- building ------------------------------------------------------------------------
 
     @classmethod
-    def started(cls, seed: int, node_class: type[Node] = Node) -> "World":
+    def started(cls, seed: int) -> "World":
         """Three disk nodes in three zones, two without disk, two engines, configured."""
-        world = cls(seed, node_class)
+        world = cls(seed)
         for number in range(1, 3):
             world.add_runner(f"runner-{number}")
         for number in range(1, 6):
@@ -181,7 +179,7 @@
     ) -> None:
         async def start() -> None:
             await transport.start()
-            holder.node = self.node_class(self._settings(holder), ports, address, 0)
+            holder.node = Node(self._settings(holder), ports, address, 0)
             process_name = holder.process.name
             holder.node.configuration.on_change.append(
                 lambda _document, node=holder.node: self.seen.revisions[process_name].append(  # type: ignore[misc]
--- a/src/bendshed/routing/monitor.py
+++ b/src/bendshed/routing/monitor.py
@@ -14,7 +14,7 @@
 import xxhash
 
 from bendshed.configuration.document import RunnerOrder
-from bendshed.identifiers import HashRing, group_of, rendezvous_rank
+from bendshed.identifiers import HashRing, group_of
 from bendshed.logs import PartLog
 from bendshed.membership.service import MembershipService
 from bendshed.ports.engine import Engine, EngineBroken, EngineNotStarted, NotSupported
@@ -30,6 +30,8 @@
 
 LIST_METHOD = "machines.list"
 PEER_TIMEOUT_S = 2.0
+LIST_PEERS = 2
+"""Peers among which one is asked for the machine list."""
 FRESH_S = 2.0
 """A load report this old does not show whether the engine is leaving."""
 ENGINE_ERRORS = (EngineBroken, EngineNotStarted, NotSupported)
@@ -110,11 +112,10 @@
             await self._ask_peer()
 
     async def _ask_peer(self) -> None:
-        me = self._membership.swim.me
-        zone = self._membership.live_zones().get(me.zone, [])
-        others = [node for node in zone if node != me.node_id]
-        ranked = rendezvous_rank("configuration-reader", others)[:2]
-        address = self._membership.view.address(self._rng.choice(ranked)) if ranked else None
+        me = self._membership.swim.me.node_id
+        others = [node for node in self._membership.zone_readers() if node != me]
+        asked = others[:LIST_PEERS]
+        address = self._membership.view.address(self._rng.choice(asked)) if asked else None
         if address is None:
             return
         question = peer_pb2.MachineListRequest(have_digest=self._digest).SerializeToString()
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -3,7 +3,7 @@
 from unittest import mock
 
 from bendshed.rehearsal.simulator import world as world_module
-from bendshed.rehearsal.simulator.callers import PlannedCall
+from bendshed.rehearsal.simulator.callers import PlannedCall, ProgramDriver
 from bendshed.rehearsal.simulator.fuzz import random_steps, run_world
 from bendshed.rehearsal.simulator.oracle import Violation
 from bendshed.rehearsal.simulator.world import World
@@ -34,11 +34,7 @@
     """The way from the engine breaks for a moment while an answer is streamed."""
     world = World.started(seed)
     driver = world.start_program([PlannedCall(1), PlannedCall(2)])
-    world.wait_for(lambda: any(r.starts for r in world.runners.values()), 10.0)
-    world.run_for(0.4)
-    runner = next(name for name, r in world.runners.items() if r.starts)
-    for holder in world.nodes.values():
-        world.cut(runner, holder.host, both_ways=False)
+    _cut_way_from_engine_mid_stream(world)
     world.run_for(0.12)
     world.heal_network()
     world.wait_for(lambda: driver.finished, 60.0)
@@ -49,11 +45,7 @@
     """The way from the engine of an unrepeatable call stays cut longer than any resume waits."""
     world = World.started(seed)
     world.start_program([PlannedCall(1, unrepeatable=True)])
-    world.wait_for(lambda: any(r.starts for r in world.runners.values()), 10.0)
-    world.run_for(0.4)
-    runner = next(name for name, r in world.runners.items() if r.starts)
-    for holder in world.nodes.values():
-        world.cut(runner, holder.host, both_ways=False)
+    _cut_way_from_engine_mid_stream(world)
     world.run_for(20.0)
     return _settled(world)
 
@@ -72,11 +64,7 @@
 def planned_stop_mid_stream(seed: int) -> list[Violation]:
     """A node is stopped in order while it streams an answer."""
     world = World.started(seed)
-    driver = world.start_program([])
-    call = PlannedCall(1)
-    driver.calls.append(call)
-    world.send(driver.request(call, world.nodes["node-4"].clock.wall_ms()), "node-4")
-    world.wait_for(lambda: any(r.starts for r in world.runners.values()), 10.0)
+    driver = _call_running_at_node_4(world, PlannedCall(1))
     world.drain_node("node-4")
     world.run_for(10.0)
     driver.finished = True
@@ -87,11 +75,7 @@
     """A call runs at its engine, and its executor can reach no group any more."""
     with mock.patch.object(world_module, "CALLER_TIMEOUT_S", 200.0):
         world = World.started(seed)
-        driver = world.start_program([])
-        call = PlannedCall(1, unrepeatable=True)
-        driver.calls.append(call)
-        world.send(driver.request(call, world.nodes["node-4"].clock.wall_ms()), "node-4")
-        world.wait_for(lambda: any(r.starts for r in world.runners.values()), 10.0)
+        _call_running_at_node_4(world, PlannedCall(1, unrepeatable=True))
         host = world.nodes["node-4"].host
         for other in world.nodes.values():
             if other.host != host:
@@ -100,6 +84,28 @@
         return _settled(world)
 
 
+def _call_running_at_node_4(world: World, call: PlannedCall) -> ProgramDriver:
+    """Send one call to a node without disk and wait until an engine has started it."""
+    driver = world.start_program([])
+    driver.calls.append(call)
+    world.send(driver.request(call, world.nodes["node-4"].clock.wall_ms()), "node-4")
+    _wait_for_start(world)
+    return driver
+
+
+def _wait_for_start(world: World) -> None:
+    world.wait_for(lambda: any(r.starts for r in world.runners.values()), 10.0)
+
+
+def _cut_way_from_engine_mid_stream(world: World) -> None:
+    """Once an engine streams, cut its way to every node."""
+    _wait_for_start(world)
+    world.run_for(0.4)
+    runner = next(name for name, r in world.runners.items() if r.starts)
+    for holder in world.nodes.values():
+        world.cut(runner, holder.host, both_ways=False)
+
+
 def _settled(world: World) -> list[Violation]:
     try:
         return world.settle()
@@ -110,11 +116,7 @@
 def executor_dies_and_program_ends(seed: int) -> list[Violation]:
     """The executor of a call dies, nobody asks again, and the program is ended."""
     world = World.started(seed)
-    driver = world.start_program([])
-    call = PlannedCall(1, unrepeatable=True)
-    driver.calls.append(call)
-    world.send(driver.request(call, world.nodes["node-4"].clock.wall_ms()), "node-4")
-    world.wait_for(lambda: any(r.starts for r in world.runners.values()), 10.0)
+    driver = _call_running_at_node_4(world, PlannedCall(1, unrepeatable=True))
     world.kill_node("node-4")
     driver.finished = True
     return _settled(world)
