--- a/src/bendshed/platform/http_store.py
+++ b/src/bendshed/adapters/http_store.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from bendshed.platform.http import CONNECTION_ERRORS, HttpAnswer, HttpClient
+from bendshed.adapters.http import CONNECTION_ERRORS, HttpAnswer, HttpClient
 from bendshed.ports.store import (
     Machine,
     MachineList,
--- a/src/bendshed/platform/openai_engine.py
+++ b/src/bendshed/adapters/openai_engine.py
@@ -5,8 +5,8 @@
 
 import orjson
 
+from bendshed.adapters.http import CONNECTION_ERRORS, HttpAnswer, HttpClient, HttpStream, is_refused
 from bendshed.dispatch.stream_summary import summarize
-from bendshed.platform.http import CONNECTION_ERRORS, HttpAnswer, HttpClient, HttpStream, is_refused
 from bendshed.ports.engine import (
     Engine,
     EngineBroken,
--- a/src/bendshed/cli/ask.py
+++ b/src/bendshed/cli/ask.py
@@ -35,7 +35,7 @@
 
     def handle(self) -> int:
         """Ask and print."""
-        from bendshed.platform.http import CONNECTION_ERRORS
+        from bendshed.adapters.http import CONNECTION_ERRORS
 
         url, token = self.option("node"), os.environ.get(TOKEN_VARIABLE, "")
         if not url or not token:
@@ -72,7 +72,7 @@
 
 
 async def _ask(url: str, token: str, statement: str) -> tuple[int, dict[str, Any]]:
-    from bendshed.platform.http import HttpClient
+    from bendshed.adapters.http import HttpClient
 
     client = HttpClient()
     content = orjson.dumps({"statement": statement, "author": getpass.getuser()})
--- a/src/bendshed/gateway/application.py
+++ b/src/bendshed/gateway/application.py
@@ -11,6 +11,7 @@
 from blacksheep import Application, Content, Request, Response, StreamedContent
 from eliot import start_action
 
+from bendshed.adapters.http import Handler, add_route
 from bendshed.dispatch import events as answer_events
 from bendshed.dispatch.calls import Answered, LiveAnswer
 from bendshed.errors import BendshedError, ErrorKind, Refusal
@@ -19,7 +20,6 @@
 from bendshed.logs import PartLog
 from bendshed.node import Node
 from bendshed.operators.answers import OperatorService
-from bendshed.platform.http import Handler, add_route
 from bendshed.programs.client import GroupUnavailable
 from bendshed.wire import programs_pb2 as wire
 
--- a/src/bendshed/process.py
+++ b/src/bendshed/process.py
@@ -12,16 +12,16 @@
 import orjson
 import uvicorn
 
+from bendshed.adapters.http import HttpClient
+from bendshed.adapters.http_store import HttpMachineList, HttpObjectStore
+from bendshed.adapters.openai_engine import OpenAiEngine
+from bendshed.adapters.tcp_transport import TcpTransport
 from bendshed.configuration.file_cache import FileConfigurationCache
 from bendshed.consensus.sqlite_storage import SqliteLogStorage, quarantine
 from bendshed.gateway.application import Gateway
 from bendshed.logs import PartLog
 from bendshed.node import Node, NodePorts
 from bendshed.operators.answers import OperatorService
-from bendshed.platform.http import HttpClient
-from bendshed.platform.http_store import HttpMachineList, HttpObjectStore
-from bendshed.platform.openai_engine import OpenAiEngine
-from bendshed.platform.tcp_transport import TcpTransport
 from bendshed.ports.clock import SystemClock
 from bendshed.ports.log_storage import LogStorage, StorageCorrupt
 from bendshed.settings.model import Settings
--- a/src/bendshed/rehearsal/caller.py
+++ b/src/bendshed/rehearsal/caller.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from bendshed.platform.http import HttpClient
+from bendshed.adapters.http import HttpClient
 
 
 @dataclass(slots=True)
--- a/src/bendshed/rehearsal/installation.py
+++ b/src/bendshed/rehearsal/installation.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from bendshed.platform.http import HttpClient
+from bendshed.adapters.http import HttpClient
 from bendshed.rehearsal.caller import ask
 from bendshed.rehearsal.launcher import HOST, Launcher, Started
 
--- a/src/bendshed/rehearsal/scale/run.py
+++ b/src/bendshed/rehearsal/scale/run.py
@@ -15,7 +15,7 @@
 
 import orjson
 
-from bendshed.platform.http import HttpClient
+from bendshed.adapters.http import HttpClient
 from bendshed.rehearsal.installation import OPERATOR_TOKEN, sha256
 from bendshed.rehearsal.launcher import Launcher, Started
 from bendshed.rehearsal.load import cpu_s, memory_mb
--- a/src/bendshed/rehearsal/scale/worker.py
+++ b/src/bendshed/rehearsal/scale/worker.py
@@ -15,12 +15,12 @@
 from ipaddress import IPv4Address
 from pathlib import Path
 
+from bendshed.adapters.http import HttpClient
+from bendshed.adapters.http_store import HttpMachineList, HttpObjectStore
+from bendshed.adapters.tcp_transport import TcpTransport
 from bendshed.configuration.document import ConfigurationDocument
 from bendshed.consensus.sqlite_storage import SqliteLogStorage
 from bendshed.node import Node, NodePorts
-from bendshed.platform.http import HttpClient
-from bendshed.platform.http_store import HttpMachineList, HttpObjectStore
-from bendshed.platform.tcp_transport import TcpTransport
 from bendshed.ports.clock import SystemClock
 from bendshed.ports.engine import Engine, EngineRequest, EngineStream, LoadReport, NotSupported
 from bendshed.settings.model import GroupsSection, NodeSection, PlatformSection, Settings
--- a/src/bendshed/rehearsal/simulator/engines.py
+++ b/src/bendshed/rehearsal/simulator/engines.py
@@ -4,8 +4,8 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
+from bendshed.adapters.openai_engine import request_body
 from bendshed.dispatch.stream_summary import summarize
-from bendshed.platform.openai_engine import request_body
 from bendshed.ports.engine import (
     Engine,
     EngineBroken,
--- a/src/bendshed/rehearsal/standins.py
+++ b/src/bendshed/rehearsal/standins.py
@@ -11,7 +11,7 @@
 import orjson
 from blacksheep import Application, Content, Request, Response, StreamedContent
 
-from bendshed.platform.http import add_route
+from bendshed.adapters.http import add_route
 from bendshed.process import announce, serve_http
 from bendshed.rehearsal.engine_model import Cancelled, EngineModel, EngineParameters, Refused
 
--- a/tests/test_smoke.py
+++ b/tests/test_smoke.py
@@ -5,7 +5,7 @@
 import unittest
 from pathlib import Path
 
-from bendshed.platform.http import CONNECTION_ERRORS
+from bendshed.adapters.http import CONNECTION_ERRORS
 from bendshed.rehearsal.caller import Call, send_call
 from bendshed.rehearsal.installation import CALLER_TOKEN, Installation
 
