Begin long watches afresh when the store is regained

Ruled out: routing (404 only for routes of versions not yet known there). Change: they begin afresh at the loss and again when the store is regained.

--- a/src/bendshed/platform/front.py
+++ b/src/bendshed/platform/front.py
@@ -157,7 +157,7 @@
             for watcher in others:
                 watcher.restart()
 
-        self._runner_watcher.on_failure = restart_others
+        self._runner_watcher.on_trouble = restart_others
         return watchers
 
     def _list_runners(self, items: list[PlatformObject]) -> None:
--- a/src/bendshed/platform/watcher.py
+++ b/src/bendshed/platform/watcher.py
@@ -38,7 +38,8 @@
 
     Attributes:
         failed_at_s: loop time of the last failed call.
-        on_failure: called when a call fails; other watchers start afresh then.
+        on_trouble: called when the store is lost and again when it is regained: a watch begun in
+            between may hang on a connection that will never speak.
 
     """
 
@@ -51,7 +52,7 @@
         rng: random.Random,
     ) -> None:
         self.failed_at_s = float("-inf")
-        self.on_failure: Callable[[], None] = lambda: None
+        self.on_trouble: Callable[[], None] = lambda: None
         self._api = api
         self._kind = kind
         self._handler = handler
@@ -108,9 +109,10 @@
         if not self._is_lost:
             log.say("lost the store", kind=self._kind, reason=str(error))
             self._is_lost = True
-            self.on_failure()
+            self.on_trouble()
 
     def _note_regained(self) -> None:
         if self._is_lost:
             log.say("regained the store", kind=self._kind)
             self._is_lost = False
+            self.on_trouble()
--- /dev/null
+++ b/tests/test_platform_watcher.py
@@ -0,0 +1,103 @@
+"""Following the platform's store across losses."""
+
+import asyncio
+import random
+import unittest
+
+from bendshed.platform.objects import (
+    HistoryGone,
+    ObjectEvent,
+    ObjectEvents,
+    ObjectList,
+    PlatformObject,
+)
+from bendshed.platform.watcher import KindHandler, KindWatcher
+from bendshed.ports.store import StoreUnavailable
+from bendshed.rehearsal.simulator.loop import VirtualTimeLoop
+
+WATCH_S = 20.0
+MARGIN_S = 0.6
+
+
+class SilentStore:
+    """A store of one object that can fall silent, with every connection made meanwhile."""
+
+    def __init__(self, loop: VirtualTimeLoop) -> None:
+        self.loop = loop
+        self.revision = 1
+        self.is_silent = False
+        self.history_from = 0
+        self.changed = asyncio.Event()
+
+    async def list(self, kind: str) -> ObjectList:
+        await self._reach(1.0)
+        return ObjectList([self._object()], self.revision)
+
+    async def watch(self, kind: str, at: int, wait_s: float) -> ObjectEvents:
+        await self._reach(wait_s + MARGIN_S)
+        if at < self.history_from:
+            raise HistoryGone(kind)
+        until_s = self.loop.time() + wait_s
+        while self.revision == at and self.loop.time() < until_s:
+            await asyncio.sleep(0.01)
+        events = [ObjectEvent(self._object(), False)] if self.revision > at else []
+        return ObjectEvents(events, self.revision)
+
+    async def _reach(self, timeout_s: float) -> None:
+        await asyncio.sleep(0.004)
+        if self.is_silent:
+            await asyncio.sleep(timeout_s)  # this connection stays silent for good
+            raise StoreUnavailable("silent")
+
+    def _object(self) -> PlatformObject:
+        return PlatformObject("main", self.revision, {"version": self.revision}, None)
+
+
+class WatcherTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.loop = VirtualTimeLoop()
+        asyncio.set_event_loop(self.loop)
+        self.addCleanup(self.loop.close)
+        self.store = SilentStore(self.loop)
+        self.seen: list[int] = []
+        self.short = self.watcher([], 2.0)
+        self.long = self.watcher(self.seen, WATCH_S)
+        self.short.on_trouble = self.long.restart
+        self.tasks = [self.loop.create_task(w.run()) for w in (self.short, self.long)]
+
+    def tearDown(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        self.loop.run_until_complete(asyncio.gather(*self.tasks, return_exceptions=True))
+
+    def watcher(self, seen: list[int], wait_s: float) -> KindWatcher:
+        handler = KindHandler(
+            lambda items: seen.extend(item.revision for item in items),
+            lambda event: seen.append(event.object.revision),
+        )
+        return KindWatcher(self.store, "kind", handler, wait_s, random.Random(1))  # type: ignore[arg-type]
+
+    def run_for(self, seconds: float) -> None:
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    def test_a_change_is_seen_at_once(self) -> None:
+        self.run_for(1.0)
+        self.store.revision = 5
+        self.run_for(0.1)
+        self.assertEqual(self.seen, [1, 5])
+
+    def test_a_change_after_silence_is_seen_soon_after_the_store_is_back(self) -> None:
+        self.run_for(1.0)
+        self.store.is_silent = True
+        self.run_for(5.0)
+        self.store.is_silent = False
+        self.run_for(3.0)
+        self.store.revision = 7
+        self.run_for(0.5)
+        self.assertEqual(self.seen[-1], 7)
+
+    def test_lost_history_is_listed_again(self) -> None:
+        self.run_for(1.0)
+        self.store.history_from, self.store.revision = 8, 9
+        self.run_for(0.5)
+        self.assertEqual(self.seen[-1], 9)
