--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 	$(BIN)/ruff format --check src tests
 	$(BIN)/ruff check src tests
 	$(BIN)/mypy
+	$(BIN)/lint-imports
 
 test: lint
 	PYTHONHASHSEED=0 $(BIN)/python tests/run.py
--- a/src/bendshed/platform/main.py
+++ b/src/bendshed/platform/main.py
@@ -21,15 +21,15 @@
     reloader = _Reloader(settings)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     if role == "node":
-        from bendshed.platform.front import FrontNode  # noqa: PLC0415 (a role loads its part)
+        from bendshed.platform.front import FrontProcess  # noqa: PLC0415 (a role loads its part)
 
-        await FrontNode(settings).run(stopping)
+        await FrontProcess(settings).run(stopping)
         return
-    from bendshed.platform.replica import ReplicaProcess  # noqa: PLC0415
+    from bendshed.platform.replica import StoreProcess  # noqa: PLC0415
 
     if settings.dataDir is None:
         raise SiteSettingsInvalid("dataDir: (missing): run the role store where there is a disk")
-    await ReplicaProcess(settings, settings.dataDir).run(stopping)
+    await StoreProcess(settings, settings.dataDir).run(stopping)
 
 
 class _Reloader:
--- a/src/bendshed/platform/settings.py
+++ b/src/bendshed/platform/settings.py
@@ -34,9 +34,15 @@
 
 
 class FaultTolerance(_Section):
-    """How many machines may be lost at once."""
+    """How many machines or zones may be lost at once."""
 
     machines: int = Field(default=1, ge=0, le=9)
+    zones: int = Field(default=0, ge=0, le=9)
+
+    @property
+    def most(self) -> int:
+        """Replicas that may be lost at once: one a machine or a zone, at least one."""
+        return max(1, self.machines, self.zones)
 
 
 class Bounds(_Section):
--- a/src/bendshed/platform/watcher.py
+++ b/src/bendshed/platform/watcher.py
@@ -19,6 +19,10 @@
 log = PartLog("platform")
 
 
+ListHandler = Callable[[list[PlatformObject]], None]
+EventHandler = Callable[[ObjectEvent], None]
+
+
 @dataclass(frozen=True, slots=True)
 class KindHandler:
     """What to do with the objects of a kind.
@@ -29,8 +33,8 @@
 
     """
 
-    on_list: Callable[[list[PlatformObject]], None]
-    on_event: Callable[[ObjectEvent], None]
+    on_list: ListHandler
+    on_event: EventHandler
 
 
 class KindWatcher:
--- /dev/null
+++ b/src/bendshed/services/node.py
@@ -0,0 +1,109 @@
+"""A node that forwards requests: its parts, and what it does with what it is told."""
+
+import asyncio
+import random
+from collections.abc import Callable, Collection
+
+from bendshed.adapters.connection_pool import ConnectionPool
+from bendshed.consensus.directory import ReplicaDirectory
+from bendshed.logs import PartLog
+from bendshed.ports.runner import RunnerProtocol
+from bendshed.ports.transport import Transport
+from bendshed.programs.client import GroupClient
+from bendshed.services.attempts import RunnerPorts
+from bendshed.services.document import ServiceDocument
+from bendshed.services.forwarder import Forwarder
+from bendshed.services.routing import RouteIndex
+from bendshed.services.runners import RunnerTable, ServiceRunner
+from bendshed.services.turn_exchange import TurnPorts
+from bendshed.turns.client import TranscriptCache, TurnClient
+
+RUNNER_CONNECT_TIMEOUT_S = 0.6
+TRANSCRIPT_BYTES = 16 * 1024 * 1024
+TURN_GROUPS = 1
+
+log = PartLog("node")
+
+
+class ServiceNode:
+    """Everything of a node but its shells.
+
+    Invariants: a document is only ever replaced by a newer one; a node without a document, or one
+    that drains, is not ready.
+
+    Attributes:
+        directory: where the turn log's replicas are.
+        forwarder: serves requests.
+        on_document: called with each document that comes into force.
+
+    """
+
+    def __init__(
+        self, transport: Transport, protocol: RunnerProtocol, zone: str, rng: random.Random
+    ) -> None:
+        self.directory = ReplicaDirectory()
+        self.on_document: Callable[[ServiceDocument], None] = lambda _document: None
+        self.is_draining = False
+        self._table = RunnerTable()
+        self._pool = ConnectionPool(RUNNER_CONNECT_TIMEOUT_S)
+        groups = GroupClient(
+            transport, rng, TURN_GROUPS, self.directory.resolve, self.directory.node_ids
+        )
+        self._turns = TurnPorts(
+            TurnClient(transport, rng, groups), TranscriptCache(TRANSCRIPT_BYTES)
+        )
+        runners = RunnerPorts(self._table, self._pool, protocol, zone, rng)
+        self.forwarder = Forwarder(runners, self._turns)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new clients may be sent here."""
+        return not self.is_draining and self.forwarder.index is not None
+
+    def take_document(self, document: ServiceDocument) -> bool:
+        """Put a newer document in force; an older one changes nothing."""
+        index = self.forwarder.index
+        before = index.document.version if index is not None else None
+        if before is not None and document.version <= before:
+            return False
+        self.forwarder.index = RouteIndex(document)
+        log.say(
+            "puts a configuration in force",
+            version=document.version,
+            before=before,
+            routes=len(document.routes),
+        )
+        self.on_document(document)
+        return True
+
+    def list_runners(self, runners: Collection[ServiceRunner], trusted: bool) -> None:
+        """Take the whole list of runners; see ``remove_runner`` for ``trusted``."""
+        listed = {runner.runner_id for runner in runners}
+        for runner_id in [name for name in self._table.by_id if name not in listed]:
+            self.remove_runner(runner_id, trusted)
+        for runner in runners:
+            self.put_runner(runner)
+
+    def put_runner(self, runner: ServiceRunner) -> None:
+        """Take one runner's state."""
+        self._table.put(runner)
+
+    def remove_runner(self, runner_id: str, trusted: bool) -> None:
+        """A runner is not listed any more; ``trusted``: the list's keeper is well."""
+        record = self._table.by_id.get(runner_id)
+        self._table.remove(runner_id, asyncio.get_running_loop().time(), trusted)
+        if record is not None and trusted:
+            self._pool.forget(record.listed.address)
+
+    def start_drain(self) -> None:
+        """Be not ready from now on; what comes is still served."""
+        self.is_draining = True
+        log.say("drains", open=self.forwarder.num_open)
+
+    async def finish_late_turns(self) -> None:
+        """Wait for the ends of turns that no caller waits for."""
+        await asyncio.gather(*self._turns.late, return_exceptions=True)
+
+    def close(self) -> None:
+        """Close idle connections to runners."""
+        self._pool.close()
--- /dev/null
+++ b/src/bendshed/turns/node.py
@@ -0,0 +1,111 @@
+"""A process that holds a replica of the turn log on its disk."""
+
+import asyncio
+import random
+from collections.abc import Collection
+from pathlib import Path
+
+from bendshed.consensus.directory import ReplicaDirectory, load_directory, save_directory
+from bendshed.consensus.host import GroupHost
+from bendshed.consensus.supervisor import ReplicaSupervisor
+from bendshed.logs import PartLog
+from bendshed.ports.log_storage import LogStorage
+from bendshed.ports.registry import ReplicaNode, ReplicaRegistry, Retirement
+from bendshed.ports.transport import Address, Transport
+from bendshed.turns.service import TurnService
+from bendshed.turns.state import TurnLogState
+
+TICK_S = 0.025
+"""Heartbeats go every 3 ticks; a follower stands for election after 10 to 20 silent ones."""
+COMPACT_AFTER_ENTRIES = 20_000
+HAND_OVER_S = 1.0
+HAND_OVER_CHECK_S = 0.02
+
+log = PartLog("replica")
+
+
+class TurnLogNode:
+    """Everything of a replica process but its shells.
+
+    Attributes:
+        directory: the replica machines it knows.
+        folder: where the directory is kept between lives; ``None``: nowhere.
+
+    """
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        address: Address,
+        storage: LogStorage,
+        transport: Transport,
+        registry: ReplicaRegistry,
+        num_voters: int,
+        rng: random.Random,
+        folder: Path | None = None,
+    ) -> None:
+        self.directory = ReplicaDirectory()
+        self.folder = folder
+        self.host = GroupHost(
+            storage,
+            transport,
+            rng,
+            TICK_S,
+            TurnLogState,
+            self.directory.resolve,
+            COMPACT_AFTER_ENTRIES,
+        )
+        me = ReplicaNode(name, self.host.node_id, address, zone)
+        self.supervisor = ReplicaSupervisor(
+            self.host, storage, transport, registry, self.directory, me, TICK_S, num_voters
+        )
+        self._service = TurnService(self.host, transport)
+
+    def start(self) -> None:
+        """Start all parts."""
+        if self.folder is not None:
+            load_directory(self.folder, self.directory)
+        self.host.start()
+        self.supervisor.start()
+        self._service.start()
+        self.directory.on_change.append(self._keep_directory)
+        self._keep_directory()
+        log.say("started", node=self.host.node_id)
+
+    async def stop(self) -> None:
+        """Hand leadership over, then stop all parts."""
+        await self._hand_over()
+        await self.supervisor.stop()
+        await self.host.stop()
+        log.say("stopped", node=self.host.node_id)
+
+    async def _hand_over(self) -> None:
+        """Let another replica lead before this one ends."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + HAND_OVER_S
+        while self.host.led_groups() and loop.time() < until_s:
+            self.host.hand_over()
+            await asyncio.sleep(HAND_OVER_CHECK_S)
+
+    def _keep_directory(self) -> None:
+        if self.folder is not None:
+            save_directory(self.folder, self.directory)
+
+    # --- retirements ---------------------------------------------------------------------
+
+    def list_retirements(self, wishes: Collection[Retirement]) -> None:
+        """Take all wishes of operators."""
+        self.directory.retiring.clear()
+        for wish in wishes:
+            self.put_retirement(wish)
+
+    def put_retirement(self, wish: Retirement) -> None:
+        """An operator wants a machine emptied."""
+        if wish.name not in self.directory.retiring:
+            self.directory.retiring.add(wish.name)
+            log.say("a machine is to be emptied", name=wish.name, complete=wish.is_complete)
+
+    def remove_retirement(self, name: str) -> None:
+        """The wish was taken back."""
+        self.directory.retiring.discard(name)
--- /dev/null
+++ b/tests/test_platform_formats.py
@@ -0,0 +1,207 @@
+"""The users' platform: settings, objects, headers, answers."""
+
+import os
+import tempfile
+import unittest
+from pathlib import Path
+
+import orjson
+import yaml
+
+from bendshed.errors import ANSWERS, ErrorKind, Refusal, WasRun
+from bendshed.platform import names
+from bendshed.platform.answers import status_of
+from bendshed.platform.ingress import read_request
+from bendshed.platform.main import main
+from bendshed.platform.objects import PlatformObject
+from bendshed.platform.runner_protocol import PlatformRunnerProtocol
+from bendshed.platform.settings import SiteSettingsInvalid, load_site_settings
+from bendshed.platform.translate import read_document, read_runner
+from bendshed.ports.http_messages import Headers, ResponseHead
+from bendshed.ports.runner import ServiceRequest, Verdict
+from bendshed.services.document import RouteKind
+from bendshed.services.runners import RunnerState
+
+SETTINGS = {
+    "nodeName": "front-1",
+    "ip": "10.1.0.38",
+    "zone": "a",
+    "listen": {"front": "10.1.0.38:8149", "ready": "10.1.0.38:8141"},
+    "portRange": [7380, 7395],
+    "platform": {"addr": "10.200.1.7:8142", "form": "objects"},
+    "somethingNew": {"x": 1},
+}
+ROUTE = {
+    "name": "r",
+    "host": "h.example",
+    "pathPrefix": "/p/",
+    "kind": "stream",
+    "timeoutMs": 4000,
+    "targetMs": 200,
+    "priority": 1,
+    "split": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+    "maxAttempts": 1,
+    "retain": True,
+    "retainS": 60.0,
+    "sticky": True,
+    "resumable": False,
+    "gapTargetMs": 200,
+}
+SPEC = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [{"name": "s", "maxConns": 160, "engine": {"slots": 12, "eventTokens": 9}}],
+    "limits": {"maxBodyBytes": 10, "idleTimeoutMs": 15000},
+}
+
+
+class SettingsTest(unittest.TestCase):
+    def load(self, content: str) -> object:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.yaml"
+            path.write_text(content)
+            return load_site_settings({names.SETTINGS_VARIABLE: str(path)})
+
+    def test_unknown_fields_are_passed_over(self) -> None:
+        settings = self.load(yaml.safe_dump(SETTINGS))
+        self.assertEqual(str(settings.peer_address), "10.1.0.38:7380")  # type: ignore[attr-defined]
+
+    def test_each_problem_names_its_field(self) -> None:
+        cases = {
+            "platform": {name: value for name, value in SETTINGS.items() if name != "platform"},
+            "listen.front": {**SETTINGS, "listen": {"front": "here"}},
+            "portRange": {**SETTINGS, "portRange": "many"},
+            "ip": {**SETTINGS, "ip": "host.example"},
+        }
+        for field, content in cases.items():
+            with self.subTest(field=field), self.assertRaises(SiteSettingsInvalid) as caught:
+                self.load(yaml.safe_dump(content))
+            self.assertIn(field, str(caught.exception))
+            self.assertNotIn("\n", str(caught.exception))
+
+    def test_a_file_that_is_no_yaml_or_missing(self) -> None:
+        with self.assertRaises(SiteSettingsInvalid):
+            self.load("{unclosed")
+        with self.assertRaises(SiteSettingsInvalid):
+            load_site_settings({})
+        with self.assertRaises(SiteSettingsInvalid):
+            load_site_settings({names.SETTINGS_VARIABLE: os.devnull + "/no"})
+
+    def test_an_unknown_role_ends_with_2(self) -> None:
+        self.assertEqual(main(["leader"]), 2)
+
+
+class ObjectsTest(unittest.TestCase):
+    def test_the_configuration(self) -> None:
+        document = read_document(orjson.loads(orjson.dumps(SPEC)))
+        (route,) = document.routes
+        self.assertEqual((document.version, route.kind), (7, RouteKind.STREAM))
+        self.assertEqual([part.weight for part in route.targets], [90, 10])
+        self.assertEqual((route.keeps_turns, route.retention_ms), (True, 60_000))
+        engine = document.services["s"].engine
+        assert engine is not None
+        self.assertEqual(engine.event_tokens, 9)
+        self.assertEqual(document.limits.max_body_bytes, 10)
+        self.assertEqual(document.limits.max_header_bytes, 16_384)
+
+    def test_a_runner(self) -> None:
+        spec = {"service": "s", "addr": "10.0.0.9:80", "zone": "a", "slots": 12, "state": "ready"}
+        ready = read_runner(PlatformObject("i-1", 3, spec, None))
+        self.assertEqual((ready.runner_id, ready.state), ("i-1", RunnerState.READY))
+        leaving = read_runner(PlatformObject("i-1", 4, {**spec, "state": "draining"}, None))
+        self.assertEqual(leaving.state, RunnerState.DRAINING)
+
+
+def read(headers: Headers, raw_path: bytes = b"/p/a%2Fb", query: bytes = b"x=%20") -> object:
+    scope = {"method": "POST", "raw_path": raw_path, "query_string": query, "headers": headers}
+    return read_request(scope, b"body", 0.0)
+
+
+TURN: Headers = [
+    (b"host", b"h.example"),
+    (b"x-request-id", b"r1"),
+    (b"x-program-id", b"p1"),
+    (b"x-session-id", b"s1"),
+    (b"x-token-budget", b"2304"),
+    (b"x-token-counts", b"1840,288"),
+    (b"x-previous-turn", b"t0"),
+    (b"x-deadline-ms", b"4000"),
+    (b"x-expect-instance", b"forged"),
+    (b"x-urgency", b"0"),
+    (b"connection", b"keep-alive, x-mine"),
+    (b"x-mine", b"1"),
+    (b"x-other", b"2"),
+    (b"transfer-encoding", b"chunked"),
+]
+
+
+class IngressTest(unittest.TestCase):
+    def turn(self) -> ServiceRequest:
+        request = read(TURN)
+        assert isinstance(request, ServiceRequest)
+        return request
+
+    def test_a_turn(self) -> None:
+        request = self.turn()
+        assert request.turn is not None
+        self.assertEqual(request.target, b"/p/a%2Fb?x=%20")
+        self.assertEqual((request.wait_ms, request.session), (4000, "p1"))
+        self.assertEqual(request.turn.budget_tokens, 2304)
+        self.assertEqual((request.turn.most_tokens, request.turn.previous_turn), (288, "t0"))
+
+    def test_what_is_passed_on(self) -> None:
+        passed = [name for name, _ in self.turn().headers]
+        self.assertIn(b"x-other", passed)
+        self.assertIn(b"x-request-id", passed)
+        for name in (b"x-expect-instance", b"x-urgency", b"x-mine", b"connection"):
+            self.assertNotIn(name, passed)
+        for name in (b"transfer-encoding", b"x-deadline-ms"):
+            self.assertNotIn(name, passed)
+
+    def test_fields_that_cannot_be_read(self) -> None:
+        for headers in (
+            [(b"host", b"h")],
+            [(b"x-request-id", b"r"), (b"x-deadline-ms", b"soon")],
+            [(b"x-request-id", b"r"), (b"x-token-counts", b"many")],
+        ):
+            with self.subTest(headers=headers):
+                refusal = read(headers)
+                assert isinstance(refusal, Refusal)
+                self.assertEqual(refusal.kind, ErrorKind.BAD_REQUEST)
+
+
+class RunnerProtocolTest(unittest.TestCase):
+    def test_towards_a_runner(self) -> None:
+        document = read_document(SPEC)
+        request = read(TURN)
+        assert isinstance(request, ServiceRequest)
+        spec = {"service": "s", "addr": "10.0.0.9:80", "state": "ready"}
+        target = read_runner(PlatformObject("i-1", 3, spec, None))
+        protocol = PlatformRunnerProtocol()
+        sent = protocol.request(request, document.routes[0], target, b"all", 1234)
+        fields = dict(sent.headers)
+        self.assertEqual(fields[names.DEADLINE_MS], b"1234")
+        self.assertEqual(fields[names.EXPECT_RUNNER], b"i-1")
+        self.assertEqual(fields[names.URGENCY], b"1")
+        self.assertEqual(sent.body, b"all")
+        mine = ResponseHead(200, [(b"X-Request-Id", b"r1")])
+        others = ResponseHead(200, [(b"X-Request-Id", b"r2")])
+        self.assertEqual((sent.owns(mine), sent.owns(others)), (True, False))
+        self.assertFalse(sent.owns(ResponseHead(200)))
+
+    def test_what_proves_that_nothing_was_run(self) -> None:
+        protocol = PlatformRunnerProtocol()
+        shed = ResponseHead(503, [(b"X-Not-Run", b"1")])
+        self.assertEqual(protocol.verdict(shed), Verdict.NOT_RUN)
+        self.assertEqual(protocol.verdict(ResponseHead(421)), Verdict.OTHER_RUNNER)
+        for status in (500, 503, 504, 429, 400):
+            self.assertEqual(protocol.verdict(ResponseHead(status)), Verdict.ANSWERED)
+
+
+class AnswersTest(unittest.TestCase):
+    def test_a_promise_is_made_only_where_nothing_was_run(self) -> None:
+        promises = (402, 404, 408, 421, 429, 503)
+        for kind in ErrorKind:
+            status = status_of(Refusal(kind, ""))
+            if ANSWERS[kind].ran is not WasRun.NO:
+                self.assertNotIn(status, promises, kind)
--- a/tests/test_platform_watcher.py
+++ b/tests/test_platform_watcher.py
@@ -1,6 +1,7 @@
 """Following the platform's store across losses."""
 
 import asyncio
+import contextlib
 import random
 import unittest
 
@@ -25,9 +26,9 @@
     def __init__(self, loop: VirtualTimeLoop) -> None:
         self.loop = loop
         self.revision = 1
+        self.changed = asyncio.Event()
         self.is_silent = False
         self.history_from = 0
-        self.changed = asyncio.Event()
 
     async def list(self, kind: str) -> ObjectList:
         await self._reach(1.0)
@@ -37,12 +38,17 @@
         await self._reach(wait_s + MARGIN_S)
         if at < self.history_from:
             raise HistoryGone(kind)
-        until_s = self.loop.time() + wait_s
-        while self.revision == at and self.loop.time() < until_s:
-            await asyncio.sleep(0.01)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                if self.revision == at:
+                    await self.changed.wait()
         events = [ObjectEvent(self._object(), False)] if self.revision > at else []
         return ObjectEvents(events, self.revision)
 
+    def change(self, revision: int) -> None:
+        self.revision = revision
+        self.changed.set()
+
     async def _reach(self, timeout_s: float) -> None:
         await asyncio.sleep(0.004)
         if self.is_silent:
@@ -82,7 +88,7 @@
 
     def test_a_change_is_seen_at_once(self) -> None:
         self.run_for(1.0)
-        self.store.revision = 5
+        self.store.change(5)
         self.run_for(0.1)
         self.assertEqual(self.seen, [1, 5])
 
@@ -92,12 +98,13 @@
         self.run_for(5.0)
         self.store.is_silent = False
         self.run_for(3.0)
-        self.store.revision = 7
+        self.store.change(7)
         self.run_for(0.5)
         self.assertEqual(self.seen[-1], 7)
 
     def test_lost_history_is_listed_again(self) -> None:
         self.run_for(1.0)
-        self.store.history_from, self.store.revision = 8, 9
+        self.store.history_from = 8
+        self.store.change(9)
         self.run_for(0.5)
         self.assertEqual(self.seen[-1], 9)
--- /dev/null
+++ b/tests/test_services.py
@@ -0,0 +1,158 @@
+"""Routes, splits, runners, placement, events: the decisions before a request is sent."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bendshed.ports.transport import Address
+from bendshed.services.document import Route, RouteKind, ServiceDocument, WeightedService
+from bendshed.services.events import EventSplitter, read_event
+from bendshed.services.placement import SESSION_MAX_EXTRA, choose_runner
+from bendshed.services.routing import RouteIndex, choose_target
+from bendshed.services.runners import (
+    FAILURES_TO_AVOID,
+    UNLISTED_KEPT_S,
+    RunnerRecord,
+    RunnerState,
+    RunnerTable,
+    ServiceRunner,
+)
+
+
+def route(prefix: str, host: str = "h.example", **changes: object) -> Route:
+    values: dict[str, object] = {
+        "name": f"{host}{prefix}",
+        "host": host,
+        "path_prefix": prefix,
+        "kind": RouteKind.IDEMPOTENT,
+        "timeout_ms": 1000,
+        "target_ms": 100,
+        "priority": 0,
+        "targets": (WeightedService("s", 1),),
+    }
+    return Route(**{**values, **changes})  # type: ignore[arg-type]
+
+
+def runner(name: str, **changes: object) -> ServiceRunner:
+    values: dict[str, object] = {
+        "runner_id": name,
+        "service": "s",
+        "address": Address("10.0.0.1", 80),
+        "zone": "z",
+        "slots": 6,
+        "state": RunnerState.READY,
+    }
+    return ServiceRunner(**{**values, **changes})  # type: ignore[arg-type]
+
+
+class RoutingTest(unittest.TestCase):
+    def test_the_longest_prefix_of_the_host_wins(self) -> None:
+        index = RouteIndex(
+            ServiceDocument(1, (route("/a/"), route("/a/b/"), route("/a/", host="other")))
+        )
+        found = [index.match("H.example:80", path) for path in ("/a/x", "/a/b/x", "/a", "/b/")]
+        prefixes = [match.path_prefix if match is not None else None for match in found]
+        self.assertEqual(prefixes, ["/a/", "/a/b/", None, None])
+        self.assertIsNone(index.match("nowhere", "/a/x"))
+
+    def test_a_split_follows_its_weights(self) -> None:
+        split = route("/", targets=(WeightedService("s", 90), WeightedService("t", 10)))
+        chosen = [choose_target(split, f"key-{number}") for number in range(5000)]
+        self.assertAlmostEqual(chosen.count("t") / 5000, 0.1, delta=0.02)
+        self.assertEqual(choose_target(split, "key-1"), choose_target(split, "key-1"))
+
+
+class RunnerTableTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = RunnerTable()
+        for name in ("a", "b"):
+            self.table.put(runner(name))
+
+    def usable(self, now_s: float = 0.0) -> list[str]:
+        return [record.listed.runner_id for record in self.table.usable("s", now_s)]
+
+    def test_a_draining_runner_gets_nothing_new(self) -> None:
+        self.table.put(runner("a", state=RunnerState.DRAINING))
+        self.assertEqual(self.usable(), ["b"])
+
+    def test_a_gone_runner_gets_nothing_new(self) -> None:
+        self.table.remove("a", 0.0, trusted=True)
+        self.table.remove("b", 0.0, trusted=True)
+        self.assertEqual(self.usable(), [])
+
+    def test_runners_that_vanish_while_the_store_fails_are_a_last_resort(self) -> None:
+        self.table.remove("a", 0.0, trusted=False)
+        self.assertEqual(self.usable(), ["b"])
+        self.table.remove("b", 0.0, trusted=False)
+        self.assertEqual(self.usable(), ["a", "b"])
+        self.table.put(runner("b"))
+        self.assertEqual(self.usable(), ["b"])
+        self.table.remove("b", 0.0, trusted=True)
+        self.assertEqual(self.usable(UNLISTED_KEPT_S + 1), [])
+
+    def test_a_runner_of_another_service_is_not_used(self) -> None:
+        self.table.put(runner("a", service="t"))
+        self.assertEqual(self.usable(), ["b"])
+
+
+class PlacementTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.records = [RunnerRecord(runner(name)) for name in "abcd"]
+        self.rng = random.Random(1)
+
+    def choose(self, session: str = "", tried: str = "", zone: str = "z") -> str:
+        choice = choose_runner(self.records, tried, session, zone, 0.0, self.rng)
+        return choice.record.listed.runner_id if choice is not None else ""
+
+    def test_a_session_stays_until_its_runner_is_loaded(self) -> None:
+        home = self.choose("session")
+        self.assertEqual({self.choose("session") for _ in range(20)}, {home})
+        record = next(r for r in self.records if r.listed.runner_id == home)
+        record.in_flight = SESSION_MAX_EXTRA
+        self.assertEqual(self.choose("session"), home)
+        record.in_flight = SESSION_MAX_EXTRA + 1
+        self.assertNotEqual(self.choose("session"), home)
+
+    def test_the_least_loaded_runner_of_the_own_zone(self) -> None:
+        self.records[2].listed = runner("c", zone="mine")
+        self.assertEqual(self.choose(zone="mine"), "c")
+        self.records[2].in_flight = 1
+        self.assertNotEqual(self.choose(zone="mine"), "c")
+
+    def test_a_tried_runner_is_not_chosen_again(self) -> None:
+        self.assertEqual(self.choose(tried="abc"), "d")
+        self.assertEqual(self.choose(tried="abcd"), "")
+
+    def test_a_sick_runner_is_avoided_while_others_are_sound(self) -> None:
+        for record in self.records[:3]:
+            for _ in range(FAILURES_TO_AVOID):
+                record.note_broken(0.0)
+        self.assertEqual({self.choose() for _ in range(20)}, {"d"})
+        self.records[3].note_unreachable(0.0)
+        self.assertNotEqual(self.choose(), "")
+
+
+class EventTest(unittest.TestCase):
+    STREAM = b"id: 1\ndata: one\n\n: note\n\nid: 2\r\ndata: two\r\ndata: more\r\n\r\nid: 3\ndata: x"
+
+    def test_whole_events_only(self) -> None:
+        splitter = EventSplitter()
+        events = splitter.feed(self.STREAM)
+        self.assertEqual([event.event_id for event in events], [1, None, 2])
+        self.assertEqual([event.data for event in events], [b"one", None, b"two\nmore"])
+        self.assertTrue(splitter.has_rest)
+
+    @settings(max_examples=100, derandomize=True)
+    @given(st.lists(st.integers(0, len(STREAM)), max_size=6))
+    def test_however_the_bytes_arrive(self, cuts: list[int]) -> None:
+        whole = EventSplitter().feed(self.STREAM)
+        splitter, events, last = EventSplitter(), [], 0
+        for cut in [*sorted(cuts), len(self.STREAM)]:
+            events += splitter.feed(self.STREAM[last:cut])
+            last = cut
+        self.assertEqual(events, whole)
+
+    def test_an_event_without_data(self) -> None:
+        self.assertIsNone(read_event(b"id: 5\n\n").data)
--- /dev/null
+++ b/tests/test_turn_state.py
@@ -0,0 +1,176 @@
+"""The turn log's replicated state: chains, budgets, retention; commands doubled and late."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bendshed.turns.state import TurnLogState
+from bendshed.wire import turns_pb2 as wire
+
+RETENTION_MS = 60_000
+
+
+class Log:
+    """A state with a clock, and short ways to write commands."""
+
+    def __init__(self) -> None:
+        self.state = TurnLogState()
+        self.now_ms = 0
+
+    def apply(self, **command: object) -> wire.TurnReply:
+        content = wire.TurnCommand(elapsed_ms=self.now_ms, **command)  # type: ignore[arg-type]
+        return self.state.apply(content.SerializeToString())
+
+    def begin(
+        self, turn: str, previous: str = "", budget: int = 1000, most: int = 100, held: str = ""
+    ) -> wire.TurnReply:
+        return self.apply(
+            begin=wire.BeginTurn(
+                program_id="p",
+                turn_id=turn,
+                previous_turn=previous,
+                has_budget=True,
+                budget_tokens=budget,
+                most_tokens=most,
+                retention_ms=RETENTION_MS,
+                held_turn=held,
+            )
+        )
+
+    def finish(
+        self,
+        turn: str,
+        previous: str = "",
+        tokens: int = 50,
+        outcome: "wire.TurnOutcome.ValueType" = wire.TURN_OUTCOME_WHOLE,
+    ) -> wire.TurnReply:
+        return self.apply(
+            finish=wire.FinishTurn(
+                program_id="p",
+                turn_id=turn,
+                previous_turn=previous,
+                outcome=outcome,
+                tokens=tokens,
+                keep=True,
+                input=f"[{turn}".encode(),
+                output=b"]",
+                retention_ms=RETENTION_MS,
+            )
+        )
+
+
+class ChainTest(unittest.TestCase):
+    def test_a_chain_comes_oldest_first(self) -> None:
+        log = Log()
+        for turn, previous in (("a", ""), ("b", "a"), ("c", "b")):
+            log.begin(turn, previous)
+            log.finish(turn, previous)
+        reply = log.begin("d", "c")
+        self.assertEqual([piece.transcript for piece in reply.chain], [b"[a]", b"[b]", b"[c]"])
+
+    def test_a_held_transcript_is_not_sent_again(self) -> None:
+        log = Log()
+        log.begin("a")
+        log.finish("a")
+        reply = log.begin("b", "a", held="a")
+        self.assertEqual((reply.held_turn, list(reply.chain)), ("a", []))
+        self.assertEqual(len(log.begin("c", "a", held="z").chain), 1)
+
+    def test_an_unknown_turn_reserves_nothing(self) -> None:
+        log = Log()
+        self.assertEqual(log.begin("b", "a").answer, wire.TURN_ANSWER_UNKNOWN_TURN)
+        self.assertEqual(log.begin("c", budget=100).answer, wire.TURN_ANSWER_GRANTED)
+
+    def test_a_broken_turn_is_not_kept(self) -> None:
+        log = Log()
+        log.begin("a")
+        log.finish("a", outcome=wire.TURN_OUTCOME_BROKEN)
+        self.assertEqual(log.begin("b", "a").answer, wire.TURN_ANSWER_UNKNOWN_TURN)
+
+    def test_another_program_may_continue_a_turn(self) -> None:
+        log = Log()
+        log.begin("a")
+        log.finish("a")
+        other = wire.BeginTurn(program_id="q", turn_id="b", previous_turn="a", most_tokens=1)
+        self.assertEqual(log.apply(begin=other).answer, wire.TURN_ANSWER_GRANTED)
+
+    def test_a_chain_lives_as_long_as_its_newest_turn(self) -> None:
+        log = Log()
+        log.begin("a")
+        log.finish("a")
+        log.now_ms = RETENTION_MS - 1000
+        log.begin("b", "a")
+        log.finish("b", "a")
+        log.now_ms = 2 * RETENTION_MS - 2000
+        self.assertEqual(len(log.begin("c", "b").chain), 2)
+        log.now_ms = 4 * RETENTION_MS
+        self.assertEqual(log.begin("d", "b").answer, wire.TURN_ANSWER_UNKNOWN_TURN)
+
+    def test_the_clock_never_runs_backwards(self) -> None:
+        log = Log()
+        log.now_ms = 5000
+        log.begin("a")
+        log.now_ms = 1000
+        log.begin("b")
+        self.assertEqual(log.state.clock_ms, 5000)
+
+
+class BudgetTest(unittest.TestCase):
+    def test_turns_under_way_count_at_their_most(self) -> None:
+        log = Log()
+        self.assertEqual(log.begin("a", budget=250).answer, wire.TURN_ANSWER_GRANTED)
+        self.assertEqual(log.begin("b", budget=250).answer, wire.TURN_ANSWER_GRANTED)
+        self.assertEqual(log.begin("c", budget=250).answer, wire.TURN_ANSWER_BUDGET_SPENT)
+        log.finish("a", tokens=10)
+        self.assertEqual(log.begin("d", budget=250).answer, wire.TURN_ANSWER_GRANTED)
+
+    def test_a_doubled_begin_reserves_once(self) -> None:
+        log = Log()
+        log.begin("a")
+        self.assertEqual(log.begin("a").reserved_tokens, 100)
+
+    def test_a_doubled_finish_charges_once(self) -> None:
+        log = Log()
+        log.begin("a")
+        log.finish("a")
+        self.assertEqual(log.finish("a").spent_tokens, 50)
+
+    def test_a_begin_that_comes_after_its_finish_is_refused(self) -> None:
+        log = Log()
+        log.finish("a", tokens=0, outcome=wire.TURN_OUTCOME_NOTHING_HANDED_ON)
+        self.assertEqual(log.begin("a").answer, wire.TURN_ANSWER_CLOSED)
+        self.assertEqual(log.begin("b").reserved_tokens, 100)
+
+    @settings(max_examples=200, derandomize=True)
+    @given(st.lists(st.tuples(st.booleans(), st.integers(0, 7), st.integers(1, 60))))
+    def test_never_more_than_the_budget(self, steps: list[tuple[bool, int, int]]) -> None:
+        """Whatever comes in whatever order, doubled or late: what may be handed out fits."""
+        log = Log()
+        most: dict[str, int] = {}
+        handed: dict[str, int] = {}
+        for is_begin, number, tokens in steps:
+            turn = str(number)
+            if is_begin:
+                reply = log.begin(turn, budget=120, most=most.get(turn, tokens))
+                if reply.answer == wire.TURN_ANSWER_GRANTED:
+                    most.setdefault(turn, tokens)
+            elif turn in most and turn not in handed:
+                handed[turn] = min(tokens, most[turn])
+                log.finish(turn, tokens=handed[turn])
+            worst = sum(handed.get(name, size) for name, size in most.items())
+            self.assertLessEqual(worst, 120)
+
+
+class SnapshotTest(unittest.TestCase):
+    def test_a_restored_state_answers_alike(self) -> None:
+        log, copy = Log(), Log()
+        log.now_ms = 1234
+        log.begin("a")
+        log.finish("a")
+        log.begin("b", "a")
+        copy.state.restore(log.state.snapshot())
+        copy.now_ms = log.now_ms
+        self.assertEqual(copy.state.snapshot(), log.state.snapshot())
+        self.assertEqual(copy.begin("c", "a"), log.begin("c", "a"))
+        self.assertEqual(copy.begin("a").answer, wire.TURN_ANSWER_CLOSED)
