--- a/src/bendshed/adapters/connection_pool.py
+++ b/src/bendshed/adapters/connection_pool.py
@@ -3,12 +3,13 @@
 import asyncio
 
 from bendshed.adapters.http_connection import HttpConnection, open_connection
+from bendshed.ports.runner_connections import RunnerConnection, RunnerConnections
 from bendshed.ports.transport import Address
 
 MAX_IDLE_PER_PEER = 32
 
 
-class ConnectionPool:
+class ConnectionPool(RunnerConnections):
     """Idle connections by address.
 
     Attributes:
@@ -39,9 +40,10 @@
             connection.abort()
         return None
 
-    def release(self, address: Address, connection: HttpConnection) -> None:
+    def release(self, address: Address, connection: RunnerConnection) -> None:
         """Give a connection back after ``finish``, or drop it."""
         idle = self._idle.setdefault(address, [])
+        assert isinstance(connection, HttpConnection)
         if connection.is_reusable and len(idle) < MAX_IDLE_PER_PEER:
             idle.append(connection)
         else:
--- a/src/bendshed/adapters/http_connection.py
+++ b/src/bendshed/adapters/http_connection.py
@@ -18,6 +18,7 @@
     ResponseBroken,
     ResponseHead,
 )
+from bendshed.ports.runner_connections import RunnerConnection
 from bendshed.ports.transport import Address
 
 PAUSE_READING_BYTES = 256 * 1024
@@ -29,7 +30,7 @@
 """Share of the peer's own idle time after which a connection is not used again."""
 
 
-class HttpConnection(asyncio.Protocol):
+class HttpConnection(asyncio.Protocol, RunnerConnection):
     """A connection.
 
     Invariant: it ``is_reusable`` only if each answer so far was whole and framed, belonged to its
--- a/src/bendshed/platform/front.py
+++ b/src/bendshed/platform/front.py
@@ -7,6 +7,7 @@
 
 from blacksheep import Application, Response, text
 
+from bendshed.adapters.connection_pool import ConnectionPool
 from bendshed.adapters.http_server import bind, make_server
 from bendshed.adapters.tcp_transport import TcpTransport
 from bendshed.logs import PartLog
@@ -21,6 +22,7 @@
 from bendshed.services.node import ServiceNode
 from bendshed.tasks import start_loop
 
+RUNNER_CONNECT_TIMEOUT_S = 0.6
 SHORT_WATCH_S = 2.0
 """Also the time after which a dead way to the store is noticed."""
 LONG_WATCH_S = 20.0
@@ -42,7 +44,11 @@
         self._transport = TcpTransport(str(settings.ip), settings.peer_address.port)
         self._api = ObjectApi(read_address(settings.platform.addr))
         self._node = ServiceNode(
-            self._transport, PlatformRunnerProtocol(), settings.zone, self._rng
+            self._transport,
+            ConnectionPool(RUNNER_CONNECT_TIMEOUT_S),
+            PlatformRunnerProtocol(),
+            settings.zone,
+            self._rng,
         )
         self._node.on_document = self._apply_limits
         self._ingress = Ingress(self._node.forwarder)
--- a/src/bendshed/rehearsal/simulator/loop.py
+++ b/src/bendshed/rehearsal/simulator/loop.py
@@ -76,8 +76,8 @@
         selector.loop = self
         self.now_s = 0.0
         self._kept: set[asyncio.Task[Any]] = set()
-        self.set_task_factory(self._make_task)
         super().__init__(selector)
+        self.set_task_factory(self._make_task)
 
     def _make_task(
         self, _loop: asyncio.AbstractEventLoop, work: Any, **options: Any
--- a/src/bendshed/rehearsal/simulator/platform.py
+++ b/src/bendshed/rehearsal/simulator/platform.py
@@ -7,7 +7,7 @@
 from bendshed.configuration.document import Snapshot
 from bendshed.configuration.service import ConfigurationCache
 from bendshed.ports.clock import Clock
-from bendshed.ports.log_storage import GroupWrite, LogStorage, StoredGroup
+from bendshed.ports.log_storage import GroupWrite, LogStorage, StorageFailed, StoredGroup
 from bendshed.ports.store import (
     Machine,
     MachineList,
@@ -156,6 +156,7 @@
     bootstrapped: bool = False
     configuration: Snapshot | None = None
     commit_s: float = DISK_COMMIT_S
+    is_full: bool = False
     commits: int = 0
 
 
@@ -175,6 +176,8 @@
     async def commit(self, writes: list[GroupWrite]) -> None:
         """Durable after the disk's time; a process killed before that leaves nothing."""
         await asyncio.sleep(self._disk.commit_s)
+        if self._disk.is_full:
+            raise StorageFailed("the disk is full")
         self._disk.commits += 1
         for write in writes:
             self._write(self._disk.groups.setdefault(write.group_id, _GroupFile()), write)
--- /dev/null
+++ b/src/bendshed/rehearsal/site/fuzz.py
@@ -0,0 +1,413 @@
+"""Random failures against a simulated site. A seed fixes a world and all of its steps."""
+
+import random
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from bendshed.rehearsal.simulator.platform import SimDisk
+from bendshed.rehearsal.site.oracle import Violation
+from bendshed.rehearsal.site.programs import ProgramPlan
+from bendshed.rehearsal.site.runner import SiteRunner
+from bendshed.rehearsal.site.sim_world import CATCH_UP_S, SimMachine, SiteWorld
+
+STEPS_PER_WORLD = 40
+MAX_PROGRAMS = 25
+
+
+class Action(StrEnum):
+    """Kinds of steps."""
+
+    ADVANCE = "advance"
+    START_PROGRAM = "start program"
+    START_LOOP = "start a program that loops"
+    CONTINUE_TURN = "continue a turn of another program"
+    HEAL = "heal"
+    RESTART = "restart"
+    KILL_FRONT = "kill a front"
+    KILL_STORE = "kill a store"
+    KILL_LEADER = "kill the leader"
+    WIPE_STORE = "wipe a store's disk"
+    WIPE_LEADER = "wipe the leader's disk"
+    REPLACE_STORE = "replace a store by an empty one at another address"
+    WIPE_IN_THE_DARK = "wipe a store's disk while all lose power"
+    POWER_OFF_ALL = "power off all"
+    PAUSE_FRONT = "pause a front"
+    PAUSE_STORE = "pause a store"
+    RESUME = "resume"
+    ISOLATE_STORE = "isolate a store"
+    CUT_ONE_WAY = "cut a store one way"
+    SPLIT_STORES = "split the stores in halves"
+    CUT_FRONT_FROM_STORES = "cut a front from the stores"
+    SLOW_NETWORK = "slow network"
+    FULL_DISK = "full disk"
+    RETIRE_STORE = "retire a store"
+    REGISTRY_DOWN = "metadata store down"
+    REGISTRY_LOSES = "metadata store loses answers"
+    REGISTRY_UP = "metadata store up"
+    LOSE_ANSWERS = "runner loses answers"
+    CUT_ANSWERS = "runner cuts answers"
+    SHED = "runner sheds"
+    SLOW_RUNNER = "slow runner"
+    REPLACE_RUNNER = "runner dies and is replaced"
+    RUNNER_LEAVES = "runner leaves"
+    CONFIGURATION = "configuration changes"
+    PLANNED_STOP = "planned stop of a front"
+
+
+CALM = (Action.ADVANCE, Action.START_PROGRAM, Action.HEAL, Action.RESTART, Action.RESUME)
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One step: what, on which machine or runner (by number), and how much."""
+
+    action: Action
+    which: int = 0
+    amount: float = 1.0
+
+
+@dataclass(slots=True)
+class SiteFuzzer:
+    """Carries steps out. A step that makes no sense now does nothing."""
+
+    world: SiteWorld
+
+    def apply(self, step: Step) -> None:
+        """Carry one step out and let a little time pass."""
+        world = self.world
+        handlers: dict[Action, Callable[[Step], None]] = {
+            Action.ADVANCE: lambda s: world.run_for(s.amount * 3),
+            Action.START_PROGRAM: self._start_program,
+            Action.START_LOOP: self._start_loop,
+            Action.CONTINUE_TURN: self._continue_turn,
+            Action.HEAL: lambda _s: self._heal_network(),
+            Action.RESTART: lambda _s: self._restart_all(),
+            Action.KILL_FRONT: lambda s: self._kill(_pick(world.fronts, s.which)),
+            Action.KILL_STORE: lambda s: self._kill(_pick(world.stores, s.which)),
+            Action.KILL_LEADER: lambda _s: self._kill(world.leader()),
+            Action.WIPE_STORE: lambda s: self._wipe(_pick(world.stores, s.which)),
+            Action.WIPE_LEADER: lambda _s: self._wipe(world.leader()),
+            Action.REPLACE_STORE: self._replace_store,
+            Action.WIPE_IN_THE_DARK: self._wipe_in_the_dark,
+            Action.POWER_OFF_ALL: lambda _s: self._power_off_all(),
+            Action.PAUSE_FRONT: lambda s: self._pause(_pick(world.fronts, s.which)),
+            Action.PAUSE_STORE: lambda s: self._pause(_pick(world.stores, s.which)),
+            Action.RESUME: lambda _s: self._resume_all(),
+            Action.ISOLATE_STORE: self._isolate_store,
+            Action.CUT_ONE_WAY: self._cut_one_way,
+            Action.SPLIT_STORES: lambda _s: self._split_stores(),
+            Action.CUT_FRONT_FROM_STORES: self._cut_front,
+            Action.SLOW_NETWORK: self._slow_network,
+            Action.FULL_DISK: self._full_disk,
+            Action.RETIRE_STORE: self._retire_store,
+            Action.REGISTRY_DOWN: lambda _s: self._registry(True),
+            Action.REGISTRY_LOSES: self._registry_loses,
+            Action.REGISTRY_UP: lambda _s: self._registry(False),
+            Action.LOSE_ANSWERS: lambda s: self._trouble(s, "lose_answer"),
+            Action.CUT_ANSWERS: lambda s: self._trouble(s, "cut"),
+            Action.SHED: lambda s: self._trouble(s, "shed"),
+            Action.SLOW_RUNNER: self._slow_runner,
+            Action.REPLACE_RUNNER: self._replace_runner,
+            Action.RUNNER_LEAVES: self._runner_leaves,
+            Action.CONFIGURATION: lambda _s: self._configuration(),
+            Action.PLANNED_STOP: lambda s: world.planned_stop(_pick(world.fronts, s.which)),
+        }
+        handlers[step.action](step)
+        world.run_for(0.05 + step.amount * 0.4)
+
+    # --- load ----------------------------------------------------------------------------
+
+    def _start_program(self, step: Step) -> None:
+        if len(self.world.programs) < MAX_PROGRAMS:
+            plan = ProgramPlan(1 + step.which % 4, step.which % 3, sub_agents=step.which % 2 * 2)
+            self.world.start_program(plan)
+
+    def _start_loop(self, step: Step) -> None:
+        if len(self.world.programs) < MAX_PROGRAMS:
+            self.world.start_program(ProgramPlan(sub_agents=2 + step.which, loops=True))
+
+    def _continue_turn(self, step: Step) -> None:
+        turns = [program.last_turn for program in self.world.programs if program.last_turn]
+        if turns and len(self.world.programs) < MAX_PROGRAMS:
+            continues = turns[step.which % len(turns)]
+            self.world.start_program(ProgramPlan(turns=2, tools=0), continues=continues)
+
+    # --- machines ------------------------------------------------------------------------
+
+    def _kill(self, machine: SimMachine | None) -> None:
+        if machine is not None and machine.is_up:
+            self.world.count("kill a store" if machine.disk is not None else "kill a front")
+            self.world.kill(machine)
+
+    def _wipe(self, machine: SimMachine | None) -> None:
+        """Lose a disk, if the site bears it now; an empty one starts at once."""
+        world = self.world
+        if machine is None or machine.disk is None or not self._calm_stores():
+            return
+        world.count("wipe a disk")
+        world.kill(machine)
+        machine.disk = SimDisk(identity=f"{machine.name}-disk-{machine.lives + 1}")
+        world.restart(machine)
+
+    def _calm_stores(self) -> bool:
+        """End the stores' troubles and let them catch up: only then may a disk be lost."""
+        self._heal_network()
+        self._resume_all()
+        for machine in self.world.stores.values():
+            if machine.disk is not None:
+                machine.disk.is_full = False
+            self.world.restart(machine)
+        self._registry(False)
+        self.world.run_for(CATCH_UP_S + 0.5)
+        return self.world.stores_are_sound()
+
+    def _wipe_in_the_dark(self, step: Step) -> None:
+        """One disk is lost while all machines lose power."""
+        machine = _pick(self.world.stores, step.which)
+        if not self._calm_stores():
+            return
+        self.world.count("wipe a disk, power off all")
+        machines = [*self.world.fronts.values(), *self.world.stores.values()]
+        for other in machines:
+            self.world.kill(other)
+        machine.disk = SimDisk(identity=f"{machine.name}-disk-{machine.lives + 1}")
+        for other in machines:
+            self.world.restart(other)
+
+    def _replace_store(self, step: Step) -> None:
+        world = self.world
+        machine = _pick(world.stores, step.which)
+        if len(world.stores) > 6 or not self._calm_stores():
+            return
+        world.count("replace a store")
+        world.kill(machine)
+        del world.stores[machine.name]
+        number = world.network.rng.randrange(10_000)
+        world.add_machine(f"{machine.name}-{number}", f"10.0.9.{number}", step.which, True)
+
+    def _power_off_all(self) -> None:
+        self.world.count("power off all")
+        machines = [*self.world.fronts.values(), *self.world.stores.values()]
+        for machine in machines:
+            self.world.kill(machine)
+        self.world.run_for(0.3)
+        for machine in machines:
+            self.world.restart(machine)
+
+    def _restart_all(self) -> None:
+        for machine in [*self.world.fronts.values(), *self.world.stores.values()]:
+            self.world.restart(machine)
+
+    def _pause(self, machine: SimMachine) -> None:
+        if machine.is_up and not machine.process.paused:
+            self.world.count("pause")
+            machine.process.paused = True
+            self._note_trouble(machine)
+            self.world.seen.begin_blindness(machine.name, self.world.loop.time())
+
+    def _resume_all(self) -> None:
+        for machine in [*self.world.fronts.values(), *self.world.stores.values()]:
+            if machine.is_up and machine.process.paused:
+                machine.process.resume(self.world.loop)
+                self._note_trouble(machine)
+                self.world.seen.end_blindness(machine.name, self.world.loop.time())
+
+    def _note_trouble(self, machine: SimMachine) -> None:
+        if machine.disk is not None:
+            self.world.store_trouble_s = self.world.loop.time()
+
+    # --- network -------------------------------------------------------------------------
+
+    def _cut(self, one: str, other: str) -> None:
+        self.world.network.cuts.add((one, other))
+        self.world.store_trouble_s = self.world.loop.time()
+
+    def _heal_network(self) -> None:
+        self.world.network.cuts.clear()
+        self.world.network.slow_s = 0.0
+        self.world.store_trouble_s = self.world.loop.time()
+
+    def _isolate_store(self, step: Step) -> None:
+        self.world.count("isolate a store")
+        machine = _pick(self.world.stores, step.which)
+        for other in self.world.stores.values():
+            if other is not machine:
+                self._cut(machine.host, other.host)
+                self._cut(other.host, machine.host)
+
+    def _cut_one_way(self, step: Step) -> None:
+        self.world.count("cut a store one way")
+        machine = _pick(self.world.stores, step.which)
+        for other in self.world.stores.values():
+            if other is not machine:
+                pair = (machine.host, other.host)
+                self._cut(*(pair if step.amount > 0.5 else pair[::-1]))
+
+    def _split_stores(self) -> None:
+        self.world.count("split the stores")
+        hosts = [machine.host for machine in self.world.stores.values()]
+        half = len(hosts) // 2
+        for one in hosts[:half]:
+            for other in hosts[half:]:
+                self._cut(one, other)
+                self._cut(other, one)
+
+    def _cut_front(self, step: Step) -> None:
+        self.world.count("cut a front from stores")
+        front = _pick(self.world.fronts, step.which)
+        for machine in self.world.stores.values():
+            self._cut(front.host, machine.host)
+            self._cut(machine.host, front.host)
+
+    def _slow_network(self, step: Step) -> None:
+        self.world.count("slow network")
+        self.world.network.slow_s = 0.1 * step.amount
+
+    def _full_disk(self, step: Step) -> None:
+        machine = _pick(self.world.stores, step.which)
+        if machine.disk is not None:
+            self.world.count("full disk")
+            machine.disk.is_full = not machine.disk.is_full
+            self._note_trouble(machine)
+
+    def _retire_store(self, step: Step) -> None:
+        """Empty a store; when it is told complete its machine is taken away with its disk."""
+        world = self.world
+        machine = _pick(world.stores, step.which)
+        if len(world.stores) <= 3 or not self._calm_stores():
+            return
+        world.count("retire a store")
+        world.registry.retirements[machine.name] = False
+        for _ in range(80):
+            world.run_for(0.1)
+            if world.registry.retirements[machine.name]:
+                world.kill(machine)
+                del world.stores[machine.name]
+                break
+        del world.registry.retirements[machine.name]
+
+    def _registry(self, is_down: bool) -> None:
+        self.world.count("metadata store down" if is_down else "metadata store up")
+        now_s = self.world.loop.time()
+        if is_down and not self.world.registry.is_down:
+            self.world.seen.begin_blindness("", now_s)
+        self.world.registry.is_down = is_down
+        if not is_down:
+            self.world.registry.answer_loss = 0.0
+            self.world.seen.end_blindness("", now_s)
+
+    def _registry_loses(self, step: Step) -> None:
+        self.world.count("metadata store loses answers")
+        self.world.registry.answer_loss = 0.6 * step.amount
+
+    # --- runners and configuration -------------------------------------------------------
+
+    def _runner(self, step: Step) -> SiteRunner:
+        alive = {name: r for name, r in self.world.runners.items() if not r.is_dead}
+        return alive[sorted(alive)[step.which % len(alive)]]
+
+    def _trouble(self, step: Step, kind: str) -> None:
+        self.world.count(f"runner: {kind}")
+        setattr(self._runner(step).troubles, kind, 0.4 * step.amount)
+
+    def _slow_runner(self, step: Step) -> None:
+        self.world.count("slow runner")
+        self._runner(step).troubles.slow = 1 + 6 * step.amount
+
+    def _replace_runner(self, step: Step) -> None:
+        self.world.count("runner dies")
+        self.world.replace_runner(self._runner(step).runner_id)
+
+    def _runner_leaves(self, step: Step) -> None:
+        runner = self._runner(step)
+        others = [
+            row
+            for row in self.world.listed.values()
+            if row.service == runner.service and row.state.value == "ready"
+        ]
+        if len(others) > 1:
+            self.world.drain_runner(runner.runner_id)
+
+    def _configuration(self) -> None:
+        self.world.count("configuration")
+        self.world.publish()
+
+
+def _pick(machines: dict[str, SimMachine], which: int) -> SimMachine:
+    names = sorted(machines)
+    return machines[names[which % len(names)]]
+
+
+@dataclass(slots=True)
+class SiteFuzzReport:
+    """Figures of a search.
+
+    Attributes:
+        faults: injected faults by kind.
+        violations: what did not hold.
+        failing_seed: seed of the world that showed it.
+
+    """
+
+    worlds: int = 0
+    steps: int = 0
+    programs: int = 0
+    requests: int = 0
+    runs: int = 0
+    simulated_s: float = 0.0
+    real_s: float = 0.0
+    faults: dict[str, int] = field(default_factory=dict)
+    violations: list[str] = field(default_factory=list)
+    failing_seed: int | None = None
+
+
+def random_steps(seed: int, count: int) -> list[Step]:
+    """Steps of one world."""
+    rng = random.Random(seed)
+    actions = [*Action, *CALM * 3]
+    return [
+        Step(rng.choice(actions), rng.randrange(6), round(rng.random(), 3)) for _ in range(count)
+    ]
+
+
+def run_world(seed: int, steps: list[Step]) -> tuple[SiteWorld, list[Violation]]:
+    """Run one world through its steps, settle and judge it. The caller closes it."""
+    world = SiteWorld.started(seed)
+    try:
+        fuzzer = SiteFuzzer(world)
+        for step in steps:
+            fuzzer.apply(step)
+        return world, world.settle()
+    except BaseException:
+        world.close()
+        raise
+
+
+def search(seed: int, max_worlds: int, max_s: float) -> Iterator[SiteFuzzReport]:
+    """Play worlds until the bound or the first violation; yield the growing report."""
+    report = SiteFuzzReport()
+    started_s = time.monotonic()
+    while report.worlds < max_worlds and not report.violations and report.real_s < max_s:
+        world_seed = seed + report.worlds
+        steps = random_steps(world_seed, STEPS_PER_WORLD)
+        world, violations = run_world(world_seed, steps)
+        _add(report, world, len(steps))
+        report.real_s = time.monotonic() - started_s
+        if violations:
+            report.violations = [f"{v.rule}: {v.detail}" for v in violations]
+            report.failing_seed = world_seed
+        world.close()
+        yield report
+
+
+def _add(report: SiteFuzzReport, world: SiteWorld, steps: int) -> None:
+    report.worlds += 1
+    report.steps += steps
+    report.programs += len(world.programs)
+    report.requests += len(world.seen.requests)
+    report.runs += len(world.seen.runs)
+    report.simulated_s += world.loop.time()
+    for fault, count in world.faults.items():
+        report.faults[fault] = report.faults.get(fault, 0) + count
--- /dev/null
+++ b/src/bendshed/rehearsal/site/oracle.py
@@ -0,0 +1,171 @@
+"""The oracle of a site: what callers and runners must never see."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+from itertools import pairwise
+
+from bendshed.rehearsal.site.records import Kind, SiteRecords, SiteRequest
+from bendshed.rehearsal.site.runner import EVENT_TOKENS, event_bytes, plain_answer, stream_output
+
+PROMISES = (402, 404, 408, 421, 429, 503)
+"""Statuses that promise that the request was not run and never will be."""
+DRAIN_S = 2.0
+
+
+class Rule(StrEnum):
+    """What must always hold."""
+
+    ONCE = "an unrepeatable request runs at most once"
+    REFUSAL = "a request refused as not run was not run"
+    WHOLE = "an answer is whole, in order and the request's own"
+    CHAIN = "a turn reaches a runner behind its own chain"
+    BUDGET = "a program gets at most its budget and one turn more"
+    FOUND = "a turn answered whole is found"
+    DRAIN = "a leaving runner gets nothing new"
+    STOP = "a planned stop cuts nothing"
+    CONFIGURATION = "a configuration comes into force and never goes back"
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """A rule that did not hold."""
+
+    rule: Rule
+    detail: str
+
+
+def check_once(seen: SiteRecords) -> Iterable[Violation]:
+    """Turns and unrepeatable calls run at most once per id."""
+    kinds = {request.request_id: request.kind for request in seen.requests}
+    for request_id, runs in Counter(run.request_id for run in seen.runs).items():
+        if runs > 1 and kinds[request_id] is not Kind.REPEATABLE:
+            yield Violation(Rule.ONCE, f"{request_id} ran {runs} times")
+
+
+def check_refusals(seen: SiteRecords) -> Iterable[Violation]:
+    """A promise holds, before and after."""
+    ran = {run.request_id for run in seen.runs}
+    for request in seen.requests:
+        repeatable = request.kind is Kind.REPEATABLE
+        if request.status in PROMISES and request.request_id in ran and not repeatable:
+            yield Violation(Rule.REFUSAL, f"{request.request_id} got {request.status} and ran")
+
+
+def check_whole(seen: SiteRecords) -> Iterable[Violation]:
+    """Successes are what a runner made; what was cut is a beginning of it."""
+    for request in seen.requests:
+        if request.status != 200:
+            continue
+        expected = _expected_answer(request)
+        if request.is_whole and request.answer != expected:
+            yield Violation(Rule.WHOLE, f"{request.request_id} got another or a cut answer")
+        elif not expected.startswith(request.answer):
+            yield Violation(Rule.WHOLE, f"{request.request_id} got bytes that are not its own")
+
+
+def _expected_answer(request: SiteRequest) -> bytes:
+    if request.kind is not Kind.TURN:
+        return plain_answer(request.request_id)
+    events = (event_bytes(request.request_id, number) for number in range(request.most_events))
+    return b"".join(events)
+
+
+def check_chains(seen: SiteRecords) -> Iterable[Violation]:
+    """What runners received is the chain's inputs and outputs, then the new input."""
+    turns = {request.request_id: request for request in seen.requests}
+    for run in seen.runs:
+        request = turns[run.request_id]
+        if request.kind is Kind.TURN and run.body != chain_of(turns, request.previous) + (
+            request.body
+        ):
+            yield Violation(Rule.CHAIN, f"{run.request_id} ran behind another chain")
+
+
+def chain_of(turns: dict[str, SiteRequest], turn_id: str) -> bytes:
+    """Transcript up to and with a turn."""
+    parts: list[bytes] = []
+    while turn_id:
+        turn = turns[turn_id]
+        parts.append(turn.body + stream_output(turn_id, turn.most_events))
+        turn_id = turn.previous
+    return b"".join(reversed(parts))
+
+
+def check_budgets(seen: SiteRecords) -> Iterable[Violation]:
+    """Tokens handed to clients, with answers that broke off."""
+    handed: dict[str, int] = defaultdict(int)
+    bounds: dict[str, int] = {}
+    for request in seen.requests:
+        if request.kind is not Kind.TURN:
+            continue
+        handed[request.program_id] += request.answer.count(b"\n\n") * EVENT_TOKENS
+        bound = request.budget_tokens + request.most_events * EVENT_TOKENS
+        bounds[request.program_id] = max(bounds.get(request.program_id, 0), bound)
+    for program, tokens in handed.items():
+        if tokens > bounds[program]:
+            yield Violation(Rule.BUDGET, f"{program} got {tokens} tokens of {bounds[program]}")
+
+
+def check_found(seen: SiteRecords) -> Iterable[Violation]:
+    """A 404 is only true where the turn was never answered whole, or long ago."""
+    turns = {request.request_id: request for request in seen.requests}
+    for request in seen.requests:
+        if request.status != 404 or not request.previous:
+            continue
+        previous = turns.get(request.previous)
+        if previous is None or not previous.is_whole or previous.status != 200:
+            continue
+        if request.sent_s - previous.ended_s < seen.retention_s:
+            yield Violation(Rule.FOUND, f"{request.request_id} did not find {request.previous}")
+
+
+def check_drains(seen: SiteRecords) -> Iterable[Violation]:
+    """No run starts at a runner later than the bound after its word to leave.
+
+    As the pages have it, for fronts in touch: those that could hear it all the while.
+    """
+    left_s = {row.runner_id: row.acknowledged_s for row in seen.departures}
+    fronts = {request.request_id: request.node for request in seen.requests}
+    for run in seen.runs:
+        since_s = left_s.get(run.runner_id)
+        if since_s is None or run.started_s <= since_s + DRAIN_S:
+            continue
+        late_s = run.started_s - since_s
+        if not seen.was_blind(fronts[run.request_id], since_s, run.started_s):
+            yield Violation(Rule.DRAIN, f"{run.request_id} at {run.runner_id} {late_s:.1f} s late")
+
+
+def check_stops(seen: SiteRecords) -> Iterable[Violation]:
+    """Requests that were open when a process ended by a planned stop."""
+    for request_id in seen.cut_by_stop:
+        yield Violation(Rule.STOP, f"{request_id} was cut by a planned stop")
+
+
+def check_configuration(seen: SiteRecords) -> Iterable[Violation]:
+    """Versions in force rise within a life; all have the newest after quiet."""
+    for process, versions in seen.versions.items():
+        if any(later <= earlier for earlier, later in pairwise(versions)):
+            yield Violation(Rule.CONFIGURATION, f"{process} went back: {versions}")
+    for front, version in seen.versions_after_quiet.items():
+        if version != seen.newest_version:
+            yield Violation(Rule.CONFIGURATION, f"{front} is at {version}")
+
+
+CHECKS = (
+    check_once,
+    check_refusals,
+    check_whole,
+    check_chains,
+    check_budgets,
+    check_found,
+    check_drains,
+    check_stops,
+    check_configuration,
+)
+
+
+def check_all(seen: SiteRecords) -> list[Violation]:
+    """All violations."""
+    return [violation for check in CHECKS for violation in check(seen)]
--- /dev/null
+++ b/src/bendshed/rehearsal/site/records.py
@@ -0,0 +1,103 @@
+"""What clients, runners and the operator saw: all that the oracle may look at."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from bendshed.rehearsal.site.runner import RunRecord
+
+
+class Kind(StrEnum):
+    """Kinds of requests that programs make."""
+
+    TURN = "turn"
+    REPEATABLE = "repeatable"
+    UNREPEATABLE = "unrepeatable"
+
+
+@dataclass(slots=True)
+class SiteRequest:
+    """One attempt of a client and what came back.
+
+    Attributes:
+        previous: turn that it continues; empty: a chain's start.
+        most_events: events that its stream may have.
+        status: 0: the connection ended without an answer.
+        is_whole: the answer ended properly.
+
+    """
+
+    request_id: str
+    kind: Kind
+    program_id: str
+    sent_s: float
+    node: str
+    body: bytes = b""
+    previous: str = ""
+    budget_tokens: int = 0
+    most_events: int = 0
+    route_version: int = 0
+    status: int = 0
+    answer: bytes = b""
+    is_whole: bool = False
+    is_over: bool = False
+    ended_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Departure:
+    """A runner that said it leaves, and when the store had acknowledged it."""
+
+    runner_id: str
+    acknowledged_s: float
+
+
+@dataclass(slots=True)
+class Blindness:
+    """A time in which a front could not hear the metadata store, or did not run.
+
+    Attributes:
+        front: which; empty: all.
+
+    """
+
+    front: str
+    from_s: float
+    to_s: float = float("inf")
+
+
+@dataclass(slots=True)
+class SiteRecords:
+    """Everything seen.
+
+    Attributes:
+        cut_by_stop: requests open at a process that ended on a planned stop.
+        versions: per process of a front, the versions in force in order of time.
+
+    """
+
+    requests: list[SiteRequest] = field(default_factory=list)
+    runs: list[RunRecord] = field(default_factory=list)
+    departures: list[Departure] = field(default_factory=list)
+    blindness: list[Blindness] = field(default_factory=list)
+    cut_by_stop: list[str] = field(default_factory=list)
+    versions: dict[str, list[int]] = field(default_factory=dict)
+    newest_version: int = 0
+    versions_after_quiet: dict[str, int] = field(default_factory=dict)
+    retention_s: float = 60.0
+
+    def begin_blindness(self, front: str, now_s: float) -> None:
+        """A front stops hearing; empty: all fronts."""
+        self.blindness.append(Blindness(front, now_s))
+
+    def end_blindness(self, front: str, now_s: float) -> None:
+        """It hears again."""
+        for row in self.blindness:
+            if row.front == front:
+                row.to_s = min(row.to_s, now_s)
+
+    def was_blind(self, front: str, from_s: float, to_s: float) -> bool:
+        """Whether a front was blind at any moment of an interval."""
+        return any(
+            row.front in ("", front) and row.from_s < to_s and row.to_s > from_s
+            for row in self.blindness
+        )
--- /dev/null
+++ b/src/bendshed/rehearsal/site/runner.py
@@ -0,0 +1,189 @@
+"""A runner's stand-in: slots, proof of what was not run, streams of events, and its troubles.
+
+Who drives it decides about time and connections: a simulated network or a real socket.
+"""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+EVENT_TOKENS = 9
+EVENT_GAP_S = 0.03
+PREFILL_BYTES_PER_S = 130_000.0
+WORK_S = 0.05
+QUEUE_FACTOR = 3
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerCall:
+    """A request as a runner reads it.
+
+    Attributes:
+        wanted_runner: incarnation that is meant; empty: any.
+        num_events: events of its stream; 0: a plain request.
+
+    """
+
+    request_id: str
+    wanted_runner: str
+    program_id: str
+    body: bytes
+    num_events: int
+
+
+@dataclass(slots=True)
+class RunRecord:
+    """A request that a runner began to work on.
+
+    Attributes:
+        events: events made so far.
+        is_over: it stopped working on it.
+
+    """
+
+    request_id: str
+    program_id: str
+    runner_id: str
+    body: bytes
+    started_s: float
+    events: int = 0
+    is_over: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """Status of an answer; ``is_run`` false: proof that the request was not run."""
+
+    status: int
+    is_run: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Chunk:
+    """A piece of an answer's body."""
+
+    content: bytes
+
+
+class RunnerReset(Exception):
+    """The runner breaks its connection."""
+
+
+@dataclass(slots=True)
+class RunnerTroubles:
+    """What goes wrong at a runner, as shares of requests.
+
+    Attributes:
+        lose_answer: it runs the request, then resets the connection before the answer.
+        cut: it breaks off midway.
+        shed: it turns the request away unrun.
+        slow: its work takes this many times as long.
+
+    """
+
+    lose_answer: float = 0.0
+    cut: float = 0.0
+    shed: float = 0.0
+    slow: float = 1.0
+
+
+@dataclass(slots=True)
+class SiteRunner:
+    """One incarnation of a runner.
+
+    Attributes:
+        runs: every request that it began to work on.
+
+    """
+
+    runner_id: str
+    service: str
+    zone: str
+    slots: int
+    rng: random.Random
+    runs: list[RunRecord]
+    troubles: RunnerTroubles = field(default_factory=RunnerTroubles)
+    num_present: int = 0
+    is_dead: bool = False
+    is_leaving: bool = False
+    _slots: asyncio.Semaphore = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._slots = asyncio.Semaphore(self.slots)
+
+    async def serve(self, call: RunnerCall) -> AsyncIterator[Head | Chunk]:
+        """Answer one request; raise ``RunnerReset``. Closing the iterator is a client's leaving."""
+        if call.wanted_runner and call.wanted_runner != self.runner_id:
+            yield Head(421, is_run=False)
+            return
+        is_full = self.num_present >= self.slots * QUEUE_FACTOR
+        if is_full or self.rng.random() < self.troubles.shed:
+            yield Head(503, is_run=False)
+            return
+        self.num_present += 1
+        try:
+            async with self._slots:
+                async for piece in self._run(call):
+                    yield piece
+        finally:
+            self.num_present -= 1
+
+    async def _run(self, call: RunnerCall) -> AsyncIterator[Head | Chunk]:
+        loop = asyncio.get_running_loop()
+        record = RunRecord(call.request_id, call.program_id, self.runner_id, call.body, loop.time())
+        self.runs.append(record)
+        try:
+            async for piece in self._work(call, record):
+                yield piece
+        finally:
+            record.is_over = True
+
+    async def _work(self, call: RunnerCall, record: RunRecord) -> AsyncIterator[Head | Chunk]:
+        slow = self.troubles.slow
+        loses = self.rng.random() < self.troubles.lose_answer
+        cuts = self.rng.random() < self.troubles.cut
+        if call.num_events == 0:
+            await asyncio.sleep(WORK_S * slow)
+            if loses:
+                raise RunnerReset
+            yield Head(200)
+            content = plain_answer(call.request_id)
+            yield Chunk(content[: len(content) // 2])
+            if cuts:
+                raise RunnerReset
+            yield Chunk(content[len(content) // 2 :])
+            return
+        await asyncio.sleep((WORK_S + len(call.body) / PREFILL_BYTES_PER_S) * slow)
+        if loses:
+            raise RunnerReset
+        yield Head(200)
+        cut_at = self.rng.randrange(call.num_events) if cuts else call.num_events
+        for number in range(call.num_events):
+            if number == cut_at:
+                event = event_bytes(call.request_id, number)
+                yield Chunk(event[: len(event) // 2])
+                raise RunnerReset
+            record.events += 1
+            yield Chunk(event_bytes(call.request_id, number))
+            await asyncio.sleep(EVENT_GAP_S * slow)
+
+
+def plain_answer(request_id: str) -> bytes:
+    """Body of the answer to a plain request."""
+    return f"answer to {request_id} ".encode() * 8
+
+
+def event_data(request_id: str, number: int) -> bytes:
+    """Data of one event of a stream."""
+    return f"{request_id} says {number}".encode()
+
+
+def event_bytes(request_id: str, number: int) -> bytes:
+    """One event of a stream as it is sent."""
+    return b"id: %d\ndata: %s\n\n" % (number + 1, event_data(request_id, number))
+
+
+def stream_output(request_id: str, num_events: int) -> bytes:
+    """What a kept turn adds to its chain: the data of its events, a line feed after each."""
+    return b"".join(event_data(request_id, number) + b"\n" for number in range(num_events))
--- /dev/null
+++ b/src/bendshed/rehearsal/site/sim_runners.py
@@ -0,0 +1,202 @@
+"""Connections to runners in the simulated network."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+
+from bendshed.ports.http_messages import (
+    ClientRequest,
+    ConnectFailed,
+    ResponseBroken,
+    ResponseHead,
+)
+from bendshed.ports.runner import RunnerProtocol, ServiceRequest, Verdict
+from bendshed.ports.runner_connections import RunnerConnection, RunnerConnections
+from bendshed.ports.transport import Address
+from bendshed.rehearsal.simulator.loop import SimProcess
+from bendshed.rehearsal.simulator.network import MIN_GAP_S, Network
+from bendshed.rehearsal.site.runner import (
+    Chunk,
+    Head,
+    RunnerCall,
+    RunnerReset,
+    SiteRunner,
+)
+from bendshed.services.document import Route
+from bendshed.services.runners import ServiceRunner
+
+CONNECT_TIMEOUT_S = 0.6
+HANG_S = 4.0
+REQUEST_ID, WANTED, PROGRAM, EVENTS, NOT_RUN = b"id", b"wanted", b"program", b"events", b"not-run"
+
+
+class SimRunnerProtocol(RunnerProtocol):
+    """How simulated runners are spoken to."""
+
+    def request(
+        self,
+        request: ServiceRequest,
+        route: Route,
+        runner: ServiceRunner,
+        body: bytes,
+        left_ms: int,
+    ) -> ClientRequest:
+        """Build a request."""
+        headers = [*request.headers, (WANTED, runner.runner_id.encode())]
+        return ClientRequest(request.method, request.target, headers, body, lambda _head: True)
+
+    def verdict(self, head: ResponseHead) -> Verdict:
+        """Read the proof."""
+        if head.status == 421:
+            return Verdict.OTHER_RUNNER
+        return Verdict.ANSWERED if head.get(NOT_RUN) is None else Verdict.NOT_RUN
+
+
+@dataclass(slots=True)
+class SimRunnerNet:
+    """All runners by address, and the ways to them.
+
+    Attributes:
+        open: connections in use, by the process that opened them.
+
+    """
+
+    network: Network
+    runner_process: SimProcess
+    by_address: dict[Address, SiteRunner] = field(default_factory=dict)
+    open: dict[str, set["SimConnection"]] = field(default_factory=dict)
+
+    def drop_process(self, name: str) -> None:
+        """A process died: runners see its connections close."""
+        for connection in list(self.open.pop(name, ())):
+            connection.abort()
+
+    def reset_runner(self, runner: SiteRunner) -> None:
+        """A runner died: its connections break."""
+        for connections in list(self.open.values()):
+            for connection in list(connections):
+                if connection.runner is runner:
+                    connection.break_now()
+
+
+class SimConnection(RunnerConnection):
+    """One connection; the runner's work goes on in the runners' process."""
+
+    def __init__(self, net: SimRunnerNet, owner: SimProcess, host: str, runner: SiteRunner) -> None:
+        self.runner = runner
+        self._net = net
+        self._owner = owner
+        self._host = host
+        self._loop = asyncio.get_running_loop()
+        self._head: asyncio.Future[ResponseHead] | None = None
+        self._pieces: asyncio.Queue[bytes | ResponseBroken | None] = asyncio.Queue()
+        self._work: asyncio.Task[None] | None = None
+        self._last_arrival_s = 0.0
+
+    async def send(self, request: ClientRequest) -> ResponseHead:
+        """Send after the network's latency."""
+        self._net.open.setdefault(self._owner.name, set()).add(self)
+        fields = dict(request.headers)
+        call = RunnerCall(
+            request_id=fields[REQUEST_ID].decode(),
+            wanted_runner=fields[WANTED].decode(),
+            program_id=fields[PROGRAM].decode(),
+            body=request.body,
+            num_events=int(fields[EVENTS]),
+        )
+        self._head = self._loop.create_future()
+        self._work = self._net.runner_process.spawn(self._loop, self._serve(call))
+        return await self._head
+
+    async def _serve(self, call: RunnerCall) -> None:
+        """At the runner: work and send pieces back."""
+        await asyncio.sleep(self._net.network.latency_s())
+        if self.runner.is_dead or self._net.network.is_cut(self._host, self.runner.runner_id):
+            self._later(HANG_S, self.break_now)
+            return
+        try:
+            async for piece in self.runner.serve(call):
+                self._send_back(piece)
+        except RunnerReset:
+            self._later(self._net.network.latency_s(), self.break_now)
+            return
+        self._send_back(None)
+
+    def _send_back(self, piece: Head | Chunk | None) -> None:
+        if self._net.network.is_cut(self.runner.runner_id, self._host):
+            return
+        self._later(self._net.network.latency_s(), lambda: self._arrive(piece))
+
+    def _later(self, delay_s: float, act: Callable[[], None]) -> None:
+        """In the owner's process, never before an earlier piece."""
+        arrival_s = max(self._loop.time() + delay_s, self._last_arrival_s + MIN_GAP_S)
+        self._last_arrival_s = arrival_s
+        self._loop.call_at(arrival_s, act, context=self._owner.context.copy())
+
+    def _arrive(self, piece: Head | Chunk | None) -> None:
+        match piece:
+            case Head(status, is_run):
+                head = ResponseHead(status, [] if is_run else [(NOT_RUN, b"1")], True)
+                if self._head is not None and not self._head.done():
+                    self._head.set_result(head)
+            case Chunk(content):
+                self._pieces.put_nowait(content)
+            case None:
+                self._pieces.put_nowait(None)
+
+    def break_now(self) -> None:
+        """The connection was reset."""
+        broken = ResponseBroken("reset")
+        if self._head is not None and not self._head.done():
+            self._head.set_exception(broken)
+            self._head.exception()
+        self._pieces.put_nowait(broken)
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """Pieces as they arrive."""
+        while True:
+            piece = await self._pieces.get()
+            if piece is None:
+                return
+            if isinstance(piece, ResponseBroken):
+                raise piece
+            yield piece
+
+    def finish(self) -> None:
+        """Nothing is kept."""
+        self.abort()
+
+    def abort(self) -> None:
+        """Close; the runner stops working on the request."""
+        self._net.open.get(self._owner.name, set()).discard(self)
+        if self._work is not None and not self._work.done():
+            self._work.cancel()
+
+
+class SimConnections(RunnerConnections):
+    """Connections of one process."""
+
+    def __init__(self, net: SimRunnerNet, owner: SimProcess, host: str) -> None:
+        self._net = net
+        self._owner = owner
+        self._host = host
+
+    async def acquire(self, address: Address) -> RunnerConnection:
+        """Open a connection."""
+        runner = self._net.by_address.get(address)
+        if runner is not None and self._net.network.is_cut(self._host, runner.runner_id):
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            raise ConnectFailed("cut off")
+        await asyncio.sleep(self._net.network.latency_s())
+        if runner is None or runner.is_dead:
+            raise ConnectFailed("refused")
+        return SimConnection(self._net, self._owner, self._host, runner)
+
+    def release(self, address: Address, connection: RunnerConnection) -> None:
+        """Nothing is kept."""
+
+    def forget(self, address: Address) -> None:
+        """Nothing is kept."""
+
+    def close(self) -> None:
+        """Nothing is kept."""
--- /dev/null
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -0,0 +1,614 @@
+"""A simulated site: fronts, replica machines, runners, programs, and the faults done to them."""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from bendshed.errors import ErrorKind, Refusal, WasRun
+from bendshed.ports.http_messages import ResponseHead
+from bendshed.ports.registry import RegistryUnavailable, ReplicaNode, ReplicaRegistry, Retirement
+from bendshed.ports.runner import Caller, ServiceRequest, TurnDetails
+from bendshed.ports.transport import Address
+from bendshed.rehearsal.simulator.loop import SimProcess, VirtualTimeLoop
+from bendshed.rehearsal.simulator.network import Network, SimTransport
+from bendshed.rehearsal.simulator.platform import SimDisk, SimLogStorage
+from bendshed.rehearsal.site.oracle import Violation, check_all
+from bendshed.rehearsal.site.programs import AgentProgram, ProgramPlan, tokens_of
+from bendshed.rehearsal.site.records import Departure, Kind, SiteRecords, SiteRequest
+from bendshed.rehearsal.site.runner import EVENT_TOKENS, SiteRunner
+from bendshed.rehearsal.site.sim_runners import (
+    EVENTS,
+    PROGRAM,
+    REQUEST_ID,
+    SimConnections,
+    SimRunnerNet,
+    SimRunnerProtocol,
+)
+from bendshed.services.document import (
+    EngineFeatures,
+    Route,
+    RouteKind,
+    Service,
+    ServiceDocument,
+    WeightedService,
+)
+from bendshed.services.node import ServiceNode
+from bendshed.services.runners import RunnerState, ServiceRunner
+from bendshed.turns.node import TurnLogNode
+
+PEER_PORT = 7000
+NUM_FRONTS, NUM_STORES, NUM_ENGINES, NUM_TOOLS = 3, 4, 3, 2
+NUM_VOTERS = 3
+CALLER_LATENCY_S = 0.003
+CALLER_TIMEOUT_S = 4.0
+FOLLOW_S = 0.1
+START_LIMIT_S = 20.0
+QUIET_S = 40.0
+CATCH_UP_S = 4.4
+BUDGET_TOKENS = 600
+STATUS = {ErrorKind.BUDGET_EXHAUSTED: 402, ErrorKind.NOT_FOUND: 404, ErrorKind.BAD_REQUEST: 400}
+
+
+@dataclass(slots=True)
+class SimRegistry(ReplicaRegistry):
+    """Announcements, founding and retirements, with outages and lost answers."""
+
+    rng: random.Random
+    is_down: bool = False
+    answer_loss: float = 0.0
+    announced: dict[str, ReplicaNode] = field(default_factory=dict)
+    voters: list[str] = field(default_factory=list)
+    retirements: dict[str, bool] = field(default_factory=dict)
+
+    async def _reach(self) -> None:
+        await asyncio.sleep(0.005)
+        if self.is_down:
+            await asyncio.sleep(0.5)
+            raise RegistryUnavailable("down")
+
+    def _maybe_lose(self) -> None:
+        if self.rng.random() < self.answer_loss:
+            raise RegistryUnavailable("the answer was lost")
+
+    async def announce(self, me: ReplicaNode) -> None:
+        """Keep an announcement."""
+        await self._reach()
+        self.announced[me.name] = me
+        self._maybe_lose()
+
+    async def founding_voters(self) -> list[str]:
+        """Return the first voters."""
+        await self._reach()
+        return self.voters
+
+    async def found(self, voters: list[str]) -> list[str]:
+        """Create the record if absent."""
+        await self._reach()
+        self.voters = self.voters or voters
+        self._maybe_lose()
+        return self.voters
+
+    async def report_retirement(self, name: str, complete: bool) -> None:
+        """Keep a status."""
+        await self._reach()
+        if name in self.retirements:
+            self.retirements[name] = complete
+
+
+@dataclass(slots=True)
+class SimMachine:
+    """A front or a replica machine over all its lives."""
+
+    name: str
+    host: str
+    zone: str
+    process: SimProcess
+    disk: SimDisk | None = None
+    front: ServiceNode | None = None
+    replica: TurnLogNode | None = None
+    lives: int = 0
+    is_down: bool = True
+
+    @property
+    def is_up(self) -> bool:
+        """Whether its process runs, paused or not."""
+        return not self.is_down
+
+
+class SimCaller(Caller):
+    """The way back to a simulated client: ordered, with latency, broken when the process dies."""
+
+    def __init__(self, world: "SiteWorld", request: SiteRequest) -> None:
+        self._world = world
+        self._request = request
+        self._has_begun = False
+        self._is_broken = False
+        self._last_s = 0.0
+
+    def _deliver(self, act: Callable[[], None]) -> None:
+        loop = self._world.loop
+        self._last_s = max(loop.time() + CALLER_LATENCY_S, self._last_s + 1e-6)
+        loop.call_at(self._last_s, act, context=self._world.clients.context.copy())
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """Answer with an error."""
+        if self._has_begun:
+            self.break_off()
+            return
+        status = STATUS.get(refusal.kind, 503 if refusal.answer.ran is WasRun.NO else 502)
+        await self.begin(ResponseHead(status))
+        await self.end()
+
+    async def begin(self, head: ResponseHead) -> None:
+        """Status."""
+        self._has_begun = True
+        self._deliver(lambda: setattr(self._request, "status", head.status))
+
+    async def send(self, chunk: bytes) -> None:
+        """A piece."""
+        if not self._is_broken:
+            self._deliver(lambda: self._append(chunk))
+
+    def _append(self, chunk: bytes) -> None:
+        if not self._request.is_over:
+            self._request.answer += chunk
+
+    async def end(self) -> None:
+        """The whole answer."""
+        if not self._is_broken:
+            self._deliver(lambda: self._world.end_request(self._request, whole=True))
+
+    def break_off(self) -> None:
+        """A visible cut."""
+        self._is_broken = True
+        self._deliver(lambda: self._world.end_request(self._request, whole=False))
+
+
+@dataclass(slots=True)
+class SiteWorld:
+    """The whole site under virtual time."""
+
+    seed: int
+    loop: VirtualTimeLoop = field(default_factory=VirtualTimeLoop)
+    rng: random.Random = field(init=False)
+    network: Network = field(init=False)
+    registry: SimRegistry = field(init=False)
+    net: SimRunnerNet = field(init=False)
+    clients: SimProcess = field(init=False)
+    seen: SiteRecords = field(default_factory=SiteRecords)
+    fronts: dict[str, SimMachine] = field(default_factory=dict)
+    stores: dict[str, SimMachine] = field(default_factory=dict)
+    runners: dict[str, SiteRunner] = field(default_factory=dict)
+    listed: dict[str, ServiceRunner] = field(default_factory=dict)
+    programs: list[AgentProgram] = field(default_factory=list)
+    faults: dict[str, int] = field(default_factory=dict)
+    document: ServiceDocument = field(init=False)
+    older_document: ServiceDocument = field(init=False)
+    store_trouble_s: float = 0.0
+    _waiting: dict[str, asyncio.Event] = field(default_factory=dict)
+    _served_by: dict[str, SimProcess] = field(default_factory=dict)
+    _num_ids: int = 0
+
+    def __post_init__(self) -> None:
+        asyncio.set_event_loop(self.loop)
+        self.rng = random.Random(self.seed)
+        self.network = Network(self.loop, random.Random(self.seed + 1))
+        self.registry = SimRegistry(random.Random(self.seed + 2))
+        self.clients = SimProcess("clients")
+        self.net = SimRunnerNet(self.network, SimProcess("runners"))
+        self.document = self.older_document = make_document(1)
+        self.seen.newest_version = 1
+
+    @classmethod
+    def started(cls, seed: int) -> "SiteWorld":
+        """A site that serves."""
+        world = cls(seed)
+        for number in range(NUM_ENGINES):
+            world.add_runner(f"engine-{number + 1}", "engines", 8)
+        for number in range(NUM_TOOLS):
+            world.add_runner(f"tool-{number + 1}", "tools", 6)
+        for number in range(NUM_STORES):
+            world.add_machine(f"store-{number + 1}", f"10.0.1.{number + 1}", number, has_disk=True)
+        for number in range(NUM_FRONTS):
+            world.add_machine(f"front-{number + 1}", f"10.0.2.{number + 1}", number, has_disk=False)
+        world.wait_for(world.is_led, START_LIMIT_S)
+        world.run_for(1.0)
+        return world
+
+    # --- building ------------------------------------------------------------------------
+
+    def add_runner(self, name: str, service: str, slots: int) -> None:
+        """Add a runner and list it."""
+        number = len(self.runners) + 1
+        address = Address(f"10.0.3.{number}", 80)
+        rng = random.Random(self.seed * 100 + number)
+        runner = SiteRunner(name, service, "zone-a", slots, rng, self.seen.runs)
+        self.runners[name] = runner
+        self.net.by_address[address] = runner
+        self.listed[name] = ServiceRunner(
+            name, service, address, "zone-a", slots, RunnerState.READY
+        )
+
+    def add_machine(self, name: str, host: str, number: int, has_disk: bool) -> None:
+        """Add a machine and start its process."""
+        zone = f"zone-{'abcd'[number % 4]}"
+        disk = SimDisk(identity=f"{name}-disk-1") if has_disk else None
+        machine = SimMachine(name, host, zone, SimProcess(name), disk)
+        (self.stores if has_disk else self.fronts)[name] = machine
+        self.start(machine)
+
+    def start(self, machine: SimMachine) -> None:
+        """Start a process of a machine."""
+        machine.lives += 1
+        machine.is_down = False
+        machine.process = SimProcess(f"{machine.name}#{machine.lives}")
+        rng = random.Random(f"{self.seed}/{machine.process.name}")
+        machine.process.context.copy().run(self._start_in_process, machine, rng)
+
+    def _start_in_process(self, machine: SimMachine, rng: random.Random) -> None:
+        address = Address(machine.host, PEER_PORT)
+        transport = SimTransport(self.network, machine.process, address)
+
+        async def start() -> None:
+            await transport.start()
+            if machine.disk is None:
+                self._start_front(machine, transport, rng)
+            else:
+                self._start_store(machine, transport, address, machine.disk, rng)
+
+        self.loop.run_until_complete(machine.process.spawn(self.loop, start()))
+
+    def _start_front(
+        self, machine: SimMachine, transport: SimTransport, rng: random.Random
+    ) -> None:
+        connections = SimConnections(self.net, machine.process, machine.host)
+        front = ServiceNode(transport, connections, SimRunnerProtocol(), machine.zone, rng)
+        versions = self.seen.versions.setdefault(machine.process.name, [])
+        front.on_document = lambda document: versions.append(document.version)
+        machine.front = front
+        machine.process.spawn(self.loop, self._follow(machine, self._tell_front))
+
+    def _start_store(
+        self,
+        machine: SimMachine,
+        transport: SimTransport,
+        address: Address,
+        disk: SimDisk,
+        rng: random.Random,
+    ) -> None:
+        machine.replica = TurnLogNode(
+            machine.name,
+            machine.zone,
+            address,
+            SimLogStorage(disk),
+            transport,
+            self.registry,
+            NUM_VOTERS,
+            rng,
+        )
+        machine.replica.start()
+        machine.process.spawn(self.loop, self._follow(machine, self._tell_store))
+
+    async def _follow(self, machine: SimMachine, tell: Callable[[SimMachine], None]) -> None:
+        """Stands for the adapter that follows the platform's store."""
+        while True:
+            if not self.registry.is_down and not self.network.is_cut("registry", machine.host):
+                tell(machine)
+            await asyncio.sleep(FOLLOW_S)
+
+    def _tell_front(self, machine: SimMachine) -> None:
+        """Tell all that is stored; while answers are lost, also an older configuration."""
+        assert machine.front is not None
+        if self.registry.answer_loss:
+            machine.front.take_document(self.older_document)
+        machine.front.take_document(self.document)
+        machine.front.list_runners(list(self.listed.values()), trusted=True)
+        for node in self.registry.announced.values():
+            machine.front.directory.put(node)
+
+    def _tell_store(self, machine: SimMachine) -> None:
+        assert machine.replica is not None
+        for node in self.registry.announced.values():
+            machine.replica.directory.put(node)
+        wishes = [Retirement(name, done) for name, done in self.registry.retirements.items()]
+        machine.replica.list_retirements(wishes)
+
+    # --- time ----------------------------------------------------------------------------
+
+    def run_for(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    def wait_for(self, condition: Callable[[], bool], limit_s: float) -> None:
+        """Let time pass until a condition holds."""
+        until_s = self.loop.time() + limit_s
+        while not condition():
+            if self.loop.time() > until_s:
+                raise TimeoutError(f"not reached in {limit_s} virtual seconds")
+            self.run_for(0.1)
+
+    def leader(self) -> SimMachine | None:
+        """Machine whose replica leads and knows its past."""
+        for machine in self.stores.values():
+            if machine.is_down or machine.process.paused or machine.replica is None:
+                continue
+            groups = machine.replica.host.groups
+            if 0 in groups and groups[0].replica.is_ready_leader:
+                return machine
+        return None
+
+    def is_led(self) -> bool:
+        """Whether the turn log has a leader."""
+        return self.leader() is not None
+
+    def count(self, fault: str) -> None:
+        """Note that a fault was done."""
+        self.faults[fault] = self.faults.get(fault, 0) + 1
+
+    # --- clients -------------------------------------------------------------------------
+
+    def start_program(
+        self, plan: ProgramPlan, budget_tokens: int = BUDGET_TOKENS, continues: str = ""
+    ) -> AgentProgram:
+        """Start a program."""
+        program = AgentProgram(
+            program_id=f"p{len(self.programs) + 1}",
+            plan=plan,
+            budget_tokens=budget_tokens,
+            send=self.send,
+            pick_node=lambda: self.rng.choice(sorted(self.fronts)),
+            rng=random.Random(self.rng.random()),
+            next_id=self._next_id,
+        )
+        self.programs.append(program)
+        self.clients.spawn(self.loop, program.run(continues))
+        return program
+
+    def _next_id(self) -> str:
+        self._num_ids += 1
+        return f"r{self._num_ids}"
+
+    async def send(self, request: SiteRequest) -> None:
+        """Send a request to its node and wait for its end."""
+        self.seen.requests.append(request)
+        over = asyncio.Event()
+        self._waiting[request.request_id] = over
+        await asyncio.sleep(CALLER_LATENCY_S)
+        machine = self.fronts[request.node]
+        if machine.is_down or machine.front is None:
+            self.end_request(request, whole=False)
+            return
+        caller = SimCaller(self, request)
+        serving = machine.process.spawn(self.loop, self._serve(machine, request, caller))
+        self._served_by[request.request_id] = machine.process
+        try:
+            await asyncio.wait_for(over.wait(), CALLER_TIMEOUT_S)
+        except TimeoutError:
+            self.end_request(request, whole=False)
+            if not machine.process.dead:
+                self.loop.call_later(
+                    CALLER_LATENCY_S, serving.cancel, context=machine.process.context.copy()
+                )
+
+    async def _serve(self, machine: SimMachine, request: SiteRequest, caller: SimCaller) -> None:
+        assert machine.front is not None
+        await machine.front.forwarder.serve(to_service_request(request, self.loop.time()), caller)
+
+    def end_request(self, request: SiteRequest, whole: bool) -> None:
+        """The client's connection ended."""
+        if request.is_over:
+            return
+        request.is_over = True
+        request.is_whole = whole
+        request.ended_s = self.loop.time()
+        self._served_by.pop(request.request_id, None)
+        over = self._waiting.pop(request.request_id, None)
+        if over is not None:
+            over.set()
+
+    def open_requests(self, process: SimProcess) -> list[SiteRequest]:
+        """Requests that a process is serving."""
+        ids = {name for name, server in self._served_by.items() if server is process}
+        return [r for r in self.seen.requests if r.request_id in ids and not r.is_over]
+
+    # --- processes -----------------------------------------------------------------------
+
+    def kill(self, machine: SimMachine) -> None:
+        """SIGKILL or loss of power: only what was committed to the disk stays."""
+        if machine.is_down:
+            return
+        if machine.disk is not None:
+            self.store_trouble_s = self.loop.time()
+        open_requests = self.open_requests(machine.process)
+        machine.process.kill()
+        machine.is_down = True
+        machine.front = machine.replica = None
+        self.net.drop_process(machine.process.name)
+        for request in open_requests:
+            self.end_request(request, whole=False)
+
+    def restart(self, machine: SimMachine) -> None:
+        """Start again if down."""
+        if machine.is_down:
+            if machine.disk is not None:
+                self.store_trouble_s = self.loop.time()
+            self.start(machine)
+
+    def planned_stop(self, machine: SimMachine, grace_s: float = 8.0) -> None:
+        """SIGTERM to a front: it takes what still comes for a moment, and ends its requests."""
+        if machine.is_down or machine.front is None or machine.process.paused:
+            return
+        self.count("planned stop")
+        machine.front.start_drain()
+        until_s = self.loop.time() + grace_s
+        while self.open_requests(machine.process) and self.loop.time() < until_s:
+            self.run_for(0.1)
+        if machine.is_down:
+            return
+        left = [request.request_id for request in self.open_requests(machine.process)]
+        self.seen.cut_by_stop.extend(left)
+        self.kill(machine)
+        self.restart(machine)
+
+    def stores_are_sound(self) -> bool:
+        """Whether another disk may be lost: all up and reachable for the time to catch up."""
+        calm_s = self.loop.time() - self.store_trouble_s
+        up = all(m.is_up and not m.process.paused for m in self.stores.values())
+        return up and not self.network.cuts and calm_s > CATCH_UP_S and self.is_led()
+
+    # --- runners and configuration -------------------------------------------------------
+
+    def drain_runner(self, name: str) -> None:
+        """A runner says that it leaves; the store acknowledges that at once."""
+        listed = self.listed.get(name)
+        if listed is None or listed.state is RunnerState.DRAINING or self.registry.is_down:
+            return
+        self.count("runner leaves")
+        self.listed[name] = ServiceRunner(
+            name, listed.service, listed.address, listed.zone, listed.slots, RunnerState.DRAINING
+        )
+        self.seen.departures.append(Departure(name, self.loop.time()))
+
+    def replace_runner(self, name: str) -> None:
+        """A runner is gone; another incarnation comes at another address."""
+        runner = self.runners.get(name)
+        if runner is None or runner.is_dead:
+            return
+        runner.is_dead = True
+        self.net.reset_runner(runner)
+        self.listed.pop(name, None)
+        base, _, life = name.partition("+")
+        self.add_runner(f"{base}+{int(life or 0) + 1}", runner.service, runner.slots)
+
+    def publish(self) -> None:
+        """The operator writes a configuration."""
+        self.older_document = self.document
+        self.document = make_document(self.document.version + self.rng.randint(1, 3))
+        self.seen.newest_version = self.document.version
+
+    # --- the end -------------------------------------------------------------------------
+
+    def heal(self) -> None:
+        """End all faults."""
+        self.network.cuts.clear()
+        self.network.slow_s = 0.0
+        self.registry.is_down = False
+        for row in self.seen.blindness:
+            row.to_s = min(row.to_s, self.loop.time())
+        self.registry.answer_loss = 0.0
+        for runner in self.runners.values():
+            runner.troubles.lose_answer = runner.troubles.cut = runner.troubles.shed = 0.0
+            runner.troubles.slow = 1.0
+        for machine in [*self.fronts.values(), *self.stores.values()]:
+            if machine.disk is not None:
+                machine.disk.is_full = False
+            if machine.process.paused:
+                machine.process.resume(self.loop)
+            self.restart(machine)
+
+    def settle(self) -> list[Violation]:
+        """Heal, let programs end, continue some kept turns, and judge."""
+        self.heal()
+        self.wait_for(self.is_led, START_LIMIT_S)
+        self.run_for(QUIET_S)
+        self._continue_kept_turns()
+        for machine in self.fronts.values():
+            index = machine.front.forwarder.index if machine.front is not None else None
+            self.seen.versions_after_quiet[machine.name] = (
+                index.document.version if index is not None else 0
+            )
+        return check_all(self.seen)
+
+    def _continue_kept_turns(self) -> None:
+        """New programs continue from turns that were answered whole, the newest ones first."""
+        kept = [
+            request.request_id
+            for request in self.seen.requests
+            if request.kind is Kind.TURN and request.is_whole and request.status == 200
+        ]
+        plan = ProgramPlan(turns=1, tools=0)
+        returned = [self.start_program(plan, continues=turn) for turn in kept[-10:]]
+        self.run_for(10.0)
+        for program in returned:
+            if not program.finished and 404 not in program.statuses:
+                raise AssertionError(f"{program.program_id} is not served: {program.statuses}")
+
+    def close(self) -> None:
+        """Drop everything."""
+        self.loop.abandon()
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> "asyncio.Task[Any]":
+        """Run something as the clients."""
+        return self.clients.spawn(self.loop, work)
+
+
+def make_document(version: int) -> ServiceDocument:
+    """Three routes: turns, repeatable calls, unrepeatable calls."""
+    turn = Route(
+        name="turns",
+        host="site",
+        path_prefix="/turn/",
+        kind=RouteKind.STREAM,
+        timeout_ms=4000,
+        target_ms=200,
+        priority=1,
+        targets=(WeightedService("engines", 1),),
+        keeps_turns=True,
+        retention_ms=60_000,
+        is_sticky=True,
+    )
+    routes = (
+        turn,
+        _plain("repeatable", RouteKind.IDEMPOTENT, 2),
+        _plain("unrepeatable", RouteKind.NON_IDEMPOTENT, 1),
+    )
+    services = {
+        "engines": Service("engines", engine=EngineFeatures(8, EVENT_TOKENS)),
+        "tools": Service("tools"),
+    }
+    return ServiceDocument(version, routes, services)
+
+
+def _plain(name: str, kind: RouteKind, attempts: int) -> Route:
+    return Route(
+        name=name,
+        host="site",
+        path_prefix=f"/{name}/",
+        kind=kind,
+        timeout_ms=2000,
+        target_ms=200,
+        priority=2,
+        targets=(WeightedService("tools", 1),),
+        max_attempts=attempts,
+    )
+
+
+def to_service_request(request: SiteRequest, now_s: float) -> ServiceRequest:
+    """What a front reads of a client's request."""
+    turn = None
+    if request.kind is Kind.TURN:
+        most = tokens_of(request.most_events)
+        turn = TurnDetails(request.previous, request.budget_tokens, most)
+    path = f"/{request.kind.value}/x"
+    headers = [
+        (REQUEST_ID, request.request_id.encode()),
+        (PROGRAM, request.program_id.encode()),
+        (EVENTS, str(request.most_events).encode()),
+    ]
+    return ServiceRequest(
+        request_id=request.request_id,
+        method=b"POST",
+        target=path.encode(),
+        host="site",
+        path=path,
+        headers=headers,
+        body=request.body,
+        wait_ms=int(CALLER_TIMEOUT_S * 1000),
+        program_id=request.program_id,
+        session=request.program_id,
+        last_event_id="",
+        turn=turn,
+        arrived_s=now_s,
+    )
--- a/src/bendshed/services/attempts.py
+++ b/src/bendshed/services/attempts.py
@@ -5,12 +5,11 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
-from bendshed.adapters.connection_pool import ConnectionPool
-from bendshed.adapters.http_connection import HttpConnection
 from bendshed.errors import ErrorKind, Refusal
 from bendshed.logs import PartLog
 from bendshed.ports.http_messages import ConnectFailed, ResponseBroken, ResponseHead
 from bendshed.ports.runner import RunnerProtocol, ServiceRequest, Verdict
+from bendshed.ports.runner_connections import RunnerConnection, RunnerConnections
 from bendshed.services.document import Route
 from bendshed.services.placement import Choice, choose_runner
 from bendshed.services.runners import RunnerRecord, RunnerTable
@@ -28,7 +27,7 @@
     """What attempts need of a node."""
 
     table: RunnerTable
-    pool: ConnectionPool
+    pool: RunnerConnections
     protocol: RunnerProtocol
     zone: str
     rng: random.Random
@@ -43,8 +42,8 @@
 
     head: ResponseHead
     record: RunnerRecord
-    connection: HttpConnection
-    pool: ConnectionPool
+    connection: RunnerConnection
+    pool: RunnerConnections
     _closed: bool = False
 
     async def body(self) -> AsyncIterator[bytes]:
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -4,10 +4,10 @@
 import random
 from collections.abc import Callable, Collection
 
-from bendshed.adapters.connection_pool import ConnectionPool
 from bendshed.consensus.directory import ReplicaDirectory
 from bendshed.logs import PartLog
 from bendshed.ports.runner import RunnerProtocol
+from bendshed.ports.runner_connections import RunnerConnections
 from bendshed.ports.transport import Transport
 from bendshed.programs.client import GroupClient
 from bendshed.services.attempts import RunnerPorts
@@ -18,7 +18,6 @@
 from bendshed.services.turn_exchange import TurnPorts
 from bendshed.turns.client import TranscriptCache, TurnClient
 
-RUNNER_CONNECT_TIMEOUT_S = 0.6
 TRANSCRIPT_BYTES = 16 * 1024 * 1024
 TURN_GROUPS = 1
 
@@ -39,13 +38,18 @@
     """
 
     def __init__(
-        self, transport: Transport, protocol: RunnerProtocol, zone: str, rng: random.Random
+        self,
+        transport: Transport,
+        connections: RunnerConnections,
+        protocol: RunnerProtocol,
+        zone: str,
+        rng: random.Random,
     ) -> None:
         self.directory = ReplicaDirectory()
         self.on_document: Callable[[ServiceDocument], None] = lambda _document: None
         self.is_draining = False
         self._table = RunnerTable()
-        self._pool = ConnectionPool(RUNNER_CONNECT_TIMEOUT_S)
+        self._pool = connections
         groups = GroupClient(
             transport, rng, TURN_GROUPS, self.directory.resolve, self.directory.node_ids
         )
