A turn goes to its runner while its reservation is being committed

Change: the leader tells from its committed state what a begin would be answered, with the chain; when the budget holds some turns more, the turn leaves at once and the commit is awaited before anything is handed to the caller. A reservation that fails after all ends the turn as possibly run (502), never as refused. A preview of a stale leader can waste a run and nothing else.

--- a/src/bendshed/services/turn_exchange.py
+++ b/src/bendshed/services/turn_exchange.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from typing import Any
 
 from bendshed.errors import ErrorKind, Refusal
 from bendshed.logs import PartLog
@@ -33,13 +34,13 @@
     """What turns need of a node.
 
     Attributes:
-        late: finishes under way that no caller waits for.
+        late: commands under way that no caller may wait for.
 
     """
 
     client: TurnClient
     transcripts: TranscriptCache
-    late: "set[asyncio.Task[None]]" = field(default_factory=set)
+    late: "set[asyncio.Task[Any]]" = field(default_factory=set)
 
 
 class StreamBroken(Exception):
@@ -67,6 +68,7 @@
     num_events: int = 0
     _transcript: bytes = b""
     _output: list[bytes] = field(default_factory=list)
+    _committing: "asyncio.Task[wire.TurnReply | None] | None" = None
     _is_begun: bool = False
     _is_finished: bool = False
 
@@ -85,49 +87,107 @@
     # --- the turn log --------------------------------------------------------------------
 
     async def _begin(self) -> Refusal | None:
-        turn = self.request.turn
-        assert turn is not None
+        """Find the chain and reserve the tokens; return why the turn may not run.
+
+        A preview lets the turn go to its runner while its reservation is still being committed;
+        ``_confirm`` waits for that before anything is handed to the caller.
+        """
         loop = asyncio.get_running_loop()
-        keeps = self.route.keeps_turns
-        previous = turn.previous_turn if keeps else ""
+        began_s = loop.time()
+        begin = self._begin_command()
+        previous = begin.previous_turn
         held = self.ports.transcripts.get(previous) if previous else None
-        begin = wire.BeginTurn(
+        begin.held_turn = previous if held is not None else ""
+        self._is_begun = True  # from here on the reservation may exist
+        previewing = loop.create_task(self.ports.client.preview(begin))
+        await asyncio.sleep(0)  # the preview leaves first
+        self._committing = self._commit_begin(begin)
+        preview = await previewing
+        is_previewed = preview is not None and preview.answer == wire.TURN_ANSWER_GRANTED
+        refusal = None
+        if is_previewed and preview is not None:
+            self._take_chain(preview, held)
+        else:
+            refusal = await self._begin_committed(begin, held)
+        log.say(
+            "begun" if refusal is None else "not begun",
+            request=self.request.request_id,
+            program=self.request.program_id,
+            previous=previous,
+            previewed=is_previewed,
+            detail=refusal.detail if refusal is not None else "",
+            took_ms=round((loop.time() - began_s) * 1000, 1),
+        )
+        return refusal
+
+    def _begin_command(self) -> wire.BeginTurn:
+        turn = self.request.turn
+        assert turn is not None
+        return wire.BeginTurn(
             program_id=self.request.program_id,
             turn_id=self.request.request_id,
-            previous_turn=previous,
+            previous_turn=turn.previous_turn if self.route.keeps_turns else "",
             budget_tokens=turn.budget_tokens or 0,
             has_budget=turn.budget_tokens is not None,
             most_tokens=turn.most_tokens,
             retention_ms=self.route.retention_ms,
-            held_turn=previous if held is not None else "",
         )
-        began_s = loop.time()
-        timeout_s = min(BEGIN_TIMEOUT_S, self.attempts.deadline_s - began_s)
-        self._is_begun = True  # from here on the reservation may exist
+
+    def _commit_begin(self, begin: wire.BeginTurn) -> "asyncio.Task[wire.TurnReply | None]":
+        """Start to commit the reservation; its chain is the preview's matter."""
+        command = wire.TurnCommand(begin=begin)
+        command.begin.held_turn = begin.previous_turn
+        loop = asyncio.get_running_loop()
+        timeout_s = min(BEGIN_TIMEOUT_S, self.attempts.deadline_s - loop.time())
+        task = loop.create_task(self._command_or_none(command, timeout_s))
+        self.ports.late.add(task)
+        task.add_done_callback(self.ports.late.discard)
+        return task
+
+    async def _command_or_none(
+        self, command: wire.TurnCommand, timeout_s: float
+    ) -> wire.TurnReply | None:
         try:
-            reply = await self.ports.client.command(wire.TurnCommand(begin=begin), timeout_s)
+            return await self.ports.client.command(command, timeout_s)
         except GroupUnavailable as error:
-            return Refusal(ErrorKind.TURN_LOG_UNAVAILABLE, str(error))
-        refusal = self._read_begin(reply, held)
-        log.say(
-            "begun" if refusal is None else "not begun",
-            request=self.request.request_id,
-            program=self.request.program_id,
-            previous=previous,
-            answer=wire.TurnAnswer.Name(reply.answer),
-            spent=reply.spent_tokens,
-            reserved=reply.reserved_tokens,
-            budget=turn.budget_tokens,
-            took_ms=round((loop.time() - began_s) * 1000, 1),
-        )
+            log.say(
+                "the turn log does not answer",
+                request=self.request.request_id,
+                command=command.WhichOneof("command"),
+                reason=str(error),
+            )
+            return None
+
+    async def _begin_committed(self, begin: wire.BeginTurn, held: bytes | None) -> Refusal | None:
+        """Without a preview: wait for the commit, then ask for the chain that is missing."""
+        refusal = await self._confirm()
+        if refusal is None and begin.previous_turn and held is None:
+            self._committing = self._ask_chain(begin)
+            refusal = await self._confirm()
+        reply = await self._committed()
+        if refusal is None and reply is not None:
+            self._take_chain(reply, held)
         return refusal
 
-    def _read_begin(self, reply: wire.TurnReply, held: bytes | None) -> Refusal | None:
+    def _ask_chain(self, begin: wire.BeginTurn) -> "asyncio.Task[wire.TurnReply | None]":
+        """The same begin again, which changes nothing, for the chain in its reply."""
+        command = wire.TurnCommand(begin=begin)
+        command.begin.held_turn = ""
+        work = self._command_or_none(command, BEGIN_TIMEOUT_S)
+        return asyncio.get_running_loop().create_task(work)
+
+    async def _committed(self) -> wire.TurnReply | None:
+        """The reply to the begin; a caller's leaving does not end the commit."""
+        if self._committing is None:
+            return None
+        return await asyncio.shield(self._committing)
+
+    async def _confirm(self) -> Refusal | None:
+        """Wait until the reservation is committed; return why it is not."""
+        reply = await self._committed()
+        if reply is None:
+            return Refusal(ErrorKind.TURN_LOG_UNAVAILABLE, "the turn log does not answer")
         if reply.answer == wire.TURN_ANSWER_GRANTED:
-            pieces = [piece.transcript for piece in reply.chain]
-            self._transcript = held or b"" if reply.held_turn else b"".join(pieces)
-            if self.route.keeps_turns:
-                self.attempts.body = self._transcript + self.request.body
             return None
         self._is_finished = True  # nothing is reserved
         if reply.answer == wire.TURN_ANSWER_UNKNOWN_TURN:
@@ -136,6 +196,13 @@
             return Refusal(ErrorKind.BUDGET_EXHAUSTED, "the program's budget is spent")
         return Refusal(ErrorKind.TURN_LOG_UNAVAILABLE, "this turn id was finished before")
 
+    def _take_chain(self, reply: wire.TurnReply, held: bytes | None) -> None:
+        if not self.route.keeps_turns:
+            return
+        pieces = [piece.transcript for piece in reply.chain]
+        self._transcript = held if held is not None else b"".join(pieces)
+        self.attempts.body = self._transcript + self.request.body
+
     def _finish_command(self, outcome: "wire.TurnOutcome.ValueType") -> wire.TurnCommand:
         turn = self.request.turn
         assert turn is not None
@@ -210,6 +277,9 @@
             return opened
         whole = False
         try:
+            if self._is_begun and (unconfirmed := await self._confirm()) is not None:
+                detail = f"the turn ran, but its reservation failed: {unconfirmed.detail}"
+                return Refusal(ErrorKind.ENGINE_LOST, detail)
             whole = await self._relay(opened)
         except (ResponseBroken, StreamBroken) as error:
             log.say(
--- a/src/bendshed/turns/client.py
+++ b/src/bendshed/turns/client.py
@@ -6,11 +6,12 @@
 
 from bendshed.ports.transport import Transport
 from bendshed.programs.client import GroupClient, GroupUnavailable
-from bendshed.turns.service import TURN_GROUP, TURN_METHOD
+from bendshed.turns.service import PREVIEW_METHOD, TURN_GROUP, TURN_METHOD
 from bendshed.wire import turns_pb2 as wire
 
 TRY_TIMEOUT_S = 0.3
 """Longest wait for one replica's reply; a commit takes some ms."""
+PREVIEW_TIMEOUT_S = 0.2
 RETRY_MIN_S = 0.01
 RETRY_MAX_S = 0.05
 
@@ -38,6 +39,17 @@
             await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
         raise GroupUnavailable(f"no leader of the turn log answered within {timeout_s:.2f} s")
 
+    async def preview(self, begin: wire.BeginTurn) -> wire.TurnReply | None:
+        """Ask once what a begin would be answered; ``None``: nobody who knows answered."""
+        payload = begin.SerializeToString()
+        content = await self._groups.ask_leader(
+            TURN_GROUP, PREVIEW_METHOD, payload, PREVIEW_TIMEOUT_S
+        )
+        reply = wire.TurnReply.FromString(content) if content is not None else None
+        if reply is not None and reply.answer == wire.TURN_ANSWER_NOT_LEADER:
+            return None
+        return reply
+
     async def _try_once(self, payload: bytes, timeout_s: float) -> wire.TurnReply | None:
         content = await self._groups.ask_leader(TURN_GROUP, TURN_METHOD, payload, timeout_s)
         if content is None:
--- a/src/bendshed/turns/service.py
+++ b/src/bendshed/turns/service.py
@@ -10,6 +10,7 @@
 from bendshed.wire import turns_pb2 as wire
 
 TURN_METHOD = "turns.command"
+PREVIEW_METHOD = "turns.preview"
 TURN_GROUP = 0
 """The turn log is one group today; docs/design/0003 says what more groups need."""
 COMMIT_TIMEOUT_S = 1.0
@@ -37,6 +38,7 @@
     def start(self) -> None:
         """Begin to answer."""
         self._transport.handlers[TURN_METHOD] = self.answer
+        self._transport.handlers[PREVIEW_METHOD] = self.preview
 
     async def answer(self, payload: bytes) -> bytes:
         """Commit one command and return the reply of applying it."""
@@ -54,6 +56,16 @@
         assert isinstance(reply, wire.TurnReply)
         return reply.SerializeToString()
 
+    async def preview(self, payload: bytes) -> bytes:
+        """Tell what a begin would be answered, from the committed state, without committing."""
+        try:
+            group = self._host.ready_group(TURN_GROUP)
+        except NotLeader as error:
+            reply = wire.TurnReply(answer=wire.TURN_ANSWER_NOT_LEADER, leader_id=error.leader_id)
+            return reply.SerializeToString()
+        assert isinstance(group.state, TurnLogState)
+        return group.state.preview(wire.BeginTurn.FromString(payload)).SerializeToString()
+
     def _elapsed_ms(self) -> int:
         """Time of the log's clock; raise ``NotLeader`` elsewhere."""
         group = self._host.ready_group(TURN_GROUP)
--- a/src/bendshed/turns/state.py
+++ b/src/bendshed/turns/state.py
@@ -14,6 +14,8 @@
 MAX_CLOSED_TURNS = 64
 """Finished turn ids remembered of a program, against commands that arrive twice or late."""
 SWEEP_INTERVAL_MS = 1_000
+PREVIEW_TURNS = 4
+"""A begin is previewed as granted when the budget holds this many turns like it."""
 
 
 @dataclass(slots=True)
@@ -141,11 +143,32 @@
         if begin.turn_id not in program.reserved and not self._reserve(program, begin):
             return self._reply(wire.TURN_ANSWER_BUDGET_SPENT, program)
         reply = self._reply(wire.TURN_ANSWER_GRANTED, program)
+        self._add_chain(reply, begin)
+        return reply
+
+    def preview(self, begin: wire.BeginTurn) -> wire.TurnReply:
+        """Tell what a begin would very likely be answered, and its chain; changes nothing.
+
+        ``GRANTED`` is told only where the budget holds some turns more, so that others under way
+        at the same time can hardly change it. Every other answer must come from the log.
+        """
+        if begin.previous_turn and begin.previous_turn not in self.turns:
+            return wire.TurnReply(answer=wire.TURN_ANSWER_UNKNOWN_TURN)
+        program = self.programs.get(begin.program_id, ProgramBudget())
+        used = program.spent_tokens + program.reserved_tokens
+        wanted = used + PREVIEW_TURNS * begin.most_tokens
+        if begin.has_budget and wanted > begin.budget_tokens:
+            return self._reply(wire.TURN_ANSWER_BUDGET_SPENT, program)
+        reply = self._reply(wire.TURN_ANSWER_GRANTED, program)
+        self._add_chain(reply, begin)
+        return reply
+
+    def _add_chain(self, reply: wire.TurnReply, begin: wire.BeginTurn) -> None:
+        """Add what the asker does not hold of the chain."""
         if begin.previous_turn and begin.held_turn == begin.previous_turn:
             reply.held_turn = begin.held_turn
         else:
             reply.chain.extend(self._chain(begin.previous_turn))
-        return reply
 
     @staticmethod
     def _reserve(program: ProgramBudget, begin: wire.BeginTurn) -> bool:
