Stand-ins of the users' platform and a demo of a site of real processes

A test of real processes: a store is killed between turns, a front is stopped by SIGTERM under a running turn (nothing cut, exit 0), a program that loops is stopped by its budget. Found by the tests: applications of the HTTP library share one default router; each has its own now.

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 
 demo: setup
 	$(BIN)/bendshed rehearse demo
+	$(BIN)/bendshed rehearse site-demo
 
 lint: setup
 	$(BIN)/ruff format --check src tests
--- a/src/bendshed/cli/main.py
+++ b/src/bendshed/cli/main.py
@@ -12,6 +12,8 @@
     LoadCommand,
     ObjectsCommand,
     ScaleCommand,
+    SiteDemoCommand,
+    SiteFuzzCommand,
     StandinCommand,
 )
 from bendshed.cli.settings import SettingsCheckCommand, SettingsShowCommand
@@ -27,6 +29,8 @@
         AskCommand(),
         StandinCommand(),
         DemoCommand(),
+        SiteDemoCommand(),
+        SiteFuzzCommand(),
         LoadCommand(),
         FuzzCommand(),
         ScaleCommand(),
--- a/src/bendshed/cli/rehearse.py
+++ b/src/bendshed/cli/rehearse.py
@@ -43,6 +43,46 @@
         return EXIT_DONE
 
 
+class SiteDemoCommand(Command):
+    """Runs the demo of a site."""
+
+    name = "rehearse site-demo"
+    description = "Serve agent programs through fronts and stores on stand-ins; kill a front."
+    help = "Example: <info>bendshed rehearse site-demo</info>"
+
+    def handle(self) -> int:
+        """Run."""
+        from bendshed.rehearsal.site.demo import main
+
+        return main()
+
+
+class SiteFuzzCommand(Command):
+    """Searches for broken rules of a simulated site."""
+
+    name = "rehearse site-fuzz"
+    description = "Play random faults against a simulated site until a rule breaks."
+    help = "Example: <info>bendshed rehearse site-fuzz --seed 1 --worlds 20</info>"
+    options: ClassVar[list[Option]] = [
+        option("seed", None, "Seed of the first world", flag=False, default="1"),
+        option("worlds", None, "Worlds to play", flag=False, default="20"),
+        option("seconds", None, "Time bound", flag=False, default="300"),
+        json_option(),
+    ]
+
+    def handle(self) -> int:
+        """Run."""
+        from bendshed.rehearsal.site.fuzz import SiteFuzzReport, search
+
+        report = SiteFuzzReport()
+        seed, worlds = int(self.option("seed")), int(self.option("worlds"))
+        for report in search(seed, worlds, float(self.option("seconds"))):
+            if not self.option("json"):
+                self.line(f"worlds {report.worlds}, requests {report.requests}, runs {report.runs}")
+        self.line(orjson.dumps(asdict(report)).decode())
+        return EXIT_FAILED if report.violations else EXIT_DONE
+
+
 class LoadCommand(Command):
     """Measures what a node adds and costs."""
 
--- /dev/null
+++ b/src/bendshed/platform/encode.py
@@ -0,0 +1,100 @@
+"""The other side's half of the formats, for stand-ins: what operators and runners write."""
+
+from typing import Any
+
+import yaml
+
+from bendshed.ports.transport import Address
+from bendshed.services.document import Route, Service, ServiceDocument
+from bendshed.services.runners import ServiceRunner
+
+
+def write_document(document: ServiceDocument) -> dict[str, Any]:
+    """Write a configuration as an operator does."""
+    limits = document.limits
+    return {
+        "version": document.version,
+        "routes": [_write_route(route) for route in document.routes],
+        "services": [_write_service(service) for service in document.services.values()],
+        "limits": {
+            "maxHeaderBytes": limits.max_header_bytes,
+            "maxBodyBytes": limits.max_body_bytes,
+            "headerTimeoutMs": limits.header_timeout_ms,
+            "idleTimeoutMs": limits.idle_timeout_ms,
+        },
+    }
+
+
+def _write_route(route: Route) -> dict[str, Any]:
+    row: dict[str, Any] = {
+        "name": route.name,
+        "host": route.host,
+        "pathPrefix": route.path_prefix,
+        "kind": route.kind.value,
+        "timeoutMs": route.timeout_ms,
+        "targetMs": route.target_ms,
+        "priority": route.priority,
+        "maxAttempts": route.max_attempts,
+        "retain": route.keeps_turns,
+        "retainS": route.retention_ms / 1000,
+        "sticky": route.is_sticky,
+        "resumable": route.is_resumable,
+        "gapTargetMs": route.gap_target_ms,
+    }
+    if len(route.targets) == 1:
+        row["service"] = route.targets[0].service
+    else:
+        row["split"] = [{"service": t.service, "weight": t.weight} for t in route.targets]
+    return row
+
+
+def _write_service(service: Service) -> dict[str, Any]:
+    row: dict[str, Any] = {
+        "name": service.name,
+        "healthPath": service.health_path,
+        "maxConns": service.max_connections,
+    }
+    if service.engine is not None:
+        row["engine"] = {
+            "slots": service.engine.slots,
+            "eventTokens": service.engine.event_tokens,
+        }
+    return row
+
+
+def write_runner(runner: ServiceRunner) -> dict[str, Any]:
+    """Write a runner's entry as the runner does."""
+    return {
+        "service": runner.service,
+        "addr": str(runner.address),
+        "zone": runner.zone,
+        "slots": runner.slots,
+        "state": runner.state.value,
+        "coldLeftMs": 0,
+        "seq": 1,
+    }
+
+
+def write_settings(
+    name: str,
+    zone: str,
+    ports: tuple[int, int, int],
+    store: Address,
+    host: str,
+    data_folder: str | None,
+) -> str:
+    """Write the settings file of one process; ``ports``: peers', clients', readiness."""
+    peer_port, front_port, ready_port = ports
+    listen = {"front": f"{host}:{front_port}", "ready": f"{host}:{ready_port}"}
+    content = {
+        "nodeName": name,
+        "ip": host,
+        "zone": zone,
+        "listen": {} if data_folder is not None else listen,
+        "portRange": [peer_port, peer_port],
+        "bootstrap": True,
+        "dataDir": data_folder,
+        "faultTolerance": {"machines": 1},
+        "platform": {"addr": str(store)},
+    }
+    return yaml.safe_dump(content)
--- a/src/bendshed/platform/front.py
+++ b/src/bendshed/platform/front.py
@@ -5,7 +5,7 @@
 import random
 import socket
 
-from blacksheep import Application, Response, text
+from blacksheep import Application, Response, Router, text
 
 from bendshed.adapters.connection_pool import ConnectionPool
 from bendshed.adapters.http_server import bind, make_server
@@ -116,7 +116,7 @@
             await self._pages(scope, receive, send)
 
     def _make_pages(self) -> Application:
-        pages = Application()
+        pages = Application(router=Router())
 
         async def ready() -> Response:
             is_ready = self._node.is_ready
--- a/src/bendshed/platform/names.py
+++ b/src/bendshed/platform/names.py
@@ -14,6 +14,7 @@
 EXPECT_RUNNER = b"x-expect-instance"
 URGENCY = b"x-urgency"
 NOT_RUN = b"x-not-run"
+SERVER_STAMP = b"x-server-stamp"
 
 SET_BY_THE_SYSTEM = frozenset(
     {
@@ -47,6 +48,10 @@
 OTHER_RUNNER_STATUS = 421
 MOST_URGENT, LEAST_URGENT = 0, 9
 
+# Words of the metadata store's calls.
+HAS_MORE = "hasMore"
+WAIT_MS = "waitMs"
+
 # Kinds of objects in the metadata store.
 RUNNER_KIND = "servers"
 CONFIGURATION_KIND = "config"
--- a/src/bendshed/platform/objects.py
+++ b/src/bendshed/platform/objects.py
@@ -9,6 +9,7 @@
 
 from bendshed.adapters.connection_pool import ConnectionPool
 from bendshed.adapters.http_connection import HttpConnection
+from bendshed.platform import names
 from bendshed.ports.http_messages import ClientRequest, ConnectFailed, ResponseBroken
 from bendshed.ports.store import StoreUnavailable, VersionConflict
 from bendshed.ports.transport import Address
@@ -87,13 +88,13 @@
             query = f"?after={quote(after, safe='')}" if after else ""
             _, content = await self._call(b"GET", _path(kind) + query, None, CALL_TIMEOUT_S)
             items.extend(_read_object(row) for row in content["items"])
-            if not content.get("hasMore") or not items:
+            if not content.get(names.HAS_MORE) or not items:
                 return ObjectList(items, int(content["at"]))
             after = items[-1].name
 
     async def watch(self, kind: str, at: int, wait_s: float) -> ObjectEvents:
         """Wait for changes after a revision; raise ``HistoryGone``."""
-        query = f"?watch={at}&waitMs={int(wait_s * 1000)}"
+        query = f"?watch={at}&{names.WAIT_MS}={int(wait_s * 1000)}"
         status, content = await self._call(
             b"GET", _path(kind) + query, None, wait_s + WATCH_MARGIN_S
         )
--- /dev/null
+++ b/src/bendshed/rehearsal/site/installation.py
@@ -0,0 +1,206 @@
+"""A small site of real processes: fronts and stores, with the platform's stand-ins beside them."""
+
+import asyncio
+import os
+import random
+import signal
+import socket
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from bendshed.adapters.http_connection import open_connection
+from bendshed.adapters.http_server import HttpServer, bind, make_server
+from bendshed.platform import names
+from bendshed.platform.encode import write_document, write_runner, write_settings
+from bendshed.ports.http_messages import ClientRequest, ConnectFailed, ResponseBroken
+from bendshed.ports.transport import Address
+from bendshed.rehearsal.site.documents import SITE_HOST, make_document
+from bendshed.rehearsal.site.http_client import send_request
+from bendshed.rehearsal.site.http_runner import RunnerServer
+from bendshed.rehearsal.site.metadata import MetadataModel, MetadataServer
+from bendshed.rehearsal.site.records import SiteRecords, SiteRequest
+from bendshed.rehearsal.site.runner import SiteRunner
+from bendshed.services.runners import RunnerState, ServiceRunner
+
+HOST = "127.0.0.1"
+ZONES = ("zone-a", "zone-b", "zone-c")
+START_LIMIT_S = 30.0
+STOP_LIMIT_S = 12.0
+CHECK_S = 0.1
+
+
+class SiteFailed(Exception):
+    """A process did not start or did not end."""
+
+
+@dataclass(slots=True)
+class SiteProcess:
+    """One process of the product.
+
+    Attributes:
+        front, ready: addresses for clients and for the question whether it is ready.
+
+    """
+
+    name: str
+    role: str
+    settings: Path
+    log: Path
+    front: Address
+    ready: Address
+    process: "asyncio.subprocess.Process | None" = None
+
+    async def start(self) -> None:
+        """Start it."""
+        environment = {**os.environ, names.SETTINGS_VARIABLE: str(self.settings)}
+        with self.log.open("ab") as log_file:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "bendshed.platform",
+                self.role,
+                stdout=log_file,
+                stderr=log_file,
+                env=environment,
+            )
+
+    async def end(self, number: signal.Signals) -> int:
+        """Send a signal and wait; return the exit code."""
+        assert self.process is not None
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+        async with asyncio.timeout(STOP_LIMIT_S):
+            return await self.process.wait()
+
+
+@dataclass(slots=True)
+class SiteInstallation:
+    """All processes and stand-ins.
+
+    Attributes:
+        seen: what clients and runners saw.
+
+    """
+
+    folder: Path
+    metadata: MetadataModel = field(default_factory=MetadataModel)
+    seen: SiteRecords = field(default_factory=SiteRecords)
+    fronts: dict[str, SiteProcess] = field(default_factory=dict)
+    stores: dict[str, SiteProcess] = field(default_factory=dict)
+    runners: list[RunnerServer] = field(default_factory=list)
+    _store_server: HttpServer | None = None
+    _store_serving: "asyncio.Task[None] | None" = None
+    _store_address: Address | None = None
+
+    async def start(self, num_fronts: int = 3, num_stores: int = 3) -> None:
+        """Start everything and wait until all fronts are ready and the turn log is founded."""
+        await self._start_metadata()
+        for number in range(2):
+            await self._add_runner(f"engine-{number + 1}", "engines", ZONES[number])
+            await self._add_runner(f"tool-{number + 1}", "tools", ZONES[number])
+        self.publish(1)
+        for number in range(num_stores):
+            self._plan(f"store-{number + 1}", "store", ZONES[number % 3], self.stores)
+        for number in range(num_fronts):
+            self._plan(f"front-{number + 1}", "node", ZONES[number % 3], self.fronts)
+        for process in [*self.stores.values(), *self.fronts.values()]:
+            await process.start()
+        async with asyncio.timeout(START_LIMIT_S):
+            for front in self.fronts.values():
+                await self.wait_ready(front)
+            while not self.metadata.kinds.get(names.GROUP_KIND):
+                await self.metadata.changed.wait()
+
+    async def stop(self) -> None:
+        """End just what was started."""
+        processes = [*self.fronts.values(), *self.stores.values()]
+        started = [p for p in processes if p.process is not None]
+        await asyncio.gather(*(p.end(signal.SIGKILL) for p in started), return_exceptions=True)
+        for runner in self.runners:
+            await runner.stop()
+        if self._store_server is not None and self._store_serving is not None:
+            self._store_server.should_exit = self._store_server.force_exit = True
+            await asyncio.wait([self._store_serving], timeout=2.0)
+
+    async def _start_metadata(self) -> None:
+        listener = bind(HOST, 0)
+        self._store_address = Address(HOST, listener.getsockname()[1])
+        self._store_server = make_server(MetadataServer(self.metadata).application())
+        serve = self._store_server.serve(sockets=[listener])
+        self._store_serving = asyncio.get_running_loop().create_task(serve)
+
+    async def _add_runner(self, name: str, service: str, zone: str) -> None:
+        runner = SiteRunner(name, service, zone, 8, random.Random(name), self.seen.runs)
+        server = await RunnerServer.start(runner, HOST)
+        self.runners.append(server)
+        listed = ServiceRunner(name, service, server.address, zone, 8, RunnerState.READY)
+        self.metadata.put(names.RUNNER_KIND, name, write_runner(listed))
+
+    def publish(self, version: int) -> None:
+        """The operator writes a configuration."""
+        spec = write_document(make_document(version))
+        self.metadata.put(names.CONFIGURATION_KIND, names.CONFIGURATION_NAME, spec)
+        self.seen.newest_version = version
+
+    def _plan(self, name: str, role: str, zone: str, among: dict[str, SiteProcess]) -> None:
+        peer, front, ready = free_ports(3)
+        assert self._store_address is not None
+        data_folder = self.folder / name if role == "store" else None
+        if data_folder is not None:
+            data_folder.mkdir()
+        settings = self.folder / f"{name}.yaml"
+        text = write_settings(
+            name,
+            zone,
+            (peer, front, ready),
+            self._store_address,
+            HOST,
+            str(data_folder) if data_folder is not None else None,
+        )
+        settings.write_text(text)
+        among[name] = SiteProcess(
+            name,
+            role,
+            settings,
+            self.folder / f"{name}.log",
+            Address(HOST, front),
+            Address(HOST, ready),
+        )
+
+    async def wait_ready(self, front: SiteProcess) -> None:
+        """Wait until a front calls itself ready."""
+        while not await is_ready(front.ready):
+            if front.process is not None and front.process.returncode is not None:
+                raise SiteFailed(f"{front.name} ended; its log: {front.log.read_text()[-2000:]}")
+            await asyncio.sleep(CHECK_S)
+
+    async def send(self, request: SiteRequest) -> None:
+        """Send a client's request to the front that it names."""
+        self.seen.requests.append(request)
+        await send_request(request, self.fronts[request.node].front, SITE_HOST)
+
+
+async def is_ready(address: Address) -> bool:
+    """Ask as the platform does."""
+    question = ClientRequest(b"GET", b"/ready", [(b"host", b"x")], b"", lambda _head: True)
+    try:
+        async with asyncio.timeout(1.0):
+            connection = await open_connection(address, 1.0)
+            try:
+                return (await connection.send(question)).status == 200
+            finally:
+                connection.abort()
+    except (ConnectFailed, ResponseBroken, TimeoutError):
+        return False
+
+
+def free_ports(count: int) -> tuple[int, int, int]:
+    """Ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind((HOST, 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports[0], ports[1], ports[2]
--- /dev/null
+++ b/src/bendshed/rehearsal/site/metadata.py
@@ -0,0 +1,225 @@
+"""A stand-in of the site's metadata store: objects, pages, watches, a history that may be lost."""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass, field
+from typing import Any
+
+from blacksheep import Application, Request, Response, Router, json
+
+from bendshed.adapters.http import add_route
+from bendshed.platform import names
+
+PAGE = 500
+CONFLICT, MISSING, GONE, TOO_MANY, DOWN = 409, 404, 410, 429, 503
+
+
+@dataclass(slots=True)
+class StoredRow:
+    """One object."""
+
+    name: str
+    revision: int
+    created: int
+    spec: Any = None
+    status: Any = None
+
+    def to_json(self) -> dict[str, Any]:
+        """The object as it goes on the wire."""
+        meta = {
+            "name": self.name,
+            "rev": self.revision,
+            "created": self.created,
+            "finalizers": [],
+            "deleting": False,
+        }
+        return {"meta": meta, "spec": self.spec, "status": self.status}
+
+
+@dataclass(slots=True)
+class MetadataModel:
+    """Objects by kind and name under one rising revision.
+
+    Attributes:
+        history: changes since ``history_from``: revision, kind, object, whether it is gone.
+        is_down: every call is answered 503.
+        calls_left: calls until further ones are refused with 429; ``None``: no bound.
+
+    """
+
+    revision: int = 0
+    kinds: dict[str, dict[str, StoredRow]] = field(default_factory=dict)
+    history: list[tuple[int, str, dict[str, Any], bool]] = field(default_factory=list)
+    history_from: int = 0
+    is_down: bool = False
+    calls_left: int | None = None
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def put(self, kind: str, name: str, spec: Any) -> StoredRow:
+        """Create or replace the spec."""
+        rows = self.kinds.setdefault(kind, {})
+        row = rows.get(name)
+        self.revision += 1
+        if row is None:
+            row = rows[name] = StoredRow(name, self.revision, self.revision)
+        row.spec, row.revision = spec, self.revision
+        self._note(kind, row, False)
+        return row
+
+    def put_status(self, kind: str, name: str, status: Any) -> StoredRow:
+        """Replace the status of an object that exists."""
+        row = self.kinds[kind][name]
+        self.revision += 1
+        row.status, row.revision = status, self.revision
+        self._note(kind, row, False)
+        return row
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        row = self.kinds[kind].pop(name)
+        self.revision += 1
+        row.revision = self.revision
+        self._note(kind, row, True)
+
+    def forget_history(self) -> None:
+        """Watches from before must list again."""
+        self.history.clear()
+        self.history_from = self.revision
+        self._wake()
+
+    def _note(self, kind: str, row: StoredRow, is_gone: bool) -> None:
+        self.history.append((self.revision, kind, row.to_json(), is_gone))
+        self._wake()
+
+    def _wake(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def events(self, kind: str, since: int) -> list[dict[str, Any]]:
+        """Changes of a kind after a revision."""
+        return [
+            {"object": content, "gone": is_gone}
+            for revision, changed_kind, content, is_gone in self.history
+            if changed_kind == kind and revision > since
+        ]
+
+
+class MetadataServer:
+    """HTTP in front of a model."""
+
+    def __init__(self, model: MetadataModel) -> None:
+        self.model = model
+
+    def application(self) -> Application:
+        """Return the application."""
+        application = Application(router=Router())  # else all applications share one
+        for method, path, handler in (
+            ("GET", "/objects/{kind}", self._list),
+            ("POST", "/objects/{kind}", self._create),
+            ("GET", "/objects/{kind}/{name}", self._get),
+            ("PUT", "/objects/{kind}/{name}", self._replace),
+            ("DELETE", "/objects/{kind}/{name}", self._delete),
+            ("PUT", "/objects/{kind}/{name}/status", self._replace_status),
+        ):
+            add_route(application, method, path, handler)
+        return application
+
+    def _refusal(self) -> Response | None:
+        model = self.model
+        if model.is_down:
+            return json({}, DOWN)
+        if model.calls_left is not None:
+            if model.calls_left == 0:
+                return json({}, TOO_MANY)
+            model.calls_left -= 1
+        return None
+
+    async def _list(self, request: Request) -> Response:
+        refusal = self._refusal()
+        if refusal is not None:
+            return refusal
+        kind = _part(request, "kind")
+        since = _query(request, "watch")
+        if since:
+            return await self._watch(kind, int(since), int(_query(request, names.WAIT_MS) or 0))
+        rows = sorted(self.model.kinds.get(kind, {}).items())
+        after = _query(request, "after")
+        later = [row.to_json() for name, row in rows if name > after]
+        return json(
+            {
+                "items": later[:PAGE],
+                names.HAS_MORE: len(later) > PAGE,
+                "at": self.model.revision,
+            }
+        )
+
+    async def _watch(self, kind: str, since: int, wait_ms: int) -> Response:
+        model = self.model
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_ms / 1000):
+                while since >= model.history_from and not model.events(kind, since):
+                    await model.changed.wait()
+        if since < model.history_from:
+            return json({}, GONE)
+        return json({"events": model.events(kind, since), "at": model.revision})
+
+    async def _get(self, request: Request) -> Response:
+        refusal = self._refusal()
+        if refusal is not None:
+            return refusal
+        row = self.model.kinds.get(_part(request, "kind"), {}).get(_part(request, "name"))
+        if row is None:
+            return json({"at": self.model.revision}, MISSING)
+        return json(row.to_json())
+
+    async def _create(self, request: Request) -> Response:
+        refusal = self._refusal()
+        if refusal is not None:
+            return refusal
+        content = await request.json()
+        kind, name = _part(request, "kind"), content["meta"]["name"]
+        known = self.model.kinds.get(kind, {}).get(name)
+        if known is not None:
+            return json(known.to_json(), CONFLICT)
+        return json(self.model.put(kind, name, content.get("spec")).to_json())
+
+    async def _replace(self, request: Request) -> Response:
+        return await self._change(request, "spec")
+
+    async def _replace_status(self, request: Request) -> Response:
+        return await self._change(request, "status")
+
+    async def _change(self, request: Request, part: str) -> Response:
+        refusal = self._refusal()
+        if refusal is not None:
+            return refusal
+        content = await request.json()
+        kind, name = _part(request, "kind"), _part(request, "name")
+        known = self.model.kinds.get(kind, {}).get(name)
+        if known is None:
+            return json({"at": self.model.revision}, MISSING)
+        wanted = content.get("meta", {}).get("rev")
+        if wanted is not None and wanted != known.revision:
+            return json(known.to_json(), CONFLICT)
+        change = self.model.put if part == "spec" else self.model.put_status
+        return json(change(kind, name, content.get(part)).to_json())
+
+    async def _delete(self, request: Request) -> Response:
+        refusal = self._refusal()
+        if refusal is not None:
+            return refusal
+        kind, name = _part(request, "kind"), _part(request, "name")
+        if name not in self.model.kinds.get(kind, {}):
+            return json({"at": self.model.revision}, MISSING)
+        self.model.delete(kind, name)
+        return json({})
+
+
+def _part(request: Request, name: str) -> str:
+    parts = request.route_values or {}
+    return str(parts[name])
+
+
+def _query(request: Request, name: str) -> str:
+    values = request.query.get(name)
+    return values[0] if values else ""
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -14,10 +14,11 @@
 from bendshed.rehearsal.simulator.loop import SimProcess, VirtualTimeLoop
 from bendshed.rehearsal.simulator.network import Network, SimTransport
 from bendshed.rehearsal.simulator.platform import SimDisk, SimLogStorage
+from bendshed.rehearsal.site.documents import make_document
 from bendshed.rehearsal.site.oracle import Violation, check_all
 from bendshed.rehearsal.site.programs import AgentProgram, ProgramPlan, tokens_of
 from bendshed.rehearsal.site.records import Departure, Kind, SiteRecords, SiteRequest
-from bendshed.rehearsal.site.runner import EVENT_TOKENS, SiteRunner
+from bendshed.rehearsal.site.runner import SiteRunner
 from bendshed.rehearsal.site.sim_runners import (
     EVENTS,
     PROGRAM,
@@ -26,14 +27,7 @@
     SimRunnerNet,
     SimRunnerProtocol,
 )
-from bendshed.services.document import (
-    EngineFeatures,
-    Route,
-    RouteKind,
-    Service,
-    ServiceDocument,
-    WeightedService,
-)
+from bendshed.services.document import ServiceDocument
 from bendshed.services.node import ServiceNode
 from bendshed.services.runners import RunnerState, ServiceRunner
 from bendshed.turns.node import TurnLogNode
@@ -544,47 +538,6 @@
         return self.clients.spawn(self.loop, work)
 
 
-def make_document(version: int) -> ServiceDocument:
-    """Three routes: turns, repeatable calls, unrepeatable calls."""
-    turn = Route(
-        name="turns",
-        host="site",
-        path_prefix="/turn/",
-        kind=RouteKind.STREAM,
-        timeout_ms=4000,
-        target_ms=200,
-        priority=1,
-        targets=(WeightedService("engines", 1),),
-        keeps_turns=True,
-        retention_ms=60_000,
-        is_sticky=True,
-    )
-    routes = (
-        turn,
-        _plain("repeatable", RouteKind.IDEMPOTENT, 2),
-        _plain("unrepeatable", RouteKind.NON_IDEMPOTENT, 1),
-    )
-    services = {
-        "engines": Service("engines", engine=EngineFeatures(8, EVENT_TOKENS)),
-        "tools": Service("tools"),
-    }
-    return ServiceDocument(version, routes, services)
-
-
-def _plain(name: str, kind: RouteKind, attempts: int) -> Route:
-    return Route(
-        name=name,
-        host="site",
-        path_prefix=f"/{name}/",
-        kind=kind,
-        timeout_ms=2000,
-        target_ms=200,
-        priority=2,
-        targets=(WeightedService("tools", 1),),
-        max_attempts=attempts,
-    )
-
-
 def to_service_request(request: SiteRequest, now_s: float) -> ServiceRequest:
     """What a front reads of a client's request."""
     turn = None
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,114 @@
+"""The calls to the metadata store against a stand-in of it."""
+
+import asyncio
+import contextlib
+import unittest
+
+from bendshed.adapters.http_server import bind, make_server
+from bendshed.platform import names
+from bendshed.platform.encode import write_document, write_runner
+from bendshed.platform.objects import HistoryGone, ObjectApi, PlatformObject
+from bendshed.platform.registry import PlatformReplicaRegistry
+from bendshed.platform.translate import read_document, read_runner
+from bendshed.ports.registry import RegistryUnavailable, ReplicaNode
+from bendshed.ports.store import StoreUnavailable, VersionConflict
+from bendshed.ports.transport import Address
+from bendshed.rehearsal.site.documents import make_document
+from bendshed.rehearsal.site.metadata import PAGE, MetadataModel, MetadataServer
+from bendshed.services.runners import RunnerState, ServiceRunner
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.model = MetadataModel()
+        self.server = make_server(MetadataServer(self.model).application())
+        listener = bind("127.0.0.1", 0)
+        self.address = Address("127.0.0.1", listener.getsockname()[1])
+        self.serving = asyncio.create_task(self.server.serve(sockets=[listener]))
+        self.api = ObjectApi(self.address)
+
+    async def asyncTearDown(self) -> None:
+        self.api.close()
+        self.server.should_exit = self.server.force_exit = True
+        with contextlib.suppress(asyncio.CancelledError):
+            await self.serving
+
+    async def test_objects(self) -> None:
+        self.assertIsNone(await self.api.get("kind", "a/b c"))
+        made = await self.api.create("kind", "a", {"x": 1})
+        self.assertEqual(made.spec, {"x": 1})
+        with self.assertRaises(VersionConflict):
+            await self.api.create("kind", "a", {"x": 2})
+        self.assertTrue(await self.api.replace("kind", "a", {"x": 3}))
+        self.assertFalse(await self.api.replace("kind", "b", {}))
+        self.assertTrue(await self.api.replace_status("kind", "a", {"state": "running"}))
+        found = await self.api.get("kind", "a")
+        assert found is not None
+        self.assertEqual((found.spec, found.status), ({"x": 3}, {"state": "running"}))
+
+    async def test_pages(self) -> None:
+        for number in range(PAGE + 7):
+            self.model.put("kind", f"n{number:05}", {})
+        listed = await self.api.list("kind")
+        self.assertEqual(len(listed.items), PAGE + 7)
+        self.assertEqual(listed.at, self.model.revision)
+
+    async def test_a_watch_hears_of_changes_and_of_a_lost_history(self) -> None:
+        at = (await self.api.list("kind")).at
+        watching = asyncio.create_task(self.api.watch("kind", at, 5.0))
+        await asyncio.sleep(0)
+        self.model.put("other", "o", {})
+        self.model.put("kind", "a", {"x": 1})
+        changes = await watching
+        self.assertEqual([event.object.name for event in changes.events], ["a"])
+        self.model.delete("kind", "a")
+        gone = await self.api.watch("kind", changes.at, 5.0)
+        self.assertEqual([event.is_gone for event in gone.events], [True])
+        self.model.forget_history()
+        with self.assertRaises(HistoryGone):
+            await self.api.watch("kind", at, 5.0)
+
+    async def test_a_watch_without_changes_ends(self) -> None:
+        changes = await self.api.watch("kind", 0, 0.0)
+        self.assertEqual(changes.events, [])
+
+    async def test_a_store_that_refuses(self) -> None:
+        self.model.calls_left = 0
+        with self.assertRaises(StoreUnavailable):
+            await self.api.list("kind")
+        self.model.calls_left = None
+        self.model.is_down = True
+        with self.assertRaises(StoreUnavailable):
+            await self.api.get("kind", "a")
+
+    async def test_no_store(self) -> None:
+        self.server.should_exit = self.server.force_exit = True
+        await self.serving
+        with self.assertRaises(StoreUnavailable):
+            await self.api.list("kind")
+
+    async def test_the_registry(self) -> None:
+        registry = PlatformReplicaRegistry(self.api)
+        me = ReplicaNode("store-1", "disk-1", self.address, "z")
+        await registry.announce(me)
+        await registry.announce(me)
+        self.assertEqual(len(self.model.kinds[names.REPLICA_KIND]), 1)
+        self.assertEqual(await registry.founding_voters(), [])
+        self.assertEqual(await registry.found(["a", "b"]), ["a", "b"])
+        self.assertEqual(await registry.found(["c"]), ["a", "b"])
+        self.model.put(names.RETIREMENT_KIND, "store-1", {})
+        await registry.report_retirement("store-1", True)
+        row = self.model.kinds[names.RETIREMENT_KIND]["store-1"]
+        self.assertEqual(row.status, {"state": "complete"})
+        self.model.is_down = True
+        with self.assertRaises(RegistryUnavailable):
+            await registry.announce(me)
+
+
+class RoundTripTest(unittest.TestCase):
+    def test_what_is_written_reads_back(self) -> None:
+        document = make_document(7)
+        self.assertEqual(read_document(write_document(document)), document)
+        runner = ServiceRunner("i", "s", Address("10.0.0.1", 80), "z", 6, RunnerState.DRAINING)
+        item = PlatformObject("i", 1, write_runner(runner), None)
+        self.assertEqual(read_runner(item), runner)
--- /dev/null
+++ b/tests/test_site_processes.py
@@ -0,0 +1,60 @@
+"""Drives real fronts and stores on stand-ins, waiting for events."""
+
+import asyncio
+import signal
+import tempfile
+import unittest
+from pathlib import Path
+
+from bendshed.rehearsal.site.demo import make_program
+from bendshed.rehearsal.site.installation import SiteInstallation, is_ready
+from bendshed.rehearsal.site.oracle import check_all
+from bendshed.rehearsal.site.programs import ProgramPlan
+
+
+class SiteProcessesTest(unittest.IsolatedAsyncioTestCase):
+    async def test_programs_outlive_a_store_and_a_planned_stop(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            site = SiteInstallation(Path(folder))
+            try:
+                await site.start(num_fronts=2)
+                await self._drive(site)
+                self.assertEqual(check_all(site.seen), [])
+            finally:
+                await site.stop()
+
+    async def _drive(self, site: SiteInstallation) -> None:
+        first = make_program(site, "first", ProgramPlan(turns=2, tools=2, sub_agents=1))
+        await first.run()
+        self.assertTrue(first.finished, first.statuses)
+        await self._kill_a_store(site, first.last_turn)
+        await self._stop_a_front(site)
+        loop = make_program(
+            site, "loop", ProgramPlan(turns=9, tools=0, sub_agents=2, loops=True), ["front-2"]
+        )
+        loop.budget_tokens = 250
+        await loop.run()
+        self.assertIn(402, loop.statuses)
+
+    async def _kill_a_store(self, site: SiteInstallation, turn: str) -> None:
+        """Whichever leads, turns go on, and what was said before is found."""
+        store = site.stores["store-1"]
+        await store.end(signal.SIGKILL)
+        second = make_program(site, "second", ProgramPlan(turns=2, tools=0))
+        await second.run(turn)
+        self.assertTrue(second.finished, second.statuses)
+        await store.start()
+
+    async def _stop_a_front(self, site: SiteInstallation) -> None:
+        """A stop under a running turn cuts nothing and ends with 0."""
+        third = make_program(site, "third", ProgramPlan(turns=1, tools=0), ["front-1"])
+        running = asyncio.create_task(third.run())
+        await self._wait_for_run(site, "third")
+        self.assertEqual(await site.fronts["front-1"].end(signal.SIGTERM), 0)
+        await running
+        self.assertTrue(third.finished, third.statuses)
+        self.assertFalse(await is_ready(site.fronts["front-1"].ready))
+
+    async def _wait_for_run(self, site: SiteInstallation, program: str) -> None:
+        while not any(run.program_id == program for run in site.seen.runs):  # noqa: ASYNC110
+            await asyncio.sleep(0)
