The head of an answer is not touched by a surplus answer behind it

A surplus answer in the same segment added its headers to the head that was being handed on: two Content-Length lines reached the client (seen by logging the heads in a scratch copy). Change: each answer has a head of its own; heads with a status, version or size that no caller could read are no answers. Tests fail before, pass after.

--- a/src/bendshed/adapters/http_connection.py
+++ b/src/bendshed/adapters/http_connection.py
@@ -24,6 +24,9 @@
 PAUSE_READING_BYTES = 256 * 1024
 USER_TIMEOUT_MS = 4_000
 """Unacknowledged bytes break a connection after this long."""
+MAX_HEAD_BYTES = 64 * 1024
+FIRST_INTERIM_STATUS, FIRST_FINAL_STATUS, LAST_STATUS = 100, 200, 599
+KNOWN_VERSIONS = ("1.0", "1.1")
 DEFAULT_REST_S = 4.0
 """Rest after which a connection is not used again when the peer names no time."""
 REST_SHARE = 0.75
@@ -48,6 +51,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._request: ClientRequest | None = None
         self._head = ResponseHead()
+        self._answer_head = self._head
         self._head_ready: asyncio.Future[ResponseHead] | None = None
         self._chunks: list[bytes] = []
         self._num_buffered = 0
@@ -98,10 +102,10 @@
         """The answer was read whole: the connection may serve again if nothing speaks against."""
         self._request = None
         unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
-        if unsent or not self._complete or not self._head.is_framed:
+        if unsent or not self._complete or not self._answer_head.is_framed:
             self.abort()
             return
-        self.rest_until_s = self._loop.time() + _rest_s(self._head)
+        self.rest_until_s = self._loop.time() + _rest_s(self._answer_head)
 
     def abort(self) -> None:
         """Close at once."""
@@ -126,7 +130,7 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, ValueError) as error:
             if not self._complete:
                 self._fail(f"no HTTP answer: {error}")
             self.abort()
@@ -135,7 +139,7 @@
         """An unframed answer ends properly with its connection."""
         started = self._head_ready is not None and self._head_ready.done()
         is_open = self._request is not None and started and not self._complete
-        if is_open and not self._foreign and not self._head.is_framed:
+        if is_open and not self._foreign and not self._answer_head.is_framed:
             self._end()
         self._usable = False
         return None
@@ -167,12 +171,10 @@
 
     def on_message_begin(self) -> None:
         """A new answer begins."""
+        self._head = ResponseHead()  # the last one belongs to whoever reads its answer
+        self._foreign = self._complete
         if self._complete:
-            self._usable = False  # more than one answer
-            self.abort()
-            return
-        self._head = ResponseHead()
-        self._foreign = False
+            self.abort()  # more than one answer
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
@@ -183,19 +185,37 @@
         self._head.status = self._parser.get_status_code()
         self._head.is_framed = _is_framed(self._head)
         request = self._request
-        if request is None or self._complete or self._head.status < 200:
+        if request is None or self._complete or self._is_interim():
             self._foreign = True
             return
+        if not self._is_sensible():
+            raise ValueError(
+                f"status {self._head.status} in HTTP/{self._parser.get_http_version()}"
+            )
         if not request.owns(self._head):
             self._foreign = True
             self._usable = False
             return
+        self._answer_head = self._head
         if self._head_ready is not None and not self._head_ready.done():
             self._head_ready.set_result(self._head)
         if request.method == b"HEAD":
             self._usable = False
             self._end()
 
+    def _is_interim(self) -> bool:
+        return FIRST_INTERIM_STATUS <= self._head.status < FIRST_FINAL_STATUS
+
+    def _is_sensible(self) -> bool:
+        """A final status of the protocol, in a version of it, in a head of bearable size.
+
+        The parser takes any three digits; passed on, they would be no answer to the caller.
+        """
+        size = sum(len(name) + len(value) for name, value in self._head.headers)
+        in_range = FIRST_FINAL_STATUS <= self._head.status <= LAST_STATUS
+        known = self._parser.get_http_version() in KNOWN_VERSIONS
+        return in_range and known and size <= MAX_HEAD_BYTES
+
     def on_body(self, body: bytes) -> None:
         """Keep a piece of the body."""
         if self._foreign or self._complete:
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -87,6 +87,7 @@
         connection = await self.pool.acquire(self.address)
         try:
             head = await connection.send(sent)
+            self.head = head
             body = b"".join([chunk async for chunk in connection.body()])
         except ResponseBroken:
             connection.abort()
@@ -118,6 +119,8 @@
     async def test_a_surplus_answer_behind_ends_the_connection(self) -> None:
         self.script(whole(b"r1", b"one") + whole(b"r1", b"again"))
         self.assertEqual(await self.exchange(request()), (200, b"one"))
+        names = [name for name, _ in self.head.headers]
+        self.assertEqual(names, [b"X-Request-Id", b"Content-Length"])
         self.script(whole(b"r2", b"two"))
         self.assertEqual(await self.exchange(request(b"r2")), (200, b"two"))
         self.assertEqual(self.peer.num_connections, 2)
@@ -144,6 +147,24 @@
         with self.assertRaises(ResponseBroken):
             await self.exchange(request())
 
+    async def test_a_head_that_no_caller_could_read_is_broken(self) -> None:
+        for first_line in (
+            b"HTTP/1.1 999 X",
+            b"HTTP/1.1 000 X",
+            b"HTTP/1.1 600 X",
+            b"HTTP/2.0 200 X",
+        ):
+            with self.subTest(first_line=first_line):
+                rest = b"\r\nX-Request-Id: r1\r\nContent-Length: 2\r\n\r\nok"
+                self.script(first_line + rest)
+                with self.assertRaises(ResponseBroken):
+                    await self.exchange(request())
+        self.script(
+            whole(b"r1", b"ok").replace(b"X-Request", b"Y: " + b"y" * 70_000 + b"\r\nX-Request")
+        )
+        with self.assertRaises(ResponseBroken):
+            await self.exchange(request())
+
     async def test_a_closed_connection_without_answer_is_broken(self) -> None:
         self.script(ending="close")
         with self.assertRaises(ResponseBroken):
