A front that no replica of the turn log answers is not ready, and asks until one does

Change: after 1.5 s without any answer of a replica a front is not ready; a harmless question every 0.4 s finds the way back. A change of leader is no loss: the others answer that they do not lead.

--- a/src/bendshed/platform/front.py
+++ b/src/bendshed/platform/front.py
@@ -75,6 +75,7 @@
         sockets = self._bind_all()
         watchers = [self._runners, *self._others]
         following = [start_loop(watcher.run(), "platform") for watcher in watchers]
+        following.append(start_loop(self._node.watch_turn_log(), "turns"))
         serving = asyncio.get_running_loop().create_task(self._server.serve(sockets=sockets))
         log.say("started", name=self._settings.nodeName, zone=self._settings.zone)
         await stopping.wait()
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -263,6 +263,7 @@
         front.on_document = lambda document: versions.append(document.version)
         machine.front = front
         machine.process.spawn(self.loop, self._follow(machine, self._tell_front))
+        machine.process.spawn(self.loop, front.watch_turn_log())
 
     def _start_store(
         self,
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -20,6 +20,9 @@
 
 TRANSCRIPT_BYTES = 16 * 1024 * 1024
 TURN_GROUPS = 1
+TURNS_LOST_S = 1.5
+"""A node that no replica of the turn log answered for this long sends its clients elsewhere."""
+PROBE_INTERVAL_S = 0.4
 
 log = PartLog("node")
 
@@ -27,8 +30,8 @@
 class ServiceNode:
     """Everything of a node but its shells.
 
-    Invariants: a document is only ever replaced by a newer one; a node without a document, or one
-    that drains, is not ready.
+    Invariants: a document is only ever replaced by a newer one; a node without a document, one
+    that drains and one that no replica of the turn log answers any more is not ready.
 
     Attributes:
         directory: where the turn log's replicas are.
@@ -62,7 +65,21 @@
     @property
     def is_ready(self) -> bool:
         """Whether new clients may be sent here."""
-        return not self.is_draining and self.forwarder.index is not None
+        knows = self.forwarder.index is not None
+        return knows and not self.is_draining and not self._has_lost_turns()
+
+    def _has_lost_turns(self) -> bool:
+        lost_since_s = self._turns.client.lost_since_s
+        if lost_since_s is None:
+            return False
+        return asyncio.get_running_loop().time() - lost_since_s > TURNS_LOST_S
+
+    async def watch_turn_log(self) -> None:
+        """While no replica answers, ask again and again, so that a node becomes ready anew."""
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            if self._turns.client.lost_since_s is not None:
+                await self._turns.client.probe()
 
     def take_document(self, document: ServiceDocument) -> bool:
         """Put a newer document in force; an older one changes nothing."""
--- a/src/bendshed/turns/client.py
+++ b/src/bendshed/turns/client.py
@@ -4,11 +4,14 @@
 import random
 from collections import OrderedDict
 
+from bendshed.logs import PartLog
 from bendshed.ports.transport import Transport
 from bendshed.programs.client import GroupClient, GroupUnavailable
 from bendshed.turns.service import PREVIEW_METHOD, TURN_GROUP, TURN_METHOD
 from bendshed.wire import turns_pb2 as wire
 
+log = PartLog("turns")
+
 TRY_TIMEOUT_S = 0.3
 """Longest wait for one replica's reply; a commit takes some ms."""
 PREVIEW_TIMEOUT_S = 0.2
@@ -17,9 +20,16 @@
 
 
 class TurnClient:
-    """Sends commands to the leader; each may be sent again without harm."""
+    """Sends commands to the leader; each may be sent again without harm.
+
+    Attributes:
+        lost_since_s: loop time of the first try of those that failed since the last reply;
+            ``None``: the last try was answered.
+
+    """
 
     def __init__(self, transport: Transport, rng: random.Random, groups: GroupClient) -> None:
+        self.lost_since_s: float | None = None
         self._transport = transport
         self._rng = rng
         self._groups = groups
@@ -46,12 +56,27 @@
             TURN_GROUP, PREVIEW_METHOD, payload, PREVIEW_TIMEOUT_S
         )
         reply = wire.TurnReply.FromString(content) if content is not None else None
+        self._note(reply is not None)
         if reply is not None and reply.answer == wire.TURN_ANSWER_NOT_LEADER:
             return None
         return reply
 
+    async def probe(self) -> None:
+        """Ask any replica something harmless; ``lost_since_s`` tells the outcome."""
+        await self.preview(wire.BeginTurn())
+
+    def _note(self, was_answered: bool) -> None:
+        if was_answered:
+            if self.lost_since_s is not None:
+                log.say("regained the turn log")
+            self.lost_since_s = None
+        elif self.lost_since_s is None:
+            self.lost_since_s = asyncio.get_running_loop().time()
+            log.say("no replica of the turn log answers")
+
     async def _try_once(self, payload: bytes, timeout_s: float) -> wire.TurnReply | None:
         content = await self._groups.ask_leader(TURN_GROUP, TURN_METHOD, payload, timeout_s)
+        self._note(content is not None)
         if content is None:
             return None
         reply = wire.TurnReply.FromString(content)
