While the store is lost, its watches ask for short waits

Ruled out: the history lost (listed again within 10 ms). Change: while lost, a watch waits 0.1 s, so silence is noticed after 0.7 s. The test fails before at 4 of 8 moments, passes after.

--- a/src/bendshed/platform/watcher.py
+++ b/src/bendshed/platform/watcher.py
@@ -11,6 +11,8 @@
 
 RETRY_MIN_S = 0.15
 RETRY_MAX_S = 0.4
+LOST_WAIT_S = 0.1
+"""While the store is lost, a watch asks for so short a wait that its silence is noticed soon."""
 PACE_S = 0.05
 """Pause between two watches, so that a burst of changes costs few calls."""
 DOUBT_S = 5.0
@@ -103,7 +105,8 @@
             self._at = listed.at
             self._handler.on_list(listed.items)
             return
-        changes = await self._api.watch(self._kind, self._at, self._wait_s)
+        wait_s = LOST_WAIT_S if self._is_lost else self._wait_s
+        changes = await self._api.watch(self._kind, self._at, wait_s)
         self._at = changes.at
         for event in changes.events:
             self._handler.on_event(event)
--- a/tests/test_platform_watcher.py
+++ b/tests/test_platform_watcher.py
@@ -102,6 +102,18 @@
         self.run_for(0.5)
         self.assertEqual(self.seen[-1], 7)
 
+    def test_the_store_is_regained_soon_whenever_it_comes_back(self) -> None:
+        """A question asked just before the store is back must not be waited for long."""
+        for silent_tenths in range(30, 62, 4):
+            with self.subTest(silent_s=silent_tenths / 10):
+                self.run_for(3.0)
+                self.store.is_silent = True
+                self.run_for(silent_tenths / 10)
+                self.store.is_silent = False
+                self.store.change(self.store.revision + 1)
+                self.run_for(1.6)
+                self.assertEqual(self.seen[-1], self.store.revision)
+
     def test_lost_history_is_listed_again(self) -> None:
         self.run_for(1.0)
         self.store.history_from = 8
