One piece prints the tables of both demos; an unused method goes

Both demos printed their rows with the same code; rehearsal/table.py serves both now. SiteWorld.spawn had no caller. Seen: make demo exits 0 with both tables as before, ruff and mypy clean, tests/test_site_readiness 2 passed; the whole suite was not run again before this commit.

--- a/src/bendshed/rehearsal/demo.py
+++ b/src/bendshed/rehearsal/demo.py
@@ -9,9 +9,11 @@
 
 from bendshed.rehearsal.caller import Call, CallReport, send_call
 from bendshed.rehearsal.installation import CALLER_TOKEN, Installation
+from bendshed.rehearsal.table import print_rows
 
 PROGRAM = "demo-1"
 KILLED = "node-1"
+COLUMN_WIDTH = 9
 COLUMNS = (
     "call",
     "branch",
@@ -76,21 +78,23 @@
 
 
 def _print_table(rows: list[tuple[Call, str, CallReport]]) -> None:
-    print("  ".join(f"{name:>9}" for name in COLUMNS))
-    for call, node, report in sorted(rows, key=lambda row: row[0].number):
-        usage = report.usage
-        cells = (
-            call.number,
-            call.branch,
-            node,
-            report.placement["runner"],
-            report.placement["attempt"],
-            f"{report.first_token_s * 1000:.1f}",
-            f"{report.duration_s * 1000:.1f}",
-            usage["total_tokens"],
-            usage["prompt_tokens_details"]["cached_tokens"],
-        )
-        print("  ".join(f"{cell!s:>9}" for cell in cells))
+    in_order = sorted(rows, key=lambda row: row[0].number)
+    print_rows([COLUMNS, *(_cells(*row) for row in in_order)], COLUMN_WIDTH)
+
+
+def _cells(call: Call, node: str, report: CallReport) -> tuple[object, ...]:
+    usage = report.usage
+    return (
+        call.number,
+        call.branch,
+        node,
+        report.placement["runner"],
+        report.placement["attempt"],
+        f"{report.first_token_s * 1000:.1f}",
+        f"{report.duration_s * 1000:.1f}",
+        usage["total_tokens"],
+        usage["prompt_tokens_details"]["cached_tokens"],
+    )
 
 
 def main() -> int:
--- a/src/bendshed/rehearsal/site/demo.py
+++ b/src/bendshed/rehearsal/site/demo.py
@@ -12,8 +12,10 @@
 from bendshed.rehearsal.site.oracle import check_all
 from bendshed.rehearsal.site.programs import AgentProgram, ProgramPlan
 from bendshed.rehearsal.site.records import SiteRequest
+from bendshed.rehearsal.table import print_rows
 
 COLUMNS = ("request", "kind", "front", "runner", "continues", "status", "whole", "ms")
+COLUMN_WIDTH = 12
 KILLED = "front-1"
 BUDGET_TOKENS = 2_000
 
@@ -71,9 +73,8 @@
 def print_table(site: SiteInstallation) -> None:
     """Print each request as its client saw it."""
     runners = {run.request_id: run.runner_id for run in site.seen.runs}
-    print("  ".join(f"{name:>12}" for name in COLUMNS))
-    for request in site.seen.requests:
-        print("  ".join(f"{cell!s:>12}" for cell in _cells(request, runners)))
+    rows = [_cells(request, runners) for request in site.seen.requests]
+    print_rows([COLUMNS, *rows], COLUMN_WIDTH)
 
 
 def _cells(request: SiteRequest, runners: dict[str, str]) -> tuple[object, ...]:
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
 
 from bendshed.errors import ErrorKind, Refusal, WasRun
 from bendshed.ports.http_messages import ResponseHead
@@ -534,10 +533,6 @@
         """Drop everything."""
         self.loop.abandon()
 
-    def spawn(self, work: Coroutine[Any, Any, Any]) -> "asyncio.Task[Any]":
-        """Run something as the clients."""
-        return self.clients.spawn(self.loop, work)
-
 
 def to_service_request(request: SiteRequest, now_s: float) -> ServiceRequest:
     """What a front reads of a client's request."""
