--- a/src/bendshed/configuration/document.py
+++ b/src/bendshed/configuration/document.py
@@ -9,7 +9,13 @@
 
 from pydantic import BaseModel, ConfigDict, Field, TypeAdapter
 
-Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$")]
+from bendshed.configuration.services import (
+    LimitsDeclaration,
+    Name,
+    RouteDeclaration,
+    ServiceDeclaration,
+)
+
 PRIORITY_MIN = 0
 PRIORITY_MAX = 9
 Priority = Annotated[int, Field(ge=PRIORITY_MIN, le=PRIORITY_MAX)]
@@ -71,6 +77,9 @@
     pools: dict[Name, Pool] = {}
     drained_runners: list[Name] = []
     runner_orders: dict[Name, RunnerOrder] = {}
+    services: dict[Name, ServiceDeclaration] = {}
+    routes: dict[Name, RouteDeclaration] = {}
+    limits: LimitsDeclaration = LimitsDeclaration()
 
     def tenant_of_token(self, token: str) -> str | None:
         """Name of the tenant with this bearer token."""
@@ -137,8 +146,56 @@
     model: Name
 
 
+class PutService(_Value):
+    """Add or replace a service."""
+
+    change: Literal["put_service"] = "put_service"
+    name: Name
+    service: ServiceDeclaration
+
+
+class DropService(_Value):
+    """Take a service away; refused while a route leads to it."""
+
+    change: Literal["drop_service"] = "drop_service"
+    name: Name
+
+
+class PutRoute(_Value):
+    """Add or replace a route; its services must be there."""
+
+    change: Literal["put_route"] = "put_route"
+    name: Name
+    route: RouteDeclaration
+
+
+class DropRoute(_Value):
+    """Take a route away."""
+
+    change: Literal["drop_route"] = "drop_route"
+    name: Name
+
+
+class SetLimits(_Value):
+    """Set the bounds on what callers of routes send."""
+
+    change: Literal["set_limits"] = "set_limits"
+    limits: LimitsDeclaration
+
+
 AnyChange = Annotated[
-    DeclareProgram | PutTenant | SetBudget | SetPriority | CreatePool | DrainRunner | LoadModel,
+    DeclareProgram
+    | PutTenant
+    | SetBudget
+    | SetPriority
+    | CreatePool
+    | DrainRunner
+    | LoadModel
+    | PutService
+    | DropService
+    | PutRoute
+    | DropRoute
+    | SetLimits,
     Field(discriminator="change"),
 ]
 
@@ -170,7 +227,7 @@
 
 
 class UnknownName(Exception):
-    """A change names a tenant that does not exist."""
+    """A change names something that does not exist, or takes away what is still named."""
 
 
 def apply_change(
@@ -195,6 +252,16 @@
         case LoadModel():
             order = RunnerOrder(model=body.model, fence=revision)
             return _put(document, "runner_orders", body.runner, order)
+        case PutService():
+            return _put(document, "services", body.name, body.service)
+        case DropService():
+            return _drop_service(document, body.name)
+        case PutRoute():
+            return _put_route(document, body)
+        case DropRoute():
+            return _drop(document, "routes", body.name)
+        case SetLimits():
+            return document.model_copy(update={"limits": body.limits})
 
 
 def _put(
@@ -204,6 +271,29 @@
     return document.model_copy(update={section: entries})
 
 
+def _drop(document: ConfigurationDocument, section: str, name: str) -> ConfigurationDocument:
+    entries = dict(getattr(document, section))
+    if name not in entries:
+        raise UnknownName(f"{section}: {name!r} does not exist; SHOW {section} lists them")
+    del entries[name]
+    return document.model_copy(update={section: entries})
+
+
+def _drop_service(document: ConfigurationDocument, name: str) -> ConfigurationDocument:
+    for route_name, route in document.routes.items():
+        if any(target.service == name for target in route.targets):
+            raise UnknownName(f"route {route_name!r} leads to service {name!r}; drop it first")
+    return _drop(document, "services", name)
+
+
+def _put_route(document: ConfigurationDocument, body: PutRoute) -> ConfigurationDocument:
+    for target in body.route.targets:
+        if target.service not in document.services:
+            detail = f"service {target.service!r} does not exist; add it with PUT SERVICE first"
+            raise UnknownName(detail)
+    return _put(document, "routes", body.name, body.route)
+
+
 def _change_tenant(
     document: ConfigurationDocument, name: str, update: dict[str, int]
 ) -> ConfigurationDocument:
--- a/src/bendshed/platform/ingress.py
+++ b/src/bendshed/gateway/forwarding.py
@@ -1,4 +1,4 @@
-"""The clients' side as an ASGI application: requests in, answers out, byte for byte.
+"""Forwarded requests as an ASGI application: requests in, answers out, byte for byte.
 
 The house's HTTP library hides when a client leaves and how an answer is broken off, so requests
 that are forwarded are taken at the ASGI level below it (docs/design/0003).
@@ -11,10 +11,9 @@
 import orjson
 
 from bendshed.errors import ErrorKind, Refusal
-from bendshed.platform import names
-from bendshed.platform.answers import RETRY_AFTER_S, status_of
-from bendshed.ports.http_messages import Headers, ResponseHead
-from bendshed.ports.runner import Caller, ServiceRequest, TurnDetails
+from bendshed.ports.caller_protocol import CallerProtocol, ReceivedRequest
+from bendshed.ports.http_messages import Headers, ResponseHead, end_to_end
+from bendshed.ports.runner import Caller, ServiceRequest
 from bendshed.services.forwarder import Forwarder
 
 Message = MutableMapping[str, Any]
@@ -42,8 +41,9 @@
 
     """
 
-    def __init__(self, send: Send, is_closing: bool) -> None:
+    def __init__(self, send: Send, protocol: CallerProtocol, is_closing: bool) -> None:
         self._send = send
+        self._protocol = protocol
         self._is_closing = is_closing
         self._has_begun = False
         self._is_broken = False
@@ -58,10 +58,10 @@
             (b"content-type", b"application/json"),
             (b"content-length", str(len(content)).encode()),
         ]
-        retry_after_s = RETRY_AFTER_S.get(refusal.kind)
-        if retry_after_s is not None:
-            headers.append((b"retry-after", str(retry_after_s).encode()))
-        await self._start(status_of(refusal), headers)
+        answer = self._protocol.answer_of(refusal)
+        if answer.retry_after:
+            headers.append((b"retry-after", answer.retry_after.encode()))
+        await self._start(answer.status, headers)
         await self.send(content)
         await self.end()
 
@@ -90,22 +90,23 @@
         self._is_broken = True
 
 
-class Ingress:
-    """ASGI application for clients.
+class ForwardingApplication:
+    """ASGI application for requests that are forwarded to runners.
 
     Attributes:
         is_closing: the process drains.
 
     """
 
-    def __init__(self, forwarder: Forwarder) -> None:
+    def __init__(self, forwarder: Forwarder, protocol: CallerProtocol) -> None:
         self.is_closing = False
         self._forwarder = forwarder
+        self._protocol = protocol
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
         arrived_s = asyncio.get_running_loop().time()
-        caller = AsgiCaller(send, self.is_closing)
+        caller = AsgiCaller(send, self._protocol, self.is_closing)
         try:
             body = await self._read_body(receive)
         except ClientGone:
@@ -114,7 +115,7 @@
             detail = "the body is over the configured limit; send a smaller one"
             await caller.refuse(Refusal(ErrorKind.BODY_TOO_LARGE, detail))
             return
-        request = read_request(scope, body, arrived_s)
+        request = self._protocol.read(_received(scope, body, arrived_s))
         if isinstance(request, Refusal):
             await caller.refuse(request)
             return
@@ -159,67 +160,12 @@
         pass
 
 
-def end_to_end(headers: Headers) -> Headers:
-    """Headers without those that concern one connection only."""
-    named = [value for name, value in headers if name.lower() == b"connection"]
-    listed = {token.strip().lower() for value in named for token in value.split(b",")}
-    dropped = names.HOP_BY_HOP | listed
-    return [(name, value) for name, value in headers if name.lower() not in dropped]
-
-
-def read_request(scope: Scope, body: bytes, arrived_s: float) -> ServiceRequest | Refusal:
-    """Translate a client's request; refuse one whose fields cannot be read."""
-    received: Headers = list(scope["headers"])
-    fields = dict(reversed(received))  # the first of a name counts
-    request_id = fields.get(names.REQUEST_ID, b"").decode("latin-1")
-    if not request_id:
-        return Refusal(ErrorKind.BAD_REQUEST, "X-Request-Id: (missing): send an id of the attempt")
-    try:
-        wait_ms = _read_int(fields, names.DEADLINE_MS)
-        turn = _read_turn(fields)
-    except ValueError as error:
-        return Refusal(ErrorKind.BAD_REQUEST, str(error))
-    query = scope.get("query_string", b"")
-    raw_path: bytes = scope["raw_path"]
-    program_id = fields.get(names.PROGRAM_ID, b"").decode("latin-1")
-    return ServiceRequest(
-        request_id=request_id,
+def _received(scope: Scope, body: bytes, arrived_s: float) -> ReceivedRequest:
+    return ReceivedRequest(
         method=scope["method"].encode("latin-1"),
-        target=raw_path + (b"?" + query if query else b""),
-        host=fields.get(b"host", b"").decode("latin-1"),
-        path=raw_path.decode("latin-1"),
-        headers=_passed_on(received),
+        raw_path=scope["raw_path"],
+        query=scope.get("query_string", b""),
+        headers=list(scope["headers"]),
         body=body,
-        wait_ms=wait_ms,
-        program_id=program_id,
-        session=program_id or fields.get(names.SESSION_ID, b"").decode("latin-1"),
-        last_event_id=fields.get(names.LAST_EVENT_ID, b"").decode("latin-1"),
-        turn=turn if program_id else None,
         arrived_s=arrived_s,
     )
-
-
-def _passed_on(received: Headers) -> Headers:
-    """The client's headers for the runner; length, deadline and ours are set anew."""
-    own = names.SET_BY_THE_SYSTEM | {names.DEADLINE_MS, b"content-length", b"expect"}
-    return [(name, value) for name, value in end_to_end(received) if name not in own]
-
-
-def _read_turn(fields: dict[bytes, bytes]) -> TurnDetails | None:
-    counts = fields.get(names.TOKEN_COUNTS)
-    if counts is None:
-        return None
-    _, _, most = counts.partition(b",")
-    if not most.strip().isdigit():
-        raise ValueError(f"X-Token-Counts: {counts!r}: write the prompt's tokens, the most out")
-    previous = fields.get(names.PREVIOUS_TURN, b"").decode("latin-1")
-    return TurnDetails(previous, _read_int(fields, names.TOKEN_BUDGET), int(most))
-
-
-def _read_int(fields: dict[bytes, bytes], name: bytes) -> int | None:
-    text = fields.get(name)
-    if text is None:
-        return None
-    if not text.strip().isdigit():
-        raise ValueError(f"{name.decode()}: {text!r}: write a whole number")
-    return int(text)
--- /dev/null
+++ b/src/bendshed/gateway/services.py
@@ -0,0 +1,110 @@
+"""Declared services of a node: what a route takes goes to a machine of the machine list."""
+
+from collections.abc import Awaitable, Callable
+from urllib.parse import urlsplit
+
+from bendshed.configuration.document import ConfigurationDocument
+from bendshed.configuration.services import ServiceDeclaration, to_service_document
+from bendshed.gateway.forwarding import ForwardingApplication, Receive, Scope, Send
+from bendshed.gateway.service_protocol import ServiceCallerProtocol, ServiceRunnerProtocol
+from bendshed.logs import PartLog
+from bendshed.node import Node
+from bendshed.ports.runner_connections import RunnerConnections
+from bendshed.ports.store import Machine
+from bendshed.ports.transport import Address
+from bendshed.services.attempts import RunnerPorts
+from bendshed.services.forwarder import Forwarder
+from bendshed.services.routing import RouteIndex
+from bendshed.services.runners import RunnerState, RunnerTable, ServiceRunner
+
+SERVICE_KIND = "service"
+"""Machines of this kind run the service that their field ``model`` names."""
+HTTP_PORT = 80
+
+log = PartLog("services")
+
+Application = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+
+class DeclaredServices:
+    """Forwards requests on the operators' routes; all others go to the node's own pages.
+
+    Attributes:
+        table: runners of services, as the machine list tells them.
+        forwarder: serves requests.
+
+    """
+
+    def __init__(self, node: Node, connections: RunnerConnections, pages: Application) -> None:
+        self.table = RunnerTable()
+        self._node = node
+        self._connections = connections
+        self._pages = pages
+        ports = RunnerPorts(
+            self.table,
+            connections,
+            ServiceRunnerProtocol(),
+            node.settings.node.zone,
+            node.ports.rng,
+        )
+        self.forwarder = Forwarder(ports)
+        callers = ServiceCallerProtocol(lambda: node.configuration.document, node.ports.rng)
+        self._forwarding = ForwardingApplication(self.forwarder, callers)
+        node.configuration.on_change.append(self._on_configuration)
+        node.monitor.on_list.append(self._on_machines)
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request, or the server's start and stop."""
+        if scope["type"] == "http" and self._is_routed(scope):
+            self._forwarding.is_closing = self._node.draining
+            await self._forwarding(scope, receive, send)
+        else:
+            await self._pages(scope, receive, send)
+
+    def close(self) -> None:
+        """Close idle connections to runners."""
+        self._connections.close()
+
+    def _is_routed(self, scope: Scope) -> bool:
+        index = self.forwarder.index
+        if index is None:
+            return False
+        host = next((value for name, value in scope["headers"] if name == b"host"), b"")
+        path = scope["raw_path"].decode("latin-1")
+        return index.match(host.decode("latin-1"), path) is not None
+
+    def _on_configuration(self, document: ConfigurationDocument) -> None:
+        revision = self._node.configuration.snapshot.revision
+        forwarded = to_service_document(
+            revision, document.services, document.routes, document.limits
+        )
+        self.forwarder.index = RouteIndex(forwarded)
+        log.say("puts routes in force", revision=revision, routes=len(forwarded.routes))
+
+    def _on_machines(self, machines: list[Machine]) -> None:
+        """Take the whole machine list."""
+        listed = [self._to_runner(m) for m in machines if m.kind == SERVICE_KIND]
+        known = set(self.table.by_id)
+        for runner_id in known - {runner.runner_id for runner in listed}:
+            self._forget(runner_id)
+        for runner in listed:
+            self.table.put(runner)
+
+    def _to_runner(self, machine: Machine) -> ServiceRunner:
+        declared = self._node.configuration.document.services.get(machine.model)
+        slots = (declared or ServiceDeclaration()).slots
+        place = urlsplit(machine.url)
+        leaves = machine.leaving or machine.machine_id in self._node.table.drained
+        return ServiceRunner(
+            runner_id=machine.machine_id,
+            service=machine.model,
+            address=Address(place.hostname or "", place.port or HTTP_PORT),
+            zone=machine.zone,
+            slots=slots,
+            state=RunnerState.DRAINING if leaves else RunnerState.READY,
+        )
+
+    def _forget(self, runner_id: str) -> None:
+        address = self.table.by_id[runner_id].listed.address
+        self.table.remove(runner_id, now_s=0.0, trusted=True)
+        self._connections.forget(address)
--- a/src/bendshed/operators/answers.py
+++ b/src/bendshed/operators/answers.py
@@ -184,6 +184,8 @@
             case "pools":
                 document = self._node.configuration.document
                 return [{"pool": n, **p.model_dump()} for n, p in document.pools.items()]
+            case "services" | "routes":
+                return self._declared_rows(request.what)
             case "configuration":
                 snapshot = self._node.configuration.snapshot
                 return [
@@ -246,6 +248,11 @@
             for name, r in self._node.table.runners.items()
         ]
 
+    def _declared_rows(self, table: str) -> list[Row]:
+        declared = getattr(self._node.configuration.document, table)
+        key = table.removesuffix("s")
+        return [{key: name, **value.model_dump()} for name, value in declared.items()]
+
     def _group_rows(self) -> list[Row]:
         host = self._node.host
         if host is None:
--- a/src/bendshed/operators/language.py
+++ b/src/bendshed/operators/language.py
@@ -14,14 +14,25 @@
     CreatePool,
     DeclareProgram,
     DrainRunner,
+    DropRoute,
+    DropService,
     LoadModel,
     Pool,
     ProgramDeclaration,
+    PutRoute,
+    PutService,
     PutTenant,
     SetBudget,
+    SetLimits,
     SetPriority,
     Tenant,
 )
+from bendshed.configuration.services import (
+    LimitsDeclaration,
+    RouteDeclaration,
+    ServiceDeclaration,
+    TargetDeclaration,
+)
 from bendshed.errors import ErrorKind, Refusal
 
 
@@ -196,3 +207,51 @@
 
     def load_model(self, items: list[str]) -> ChangeConfiguration:
         return ChangeConfiguration(LoadModel(model=items[0], runner=items[1]))
+
+    # --- services and routes -------------------------------------------------------------
+
+    def slots(self, items: list[Token]) -> int:
+        return int(items[0])
+
+    def put_service(self, items: list[Any]) -> ChangeConfiguration:
+        fields = {"slots": items[1]} if len(items) > 1 else {}
+        service = ServiceDeclaration.model_validate(fields)
+        return ChangeConfiguration(PutService(name=items[0], service=service))
+
+    def drop_service(self, items: list[str]) -> ChangeConfiguration:
+        return ChangeConfiguration(DropService(name=items[0]))
+
+    def target(self, items: list[Any]) -> TargetDeclaration:
+        weight = int(items[1]) if len(items) > 1 else 1
+        return TargetDeclaration(service=items[0], weight=weight)
+
+    def targets(self, items: list[TargetDeclaration]) -> list[TargetDeclaration]:
+        return list(items)
+
+    def route_kind(self, items: list[Token]) -> tuple[str, str]:
+        return ("kind", str(items[0]).lower())
+
+    def route_timeout(self, items: list[Token]) -> tuple[str, int]:
+        return ("timeout_ms", int(items[0]))
+
+    def route_priority(self, items: list[Token]) -> tuple[str, int]:
+        return ("priority", int(items[0]))
+
+    def route_attempts(self, items: list[Token]) -> tuple[str, int]:
+        return ("max_attempts", int(items[0]))
+
+    def route_sticky(self, _items: list[Token]) -> tuple[str, bool]:
+        return ("is_sticky", True)
+
+    def put_route(self, items: list[Any]) -> ChangeConfiguration:
+        name, host, prefix, targets, *options = items
+        fields = {"host": host, "path_prefix": str(prefix)[1:-1], "targets": targets}
+        route = RouteDeclaration.model_validate({**fields, **dict(options)})
+        return ChangeConfiguration(PutRoute(name=name, route=route))
+
+    def drop_route(self, items: list[str]) -> ChangeConfiguration:
+        return ChangeConfiguration(DropRoute(name=items[0]))
+
+    def set_limits(self, items: list[Token]) -> ChangeConfiguration:
+        limits = LimitsDeclaration(max_body_bytes=int(items[0]))
+        return ChangeConfiguration(SetLimits(limits=limits))
--- /dev/null
+++ b/src/bendshed/platform/caller_protocol.py
@@ -0,0 +1,102 @@
+"""How the platform's clients speak: their headers, and how refusals are told to them."""
+
+from bendshed.errors import ErrorKind, Refusal, WasRun
+from bendshed.platform import names
+from bendshed.ports.caller_protocol import CallerProtocol, ReceivedRequest, RefusalAnswer
+from bendshed.ports.http_messages import Headers, end_to_end
+from bendshed.ports.runner import ServiceRequest, TurnDetails
+
+RETRY_AFTER_S = {
+    ErrorKind.OVERLOADED: 0.15,
+    ErrorKind.NO_RUNNER: 0.3,
+    ErrorKind.TURN_LOG_UNAVAILABLE: 0.2,
+    ErrorKind.NOT_READY: 0.5,
+}
+"""Seconds, fractions allowed."""
+
+_STATUS = {
+    ErrorKind.BAD_REQUEST: 400,
+    ErrorKind.BUDGET_EXHAUSTED: 402,
+    ErrorKind.NOT_FOUND: 404,
+    ErrorKind.BODY_TOO_LARGE: 413,
+    ErrorKind.OUTCOME_UNKNOWN: 504,
+}
+_NOT_RUN_STATUS, _MAY_HAVE_RUN_STATUS = 503, 502
+_OWN = names.SET_BY_THE_SYSTEM | {names.DEADLINE_MS, b"content-length", b"expect"}
+"""Headers that are not passed on, or are set anew."""
+
+
+class PlatformCallerProtocol(CallerProtocol):
+    """Requests of the platform's clients."""
+
+    def read(self, received: ReceivedRequest) -> ServiceRequest | Refusal:
+        """Translate a client's request; refuse one whose fields cannot be read."""
+        fields = dict(reversed(received.headers))  # the first of a name counts
+        request_id = _text(fields, names.REQUEST_ID)
+        if not request_id:
+            detail = "X-Request-Id: (missing): send an id of the attempt"
+            return Refusal(ErrorKind.BAD_REQUEST, detail)
+        try:
+            wait_ms = _read_int(fields, names.DEADLINE_MS)
+            turn = _read_turn(fields)
+        except ValueError as error:
+            return Refusal(ErrorKind.BAD_REQUEST, str(error))
+        program_id = _text(fields, names.PROGRAM_ID)
+        return ServiceRequest(
+            request_id=request_id,
+            method=received.method,
+            target=received.target,
+            host=_text(fields, b"host"),
+            path=received.raw_path.decode("latin-1"),
+            headers=_passed_on(received.headers),
+            body=received.body,
+            wait_ms=wait_ms,
+            program_id=program_id,
+            session=program_id or _text(fields, names.SESSION_ID),
+            last_event_id=_text(fields, names.LAST_EVENT_ID),
+            turn=turn if program_id else None,
+            arrived_s=received.arrived_s,
+        )
+
+    def answer_of(self, refusal: Refusal) -> RefusalAnswer:
+        """A 503 promises that nothing was run; 502 and 504 promise nothing."""
+        retry_after_s = RETRY_AFTER_S.get(refusal.kind)
+        retry_after = str(retry_after_s) if retry_after_s is not None else ""
+        return RefusalAnswer(status_of(refusal), retry_after)
+
+
+def status_of(refusal: Refusal) -> int:
+    """Status of a refusal."""
+    status = _STATUS.get(refusal.kind)
+    if status is not None:
+        return status
+    return _NOT_RUN_STATUS if refusal.answer.ran is WasRun.NO else _MAY_HAVE_RUN_STATUS
+
+
+def _text(fields: dict[bytes, bytes], name: bytes) -> str:
+    return fields.get(name, b"").decode("latin-1")
+
+
+def _passed_on(received: Headers) -> Headers:
+    """The client's headers for the runner; length, deadline and ours are set anew."""
+    return [(name, value) for name, value in end_to_end(received) if name not in _OWN]
+
+
+def _read_turn(fields: dict[bytes, bytes]) -> TurnDetails | None:
+    counts = fields.get(names.TOKEN_COUNTS)
+    if counts is None:
+        return None
+    _, _, most = counts.partition(b",")
+    if not most.strip().isdigit():
+        raise ValueError(f"X-Token-Counts: {counts!r}: write the prompt's tokens, the most out")
+    previous = _text(fields, names.PREVIOUS_TURN)
+    return TurnDetails(previous, _read_int(fields, names.TOKEN_BUDGET), int(most))
+
+
+def _read_int(fields: dict[bytes, bytes], name: bytes) -> int | None:
+    text = fields.get(name)
+    if text is None:
+        return None
+    if not text.strip().isdigit():
+        raise ValueError(f"{name.decode()}: {text!r}: write a whole number")
+    return int(text)
--- a/src/bendshed/platform/front.py
+++ b/src/bendshed/platform/front.py
@@ -10,22 +10,32 @@
 from bendshed.adapters.connection_pool import ConnectionPool
 from bendshed.adapters.http_server import bind, make_server
 from bendshed.adapters.tcp_transport import TcpTransport
+from bendshed.gateway.forwarding import ForwardingApplication, Receive, Scope, Send
 from bendshed.logs import PartLog
 from bendshed.platform import names
-from bendshed.platform.ingress import Ingress, Receive, Scope, Send
+from bendshed.platform.caller_protocol import PlatformCallerProtocol
 from bendshed.platform.objects import ObjectApi, ObjectEvent, PlatformObject
 from bendshed.platform.runner_protocol import PlatformRunnerProtocol
 from bendshed.platform.settings import SiteSettings, read_address
 from bendshed.platform.translate import read_document, read_replica, read_runner
-from bendshed.platform.watcher import EventHandler, KindHandler, KindWatcher, ListHandler
+from bendshed.platform.watcher import (
+    PACE_S,
+    EventHandler,
+    KindHandler,
+    KindWatcher,
+    ListHandler,
+)
 from bendshed.services.document import ServiceDocument
 from bendshed.services.node import ServiceNode
 from bendshed.tasks import start_loop
 
 RUNNER_CONNECT_TIMEOUT_S = 0.6
-SHORT_WATCH_S = 2.0
-"""Also the time after which a dead way to the store is noticed."""
+NOTICE_SHARE = 0.6
+"""A dead way to the store is noticed within this share of the time until a node that is in touch
+again must act on what the store says."""
 LONG_WATCH_S = 20.0
+REPLICA_PACE_S = 1.0
+"""Where replicas are is not urgent: a stale address costs one more try."""
 NOTICE_S = 2.6
 """The platform sends no new clients after two of its questions, a second apart, went unanswered."""
 STOP_MARGIN_S = 0.8
@@ -51,11 +61,11 @@
             self._rng,
         )
         self._node.on_document = self._apply_limits
-        self._ingress = Ingress(self._node.forwarder)
+        self._ingress = ForwardingApplication(self._node.forwarder, PlatformCallerProtocol())
         self._pages = self._make_pages()
         self._server = make_server(self._application)
         self._runners = self._watcher(
-            names.RUNNER_KIND, self._list_runners, self._on_runner, SHORT_WATCH_S
+            names.RUNNER_KIND, self._list_runners, self._on_runner, self._short_watch_s()
         )
         self._others = [
             self._watcher(
@@ -64,7 +74,13 @@
                 self._on_configuration,
                 LONG_WATCH_S,
             ),
-            self._watcher(names.REPLICA_KIND, self._list_replicas, self._on_replica, LONG_WATCH_S),
+            self._watcher(
+                names.REPLICA_KIND,
+                self._list_replicas,
+                self._on_replica,
+                LONG_WATCH_S,
+                REPLICA_PACE_S,
+            ),
         ]
         self._runners.on_trouble = self._restart_others
         self._front_port = 0
@@ -134,10 +150,20 @@
 
     # --- what the store tells ------------------------------------------------------------
 
+    def _short_watch_s(self) -> float:
+        bounds = self._settings.bounds
+        return NOTICE_SHARE * (bounds.contactMs + bounds.applyMs) / 1000
+
     def _watcher(
-        self, kind: str, on_list: ListHandler, on_event: EventHandler, wait_s: float
+        self,
+        kind: str,
+        on_list: ListHandler,
+        on_event: EventHandler,
+        wait_s: float,
+        pace_s: float = PACE_S,
     ) -> KindWatcher:
-        return KindWatcher(self._api, kind, KindHandler(on_list, on_event), wait_s, self._rng)
+        handler = KindHandler(on_list, on_event)
+        return KindWatcher(self._api, kind, handler, wait_s, self._rng, pace_s)
 
     def _restart_others(self) -> None:
         for watcher in self._others:
--- a/src/bendshed/platform/names.py
+++ b/src/bendshed/platform/names.py
@@ -30,21 +30,6 @@
 )
 """Headers that only the system sets; callers' ones are not passed on."""
 
-HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
-"""Headers that concern one connection only (RFC 9110, 7.6.1)."""
-
 OTHER_RUNNER_STATUS = 421
 MOST_URGENT, LEAST_URGENT = 0, 9
 
--- a/src/bendshed/ports/http_messages.py
+++ b/src/bendshed/ports/http_messages.py
@@ -5,6 +5,29 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+"""Headers that concern one connection only (RFC 9110, 7.6.1)."""
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Headers without those that concern one connection only."""
+    named = [value for name, value in headers if name.lower() == b"connection"]
+    listed = {token.strip().lower() for value in named for token in value.split(b",")}
+    dropped = HOP_BY_HOP | listed
+    return [(name, value) for name, value in headers if name.lower() not in dropped]
+
 
 @dataclass(slots=True)
 class ResponseHead:
--- a/src/bendshed/process.py
+++ b/src/bendshed/process.py
@@ -8,6 +8,7 @@
 
 import orjson
 
+from bendshed.adapters.connection_pool import ConnectionPool
 from bendshed.adapters.http import HttpClient
 from bendshed.adapters.http_server import HttpServer, bind, make_server
 from bendshed.adapters.http_store import HttpMachineList, HttpObjectStore
@@ -16,6 +17,7 @@
 from bendshed.configuration.file_cache import FileConfigurationCache
 from bendshed.consensus.sqlite_storage import open_or_replace
 from bendshed.gateway.application import Gateway
+from bendshed.gateway.services import DeclaredServices
 from bendshed.logs import PartLog
 from bendshed.node import Node, NodePorts
 from bendshed.operators.answers import OperatorService
@@ -23,6 +25,7 @@
 from bendshed.ports.log_storage import LogStorage
 from bendshed.settings.model import Settings
 
+RUNNER_CONNECT_TIMEOUT_S = 2.0
 LEAVING_SPREAD_S = 0.5
 """Time for the others to hear that this node leaves, before it closes."""
 
@@ -76,13 +79,15 @@
     server = make_server(None)
     node = Node(settings, ports, address, listener.getsockname()[1])
     gateway = Gateway(node, OperatorService(node))
-    server.config.app = gateway.application
+    services = DeclaredServices(node, ConnectionPool(RUNNER_CONNECT_TIMEOUT_S), gateway.application)
+    server.config.app = services
     node.start()
     serving = loop.create_task(server.serve(sockets=[listener]))
     me = node.membership.swim.me
     announce(node_id=node.node_id, peer_port=me.peer_port, http_port=me.http_port)
     await stopping.wait()
     await _stop(settings, node, server, serving)
+    services.close()
     await client.close()
     if failed:
         raise NodeFailed("; ".join(failed))
--- a/src/bendshed/rehearsal/installation.py
+++ b/src/bendshed/rehearsal/installation.py
@@ -98,16 +98,25 @@
 
     async def list_machine(self, runner_id: str, leaving: bool) -> None:
         """Write a line of the machine list."""
+        await self._list(runner_id, "engine", self.engines[runner_id].url, MODEL, leaving)
+
+    async def list_service(self, machine_id: str, service: str, leaving: bool = False) -> None:
+        """List the tool stand-in as a machine that runs a declared service."""
+        await self._list(machine_id, "service", self.tool.url, service, leaving)
+
+    async def _list(
+        self, machine_id: str, kind: str, machine_url: str, model: str, leaving: bool
+    ) -> None:
         row = {
-            "machine_id": runner_id,
-            "kind": "engine",
-            "url": self.engines[runner_id].url,
-            "model": MODEL,
+            "machine_id": machine_id,
+            "kind": kind,
+            "url": machine_url,
+            "model": model,
             "zone": "zone-a",
             "leaving": leaving,
             "incarnation": 1,
         }
-        url = f"{self.platform.url}/machines/{runner_id}"
+        url = f"{self.platform.url}/machines/{machine_id}"
         await self.client.send("PUT", url, orjson.dumps(row))
 
     async def start_node(self, plan: NodePlan) -> Started:
--- a/src/bendshed/routing/monitor.py
+++ b/src/bendshed/routing/monitor.py
@@ -40,7 +40,12 @@
 
 
 class RunnerMonitor:
-    """Background work around the runner table of one node."""
+    """Background work around the runner table of one node.
+
+    Attributes:
+        on_list: called with each machine list.
+
+    """
 
     def __init__(
         self,
@@ -70,6 +75,7 @@
         self._settings = settings
         self._list_interval_s = list_interval_s
         self._rng = rng
+        self.on_list: list[Callable[[list[Machine]], None]] = []
         self._machines: list[Machine] = []
         self._digest = 0
         self._poll_position = 0
@@ -133,6 +139,8 @@
         for notice in self._table.update_list(machines):
             log.say("a back end is leaving", runner=notice.runner_id)
             self._membership.notice_runner(notice)
+        for take in self.on_list:
+            take(machines)
         self._scheduler.schedule()
 
     async def _on_list_asked(self, payload: bytes) -> bytes:
--- a/src/bendshed/services/forwarder.py
+++ b/src/bendshed/services/forwarder.py
@@ -7,9 +7,10 @@
 from bendshed.ports.http_messages import ResponseBroken
 from bendshed.ports.runner import Caller, ServiceRequest
 from bendshed.services.attempts import Attempts, OpenAnswer, RunnerPorts
-from bendshed.services.document import Route, RouteKind
+from bendshed.services.document import EngineFeatures, Route, RouteKind
 from bendshed.services.routing import RouteIndex, choose_target
-from bendshed.services.turn_exchange import TurnExchange, TurnPorts
+from bendshed.services.stream_exchange import StreamExchange
+from bendshed.services.turn_record import TurnPorts, TurnRecord
 
 MAX_HELD_BODY_BYTES = 64 * 1024
 """A plain answer up to this size is held until it is whole, so that a cut one can be repeated."""
@@ -25,9 +26,11 @@
     Attributes:
         index: routes in force; ``None`` until a document is known.
 
+    Without ``turns`` no turn is kept here: a stream is only relayed.
+
     """
 
-    def __init__(self, runners: RunnerPorts, turns: TurnPorts) -> None:
+    def __init__(self, runners: RunnerPorts, turns: TurnPorts | None = None) -> None:
         self.index: RouteIndex | None = None
         self._runners = runners
         self._turns = turns
@@ -81,8 +84,8 @@
                 if route.kind is RouteKind.STREAM:
                     known = index.document.services.get(service)
                     engine = known.engine if known is not None else None
-                    exchange = TurnExchange(self._turns, request, route, engine, attempts, caller)
-                    return await exchange.run()
+                    record = self._record_of(request, route, engine, deadline_s)
+                    return await StreamExchange(request, attempts, caller, record).run()
                 return await self._serve_plain(attempts, caller)
         except TimeoutError:
             kind = ErrorKind.OUTCOME_UNKNOWN
@@ -90,6 +93,17 @@
                 kind = ErrorKind.DEADLINE_EXCEEDED
             return Refusal(kind, "no answer came in time")
 
+    def _record_of(
+        self,
+        request: ServiceRequest,
+        route: Route,
+        engine: EngineFeatures | None,
+        deadline_s: float,
+    ) -> TurnRecord | None:
+        if request.turn is None or self._turns is None:
+            return None
+        return TurnRecord(self._turns, request, route, engine, deadline_s)
+
     async def _serve_plain(self, attempts: Attempts, caller: Caller) -> Refusal | None:
         while True:
             opened = await attempts.open()
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -15,7 +15,7 @@
 from bendshed.services.forwarder import Forwarder
 from bendshed.services.routing import RouteIndex
 from bendshed.services.runners import RunnerTable, ServiceRunner
-from bendshed.services.turn_exchange import TurnPorts
+from bendshed.services.turn_record import TurnPorts
 from bendshed.turns.client import TranscriptCache, TurnClient
 
 TRANSCRIPT_BYTES = 16 * 1024 * 1024
--- /dev/null
+++ b/src/bendshed/services/stream_exchange.py
@@ -0,0 +1,130 @@
+"""Relays one stream event by event, and keeps a turn's record in step with it.
+
+The turn log commits the reservation before anything is handed to the caller, and the turn's end
+before the end of its stream reaches the caller.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from bendshed.errors import ErrorKind, Refusal
+from bendshed.logs import PartLog
+from bendshed.ports.http_messages import ResponseBroken
+from bendshed.ports.runner import Caller, ServiceRequest
+from bendshed.services.attempts import Attempts, OpenAnswer
+from bendshed.services.events import EventSplitter, StreamEvent
+from bendshed.services.turn_record import TurnRecord
+
+SUCCESS = 200
+
+log = PartLog("stream")
+
+
+class StreamBroken(Exception):
+    """The runner's stream is not whole."""
+
+
+@dataclass(slots=True)
+class StreamExchange:
+    """One stream.
+
+    Attributes:
+        record: the turn that the stream is the answer of; ``None``: nothing is kept of it.
+        num_events: events handed to the caller.
+
+    """
+
+    request: ServiceRequest
+    attempts: Attempts
+    caller: Caller
+    record: TurnRecord | None
+    num_events: int = 0
+
+    async def run(self) -> Refusal | None:
+        """Serve the request; return a refusal that the caller has not been told yet."""
+        if self.record is None:
+            return await self._run_begun()
+        refusal = await self.record.begin()
+        if refusal is not None:
+            return refusal
+        self.attempts.body = self.record.body
+        try:
+            return await self._run_begun()
+        finally:
+            self.record.finish_broken()
+
+    async def _run_begun(self) -> Refusal | None:
+        opened = await self.attempts.open()
+        if isinstance(opened, Refusal):
+            return opened
+        whole = False
+        try:
+            if self.record is not None and (unconfirmed := await self.record.confirm()) is not None:
+                detail = f"the turn ran, but its reservation failed: {unconfirmed.detail}"
+                return Refusal(ErrorKind.ENGINE_LOST, detail)
+            whole = await self._relay(opened)
+        except (ResponseBroken, StreamBroken) as error:
+            log.say(
+                "a stream broke",
+                request=self.request.request_id,
+                runner=opened.record.listed.runner_id,
+                events=self.num_events,
+                reason=str(error),
+            )
+            self.caller.break_off()
+        finally:
+            opened.close(whole)
+        return None
+
+    async def _relay(self, opened: OpenAnswer) -> bool:
+        """Pass the stream on event by event; raise when it is not whole."""
+        loop = asyncio.get_running_loop()
+        is_stream = opened.head.status == SUCCESS
+        splitter = EventSplitter()
+        last_id: int | None = None
+        first_ms: int | None = None
+        await self.caller.begin(opened.head)
+        async for chunk in opened.body():
+            if not is_stream:
+                await self.caller.send(chunk)
+                continue
+            events = splitter.feed(chunk)
+            if not events:
+                continue
+            if first_ms is None:
+                first_ms = int((loop.time() - self.request.arrived_s) * 1000)
+            for event in events:
+                last_id = self._check_order(event, last_id)
+                self._count(event)
+            await self.caller.send(b"".join(event.raw for event in events))
+        if splitter.has_rest:
+            raise StreamBroken("the stream ended within an event")
+        if is_stream and self.record is not None and not await self.record.finish_whole():
+            raise StreamBroken("the turn's end could not be kept")
+        await self.caller.end()
+        log.say(
+            "answered",
+            request=self.request.request_id,
+            runner=opened.record.listed.runner_id,
+            status=opened.head.status,
+            events=self.num_events,
+            first_ms=first_ms,
+            total_ms=int((loop.time() - self.request.arrived_s) * 1000),
+        )
+        return True
+
+    @staticmethod
+    def _check_order(event: StreamEvent, last_id: int | None) -> int | None:
+        if event.event_id is None:
+            return last_id
+        if last_id is not None and event.event_id <= last_id:
+            raise StreamBroken(f"event {event.event_id} came after {last_id}")
+        return event.event_id
+
+    def _count(self, event: StreamEvent) -> None:
+        """Count an event before it is handed on."""
+        if event.data is None:
+            return
+        self.num_events += 1
+        if self.record is not None:
+            self.record.count(event)
--- a/src/bendshed/services/turn_exchange.py
+++ b/src/bendshed/services/turn_record.py
@@ -1,8 +1,4 @@
-"""Serves one turn: reserve its tokens and find its chain, run it, keep what was said.
-
-The turn log commits the reservation before anything is sent to a runner, and the turn's end before
-the end of its stream reaches the caller.
-"""
+"""The turn log's side of one turn: reserve its tokens and find its chain, keep what was said."""
 
 import asyncio
 from dataclasses import dataclass, field
@@ -10,12 +6,10 @@
 
 from bendshed.errors import ErrorKind, Refusal
 from bendshed.logs import PartLog
-from bendshed.ports.http_messages import ResponseBroken
-from bendshed.ports.runner import Caller, ServiceRequest
+from bendshed.ports.runner import ServiceRequest
 from bendshed.programs.client import GroupUnavailable
-from bendshed.services.attempts import Attempts, OpenAnswer
 from bendshed.services.document import EngineFeatures, Route
-from bendshed.services.events import EventSplitter, StreamEvent
+from bendshed.services.events import StreamEvent
 from bendshed.turns.client import TranscriptCache, TurnClient
 from bendshed.wire import turns_pb2 as wire
 
@@ -24,7 +18,6 @@
 FINISH_TIMEOUT_S = 3.0
 LATE_FINISH_TIMEOUT_S = 20.0
 """How long the end of a turn that the caller does not wait for is tried."""
-SUCCESS = 200
 
 log = PartLog("turns")
 
@@ -43,18 +36,15 @@
     late: "set[asyncio.Task[Any]]" = field(default_factory=set)
 
 
-class StreamBroken(Exception):
-    """The runner's stream is not whole."""
-
-
 @dataclass(slots=True)
-class TurnExchange:
-    """One turn.
+class TurnRecord:
+    """One turn in the turn log.
 
     Invariant: tokens are counted before they are handed on; a begun turn is finished exactly once.
 
     Attributes:
         engine: features of the service; ``None``: not a model engine.
+        deadline_s: loop time after which the turn is not begun any more.
         num_events: events handed to the caller.
 
     """
@@ -63,8 +53,7 @@
     request: ServiceRequest
     route: Route
     engine: EngineFeatures | None
-    attempts: Attempts
-    caller: Caller
+    deadline_s: float
     num_events: int = 0
     _transcript: bytes = b""
     _output: list[bytes] = field(default_factory=list)
@@ -72,25 +61,34 @@
     _is_begun: bool = False
     _is_finished: bool = False
 
-    async def run(self) -> Refusal | None:
-        """Serve the turn; return a refusal that the caller has not been told yet."""
-        if self.request.turn is not None:
-            refusal = await self._begin()
-            if refusal is not None:
-                return refusal
-        try:
-            return await self._run_begun()
-        finally:
-            if self._is_begun and not self._is_finished:
-                self._finish_late(self._outcome_of_broken())
+    @property
+    def body(self) -> bytes:
+        """What a runner gets: the chain's transcript, then the new input."""
+        return self._transcript + self.request.body
+
+    def count(self, event: StreamEvent) -> None:
+        """Count and keep an event before it is handed on."""
+        if event.data is None:
+            return
+        self.num_events += 1
+        if self.route.keeps_turns:
+            self._output.append(event.data + b"\n")
 
-    # --- the turn log --------------------------------------------------------------------
+    def finish_broken(self) -> None:
+        """Charge a turn that did not end well, without anybody waiting for it."""
+        if not self._is_begun or self._is_finished:
+            return
+        command = self._finish_command(self._outcome_of_broken())
+        self._is_finished = True
+        task = asyncio.get_running_loop().create_task(self._finish_in_background(command))
+        self.ports.late.add(task)
+        task.add_done_callback(self.ports.late.discard)
 
-    async def _begin(self) -> Refusal | None:
+    async def begin(self) -> Refusal | None:
         """Find the chain and reserve the tokens; return why the turn may not run.
 
         A preview lets the turn go to its runner while its reservation is still being committed;
-        ``_confirm`` waits for that before anything is handed to the caller.
+        ``confirm`` waits for that before anything is handed to the caller.
         """
         loop = asyncio.get_running_loop()
         began_s = loop.time()
@@ -138,7 +136,7 @@
         command = wire.TurnCommand(begin=begin)
         command.begin.held_turn = begin.previous_turn
         loop = asyncio.get_running_loop()
-        timeout_s = min(BEGIN_TIMEOUT_S, self.attempts.deadline_s - loop.time())
+        timeout_s = min(BEGIN_TIMEOUT_S, self.deadline_s - loop.time())
         task = loop.create_task(self._command_or_none(command, timeout_s))
         self.ports.late.add(task)
         task.add_done_callback(self.ports.late.discard)
@@ -160,10 +158,10 @@
 
     async def _begin_committed(self, begin: wire.BeginTurn, held: bytes | None) -> Refusal | None:
         """Without a preview: wait for the commit, then ask for the chain that is missing."""
-        refusal = await self._confirm()
+        refusal = await self.confirm()
         if refusal is None and begin.previous_turn and held is None:
             self._committing = self._ask_chain(begin)
-            refusal = await self._confirm()
+            refusal = await self.confirm()
         reply = await self._committed()
         if refusal is None and reply is not None:
             self._take_chain(reply, held)
@@ -182,7 +180,7 @@
             return None
         return await asyncio.shield(self._committing)
 
-    async def _confirm(self) -> Refusal | None:
+    async def confirm(self) -> Refusal | None:
         """Wait until the reservation is committed; return why it is not."""
         reply = await self._committed()
         if reply is None:
@@ -201,7 +199,6 @@
             return
         pieces = [piece.transcript for piece in reply.chain]
         self._transcript = held if held is not None else b"".join(pieces)
-        self.attempts.body = self._transcript + self.request.body
 
     def _finish_command(self, outcome: "wire.TurnOutcome.ValueType") -> wire.TurnCommand:
         turn = self.request.turn
@@ -229,7 +226,7 @@
             return wire.TURN_OUTCOME_NOTHING_HANDED_ON
         return wire.TURN_OUTCOME_BROKEN
 
-    async def _finish_whole(self) -> bool:
+    async def finish_whole(self) -> bool:
         """Commit the turn's end; ``False``: not known to be committed in time."""
         loop = asyncio.get_running_loop()
         began_s = loop.time()
@@ -251,14 +248,6 @@
         )
         return True
 
-    def _finish_late(self, outcome: "wire.TurnOutcome.ValueType") -> None:
-        """Charge a turn that did not end well, without anybody waiting for it."""
-        command = self._finish_command(outcome)
-        self._is_finished = True
-        task = asyncio.get_running_loop().create_task(self._finish_in_background(command))
-        self.ports.late.add(task)
-        task.add_done_callback(self.ports.late.discard)
-
     async def _finish_in_background(self, command: wire.TurnCommand) -> None:
         try:
             await self.ports.client.command(command, LATE_FINISH_TIMEOUT_S)
@@ -268,81 +257,3 @@
                 request=self.request.request_id,
                 reason=str(error),
             )
-
-    # --- the stream ----------------------------------------------------------------------
-
-    async def _run_begun(self) -> Refusal | None:
-        opened = await self.attempts.open()
-        if isinstance(opened, Refusal):
-            return opened
-        whole = False
-        try:
-            if self._is_begun and (unconfirmed := await self._confirm()) is not None:
-                detail = f"the turn ran, but its reservation failed: {unconfirmed.detail}"
-                return Refusal(ErrorKind.ENGINE_LOST, detail)
-            whole = await self._relay(opened)
-        except (ResponseBroken, StreamBroken) as error:
-            log.say(
-                "a stream broke",
-                request=self.request.request_id,
-                runner=opened.record.listed.runner_id,
-                events=self.num_events,
-                reason=str(error),
-            )
-            self.caller.break_off()
-        finally:
-            opened.close(whole)
-        return None
-
-    async def _relay(self, opened: OpenAnswer) -> bool:
-        """Pass the stream on event by event; raise when it is not whole."""
-        loop = asyncio.get_running_loop()
-        is_stream = opened.head.status == SUCCESS
-        splitter = EventSplitter()
-        last_id: int | None = None
-        first_ms: int | None = None
-        await self.caller.begin(opened.head)
-        async for chunk in opened.body():
-            if not is_stream:
-                await self.caller.send(chunk)
-                continue
-            events = splitter.feed(chunk)
-            if not events:
-                continue
-            if first_ms is None:
-                first_ms = int((loop.time() - self.request.arrived_s) * 1000)
-            for event in events:
-                last_id = self._check_order(event, last_id)
-                self._count(event)
-            await self.caller.send(b"".join(event.raw for event in events))
-        if splitter.has_rest:
-            raise StreamBroken("the stream ended within an event")
-        if is_stream and self._is_begun and not await self._finish_whole():
-            raise StreamBroken("the turn's end could not be kept")
-        await self.caller.end()
-        log.say(
-            "answered",
-            request=self.request.request_id,
-            runner=opened.record.listed.runner_id,
-            status=opened.head.status,
-            events=self.num_events,
-            first_ms=first_ms,
-            total_ms=int((loop.time() - self.request.arrived_s) * 1000),
-        )
-        return True
-
-    @staticmethod
-    def _check_order(event: StreamEvent, last_id: int | None) -> int | None:
-        if event.event_id is None:
-            return last_id
-        if last_id is not None and event.event_id <= last_id:
-            raise StreamBroken(f"event {event.event_id} came after {last_id}")
-        return event.event_id
-
-    def _count(self, event: StreamEvent) -> None:
-        """Count and keep an event before it is handed on."""
-        if event.data is None:
-            return
-        self.num_events += 1
-        if self.route.keeps_turns:
-            self._output.append(event.data + b"\n")
--- a/tests/test_language.py
+++ b/tests/test_language.py
@@ -1,6 +1,17 @@
 import unittest
 
-from bendshed.configuration.document import DrainRunner, LoadModel, SetBudget
+from bendshed.configuration.document import (
+    ConfigurationDocument,
+    DrainRunner,
+    DropRoute,
+    DropService,
+    LoadModel,
+    PutService,
+    SetBudget,
+    UnknownName,
+    apply_change,
+)
+from bendshed.configuration.services import ServiceDeclaration, to_service_document
 from bendshed.errors import ErrorKind, Refusal
 from bendshed.operators.language import (
     ChangeConfiguration,
@@ -10,6 +21,7 @@
     StopProgram,
     parse,
 )
+from bendshed.services.document import RouteKind, WeightedService
 
 
 class LanguageTest(unittest.TestCase):
@@ -31,6 +43,12 @@
                 LoadModel(runner="r-1", model="big")
             ),
             "STOP PROGRAM p1": StopProgram("p1"),
+            "PUT SERVICE relay SLOTS 6": ChangeConfiguration(
+                PutService(name="relay", service=ServiceDeclaration(slots=6))
+            ),
+            "DROP SERVICE relay": ChangeConfiguration(DropService(name="relay")),
+            "DROP ROUTE beat": ChangeConfiguration(DropRoute(name="beat")),
+            "SHOW routes": Show("routes"),
         }
         for text, wanted in cases.items():
             with self.subTest(text=text):
@@ -51,6 +69,9 @@
             "": "(empty)",
             "PUT TENANT a TOKEN SHA256 'abc' BUDGET 1": "token_sha256",
             "SET PRIORITY desk 12": "priority",
+            "PUT ROUTE r HOST h PREFIX 'beat' TO relay": "path_prefix",
+            "PUT ROUTE r HOST h PREFIX '/b/' TO relay WEIGHT 0": "weight",
+            "PUT ROUTE r HOST h PREFIX '/b/' TO relay KIND odd": "at column",
         }
         for text, part in cases.items():
             with self.subTest(text=text):
@@ -58,3 +79,44 @@
                 assert isinstance(refusal, Refusal)
                 self.assertIs(refusal.kind, ErrorKind.BAD_REQUEST)
                 self.assertIn(part, refusal.detail)
+
+
+class DeclaredRoutesTest(unittest.TestCase):
+    def apply(self, *statements: str) -> ConfigurationDocument:
+        document = ConfigurationDocument()
+        for revision, text in enumerate(statements, start=1):
+            statement = parse(text)
+            assert isinstance(statement, ChangeConfiguration), statement
+            document = apply_change(document, statement.body, revision)
+        return document
+
+    def test_a_declared_route_is_what_forwarding_gets(self) -> None:
+        document = self.apply(
+            "PUT SERVICE relay",
+            "PUT SERVICE spare SLOTS 2",
+            "PUT ROUTE beat HOST 'feeds.example' PREFIX '/beat/' TO relay WEIGHT 3, spare"
+            " KIND idempotent TIMEOUT 1200 MS PRIORITY 2 ATTEMPTS 2",
+            "SET LIMITS BODY 1000 BYTES",
+        )
+        forwarded = to_service_document(4, document.services, document.routes, document.limits)
+        route = forwarded.routes[0]
+        self.assertEqual((route.host, route.path_prefix), ("feeds.example", "/beat/"))
+        self.assertEqual(
+            route.targets, (WeightedService("relay", 3.0), WeightedService("spare", 1.0))
+        )
+        self.assertIs(route.kind, RouteKind.IDEMPOTENT)
+        self.assertEqual((route.timeout_ms, route.priority, route.max_attempts), (1200, 2, 2))
+        self.assertEqual((forwarded.version, forwarded.limits.max_body_bytes), (4, 1000))
+
+    def test_a_request_is_unrepeatable_unless_it_is_declared_otherwise(self) -> None:
+        document = self.apply("PUT SERVICE s", "PUT ROUTE r HOST h PREFIX '/' TO s")
+        forwarded = to_service_document(2, document.services, document.routes, document.limits)
+        self.assertFalse(forwarded.routes[0].may_repeat)
+
+    def test_names_must_exist(self) -> None:
+        route = "PUT ROUTE r HOST h PREFIX '/' TO s"
+        cases = [(route,), ("DROP ROUTE r",), ("DROP SERVICE s",)]
+        cases.append(("PUT SERVICE s", route, "DROP SERVICE s"))
+        for statements in cases:
+            with self.subTest(last=statements[-1]), self.assertRaises(UnknownName):
+                self.apply(*statements)
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -10,13 +10,13 @@
 
 from bendshed.errors import ANSWERS, ErrorKind, Refusal, WasRun
 from bendshed.platform import names
-from bendshed.platform.answers import status_of
-from bendshed.platform.ingress import read_request
+from bendshed.platform.caller_protocol import PlatformCallerProtocol, status_of
 from bendshed.platform.main import main
 from bendshed.platform.objects import PlatformObject
 from bendshed.platform.runner_protocol import PlatformRunnerProtocol
 from bendshed.platform.settings import SiteSettingsInvalid, load_site_settings
 from bendshed.platform.translate import read_document, read_runner
+from bendshed.ports.caller_protocol import ReceivedRequest
 from bendshed.ports.http_messages import Headers, ResponseHead
 from bendshed.ports.runner import ServiceRequest, Verdict
 from bendshed.services.document import RouteKind
@@ -113,8 +113,8 @@
 
 
 def read(headers: Headers, raw_path: bytes = b"/p/a%2Fb", query: bytes = b"x=%20") -> object:
-    scope = {"method": "POST", "raw_path": raw_path, "query_string": query, "headers": headers}
-    return read_request(scope, b"body", 0.0)
+    received = ReceivedRequest(b"POST", raw_path, query, headers, b"body", 0.0)
+    return PlatformCallerProtocol().read(received)
 
 
 TURN: Headers = [
--- a/tests/test_smoke.py
+++ b/tests/test_smoke.py
@@ -5,7 +5,7 @@
 import unittest
 from pathlib import Path
 
-from bendshed.adapters.http import CONNECTION_ERRORS
+from bendshed.adapters.http import CONNECTION_ERRORS, HttpAnswer
 from bendshed.rehearsal.caller import Call, send_call
 from bendshed.rehearsal.installation import CALLER_TOKEN, Installation
 
@@ -33,6 +33,7 @@
         self.assertEqual((again.whole, again.text), (True, first.text))
         other_body = await turn("node-2", Call("p", 1, "something else"))
         self.assertEqual(other_body.error_kind, "conflict")
+        await self._use_a_declared_route(installation)
         await installation.kill_node("node-1")
         second = await turn("node-4", Call("p", 2, "go on", unrepeatable=True))
         self.assertTrue(second.whole, second)
@@ -41,6 +42,29 @@
         self.assertEqual(code, 0)
         self.assertTrue((await stream).whole)
 
+    async def _use_a_declared_route(self, installation: Installation) -> None:
+        """A request on a declared route goes to a machine of its service, at any node."""
+        await installation.list_service("tool-1", "lookup")
+        await installation.order("PUT SERVICE lookup SLOTS 4")
+        route = "PUT ROUTE tools HOST '127.0.0.1' PREFIX '/tools/' TO lookup KIND idempotent"
+        await installation.order(f"{route} TIMEOUT 3000 MS ATTEMPTS 2")
+        headers = {"Authorization": f"Bearer {CALLER_TOKEN}"}
+
+        async def send(node: str, fields: dict[str, str]) -> HttpAnswer:
+            url = f"{installation.nodes[node].url}/tools/search"
+            return await installation.client.send("POST", url, b'{"seconds": 0}', fields)
+
+        self.assertEqual((await send("node-2", {})).status, 401)
+        for node in ("node-2", "node-4"):
+            answer = await send(node, headers)
+            while answer.status == 503:  # the machine list has not reached the node yet
+                answer = await send(node, headers)
+            self.assertEqual((answer.status, answer.body), (200, b'{"result":"search done"}'))
+        with self.assertRaisesRegex(RuntimeError, "leads to service"):
+            await installation.order("DROP SERVICE lookup")
+        await installation.order("DROP ROUTE tools")
+        self.assertEqual((await send("node-4", headers)).status, 404)
+
 
 class RollingRestartTest(unittest.IsolatedAsyncioTestCase):
     """Every node is stopped and started again under load: no stream is cut, no call is lost."""
