A change between two pages of a list is not missed; stand-ins lose, delay and spoil answers

Cause: a list of several pages gave the last page's revision as the place where its watch begins, so a runner of an early page that began to drain while a later page was read stayed ready until its next change. Ruled out: listing anew when the pages' revisions differ (may never end under changes). Change: the watch begins at the first page's revision; events older than what the list told are passed over. Before: test_a_change_between_two_pages_is_not_missed failed ([] instead of the change). After: passes, with 5 tests of spoiled answers through real sockets, 2 of lost and late writes, 1 of old events.

--- a/src/bendshed/platform/objects.py
+++ b/src/bendshed/platform/objects.py
@@ -66,9 +66,10 @@
 
     """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, call_timeout_s: float = CALL_TIMEOUT_S) -> None:
         self.num_calls = 0
         self._address = address
+        self._call_timeout_s = call_timeout_s
         self._pool = ConnectionPool(CONNECT_TIMEOUT_S)
 
     def close(self) -> None:
@@ -77,19 +78,25 @@
 
     async def get(self, kind: str, name: str) -> PlatformObject | None:
         """Read one object; ``None``: there is none."""
-        status, content = await self._call(b"GET", _path(kind, name), None, CALL_TIMEOUT_S)
+        status, content = await self._call(b"GET", _path(kind, name), None, self._call_timeout_s)
         return None if status == 404 else _read_object(content)
 
     async def list(self, kind: str) -> ObjectList:
-        """Read all objects of a kind, page by page."""
+        """Read all objects of a kind, page by page.
+
+        ``at`` is the first page's, since objects of a page may change while a later one is read.
+        """
         items: list[PlatformObject] = []
+        first_at: int | None = None
         after = ""
         while True:
             query = f"?after={quote(after, safe='')}" if after else ""
-            _, content = await self._call(b"GET", _path(kind) + query, None, CALL_TIMEOUT_S)
+            _, content = await self._call(b"GET", _path(kind) + query, None, self._call_timeout_s)
             items.extend(_read_object(row) for row in content["items"])
+            if first_at is None:
+                first_at = int(content["at"])
             if not content.get(names.HAS_MORE) or not items:
-                return ObjectList(items, int(content["at"]))
+                return ObjectList(items, first_at)
             after = items[-1].name
 
     async def watch(self, kind: str, at: int, wait_s: float) -> ObjectEvents:
@@ -108,7 +115,7 @@
     async def create(self, kind: str, name: str, spec: Any) -> PlatformObject:
         """Create an object; raise ``VersionConflict`` if it exists."""
         body = {"meta": {"name": name}, "spec": spec}
-        status, content = await self._call(b"POST", _path(kind), body, CALL_TIMEOUT_S)
+        status, content = await self._call(b"POST", _path(kind), body, self._call_timeout_s)
         if status == 409:
             raise VersionConflict(f"{kind}/{name} exists")
         return _read_object(content)
@@ -116,14 +123,14 @@
     async def replace(self, kind: str, name: str, spec: Any) -> bool:
         """Replace the spec whatever it was; ``False``: there is no such object."""
         body = {"meta": {"name": name}, "spec": spec}
-        status, _ = await self._call(b"PUT", _path(kind, name), body, CALL_TIMEOUT_S)
+        status, _ = await self._call(b"PUT", _path(kind, name), body, self._call_timeout_s)
         return status != 404
 
     async def replace_status(self, kind: str, name: str, content: Any) -> bool:
         """Replace the status; ``False``: there is no such object."""
         body = {"meta": {"name": name}, "status": content}
         path = _path(kind, name) + "/status"
-        status, _ = await self._call(b"PUT", path, body, CALL_TIMEOUT_S)
+        status, _ = await self._call(b"PUT", path, body, self._call_timeout_s)
         return status != 404
 
     async def _call(
--- a/src/bendshed/platform/watcher.py
+++ b/src/bendshed/platform/watcher.py
@@ -14,7 +14,7 @@
 LOST_WAIT_S = 0.1
 """While the store is lost, a watch asks for so short a wait that its silence is noticed soon."""
 PACE_S = 0.05
-"""Pause between two watches, so that a burst of changes costs few calls."""
+"""Shortest pause between two watches, so that a burst of changes costs few calls."""
 DOUBT_S = 5.0
 """For this long after a failed call the store's silence or removals prove little."""
 
@@ -56,6 +56,7 @@
         handler: KindHandler,
         wait_s: float,
         rng: random.Random,
+        pace_s: float = PACE_S,
     ) -> None:
         self.failed_at_s = float("-inf")
         self.on_trouble: Callable[[], None] = lambda: None
@@ -64,7 +65,9 @@
         self._handler = handler
         self._wait_s = wait_s
         self._rng = rng
+        self._pace_s = pace_s
         self._at: int | None = None
+        self._listed: dict[str, int] = {}
         self._call: asyncio.Task[None] | None = None
         self._is_lost = False
 
@@ -81,7 +84,7 @@
             try:
                 await self._call
                 self._note_regained()
-                await asyncio.sleep(PACE_S)
+                await asyncio.sleep(self._pace_s)
             except HistoryGone:
                 log.say("the history is gone, lists again", kind=self._kind)
                 self._at = None
@@ -103,13 +106,19 @@
         if self._at is None:
             listed = await self._api.list(self._kind)
             self._at = listed.at
+            self._listed = {item.name: item.revision for item in listed.items}
             self._handler.on_list(listed.items)
             return
         wait_s = LOST_WAIT_S if self._is_lost else self._wait_s
         changes = await self._api.watch(self._kind, self._at, wait_s)
         self._at = changes.at
         for event in changes.events:
-            self._handler.on_event(event)
+            if not self._is_old(event):
+                self._handler.on_event(event)
+
+    def _is_old(self, event: ObjectEvent) -> bool:
+        """A list of several pages tells later states than those at which its watch begins."""
+        return event.object.revision < self._listed.get(event.object.name, 0)
 
     def _note_failure(self, error: Exception) -> None:
         self.failed_at_s = asyncio.get_running_loop().time()
--- a/src/bendshed/rehearsal/site/metadata.py
+++ b/src/bendshed/rehearsal/site/metadata.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -44,6 +45,10 @@
         history: changes since ``history_from``: revision, kind, object, whether it is gone.
         is_down: every call is answered 503.
         calls_left: calls until further ones are refused with 429; ``None``: no bound.
+        page: objects on one page of a list.
+        lose_answers: this many further writes are done, and their connections fall silent.
+        delay_writes: this many further writes are done only at ``do_late_writes``, unanswered.
+        on_page: called after each page of a list is read.
 
     """
 
@@ -53,6 +58,11 @@
     history_from: int = 0
     is_down: bool = False
     calls_left: int | None = None
+    page: int = PAGE
+    lose_answers: int = 0
+    delay_writes: int = 0
+    on_page: Callable[[], None] = lambda: None
+    late_writes: list[Callable[[], Response]] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def put(self, kind: str, name: str, spec: Any) -> StoredRow:
@@ -81,6 +91,12 @@
         row.revision = self.revision
         self._note(kind, row, True)
 
+    def do_late_writes(self) -> None:
+        """Do what was delayed, where its condition still holds."""
+        late, self.late_writes = self.late_writes, []
+        for write in late:
+            write()
+
     def forget_history(self) -> None:
         """Watches from before must list again."""
         self.history.clear()
@@ -145,13 +161,15 @@
         rows = sorted(self.model.kinds.get(kind, {}).items())
         after = _query(request, "after")
         later = [row.to_json() for name, row in rows if name > after]
-        return json(
+        answer = json(
             {
-                "items": later[:PAGE],
-                names.HAS_MORE: len(later) > PAGE,
+                "items": later[: self.model.page],
+                names.HAS_MORE: len(later) > self.model.page,
                 "at": self.model.revision,
             }
         )
+        self.model.on_page()
+        return answer
 
     async def _watch(self, kind: str, since: int, wait_ms: int) -> Response:
         model = self.model
@@ -173,11 +191,12 @@
         return json(row.to_json())
 
     async def _create(self, request: Request) -> Response:
-        refusal = self._refusal()
-        if refusal is not None:
-            return refusal
         content = await request.json()
-        kind, name = _part(request, "kind"), content["meta"]["name"]
+        kind = _part(request, "kind")
+        return await self._write(lambda: self._do_create(kind, content))
+
+    def _do_create(self, kind: str, content: Any) -> Response:
+        name = content["meta"]["name"]
         known = self.model.kinds.get(kind, {}).get(name)
         if known is not None:
             return json(known.to_json(), CONFLICT)
@@ -190,11 +209,11 @@
         return await self._change(request, "status")
 
     async def _change(self, request: Request, part: str) -> Response:
-        refusal = self._refusal()
-        if refusal is not None:
-            return refusal
         content = await request.json()
         kind, name = _part(request, "kind"), _part(request, "name")
+        return await self._write(lambda: self._do_change(kind, name, part, content))
+
+    def _do_change(self, kind: str, name: str, part: str, content: Any) -> Response:
         known = self.model.kinds.get(kind, {}).get(name)
         if known is None:
             return json({"at": self.model.revision}, MISSING)
@@ -205,15 +224,36 @@
         return json(change(kind, name, content.get(part)).to_json())
 
     async def _delete(self, request: Request) -> Response:
-        refusal = self._refusal()
-        if refusal is not None:
-            return refusal
         kind, name = _part(request, "kind"), _part(request, "name")
+        return await self._write(lambda: self._do_delete(kind, name))
+
+    def _do_delete(self, kind: str, name: str) -> Response:
         if name not in self.model.kinds.get(kind, {}):
             return json({"at": self.model.revision}, MISSING)
         self.model.delete(kind, name)
         return json({})
 
+    async def _write(self, write: Callable[[], Response]) -> Response:
+        """Do a write, now or late, and answer it, unless that is the trouble."""
+        refusal = self._refusal()
+        if refusal is not None:
+            return refusal
+        if self.model.delay_writes > 0:
+            self.model.delay_writes -= 1
+            self.model.late_writes.append(write)
+            return await _never()
+        answer = write()
+        if self.model.lose_answers > 0:
+            self.model.lose_answers -= 1
+            return await _never()
+        return answer
+
+
+async def _never() -> Response:
+    """A connection that falls silent."""
+    await asyncio.Event().wait()
+    raise AssertionError
+
 
 def _part(request: Request, name: str) -> str:
     parts = request.route_values or {}
--- a/src/bendshed/rehearsal/site/runner.py
+++ b/src/bendshed/rehearsal/site/runner.py
@@ -38,7 +38,7 @@
 
     Attributes:
         events: events made so far.
-        is_over: it stopped working on it.
+        ended_s: when it stopped working on it; ``None``: it still works.
 
     """
 
@@ -48,7 +48,7 @@
     body: bytes
     started_s: float
     events: int = 0
-    is_over: bool = False
+    ended_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,7 +137,7 @@
             async for piece in self._work(call, record):
                 yield piece
         finally:
-            record.is_over = True
+            record.ended_s = loop.time()
 
     async def _work(self, call: RunnerCall, record: RunRecord) -> AsyncIterator[Head | Chunk]:
         slow = self.troubles.slow
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -25,7 +25,7 @@
         listener = bind("127.0.0.1", 0)
         self.address = Address("127.0.0.1", listener.getsockname()[1])
         self.serving = asyncio.create_task(self.server.serve(sockets=[listener]))
-        self.api = ObjectApi(self.address)
+        self.api = ObjectApi(self.address, call_timeout_s=0.3)
 
     async def asyncTearDown(self) -> None:
         self.api.close()
@@ -53,6 +53,40 @@
         self.assertEqual(len(listed.items), PAGE + 7)
         self.assertEqual(listed.at, self.model.revision)
 
+    async def test_a_change_between_two_pages_is_not_missed(self) -> None:
+        """What changes on an early page while a later one is read comes by the next watch."""
+        self.model.page = 2
+        for name in ("a", "b", "c"):
+            self.model.put("kind", name, {"state": "ready"})
+
+        def change_once() -> None:
+            self.model.on_page = lambda: None
+            self.model.put("kind", "a", {"state": "draining"})
+
+        self.model.on_page = change_once
+        listed = await self.api.list("kind")
+        events = (await self.api.watch("kind", listed.at, 0.0)).events
+        heard = [(event.object.name, event.object.spec["state"]) for event in events]
+        self.assertEqual(heard[-1:], [("a", "draining")])
+
+    async def test_a_write_whose_answer_is_lost_was_done(self) -> None:
+        self.model.lose_answers = 1
+        with self.assertRaises(StoreUnavailable):
+            await self.api.create("kind", "a", {"x": 1})
+        found = await self.api.get("kind", "a")
+        assert found is not None
+        self.assertEqual(found.spec, {"x": 1})
+
+    async def test_a_late_founding_does_not_replace_the_one_that_came_first(self) -> None:
+        """Two stores found at once; the write of one is done only seconds later."""
+        registry = PlatformReplicaRegistry(self.api)
+        self.model.delay_writes = 1
+        with self.assertRaises(RegistryUnavailable):
+            await registry.found(["one"])
+        self.assertEqual(await registry.found(["two"]), ["two"])
+        self.model.do_late_writes()
+        self.assertEqual(await registry.founding_voters(), ["two"])
+
     async def test_a_watch_hears_of_changes_and_of_a_lost_history(self) -> None:
         at = (await self.api.list("kind")).at
         watching = asyncio.create_task(self.api.watch("kind", at, 5.0))
--- a/tests/test_platform_watcher.py
+++ b/tests/test_platform_watcher.py
@@ -29,10 +29,13 @@
         self.changed = asyncio.Event()
         self.is_silent = False
         self.history_from = 0
+        self.list_at: int | None = None
+        self.older: list[int] = []
 
     async def list(self, kind: str) -> ObjectList:
         await self._reach(1.0)
-        return ObjectList([self._object()], self.revision)
+        at = self.revision if self.list_at is None else self.list_at
+        return ObjectList([self._object()], at)
 
     async def watch(self, kind: str, at: int, wait_s: float) -> ObjectEvents:
         await self._reach(wait_s + MARGIN_S)
@@ -42,7 +45,9 @@
             async with asyncio.timeout(wait_s):
                 if self.revision == at:
                     await self.changed.wait()
-        events = [ObjectEvent(self._object(), False)] if self.revision > at else []
+        revisions = [old for old in self.older if old > at]
+        revisions += [self.revision] if self.revision > at and self.list_at is None else []
+        events = [ObjectEvent(self._object(revision), False) for revision in revisions]
         return ObjectEvents(events, self.revision)
 
     def change(self, revision: int) -> None:
@@ -55,8 +60,9 @@
             await asyncio.sleep(timeout_s)  # this connection stays silent for good
             raise StoreUnavailable("silent")
 
-    def _object(self) -> PlatformObject:
-        return PlatformObject("main", self.revision, {"version": self.revision}, None)
+    def _object(self, revision: int | None = None) -> PlatformObject:
+        revision = self.revision if revision is None else revision
+        return PlatformObject("main", revision, {"version": revision}, None)
 
 
 class WatcherTest(unittest.TestCase):
@@ -120,3 +126,11 @@
         self.store.change(9)
         self.run_for(0.5)
         self.assertEqual(self.seen[-1], 9)
+
+    def test_an_event_older_than_what_a_list_told_changes_nothing(self) -> None:
+        """A list of several pages ends later than its watch begins."""
+        self.store.revision = 4
+        self.store.list_at = 2
+        self.store.older = [2, 3]
+        self.run_for(0.5)
+        self.assertEqual(self.seen, [4])
--- /dev/null
+++ b/tests/test_runner_answers.py
@@ -0,0 +1,158 @@
+"""Forwarding to a runner behind a real socket that spoils its answers on the wire."""
+
+import asyncio
+import random
+import unittest
+from dataclasses import replace
+
+from bendshed.adapters.connection_pool import ConnectionPool
+from bendshed.errors import Refusal
+from bendshed.platform.runner_protocol import PlatformRunnerProtocol
+from bendshed.ports.http_messages import ResponseHead
+from bendshed.ports.runner import Caller, ServiceRequest
+from bendshed.rehearsal.site.http_runner import (
+    EARLY_BODY_BYTES,
+    EVENTS_HEADER,
+    SURPLUS_ID,
+    RunnerServer,
+    Spoil,
+)
+from bendshed.rehearsal.site.runner import RunRecord, SiteRunner, event_bytes, plain_answer
+from bendshed.services.attempts import RunnerPorts
+from bendshed.services.document import Route, RouteKind, ServiceDocument, WeightedService
+from bendshed.services.forwarder import Forwarder
+from bendshed.services.routing import RouteIndex
+from bendshed.services.runners import RunnerState, RunnerTable, ServiceRunner
+
+HOST = "127.0.0.1"
+ROUTE = Route(
+    name="r",
+    host="h",
+    path_prefix="/",
+    kind=RouteKind.IDEMPOTENT,
+    timeout_ms=5000,
+    target_ms=5000,
+    priority=0,
+    targets=(WeightedService("s", 1),),
+    max_attempts=2,
+)
+
+
+class RecordingCaller(Caller):
+    """Keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.refusal: Refusal | None = None
+        self.head: ResponseHead | None = None
+        self.body = b""
+        self.is_whole = False
+        self.is_broken = False
+
+    async def refuse(self, refusal: Refusal) -> None:
+        self.refusal = refusal
+
+    async def begin(self, head: ResponseHead) -> None:
+        self.head = head
+
+    async def send(self, chunk: bytes) -> None:
+        self.body += chunk
+
+    async def end(self) -> None:
+        self.is_whole = True
+
+    def break_off(self) -> None:
+        self.is_broken = True
+
+
+class SpoiledAnswersTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.runs: list[RunRecord] = []
+        self.table = RunnerTable()
+        self.servers = [await self.add(name) for name in ("one", "two")]
+        self.pool = ConnectionPool(1.0)
+        rng = random.Random(1)
+        ports = RunnerPorts(self.table, self.pool, PlatformRunnerProtocol(), "z", rng)
+        self.forwarder = Forwarder(ports)
+        self.put_route(ROUTE)
+
+    async def asyncTearDown(self) -> None:
+        self.pool.close()
+        for server in self.servers:
+            await server.stop()
+
+    async def add(self, name: str) -> RunnerServer:
+        runner = SiteRunner(name, "s", "z", 8, random.Random(name), self.runs)
+        server = await RunnerServer.start(runner, HOST)
+        self.table.put(ServiceRunner(name, "s", server.address, "z", 8, RunnerState.READY))
+        return server
+
+    def put_route(self, route: Route) -> None:
+        self.forwarder.index = RouteIndex(ServiceDocument(1, (route,)))
+
+    def spoil(self, how: Spoil) -> None:
+        for server in self.servers:
+            server.spoil = how
+
+    async def send(
+        self, request_id: str, body: bytes = b"", num_events: int = 0
+    ) -> RecordingCaller:
+        headers = [(b"host", b"h"), (b"x-request-id", request_id.encode())]
+        if num_events:
+            headers.append((EVENTS_HEADER, str(num_events).encode()))
+        now_s = asyncio.get_running_loop().time()
+        request = ServiceRequest(
+            request_id, b"POST", b"/x", "h", "/x", headers, body, None, "", "", "", None, now_s
+        )
+        caller = RecordingCaller()
+        await self.forwarder.serve(request, caller)
+        return caller
+
+    async def test_a_surplus_answer_reaches_nobody(self) -> None:
+        self.spoil(Spoil.SURPLUS)
+        for number in range(6):
+            caller = await self.send(f"r{number}")
+            self.assertTrue(caller.is_whole)
+            self.assertEqual(caller.body, plain_answer(f"r{number}"))
+            assert caller.head is not None
+            self.assertNotEqual(caller.head.get(b"x-request-id"), SURPLUS_ID)
+        self.assertEqual(len(self.runs), 6)
+
+    async def test_an_unframed_answer_is_whole_when_its_connection_ends_properly(self) -> None:
+        self.spoil(Spoil.UNFRAMED)
+        for number in range(3):
+            caller = await self.send(f"r{number}")
+            self.assertEqual(caller.body, plain_answer(f"r{number}"))
+            self.assertTrue(caller.is_whole)
+
+    async def test_an_unframed_answer_that_is_reset_is_not_whole(self) -> None:
+        self.spoil(Spoil.UNFRAMED)
+        self.put_route(replace(ROUTE, kind=RouteKind.NON_IDEMPOTENT, max_attempts=1))
+        for server in self.servers:
+            server.runner.troubles.cut = 1.0
+        caller = await self.send("r")
+        self.assertFalse(caller.is_whole)
+        assert caller.refusal is not None
+        self.assertEqual(caller.refusal.answer.ran.value, "yes")
+        self.assertEqual(len(self.runs), 1)
+
+    async def test_an_early_answer_leaves_no_stray_bytes_behind(self) -> None:
+        """The rest of a long body is not taken for the next request, nor the other way round."""
+        self.spoil(Spoil.EARLY)
+        body = b"x" * (EARLY_BODY_BYTES * 512)
+        caller = await self.send("long", body)
+        assert caller.refusal is not None
+        self.assertEqual(caller.refusal.answer.ran.value, "no")
+        self.assertEqual(self.runs, [])
+        for number in range(4):
+            caller = await self.send(f"short{number}")
+            self.assertEqual(caller.body, plain_answer(f"short{number}"))
+        self.assertEqual(sum(server.strays for server in self.servers), 0)
+
+    async def test_a_stream_behind_spoiled_answers_is_whole(self) -> None:
+        self.put_route(replace(ROUTE, kind=RouteKind.STREAM, max_attempts=1))
+        for how in (Spoil.SURPLUS, Spoil.UNFRAMED, Spoil.NONE):
+            self.spoil(how)
+            caller = await self.send(how.value, num_events=3)
+            self.assertTrue(caller.is_whole)
+            events = [event_bytes(how.value, number) for number in range(3)]
+            self.assertEqual(caller.body, b"".join(events))
