Fewer calls to the store; followers stand for election by rank; raft and the site simulator split

A store that was no founding voter read the founding record every 0.3 s until it joined; each front began its short watch every 2 s whatever the deployment's bounds; each replica's announcement woke each front. Ruled out: shorter time-outs for all (stalls of 0.1 s under a processor quota would depose leaders). Change: followers of a known leader wait by rank, 3 ticks apart; further tries are random as before.

--- a/src/bendshed/cli/main.py
+++ b/src/bendshed/cli/main.py
@@ -14,6 +14,7 @@
     ScaleCommand,
     SiteDemoCommand,
     SiteFuzzCommand,
+    SiteTimesCommand,
     StandinCommand,
 )
 from bendshed.cli.settings import SettingsCheckCommand, SettingsShowCommand
@@ -31,6 +32,7 @@
         DemoCommand(),
         SiteDemoCommand(),
         SiteFuzzCommand(),
+        SiteTimesCommand(),
         LoadCommand(),
         FuzzCommand(),
         ScaleCommand(),
--- a/src/bendshed/cli/rehearse.py
+++ b/src/bendshed/cli/rehearse.py
@@ -83,6 +83,28 @@
         return EXIT_FAILED if report.violations else EXIT_DONE
 
 
+class SiteTimesCommand(Command):
+    """Measures failover and catch-up of a simulated site."""
+
+    name = "rehearse site-times"
+    description = "Strike the leading store of simulated sites; print times without service."
+    help = "Example: <info>bendshed rehearse site-times --seed 1 --worlds 50</info>"
+    options: ClassVar[list[Option]] = [
+        option("seed", None, "Seed of the first world", flag=False, default="1"),
+        option("worlds", None, "Worlds for each kind of fault", flag=False, default="50"),
+    ]
+
+    def handle(self) -> int:
+        """Run."""
+        from bendshed.rehearsal.site.times import StoreFault, measure
+
+        first = int(self.option("seed"))
+        seeds = range(first, first + int(self.option("worlds")))
+        for fault in StoreFault:
+            self.line(orjson.dumps(asdict(measure(fault, seeds))).decode())
+        return EXIT_DONE
+
+
 class LoadCommand(Command):
     """Measures what a node adds and costs."""
 
--- /dev/null
+++ b/src/bendshed/consensus/followers.py
@@ -0,0 +1,105 @@
+"""What the leader of a group knows of the other replicas. Pure."""
+
+from collections.abc import Collection, Iterable, Iterator
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Progress:
+    """What the leader knows of one follower.
+
+    Attributes:
+        next_index: first entry to send next.
+        match_index: last entry known to be durable there.
+        ticks_silent: ticks since its last reply.
+        snapshot_sent: index of a snapshot under way; 0: none.
+
+    """
+
+    next_index: int
+    match_index: int = 0
+    ticks_silent: int = 0
+    snapshot_sent: int = 0
+
+
+@dataclass(slots=True)
+class FollowerTable:
+    """The leader's followers by node id; empty at any other replica.
+
+    Attributes:
+        me: the replica itself, never a follower.
+
+    """
+
+    me: str
+    _progress: dict[str, Progress] = field(default_factory=dict)
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._progress)
+
+    def __contains__(self, node: str) -> bool:
+        return node in self._progress
+
+    def __getitem__(self, node: str) -> Progress:
+        return self._progress[node]
+
+    def get(self, node: str) -> Progress | None:
+        """Progress of a follower; ``None``: it is none."""
+        return self._progress.get(node)
+
+    def reset(self, followers: Iterable[str], next_index: int) -> None:
+        """Begin anew, with nothing known of anybody."""
+        self._progress = {node: Progress(next_index) for node in followers}
+
+    def clear(self) -> None:
+        """This replica does not lead any more."""
+        self._progress = {}
+
+    def follow(self, followers: Collection[str], next_index: int) -> None:
+        """The membership changed: keep what is known of those that stay."""
+        for node in followers:
+            self._progress.setdefault(node, Progress(next_index))
+        for node in set(self._progress) - set(followers):
+            del self._progress[node]
+
+    def tick(self) -> None:
+        """One unit of time has passed."""
+        for progress in self._progress.values():
+            progress.ticks_silent += 1
+
+    def silent(self, nodes: Iterable[str], ticks: float) -> set[str]:
+        """Followers among ``nodes`` that have not replied for longer than so many ticks."""
+        return {n for n in nodes if n in self._progress and self._progress[n].ticks_silent > ticks}
+
+    def heard(self, voters: Iterable[str], ticks: int) -> list[str]:
+        """Voters that replied within so many ticks, this replica among them."""
+        return [
+            node
+            for node in voters
+            if node == self.me
+            or (node in self._progress and self._progress[node].ticks_silent < ticks)
+        ]
+
+    def most_advanced(self, voters: Iterable[str], ticks: int) -> str | None:
+        """Follower that was heard lately and holds the most of the log."""
+        alive = [node for node in self.heard(voters, ticks) if node != self.me]
+        if not alive:
+            return None
+        return max(sorted(alive), key=lambda node: self._progress[node].match_index)
+
+    def durable_at(self, voters: Collection[str], own_index: int, majority: int) -> int:
+        """Highest index that a majority of the voters holds durably."""
+        matches = sorted(
+            own_index if node == self.me else self._progress[node].match_index for node in voters
+        )
+        return matches[len(matches) - majority]
+
+    def caught_up(self, nodes: Iterable[str], last_index: int, max_lag: int) -> list[str]:
+        """Those of ``nodes`` that lack at most ``max_lag`` entries."""
+        return [
+            node
+            for node in nodes
+            if node in self._progress
+            and self._progress[node].match_index > 0
+            and last_index - self._progress[node].match_index <= max_lag
+        ]
--- a/src/bendshed/consensus/placement.py
+++ b/src/bendshed/consensus/placement.py
@@ -118,7 +118,9 @@
                 replica.membership,
                 live,
                 gone,
-                replica.caught_up_learners(MAX_LEARNER_LAG),
+                replica.followers.caught_up(
+                    replica.membership.learners, replica.last_index, MAX_LEARNER_LAG
+                ),
                 self._settings.replicas,
             )
             if wanted is not None and self._host.propose_membership(group_id, wanted):
--- a/src/bendshed/consensus/raft.py
+++ b/src/bendshed/consensus/raft.py
@@ -8,11 +8,12 @@
 
 import random
 
+from bendshed.consensus.election_timer import ELECTION_TICKS_MIN, ElectionTimer
+from bendshed.consensus.followers import FollowerTable, Progress
 from bendshed.consensus.raft_types import (
     Apply,
     Effect,
     Persist,
-    Progress,
     ReplicaLog,
     Restore,
     Role,
@@ -23,8 +24,6 @@
 from bendshed.wire import consensus_pb2 as wire
 
 HEARTBEAT_TICKS = 3
-ELECTION_TICKS_MIN = 10
-ELECTION_TICKS_MAX = 20
 MAX_APPEND_ENTRIES = 128
 """Entries in one append message."""
 MAX_IN_FLIGHT_ENTRIES = 1024
@@ -43,6 +42,7 @@
         role, leader_id: current role; the leader of this term, empty when unknown.
         membership: the latest membership in the log, committed or not.
         persisted_index: last own entry known to be durable.
+        followers: what the leader knows of the others.
 
     """
 
@@ -57,14 +57,12 @@
         self.commit_index = stored.snapshot.index
         self.applied_index = stored.snapshot.index
         self.persisted_index = self._log.last_index
-        self.progress: dict[str, Progress] = {}
+        self.followers = FollowerTable(node_id)
         self._votes: set[str] = set()
-        self._rng = rng
-        self._ticks_since_leader = 0
+        self._timer = ElectionTimer(rng)
         self._ticks_since_heartbeat = 0
-        self._election_ticks = self._draw_election_ticks()
         self._transfer_target = ""
-        self.membership = self._latest_membership()
+        self.membership = self._log.membership_at(self._log.last_index)
         self._effects: list[Effect] = []
 
     # --- what others may ask -------------------------------------------------------------
@@ -100,16 +98,6 @@
         pending = self._log.between(self.commit_index + 1, self.last_index)
         return all(entry.kind != wire.ENTRY_KIND_MEMBERSHIP for entry in pending)
 
-    def caught_up_learners(self, max_lag: int) -> list[str]:
-        """Learners that lack at most ``max_lag`` entries; only known to the leader."""
-        return [
-            node
-            for node in self.membership.learners
-            if node in self.progress
-            and self.progress[node].match_index > 0
-            and self.last_index - self.progress[node].match_index <= max_lag
-        ]
-
     # --- events --------------------------------------------------------------------------
 
     def tick(self) -> list[Effect]:
@@ -117,8 +105,8 @@
         if self.role is Role.LEADER:
             self._tick_leader()
         else:
-            self._ticks_since_leader += 1
-            if self._ticks_since_leader >= self._election_ticks and self.is_voter:
+            self._timer.tick()
+            if self._timer.is_due and self.is_voter:
                 self._start_pre_vote()
         return self._take_effects()
 
@@ -154,11 +142,9 @@
         """Ask the most advanced voter to take over; do nothing without one."""
         if self.role is not Role.LEADER:
             return []
-        voters = [node for node in self.membership.voters if node in self.progress]
-        alive = [n for n in voters if self.progress[n].ticks_silent < ELECTION_TICKS_MIN]
-        if not alive:
+        target = self.followers.most_advanced(self.membership.voters, ELECTION_TICKS_MIN)
+        if target is None:
             return []
-        target = max(sorted(alive), key=lambda node: self.progress[node].match_index)
         self._transfer_target = target
         self._maybe_send_timeout_now(target)
         return self._take_effects()
@@ -169,7 +155,7 @@
         if term is None or index <= self.snapshot_index or index > self.applied_index:
             return []
         snapshot = wire.Snapshot(
-            index=index, term=term, membership=self._membership_at(index), state=state
+            index=index, term=term, membership=self._log.membership_at(index), state=state
         )
         self._log.compact(snapshot)
         self._persist(GroupWrite(self.group_id, snapshot=snapshot))
@@ -206,23 +192,19 @@
             return False
         if self.role is Role.LEADER:
             return not message.pre_vote and message.term > self.term and self._hears_majority()
-        return bool(self.leader_id) and self._ticks_since_leader < ELECTION_TICKS_MIN
+        return bool(self.leader_id) and self._timer.heard_lately
 
     def _hears_majority(self) -> bool:
-        heard = [
-            node
-            for node in self.membership.voters
-            if node == self.node_id
-            or (node in self.progress and self.progress[node].ticks_silent < ELECTION_TICKS_MIN)
-        ]
-        return len(heard) >= self._majority
+        return (
+            len(self.followers.heard(self.membership.voters, ELECTION_TICKS_MIN)) >= self._majority
+        )
 
     @property
     def _majority(self) -> int:
         return len(self.membership.voters) // 2 + 1
 
     def _start_pre_vote(self) -> None:
-        self._reset_election_timer()
+        self._timer.reset()
         self.role = Role.PRE_CANDIDATE
         self.leader_id = ""
         self._votes = {self.node_id}
@@ -237,7 +219,7 @@
         self.role = Role.CANDIDATE
         self.leader_id = ""
         self._votes = {self.node_id}
-        self._reset_election_timer()
+        self._timer.reset()
         self._persist_hard_state()
         if len(self._votes) >= self._majority:
             self._become_leader()
@@ -257,10 +239,8 @@
             self._send(message)
 
     def _on_vote_request(self, message: wire.ConsensusMessage) -> None:
-        up_to_date = (message.previous_term, message.previous_index) >= (
-            self._log.last_term,
-            self._log.last_index,
-        )
+        held = (self._log.last_term, self._log.last_index)
+        up_to_date = (message.previous_term, message.previous_index) >= held
         if message.pre_vote:
             granted = message.term > self.term and up_to_date and self.role is not Role.LEADER
         else:
@@ -268,7 +248,7 @@
             granted = message.term == self.term and free and up_to_date
         if granted and not message.pre_vote:
             self.voted_for = message.sender
-            self._reset_election_timer()
+            self._timer.reset()
             self._persist_hard_state()
         reply = self._message(wire.CONSENSUS_KIND_VOTE_REPLY, message.sender)
         reply.term = message.term if granted else self.term
@@ -298,9 +278,7 @@
         self.role = Role.LEADER
         self.leader_id = self.node_id
         self._transfer_target = ""
-        self.progress = {
-            node: Progress(next_index=self._log.last_index + 1) for node in self._peers()
-        }
+        self.followers.reset(self._peers(), self._log.last_index + 1)
         self._append_own(wire.ENTRY_KIND_EMPTY, b"")
         self._announce_role()
         self._replicate_all()
@@ -314,19 +292,17 @@
         self.role = Role.FOLLOWER
         self.leader_id = leader_id
         self._transfer_target = ""
-        self.progress = {}
+        self.followers.clear()
         if changed:
-            self._reset_election_timer()
+            self._timer.follow(self.leader_id, self.node_id, self.membership.voters)
             self._announce_role()
 
     # --- replication ---------------------------------------------------------------------
 
     def _tick_leader(self) -> None:
-        for progress in self.progress.values():
-            progress.ticks_silent += 1
-        self._ticks_since_leader += 1
-        if self._ticks_since_leader >= ELECTION_TICKS_MAX:
-            self._ticks_since_leader = 0
+        self.followers.tick()
+        self._timer.tick()
+        if self._timer.leader_must_check():
             self._transfer_target = ""
             if not self._hears_majority():
                 self._become_follower(self.term, "")
@@ -348,7 +324,7 @@
             self._replicate(node, heartbeat=False)
 
     def _replicate(self, node: str, heartbeat: bool) -> None:
-        progress = self.progress[node]
+        progress = self.followers[node]
         previous = progress.next_index - 1
         previous_term = self._log.term_at(previous)
         if previous_term is None:
@@ -391,7 +367,9 @@
             self._send(reply)
             return
         if self._log.term_at(message.previous_index) != message.previous_term:
-            reply.previous_index = self._conflict_hint(message.previous_index)
+            reply.previous_index = self._log.conflict_hint(
+                message.previous_index, self.commit_index
+            )
             self._send(reply)
             return
         self._store_entries(list(message.entries))
@@ -401,19 +379,10 @@
         reply.previous_index = matched
         self._send(reply)
 
-    def _conflict_hint(self, previous_index: int) -> int:
-        """Last index that may match: skip the whole conflicting term."""
-        index = min(previous_index, self._log.last_index + 1)
-        term = self._log.term_at(index)
-        while term is not None and index > self.commit_index and self._log.term_at(index) == term:
-            index -= 1
-        return max(min(index, previous_index - 1), self.commit_index)
-
     def _store_entries(self, entries: list[wire.LogEntry]) -> None:
-        new = [e for e in entries if self._log.term_at(e.index) != e.term]
-        if not new:
+        first = self._log.first_difference(entries)
+        if first is None:
             return
-        first = new[0].index
         write = GroupWrite(self.group_id, entries=[e for e in entries if e.index >= first])
         if first <= self._log.last_index:
             if first <= self.commit_index:
@@ -423,11 +392,11 @@
             self.persisted_index = min(self.persisted_index, first - 1)
         self._log.entries.extend(write.entries)
         if write.truncate_from or any(e.kind == wire.ENTRY_KIND_MEMBERSHIP for e in write.entries):
-            self.membership = self._latest_membership()
+            self.membership = self._log.membership_at(self._log.last_index)
         self._persist(write)
 
     def _on_append_reply(self, message: wire.ConsensusMessage) -> None:
-        progress = self.progress.get(message.sender)
+        progress = self.followers.get(message.sender)
         if self.role is not Role.LEADER or message.term != self.term or progress is None:
             return
         progress.ticks_silent = 0
@@ -445,24 +414,19 @@
 
     def _maybe_send_timeout_now(self, node: str) -> None:
         if node == self._transfer_target and (
-            self.progress[node].match_index == self._log.last_index
+            self.followers[node].match_index == self._log.last_index
         ):
             message = self._message(wire.CONSENSUS_KIND_TIMEOUT_NOW, node)
             self._effects.append(SendMessage(message, after_persist=False))
 
     def _advance_commit(self) -> None:
-        matches = sorted(
-            self.persisted_index if node == self.node_id else self.progress[node].match_index
-            for node in self.membership.voters
+        candidate = self.followers.durable_at(
+            self.membership.voters, self.persisted_index, self._majority
         )
-        candidate = matches[len(matches) - self._majority]
         if candidate > self.commit_index and self._log.term_at(candidate) == self.term:
             self._commit_to(candidate)
-            self._leave_if_removed()
-
-    def _leave_if_removed(self) -> None:
-        if self.node_id not in self.membership.voters and self.membership_settled:
-            self._become_follower(self.term, "")
+            if not self.is_voter and self.membership_settled:
+                self._become_follower(self.term, "")
 
     def _commit_to(self, index: int) -> None:
         if index <= self.commit_index:
@@ -493,38 +457,19 @@
     # --- small pieces --------------------------------------------------------------------
 
     def _hear_leader(self, leader_id: str) -> None:
-        self._ticks_since_leader = 0
+        self._timer.hear()
         if self.role is not Role.FOLLOWER or self.leader_id != leader_id:
             self._become_follower(self.term, leader_id)
 
     def _adopt_membership(self, membership: wire.GroupMembership) -> None:
         self.membership = membership
         if self.role is Role.LEADER:
-            for node in self._peers():
-                self.progress.setdefault(node, Progress(next_index=self._log.last_index))
-            for node in set(self.progress) - set(self._peers()):
-                del self.progress[node]
-
-    def _latest_membership(self) -> wire.GroupMembership:
-        return self._membership_at(self._log.last_index)
-
-    def _membership_at(self, index: int) -> wire.GroupMembership:
-        for entry in reversed(self._log.between(self.snapshot_index + 1, index)):
-            if entry.kind == wire.ENTRY_KIND_MEMBERSHIP:
-                return wire.GroupMembership.FromString(entry.data)
-        return self._log.snapshot.membership
+            self.followers.follow(self._peers(), self._log.last_index)
 
     def _peers(self) -> list[str]:
         everyone = [*self.membership.voters, *self.membership.learners]
         return [node for node in everyone if node != self.node_id]
 
-    def _draw_election_ticks(self) -> int:
-        return self._rng.randrange(ELECTION_TICKS_MIN, ELECTION_TICKS_MAX)
-
-    def _reset_election_timer(self) -> None:
-        self._ticks_since_leader = 0
-        self._election_ticks = self._draw_election_ticks()
-
     def _message(
         self, kind: "wire.ConsensusKind.ValueType", receiver: str
     ) -> wire.ConsensusMessage:
--- a/src/bendshed/consensus/raft_types.py
+++ b/src/bendshed/consensus/raft_types.py
@@ -1,4 +1,4 @@
-"""Values of the Raft state machine: roles, effects, a follower's progress, the log."""
+"""Values of the Raft state machine: roles, effects, the log."""
 
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -57,24 +57,6 @@
 Effect = SendMessage | Persist | Apply | Restore | RoleChanged
 
 
-@dataclass(slots=True)
-class Progress:
-    """What the leader knows of one follower.
-
-    Attributes:
-        next_index: first entry to send next.
-        match_index: last entry known to be durable there.
-        ticks_silent: ticks since its last reply.
-        snapshot_sent: index of a snapshot under way; 0: none.
-
-    """
-
-    next_index: int
-    match_index: int = 0
-    ticks_silent: int = 0
-    snapshot_sent: int = 0
-
-
 @dataclass(slots=True)
 class ReplicaLog:
     """Entries after the snapshot. ``entries[0].index == snapshot.index + 1``."""
@@ -114,3 +96,25 @@
         """Replace the entries that the snapshot covers."""
         self.entries = self.between(snapshot.index + 1, self.last_index)
         self.snapshot = snapshot
+
+    def membership_at(self, index: int) -> wire.GroupMembership:
+        """The membership in force at an entry, committed or not."""
+        for entry in reversed(self.between(self.snapshot.index + 1, index)):
+            if entry.kind == wire.ENTRY_KIND_MEMBERSHIP:
+                return wire.GroupMembership.FromString(entry.data)
+        return self.snapshot.membership
+
+    def first_difference(self, entries: list[wire.LogEntry]) -> int | None:
+        """Index of the first of ``entries`` that this log lacks or has at another term."""
+        for entry in entries:
+            if self.term_at(entry.index) != entry.term:
+                return entry.index
+        return None
+
+    def conflict_hint(self, previous_index: int, commit_index: int) -> int:
+        """Last index that may match a leader's log: skip the whole conflicting term."""
+        index = min(previous_index, self.last_index + 1)
+        term = self.term_at(index)
+        while term is not None and index > commit_index and self.term_at(index) == term:
+            index -= 1
+        return max(min(index, previous_index - 1), commit_index)
--- a/src/bendshed/consensus/supervisor.py
+++ b/src/bendshed/consensus/supervisor.py
@@ -1,10 +1,12 @@
 """Founds the turn log's group, replaces lost replicas and empties retiring machines."""
 
 import asyncio
+from collections.abc import Sequence
 
 from bendshed.consensus.directory import ReplicaDirectory, from_wire, to_wire
 from bendshed.consensus.host import GroupHost, HostedGroup
 from bendshed.consensus.membership_plan import ReplicaFacts, plan_membership
+from bendshed.consensus.raft import RaftReplica
 from bendshed.consensus.raft_types import Role
 from bendshed.consensus.repair import DiskNode, choose_replicas
 from bendshed.identifiers import rendezvous_rank
@@ -104,29 +106,34 @@
     # --- founding ------------------------------------------------------------------------
 
     async def _found(self) -> None:
+        """Found the group, or learn that it is founded; a leader takes others in later."""
         started_s = asyncio.get_running_loop().time()
-        while not self._storage.is_bootstrapped() and GROUP not in self._host.groups:
+        voters: list[str] = []
+        while not voters and not self._storage.is_bootstrapped():
             waited_s = asyncio.get_running_loop().time() - started_s
-            try:
-                await self._found_once(waited_s)
-            except RegistryUnavailable as error:
-                log.say("the founding waits for the registry", reason=str(error))
-            await asyncio.sleep(FOUND_RETRY_S)
-
-    async def _found_once(self, waited_s: float) -> None:
-        voters = await self._registry.founding_voters()
-        if not voters:
-            if not self._may_found(waited_s):
-                return
-            nodes = [DiskNode(n.node_id, n.zone) for n in self._directory.by_name.values()]
-            voters = choose_replicas(GROUP, nodes, self._num_voters)
-            voters = await self._registry.found(voters)
+            if self._may_found(waited_s):
+                voters = await self._founding_voters()
+            if not voters:
+                await asyncio.sleep(FOUND_RETRY_S)
         if self.me.node_id in voters and GROUP not in self._host.groups:
             self._host.bootstrap(GROUP, GroupMembership(voters=voters))
             await self._host.flush()
             self._storage.mark_bootstrapped()
             log.say("is a founding replica", voters=voters)
 
+    async def _founding_voters(self) -> list[str]:
+        """Read the founding record, or write it if there is none; empty: the registry is down."""
+        try:
+            voters = await self._registry.founding_voters()
+            if voters:
+                return voters
+            nodes = [DiskNode(n.node_id, n.zone) for n in self._directory.by_name.values()]
+            chosen = choose_replicas(GROUP, nodes, self._num_voters)
+            return await self._registry.found(chosen)
+        except RegistryUnavailable as error:
+            log.say("the founding waits for the registry", reason=str(error))
+            return []
+
     def _may_found(self, waited_s: float) -> bool:
         enough = len(self._directory.by_name) >= self._num_voters
         return enough or waited_s > FOUND_WAIT_S
@@ -167,19 +174,16 @@
     def _facts(self, group: HostedGroup) -> ReplicaFacts:
         replica = group.replica
         members = [*replica.membership.voters, *replica.membership.learners]
-        silent_ticks = SILENT_S / self._tick_s
-        silent = {
-            node
-            for node in members
-            if node in replica.progress and replica.progress[node].ticks_silent > silent_ticks
-        }
+        silent = replica.followers.silent(members, SILENT_S / self._tick_s)
         retiring = self._directory.retiring_ids()
         return ReplicaFacts(
             me=self.me.node_id,
             wiped=self._directory.wiped & set(members),
             silent=silent,
             retiring=retiring,
-            caught_up=replica.caught_up_learners(MAX_LEARNER_LAG),
+            caught_up=replica.followers.caught_up(
+                replica.membership.learners, replica.last_index, MAX_LEARNER_LAG
+            ),
             candidates=self._candidates(members, retiring),
             count=self._num_voters,
         )
@@ -229,6 +233,25 @@
         self._reported[name] = complete
         log.say("reported a retirement", name=name, complete=complete)
 
+    def num_sound_voters(self) -> int:
+        """Voters that were heard lately and hold all that is committed; 0 at a follower."""
+        group = self._host.groups.get(GROUP)
+        if group is None or not group.replica.is_ready_leader:
+            return 0
+        replica = group.replica
+        silent = replica.followers.silent(replica.membership.voters, SILENT_S / self._tick_s)
+        heard = [node for node in replica.membership.voters if node not in silent]
+        return len(heard) - len(self._behind(replica, heard))
+
+    def _behind(self, replica: RaftReplica, voters: Sequence[str]) -> list[str]:
+        """Voters that lack something committed."""
+        return [
+            node
+            for node in voters
+            if node != self.me.node_id
+            and replica.followers[node].match_index < replica.commit_index
+        ]
+
     def _is_emptied(self, group: HostedGroup, node_id: str) -> bool:
         """The machine holds no replica and every voter holds all that is committed."""
         replica = group.replica
@@ -237,8 +260,4 @@
         members = [*replica.membership.voters, *replica.membership.learners]
         if node_id in members or node_id == self.me.node_id:
             return False
-        others = [node for node in replica.membership.voters if node != self.me.node_id]
-        behind = [
-            node for node in others if replica.progress[node].match_index < replica.commit_index
-        ]
-        return not behind
+        return not self._behind(replica, list(replica.membership.voters))
--- a/src/bendshed/platform/settings.py
+++ b/src/bendshed/platform/settings.py
@@ -49,6 +49,8 @@
     """Figures of the rules in force that the product needs."""
 
     graceS: float = Field(default=8.0, gt=0)  # noqa: N815 (the platform's spelling)
+    contactMs: int = Field(default=3000, gt=0)  # noqa: N815
+    applyMs: int = Field(default=2000, gt=0)  # noqa: N815
 
 
 class MetadataStore(_Section):
--- a/src/bendshed/rehearsal/simulator/network.py
+++ b/src/bendshed/rehearsal/simulator/network.py
@@ -10,6 +10,8 @@
 LATENCY_S = 0.0015
 """One way between zones, as in the brief's first user."""
 JITTER_S = 0.001
+RESEND_S = 0.2
+"""A lost packet is sent again after this time (the usual shortest retransmission timeout)."""
 MIN_GAP_S = 1e-6
 """Messages of one connection arrive this far apart, so the loop keeps their order."""
 
@@ -23,6 +25,7 @@
         datagram_loss: share of datagrams that are lost.
         datagram_copies: share of datagrams that arrive twice.
         slow_s: extra latency.
+        resend_share: share of messages on connections whose packet is lost and sent again.
 
     """
 
@@ -33,6 +36,7 @@
     datagram_loss: float = 0.0
     datagram_copies: float = 0.0
     slow_s: float = 0.0
+    resend_share: float = 0.0
     _last_delivery_s: dict[tuple[Address, Address], float] = field(default_factory=dict)
 
     def is_cut(self, source: str, target: str) -> bool:
@@ -46,7 +50,10 @@
     def in_order_at(self, source: Address, target: Address) -> float:
         """Arrival time on a connection: never before an earlier message."""
         earliest = self._last_delivery_s.get((source, target), 0.0) + MIN_GAP_S
-        arrival = max(self.loop.time() + self.latency_s(), earliest)
+        latency_s = self.latency_s()
+        if self.resend_share and self.rng.random() < self.resend_share:
+            latency_s += RESEND_S
+        arrival = max(self.loop.time() + latency_s, earliest)
         self._last_delivery_s[source, target] = arrival
         return arrival
 
--- a/src/bendshed/rehearsal/site/fuzz.py
+++ b/src/bendshed/rehearsal/site/fuzz.py
@@ -41,6 +41,8 @@
     SPLIT_STORES = "split the stores in halves"
     CUT_FRONT_FROM_STORES = "cut a front from the stores"
     SLOW_NETWORK = "slow network"
+    LOSSY_NETWORK = "lossy network"
+    CLIENT_LEAVES = "a client leaves"
     FULL_DISK = "full disk"
     RETIRE_STORE = "retire a store"
     REGISTRY_DOWN = "metadata store down"
@@ -100,6 +102,8 @@
             Action.SPLIT_STORES: lambda _s: self._split_stores(),
             Action.CUT_FRONT_FROM_STORES: self._cut_front,
             Action.SLOW_NETWORK: self._slow_network,
+            Action.LOSSY_NETWORK: self._lossy_network,
+            Action.CLIENT_LEAVES: self._client_leaves,
             Action.FULL_DISK: self._full_disk,
             Action.RETIRE_STORE: self._retire_store,
             Action.REGISTRY_DOWN: lambda _s: self._registry(True),
@@ -134,6 +138,12 @@
             continues = turns[step.which % len(turns)]
             self.world.start_program(ProgramPlan(turns=2, tools=0), continues=continues)
 
+    def _client_leaves(self, step: Step) -> None:
+        waiting = self.world.waiting_requests()
+        if waiting:
+            self.world.count("client leaves")
+            self.world.leave(waiting[step.which % len(waiting)])
+
     # --- machines ------------------------------------------------------------------------
 
     def _kill(self, machine: SimMachine | None) -> None:
@@ -227,6 +237,7 @@
     def _heal_network(self) -> None:
         self.world.network.cuts.clear()
         self.world.network.slow_s = 0.0
+        self.world.network.resend_share = 0.0
         self.world.store_trouble_s = self.world.loop.time()
 
     def _isolate_store(self, step: Step) -> None:
@@ -265,6 +276,11 @@
         self.world.count("slow network")
         self.world.network.slow_s = 0.1 * step.amount
 
+    def _lossy_network(self, step: Step) -> None:
+        """Packets are lost and sent again, so messages come late and in bunches."""
+        self.world.count("lossy network")
+        self.world.network.resend_share = 0.1 * step.amount
+
     def _full_disk(self, step: Step) -> None:
         machine = _pick(self.world.stores, step.which)
         if machine.disk is not None:
--- a/src/bendshed/rehearsal/site/oracle.py
+++ b/src/bendshed/rehearsal/site/oracle.py
@@ -12,6 +12,8 @@
 PROMISES = (402, 404, 408, 421, 429, 503)
 """Statuses that promise that the request was not run and never will be."""
 DRAIN_S = 2.0
+LEAVE_S = 0.5
+"""Work for a client that left ends within this time."""
 
 
 class Rule(StrEnum):
@@ -24,6 +26,7 @@
     BUDGET = "a program gets at most its budget and one turn more"
     FOUND = "a turn answered whole is found"
     DRAIN = "a leaving runner gets nothing new"
+    LEAVE = "work ends soon after its client left"
     STOP = "a planned stop cuts nothing"
     CONFIGURATION = "a configuration comes into force and never goes back"
 
@@ -137,6 +140,19 @@
             yield Violation(Rule.DRAIN, f"{run.request_id} at {run.runner_id} {late_s:.1f} s late")
 
 
+def check_leaving(seen: SiteRecords) -> Iterable[Violation]:
+    """No run begins or goes on long after its client left, at fronts that could tell."""
+    left = {r.request_id: r for r in seen.requests if r.left_s is not None}
+    for run in seen.runs:
+        request = left.get(run.request_id)
+        if request is None or request.left_s is None:
+            continue
+        until_s = request.left_s + LEAVE_S
+        late = run.started_s > until_s or run.ended_s is None or run.ended_s > until_s
+        if late and not seen.was_blind(request.node, request.left_s, until_s):
+            yield Violation(Rule.LEAVE, f"{run.runner_id} worked on {run.request_id}")
+
+
 def check_stops(seen: SiteRecords) -> Iterable[Violation]:
     """Requests that were open when a process ended by a planned stop."""
     for request_id in seen.cut_by_stop:
@@ -161,6 +177,7 @@
     check_budgets,
     check_found,
     check_drains,
+    check_leaving,
     check_stops,
     check_configuration,
 )
--- a/src/bendshed/rehearsal/site/records.py
+++ b/src/bendshed/rehearsal/site/records.py
@@ -23,6 +23,7 @@
         most_events: events that its stream may have.
         status: 0: the connection ended without an answer.
         is_whole: the answer ended properly.
+        left_s: when the client left before its answer was whole; ``None``: it did not.
 
     """
 
@@ -41,6 +42,7 @@
     is_whole: bool = False
     is_over: bool = False
     ended_s: float = 0.0
+    left_s: float | None = None
 
 
 @dataclass(slots=True)
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -5,27 +5,24 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from bendshed.errors import ErrorKind, Refusal, WasRun
-from bendshed.ports.http_messages import ResponseHead
-from bendshed.ports.registry import RegistryUnavailable, ReplicaNode, ReplicaRegistry, Retirement
-from bendshed.ports.runner import Caller, ServiceRequest, TurnDetails
+from bendshed.ports.registry import Retirement
 from bendshed.ports.transport import Address
 from bendshed.rehearsal.simulator.loop import SimProcess, VirtualTimeLoop
 from bendshed.rehearsal.simulator.network import Network, SimTransport
 from bendshed.rehearsal.simulator.platform import SimDisk, SimLogStorage
 from bendshed.rehearsal.site.documents import make_document
 from bendshed.rehearsal.site.oracle import Violation, check_all
-from bendshed.rehearsal.site.programs import AgentProgram, ProgramPlan, tokens_of
+from bendshed.rehearsal.site.programs import AgentProgram, ProgramPlan
 from bendshed.rehearsal.site.records import Departure, Kind, SiteRecords, SiteRequest
 from bendshed.rehearsal.site.runner import SiteRunner
-from bendshed.rehearsal.site.sim_runners import (
-    EVENTS,
-    PROGRAM,
-    REQUEST_ID,
-    SimConnections,
-    SimRunnerNet,
-    SimRunnerProtocol,
+from bendshed.rehearsal.site.sim_caller import (
+    CALLER_LATENCY_S,
+    CALLER_TIMEOUT_S,
+    SimCaller,
+    to_service_request,
 )
+from bendshed.rehearsal.site.sim_registry import SimRegistry
+from bendshed.rehearsal.site.sim_runners import SimConnections, SimRunnerNet, SimRunnerProtocol
 from bendshed.services.document import ServiceDocument
 from bendshed.services.node import ServiceNode
 from bendshed.services.runners import RunnerState, ServiceRunner
@@ -34,60 +31,11 @@
 PEER_PORT = 7000
 NUM_FRONTS, NUM_STORES, NUM_ENGINES, NUM_TOOLS = 3, 4, 3, 2
 NUM_VOTERS = 3
-CALLER_LATENCY_S = 0.003
-CALLER_TIMEOUT_S = 4.0
 FOLLOW_S = 0.1
 START_LIMIT_S = 20.0
 QUIET_S = 40.0
 CATCH_UP_S = 4.4
 BUDGET_TOKENS = 600
-STATUS = {ErrorKind.BUDGET_EXHAUSTED: 402, ErrorKind.NOT_FOUND: 404, ErrorKind.BAD_REQUEST: 400}
-
-
-@dataclass(slots=True)
-class SimRegistry(ReplicaRegistry):
-    """Announcements, founding and retirements, with outages and lost answers."""
-
-    rng: random.Random
-    is_down: bool = False
-    answer_loss: float = 0.0
-    announced: dict[str, ReplicaNode] = field(default_factory=dict)
-    voters: list[str] = field(default_factory=list)
-    retirements: dict[str, bool] = field(default_factory=dict)
-
-    async def _reach(self) -> None:
-        await asyncio.sleep(0.005)
-        if self.is_down:
-            await asyncio.sleep(0.5)
-            raise RegistryUnavailable("down")
-
-    def _maybe_lose(self) -> None:
-        if self.rng.random() < self.answer_loss:
-            raise RegistryUnavailable("the answer was lost")
-
-    async def announce(self, me: ReplicaNode) -> None:
-        """Keep an announcement."""
-        await self._reach()
-        self.announced[me.name] = me
-        self._maybe_lose()
-
-    async def founding_voters(self) -> list[str]:
-        """Return the first voters."""
-        await self._reach()
-        return self.voters
-
-    async def found(self, voters: list[str]) -> list[str]:
-        """Create the record if absent."""
-        await self._reach()
-        self.voters = self.voters or voters
-        self._maybe_lose()
-        return self.voters
-
-    async def report_retirement(self, name: str, complete: bool) -> None:
-        """Keep a status."""
-        await self._reach()
-        if name in self.retirements:
-            self.retirements[name] = complete
 
 
 @dataclass(slots=True)
@@ -110,55 +58,6 @@
         return not self.is_down
 
 
-class SimCaller(Caller):
-    """The way back to a simulated client: ordered, with latency, broken when the process dies."""
-
-    def __init__(self, world: "SiteWorld", request: SiteRequest) -> None:
-        self._world = world
-        self._request = request
-        self._has_begun = False
-        self._is_broken = False
-        self._last_s = 0.0
-
-    def _deliver(self, act: Callable[[], None]) -> None:
-        loop = self._world.loop
-        self._last_s = max(loop.time() + CALLER_LATENCY_S, self._last_s + 1e-6)
-        loop.call_at(self._last_s, act, context=self._world.clients.context.copy())
-
-    async def refuse(self, refusal: Refusal) -> None:
-        """Answer with an error."""
-        if self._has_begun:
-            self.break_off()
-            return
-        status = STATUS.get(refusal.kind, 503 if refusal.answer.ran is WasRun.NO else 502)
-        await self.begin(ResponseHead(status))
-        await self.end()
-
-    async def begin(self, head: ResponseHead) -> None:
-        """Status."""
-        self._has_begun = True
-        self._deliver(lambda: setattr(self._request, "status", head.status))
-
-    async def send(self, chunk: bytes) -> None:
-        """A piece."""
-        if not self._is_broken:
-            self._deliver(lambda: self._append(chunk))
-
-    def _append(self, chunk: bytes) -> None:
-        if not self._request.is_over:
-            self._request.answer += chunk
-
-    async def end(self) -> None:
-        """The whole answer."""
-        if not self._is_broken:
-            self._deliver(lambda: self._world.end_request(self._request, whole=True))
-
-    def break_off(self) -> None:
-        """A visible cut."""
-        self._is_broken = True
-        self._deliver(lambda: self._world.end_request(self._request, whole=False))
-
-
 @dataclass(slots=True)
 class SiteWorld:
     """The whole site under virtual time."""
@@ -374,17 +273,23 @@
         if machine.is_down or machine.front is None:
             self.end_request(request, whole=False)
             return
-        caller = SimCaller(self, request)
+        caller = SimCaller(self.loop, self.clients, request, self.end_request)
         serving = machine.process.spawn(self.loop, self._serve(machine, request, caller))
         self._served_by[request.request_id] = machine.process
         try:
             await asyncio.wait_for(over.wait(), CALLER_TIMEOUT_S)
         except TimeoutError:
+            self.leave(request)
+        if request.left_s is not None and not machine.process.dead:
+            self.loop.call_later(
+                CALLER_LATENCY_S, serving.cancel, context=machine.process.context.copy()
+            )
+
+    def leave(self, request: SiteRequest) -> None:
+        """The client gives up and closes its connection."""
+        if not request.is_over:
+            request.left_s = self.loop.time()
             self.end_request(request, whole=False)
-            if not machine.process.dead:
-                self.loop.call_later(
-                    CALLER_LATENCY_S, serving.cancel, context=machine.process.context.copy()
-                )
 
     async def _serve(self, machine: SimMachine, request: SiteRequest, caller: SimCaller) -> None:
         assert machine.front is not None
@@ -402,6 +307,10 @@
         if over is not None:
             over.set()
 
+    def waiting_requests(self) -> list[SiteRequest]:
+        """Requests whose clients still wait, oldest first."""
+        return [request for request in self.seen.requests if request.request_id in self._waiting]
+
     def open_requests(self, process: SimProcess) -> list[SiteRequest]:
         """Requests that a process is serving."""
         ids = {name for name, server in self._served_by.items() if server is process}
@@ -488,6 +397,7 @@
         """End all faults."""
         self.network.cuts.clear()
         self.network.slow_s = 0.0
+        self.network.resend_share = 0.0
         self.registry.is_down = False
         for row in self.seen.blindness:
             row.to_s = min(row.to_s, self.loop.time())
@@ -532,32 +442,3 @@
     def close(self) -> None:
         """Drop everything."""
         self.loop.abandon()
-
-
-def to_service_request(request: SiteRequest, now_s: float) -> ServiceRequest:
-    """What a front reads of a client's request."""
-    turn = None
-    if request.kind is Kind.TURN:
-        most = tokens_of(request.most_events)
-        turn = TurnDetails(request.previous, request.budget_tokens, most)
-    path = f"/{request.kind.value}/x"
-    headers = [
-        (REQUEST_ID, request.request_id.encode()),
-        (PROGRAM, request.program_id.encode()),
-        (EVENTS, str(request.most_events).encode()),
-    ]
-    return ServiceRequest(
-        request_id=request.request_id,
-        method=b"POST",
-        target=path.encode(),
-        host="site",
-        path=path,
-        headers=headers,
-        body=request.body,
-        wait_ms=int(CALLER_TIMEOUT_S * 1000),
-        program_id=request.program_id,
-        session=request.program_id,
-        last_event_id="",
-        turn=turn,
-        arrived_s=now_s,
-    )
--- a/tests/site_defects.py
+++ b/tests/site_defects.py
@@ -11,12 +11,13 @@
 from bendshed.rehearsal.simulator.platform import SimDisk
 from bendshed.rehearsal.site.oracle import Rule, Violation
 from bendshed.rehearsal.site.programs import ProgramPlan
+from bendshed.rehearsal.site.sim_runners import SimConnection
 from bendshed.rehearsal.site.sim_world import SiteWorld
 from bendshed.services.attempts import Attempts, OpenAnswer
 from bendshed.services.node import ServiceNode
 from bendshed.services.routing import RouteIndex
 from bendshed.services.runners import RunnerTable
-from bendshed.services.turn_exchange import TurnExchange
+from bendshed.services.turn_record import TurnRecord
 from bendshed.turns.client import TranscriptCache
 from bendshed.turns.state import TurnLogState
 
@@ -100,6 +101,18 @@
         return site.settle()
 
 
+def clients_leave(seed: int) -> list[Violation]:
+    with world(seed) as site:
+        for runner in site.runners.values():
+            runner.troubles.slow = 8.0
+        start_programs(site)
+        for _ in range(8):
+            site.run_for(0.4)
+            for request in site.waiting_requests()[:2]:
+                site.leave(request)
+        return site.settle()
+
+
 def a_front_stops(seed: int) -> list[Violation]:
     with world(seed) as site:
         start_programs(site, 8)
@@ -151,7 +164,7 @@
     return list(table.by_service.get(service, {}).values())
 
 
-async def _finish_never(exchange: TurnExchange) -> bool:
+async def _finish_never(record: TurnRecord) -> bool:
     import asyncio  # noqa: PLC0415
 
     await asyncio.sleep(3.5)
@@ -197,8 +210,11 @@
     "leaving is ignored": Defect(
         Rule.DRAIN, a_runner_leaves, patch(RunnerTable, "usable", _all_of_service)
     ),
+    "a connection is kept when its client left": Defect(
+        Rule.LEAVE, clients_leave, patch(SimConnection, "abort", lambda self: None)
+    ),
     "an answer is held back at its end": Defect(
-        Rule.STOP, a_front_stops, patch(TurnExchange, "_finish_whole", _finish_never)
+        Rule.STOP, a_front_stops, patch(TurnRecord, "finish_whole", _finish_never)
     ),
     "any configuration is taken": Defect(
         Rule.CONFIGURATION,
