--- a/src/bendshed/gateway/forwarding.py
+++ b/src/bendshed/gateway/forwarding.py
@@ -5,22 +5,16 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, MutableMapping
-from typing import Any
 
 import orjson
 
 from bendshed.errors import ErrorKind, Refusal
+from bendshed.gateway.asgi import Receive, Scope, Send
 from bendshed.ports.caller_protocol import CallerProtocol, ReceivedRequest
 from bendshed.ports.http_messages import Headers, ResponseHead, end_to_end
 from bendshed.ports.runner import Caller, ServiceRequest
 from bendshed.services.forwarder import Forwarder
 
-Message = MutableMapping[str, Any]
-Scope = MutableMapping[str, Any]
-Receive = Callable[[], Awaitable[Message]]
-Send = Callable[[Message], Awaitable[None]]
-
 MAX_BODY_BYTES = 64 * 1024 * 1024
 """Until a configuration says less."""
 
--- a/src/bendshed/gateway/services.py
+++ b/src/bendshed/gateway/services.py
@@ -5,7 +5,8 @@
 
 from bendshed.configuration.document import ConfigurationDocument
 from bendshed.configuration.services import ServiceDeclaration, to_service_document
-from bendshed.gateway.forwarding import ForwardingApplication, Receive, Scope, Send
+from bendshed.gateway.asgi import Receive, Scope, Send
+from bendshed.gateway.forwarding import ForwardingApplication
 from bendshed.gateway.service_protocol import ServiceCallerProtocol, ServiceRunnerProtocol
 from bendshed.logs import PartLog
 from bendshed.node import Node
--- a/src/bendshed/platform/front.py
+++ b/src/bendshed/platform/front.py
@@ -5,12 +5,11 @@
 import random
 import socket
 
-from blacksheep import Application, Response, Router, text
-
 from bendshed.adapters.connection_pool import ConnectionPool
 from bendshed.adapters.http_server import bind, make_server
 from bendshed.adapters.tcp_transport import TcpTransport
-from bendshed.gateway.forwarding import ForwardingApplication, Receive, Scope, Send
+from bendshed.gateway.asgi import Receive, Scope, Send, send_text, serve_lifespan
+from bendshed.gateway.forwarding import ForwardingApplication
 from bendshed.logs import PartLog
 from bendshed.platform import names
 from bendshed.platform.caller_protocol import PlatformCallerProtocol
@@ -33,7 +32,8 @@
 NOTICE_SHARE = 0.6
 """A dead way to the store is noticed within this share of the time until a node that is in touch
 again must act on what the store says."""
-LONG_WATCH_S = 20.0
+HISTORY_SHARE = 0.75
+"""A watch is asked anew while the store still remembers where it began."""
 REPLICA_PACE_S = 1.0
 """Where replicas are is not urgent: a stale address costs one more try."""
 NOTICE_S = 2.6
@@ -51,7 +51,7 @@
     def __init__(self, settings: SiteSettings) -> None:
         self._settings = settings
         self._rng = random.Random()
-        self._transport = TcpTransport(str(settings.ip), settings.peer_address.port)
+        self._transport = TcpTransport(settings.ip, settings.peer_address.port)
         self._api = ObjectApi(read_address(settings.platform.addr))
         self._node = ServiceNode(
             self._transport,
@@ -61,24 +61,24 @@
             self._rng,
         )
         self._node.on_document = self._apply_limits
-        self._ingress = ForwardingApplication(self._node.forwarder, PlatformCallerProtocol())
-        self._pages = self._make_pages()
+        self._forwarding = ForwardingApplication(self._node.forwarder, PlatformCallerProtocol())
         self._server = make_server(self._application)
         self._runners = self._watcher(
             names.RUNNER_KIND, self._list_runners, self._on_runner, self._short_watch_s()
         )
+        long_watch_s = HISTORY_SHARE * settings.platform.historyS
         self._others = [
             self._watcher(
                 names.CONFIGURATION_KIND,
                 self._list_configuration,
                 self._on_configuration,
-                LONG_WATCH_S,
+                long_watch_s,
             ),
             self._watcher(
                 names.REPLICA_KIND,
                 self._list_replicas,
                 self._on_replica,
-                LONG_WATCH_S,
+                long_watch_s,
                 REPLICA_PACE_S,
             ),
         ]
@@ -115,7 +115,7 @@
         """Not ready at once; serve what comes until the platform has noticed; finish the rest."""
         until_s = asyncio.get_running_loop().time() + self._settings.bounds.graceS - STOP_MARGIN_S
         self._node.start_drain()
-        self._ingress.is_closing = True
+        self._forwarding.is_closing = True
         await asyncio.sleep(NOTICE_S)
         self._server.should_exit = True
         with contextlib.suppress(TimeoutError):
@@ -126,23 +126,14 @@
     # --- pages ---------------------------------------------------------------------------
 
     async def _application(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Clients' port to the forwarder; the rest to our own pages."""
-        if scope["type"] == "http" and scope["server"][1] == self._front_port:
-            await self._ingress(scope, receive, send)
+        """Clients' port to the forwarder; the rest is a question for readiness."""
+        if scope["type"] == "lifespan":
+            await serve_lifespan(receive, send)
+        elif scope["server"][1] == self._front_port:
+            await self._forwarding(scope, receive, send)
         else:
-            await self._pages(scope, receive, send)
-
-    def _make_pages(self) -> Application:
-        pages = Application(router=Router())
-
-        async def ready() -> Response:
             is_ready = self._node.is_ready
-            response: Response = text("ready" if is_ready else "not ready")
-            response.status = READY_STATUS if is_ready else NOT_READY_STATUS
-            return response
-
-        pages.router.add_get("/ready", ready)
-        return pages
+            await send_text(send, READY_STATUS if is_ready else NOT_READY_STATUS, b"")
 
     def _apply_limits(self, document: ServiceDocument) -> None:
         idle_s = document.limits.idle_timeout_ms // 1000 + IDLE_MARGIN_S
--- a/src/bendshed/platform/main.py
+++ b/src/bendshed/platform/main.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import sys
+from pathlib import Path
 
 from bendshed.logs import PartLog, log_to
 from bendshed.platform.settings import SiteSettings, SiteSettingsInvalid, load_site_settings
@@ -29,7 +30,7 @@
 
     if settings.dataDir is None:
         raise SiteSettingsInvalid("dataDir: (missing): run the role store where there is a disk")
-    await StoreProcess(settings, settings.dataDir).run(stopping)
+    await StoreProcess(settings, Path(settings.dataDir)).run(stopping)
 
 
 class _Reloader:
@@ -46,7 +47,7 @@
             return
         changed = [
             name
-            for name in SiteSettings.model_fields
+            for name in SiteSettings.__struct_fields__
             if getattr(fresh, name) != getattr(self._settings, name)
         ]
         self._settings = fresh
--- a/src/bendshed/platform/replica.py
+++ b/src/bendshed/platform/replica.py
@@ -27,7 +27,7 @@
     def __init__(self, settings: SiteSettings, data_folder: Path) -> None:
         self._settings = settings
         self._rng = random.Random()
-        self._transport = TcpTransport(str(settings.ip), settings.peer_address.port)
+        self._transport = TcpTransport(settings.ip, settings.peer_address.port)
         self._api = ObjectApi(read_address(settings.platform.addr))
         self._storage = open_or_replace(data_folder)
         self._node = TurnLogNode(
--- a/src/bendshed/platform/settings.py
+++ b/src/bendshed/platform/settings.py
@@ -1,31 +1,40 @@
-"""Reads the settings file that the platform lays on each machine."""
+"""Reads the settings file that the platform lays on each machine.
+
+Checked by msgspec and not by the library of the product's own settings: that one costs each process
+of the platform 20 MB of memory and a third of its start (docs/CAPACITY.md).
+"""
 
 import os
 from collections.abc import Mapping
-from ipaddress import IPv4Address
 from pathlib import Path
 from typing import Annotated, Any
 
+import msgspec
 import yaml
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from msgspec import Meta
 
 from bendshed.platform.names import SETTINGS_VARIABLE
 from bendshed.ports.transport import Address
 
-HostAndPort = Annotated[str, Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+_IP = r"\d{1,3}(\.\d{1,3}){3}"
+IpNumber = Annotated[str, Meta(pattern=rf"^{_IP}$")]
+HostAndPort = Annotated[str, Meta(pattern=rf"^{_IP}:\d{{1,5}}$")]
+Text = Annotated[str, Meta(min_length=1)]
+Port = Annotated[int, Meta(ge=1, le=65_535)]
+Milliseconds = Annotated[int, Meta(gt=0)]
+Seconds = Annotated[float, Meta(gt=0)]
+Tolerated = Annotated[int, Meta(ge=0, le=9)]
 
 
 class SiteSettingsInvalid(Exception):
     """The file is missing or a field is impossible; the text names field and cure."""
 
 
-class _Section(BaseModel):
+class _Section(msgspec.Struct, frozen=True):
     """Unknown fields are passed over, as the platform asks."""
 
-    model_config = ConfigDict(frozen=True, extra="ignore")
-
 
-class Listen(_Section):
+class Listen(_Section, frozen=True):
     """Addresses of what the role serves."""
 
     front: HostAndPort | None = None
@@ -33,11 +42,11 @@
     control: HostAndPort | None = None
 
 
-class FaultTolerance(_Section):
+class FaultTolerance(_Section, frozen=True):
     """How many machines or zones may be lost at once."""
 
-    machines: int = Field(default=1, ge=0, le=9)
-    zones: int = Field(default=0, ge=0, le=9)
+    machines: Tolerated = 1
+    zones: Tolerated = 0
 
     @property
     def most(self) -> int:
@@ -45,32 +54,33 @@
         return max(1, self.machines, self.zones)
 
 
-class Bounds(_Section):
+class Bounds(_Section, frozen=True):
     """Figures of the rules in force that the product needs."""
 
-    graceS: float = Field(default=8.0, gt=0)  # noqa: N815 (the platform's spelling)
-    contactMs: int = Field(default=3000, gt=0)  # noqa: N815
-    applyMs: int = Field(default=2000, gt=0)  # noqa: N815
+    graceS: Seconds = 8.0  # noqa: N815 (the platform's spelling)
+    contactMs: Milliseconds = 3000  # noqa: N815
+    applyMs: Milliseconds = 2000  # noqa: N815
 
 
-class MetadataStore(_Section):
-    """Where the platform's store is."""
+class MetadataStore(_Section, frozen=True):
+    """Where the platform's store is, and how long it remembers changes."""
 
     addr: HostAndPort
+    historyS: Seconds = 20.0  # noqa: N815
 
 
-class SiteSettings(_Section):
+class SiteSettings(_Section, frozen=True, kw_only=True):
     """The settings of one process."""
 
-    nodeName: str = Field(min_length=1)  # noqa: N815
-    ip: IPv4Address
-    zone: str = Field(min_length=1)
+    nodeName: Text  # noqa: N815
+    ip: IpNumber
+    zone: Text
     region: str = ""
     listen: Listen = Listen()
-    portRange: tuple[int, int]  # noqa: N815
+    portRange: tuple[Port, Port]  # noqa: N815
     seeds: list[HostAndPort] = []
     bootstrap: bool = False
-    dataDir: Path | None = None  # noqa: N815
+    dataDir: str | None = None  # noqa: N815
     faultTolerance: FaultTolerance = FaultTolerance()  # noqa: N815
     bounds: Bounds = Bounds()
     platform: MetadataStore
@@ -78,7 +88,7 @@
     @property
     def peer_address(self) -> Address:
         """Where other nodes reach this process."""
-        return Address(str(self.ip), self.portRange[0])
+        return Address(self.ip, self.portRange[0])
 
 
 def read_address(text: str) -> Address:
@@ -102,15 +112,6 @@
         reason = " ".join(str(error).split())
         raise SiteSettingsInvalid(f"{path}: {reason}: write valid YAML") from error
     try:
-        return SiteSettings.model_validate(content)
-    except ValidationError as error:
-        raise SiteSettingsInvalid(f"{path}: {_first_problems(error)}") from error
-
-
-def _first_problems(error: ValidationError) -> str:
-    rows = []
-    for row in error.errors():
-        field = ".".join(str(part) for part in row["loc"]) or "(file)"
-        value = "(missing)" if row["type"] == "missing" else repr(row["input"])[:80]
-        rows.append(f"{field}: {value}: {row['msg']}")
-    return "; ".join(rows)
+        return msgspec.convert(content, SiteSettings)
+    except msgspec.ValidationError as error:
+        raise SiteSettingsInvalid(f"{path}: {error}: correct this field") from error
--- a/src/bendshed/rehearsal/simulator/loop.py
+++ b/src/bendshed/rehearsal/simulator/loop.py
@@ -75,6 +75,7 @@
         selector = _VirtualSelector()
         selector.loop = self
         self.now_s = 0.0
+        self._is_dropped = False
         self._kept: set[asyncio.Task[Any]] = set()
         super().__init__(selector)
         self.set_task_factory(self._make_task)
@@ -84,12 +85,22 @@
     ) -> "asyncio.Task[Any]":
         """Keep tasks of killed processes, so that none is collected while it waits."""
         task: asyncio.Task[Any] = asyncio.Task(work, loop=self, **options)
+        if self._is_dropped:  # begun by a ``finally`` while everything is collected
+            task._log_destroy_pending = False  # type: ignore[attr-defined]
         self._kept.add(task)
         task.add_done_callback(self._kept.discard)
         return task
 
+    def _asyncgen_finalizer_hook(self, agen: Any) -> None:
+        """A generator of a killed process, or of a dropped simulation, ends without ``finally``."""
+        process = _process_of(None)
+        if self._is_dropped or (process is not None and process.dead):
+            return
+        super()._asyncgen_finalizer_hook(agen)  # type: ignore[misc]
+
     def abandon(self) -> None:
         """Drop all tasks where they stand, and close."""
+        self._is_dropped = True
         self.run_until_complete(self._drop_tasks())
         self.close()
 
