Metrics of both roles on the platform's path

Ruled out: the registry's own server (a thread); counting by hand (the house takes libraries for that). The table of metrics is checked by a test.

--- a/src/bendshed/gateway/services.py
+++ b/src/bendshed/gateway/services.py
@@ -3,6 +3,8 @@
 from collections.abc import Awaitable, Callable
 from urllib.parse import urlsplit
 
+from prometheus_client import CollectorRegistry
+
 from bendshed.configuration.document import ConfigurationDocument
 from bendshed.configuration.services import ServiceDeclaration, to_service_document
 from bendshed.gateway.asgi import Receive, Scope, Send
@@ -15,6 +17,7 @@
 from bendshed.ports.transport import Address
 from bendshed.services.attempts import RunnerPorts
 from bendshed.services.forwarder import Forwarder
+from bendshed.services.metrics import ServiceMetrics
 from bendshed.services.routing import RouteIndex
 from bendshed.services.runners import RunnerState, RunnerTable, ServiceRunner
 
@@ -36,7 +39,13 @@
 
     """
 
-    def __init__(self, node: Node, connections: RunnerConnections, pages: Application) -> None:
+    def __init__(
+        self,
+        node: Node,
+        connections: RunnerConnections,
+        pages: Application,
+        registry: CollectorRegistry,
+    ) -> None:
         self.table = RunnerTable()
         self._node = node
         self._connections = connections
@@ -47,6 +56,7 @@
             ServiceRunnerProtocol(),
             node.settings.node.zone,
             node.ports.rng,
+            ServiceMetrics(registry),
         )
         self.forwarder = Forwarder(ports)
         callers = ServiceCallerProtocol(lambda: node.configuration.document, node.ports.rng)
--- a/src/bendshed/platform/front.py
+++ b/src/bendshed/platform/front.py
@@ -5,8 +5,11 @@
 import random
 import socket
 
+from prometheus_client import CollectorRegistry
+
 from bendshed.adapters.connection_pool import ConnectionPool
-from bendshed.adapters.http_server import bind, make_server
+from bendshed.adapters.http_server import make_server
+from bendshed.adapters.sockets import bind
 from bendshed.adapters.tcp_transport import TcpTransport
 from bendshed.gateway.asgi import Receive, Scope, Send, send_text, serve_lifespan
 from bendshed.gateway.forwarding import ForwardingApplication
@@ -25,6 +28,7 @@
     ListHandler,
 )
 from bendshed.services.document import ServiceDocument
+from bendshed.services.metrics import ServiceMetrics
 from bendshed.services.node import ServiceNode
 from bendshed.tasks import start_loop
 
@@ -48,17 +52,19 @@
 class FrontProcess:
     """Shells around a ``ServiceNode``."""
 
-    def __init__(self, settings: SiteSettings) -> None:
+    def __init__(self, settings: SiteSettings, registry: CollectorRegistry) -> None:
         self._settings = settings
         self._rng = random.Random()
         self._transport = TcpTransport(settings.ip, settings.peer_address.port)
         self._api = ObjectApi(read_address(settings.platform.addr))
+        self._connections = ConnectionPool(RUNNER_CONNECT_TIMEOUT_S)
         self._node = ServiceNode(
             self._transport,
-            ConnectionPool(RUNNER_CONNECT_TIMEOUT_S),
+            self._connections,
             PlatformRunnerProtocol(),
             settings.zone,
             self._rng,
+            self._make_metrics(registry),
         )
         self._node.on_document = self._apply_limits
         self._forwarding = ForwardingApplication(self._node.forwarder, PlatformCallerProtocol())
@@ -103,6 +109,14 @@
         await self._transport.close()
         log.say("stopped", open=self._node.forwarder.num_open)
 
+    def _make_metrics(self, registry: CollectorRegistry) -> ServiceMetrics:
+        metrics = ServiceMetrics(registry)
+        calls = metrics.gauge("bendshed_store_calls", "Calls to the platform's store since start")
+        calls.set_function(lambda: self._api.num_calls)
+        opened = metrics.gauge("bendshed_runner_connections_opened", "Connections since start")
+        opened.set_function(lambda: self._connections.num_opened)
+        return metrics
+
     def _bind_all(self) -> list[socket.socket]:
         listen = self._settings.listen
         if listen.front is not None:
--- a/src/bendshed/platform/replica.py
+++ b/src/bendshed/platform/replica.py
@@ -4,6 +4,8 @@
 import random
 from pathlib import Path
 
+from prometheus_client import CollectorRegistry
+
 from bendshed.adapters.tcp_transport import TcpTransport
 from bendshed.consensus.sqlite_storage import open_or_replace
 from bendshed.logs import PartLog
@@ -14,6 +16,7 @@
 from bendshed.platform.translate import read_replica, read_retirement
 from bendshed.platform.watcher import KindHandler, KindWatcher
 from bendshed.tasks import start_loop
+from bendshed.turns.metrics import TurnLogMetrics
 from bendshed.turns.node import TurnLogNode
 
 WATCH_S = 8.0
@@ -24,7 +27,9 @@
 class StoreProcess:
     """Shells around a ``TurnLogNode``."""
 
-    def __init__(self, settings: SiteSettings, data_folder: Path) -> None:
+    def __init__(
+        self, settings: SiteSettings, data_folder: Path, registry: CollectorRegistry
+    ) -> None:
         self._settings = settings
         self._rng = random.Random()
         self._transport = TcpTransport(settings.ip, settings.peer_address.port)
@@ -39,6 +44,7 @@
             PlatformReplicaRegistry(self._api),
             2 * settings.faultTolerance.most + 1,
             self._rng,
+            TurnLogMetrics(registry),
             data_folder,
         )
 
--- a/src/bendshed/process.py
+++ b/src/bendshed/process.py
@@ -10,9 +10,10 @@
 
 from bendshed.adapters.connection_pool import ConnectionPool
 from bendshed.adapters.http import HttpClient
-from bendshed.adapters.http_server import HttpServer, bind, make_server
+from bendshed.adapters.http_server import HttpServer, make_server
 from bendshed.adapters.http_store import HttpMachineList, HttpObjectStore
 from bendshed.adapters.openai_engine import OpenAiEngine
+from bendshed.adapters.sockets import bind
 from bendshed.adapters.tcp_transport import TcpTransport
 from bendshed.configuration.file_cache import FileConfigurationCache
 from bendshed.consensus.sqlite_storage import open_or_replace
@@ -79,7 +80,12 @@
     server = make_server(None)
     node = Node(settings, ports, address, listener.getsockname()[1])
     gateway = Gateway(node, OperatorService(node))
-    services = DeclaredServices(node, ConnectionPool(RUNNER_CONNECT_TIMEOUT_S), gateway.application)
+    services = DeclaredServices(
+        node,
+        ConnectionPool(RUNNER_CONNECT_TIMEOUT_S),
+        gateway.application,
+        gateway.metrics.registry,
+    )
     server.config.app = services
     node.start()
     serving = loop.create_task(server.serve(sockets=[listener]))
--- a/src/bendshed/rehearsal/site/http_runner.py
+++ b/src/bendshed/rehearsal/site/http_runner.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from bendshed.adapters.http_server import bind
+from bendshed.adapters.sockets import bind
 from bendshed.platform import names
 from bendshed.ports.transport import Address
 from bendshed.rehearsal.site.runner import Chunk, Head, RunnerCall, RunnerReset, SiteRunner
--- a/src/bendshed/rehearsal/site/installation.py
+++ b/src/bendshed/rehearsal/site/installation.py
@@ -10,7 +10,8 @@
 from pathlib import Path
 
 from bendshed.adapters.http_connection import open_connection
-from bendshed.adapters.http_server import HttpServer, bind, make_server
+from bendshed.adapters.http_server import HttpServer, make_server
+from bendshed.adapters.sockets import bind
 from bendshed.platform import names
 from bendshed.platform.encode import write_document, write_runner, write_settings
 from bendshed.ports.http_messages import ClientRequest, ConnectFailed, ResponseBroken
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from prometheus_client import CollectorRegistry
+
 from bendshed.ports.registry import Retirement
 from bendshed.ports.transport import Address
 from bendshed.rehearsal.simulator.loop import SimProcess, VirtualTimeLoop
@@ -24,8 +26,10 @@
 from bendshed.rehearsal.site.sim_registry import SimRegistry
 from bendshed.rehearsal.site.sim_runners import SimConnections, SimRunnerNet, SimRunnerProtocol
 from bendshed.services.document import ServiceDocument
+from bendshed.services.metrics import ServiceMetrics
 from bendshed.services.node import ServiceNode
 from bendshed.services.runners import RunnerState, ServiceRunner
+from bendshed.turns.metrics import TurnLogMetrics
 from bendshed.turns.node import TurnLogNode
 
 PEER_PORT = 7000
@@ -74,6 +78,7 @@
     stores: dict[str, SimMachine] = field(default_factory=dict)
     runners: dict[str, SiteRunner] = field(default_factory=dict)
     listed: dict[str, ServiceRunner] = field(default_factory=dict)
+    metrics: dict[str, ServiceMetrics | TurnLogMetrics] = field(default_factory=dict)
     programs: list[AgentProgram] = field(default_factory=list)
     faults: dict[str, int] = field(default_factory=dict)
     document: ServiceDocument = field(init=False)
@@ -156,7 +161,9 @@
         self, machine: SimMachine, transport: SimTransport, rng: random.Random
     ) -> None:
         connections = SimConnections(self.net, machine.process, machine.host)
-        front = ServiceNode(transport, connections, SimRunnerProtocol(), machine.zone, rng)
+        metrics = ServiceMetrics(CollectorRegistry())
+        self.metrics[machine.process.name] = metrics
+        front = ServiceNode(transport, connections, SimRunnerProtocol(), machine.zone, rng, metrics)
         versions = self.seen.versions.setdefault(machine.process.name, [])
         front.on_document = lambda document: versions.append(document.version)
         machine.front = front
@@ -171,6 +178,8 @@
         disk: SimDisk,
         rng: random.Random,
     ) -> None:
+        metrics = TurnLogMetrics(CollectorRegistry())
+        self.metrics[machine.process.name] = metrics
         machine.replica = TurnLogNode(
             machine.name,
             machine.zone,
@@ -180,6 +189,7 @@
             self.registry,
             NUM_VOTERS,
             rng,
+            metrics,
         )
         machine.replica.start()
         machine.process.spawn(self.loop, self._follow(machine, self._tell_store))
--- a/src/bendshed/rehearsal/standins.py
+++ b/src/bendshed/rehearsal/standins.py
@@ -12,7 +12,8 @@
 from blacksheep import Application, Content, Request, Response, StreamedContent
 
 from bendshed.adapters.http import add_route
-from bendshed.adapters.http_server import bind, make_server
+from bendshed.adapters.http_server import make_server
+from bendshed.adapters.sockets import bind
 from bendshed.process import announce
 from bendshed.rehearsal.engine_model import Cancelled, EngineModel, EngineParameters, Refused
 
--- a/src/bendshed/services/attempts.py
+++ b/src/bendshed/services/attempts.py
@@ -11,6 +11,7 @@
 from bendshed.ports.runner import RunnerProtocol, ServiceRequest, Verdict
 from bendshed.ports.runner_connections import RunnerConnection, RunnerConnections
 from bendshed.services.document import Route
+from bendshed.services.metrics import AttemptEnd, ServiceMetrics
 from bendshed.services.placement import Choice, choose_runner
 from bendshed.services.runners import RunnerRecord, RunnerTable
 
@@ -31,6 +32,7 @@
     protocol: RunnerProtocol
     zone: str
     rng: random.Random
+    metrics: ServiceMetrics
 
 
 @dataclass(slots=True)
@@ -149,6 +151,7 @@
             return None
         match self.ports.protocol.verdict(answer.head):
             case Verdict.ANSWERED:
+                self._count(AttemptEnd.ANSWERED)
                 return answer
             case Verdict.NOT_RUN:
                 record.note_full(asyncio.get_running_loop().time())
@@ -165,6 +168,7 @@
             connection = await self.ports.pool.acquire(runner.address)
         except ConnectFailed as error:
             self._num_unrun += 1
+            self._count(AttemptEnd.UNREACHABLE)
             record.note_unreachable(loop.time())
             self._say("could not be sent", choice, reason=str(error))
             return None
@@ -184,6 +188,7 @@
             head = await connection.send(sent)
         except ResponseBroken as error:
             connection.abort()
+            self._count(AttemptEnd.NO_ANSWER)
             record.note_broken(loop.time())
             self._say("got no answer", choice, reason=str(error))
             return None
@@ -195,6 +200,7 @@
     async def _drop_unrun(self, answer: OpenAnswer, reason: str) -> None:
         self.num_maybe_run -= 1
         self._num_unrun += 1
+        self._count(AttemptEnd.NOT_RUN)
         log.say(
             "the runner did not run it",
             request=self.request.request_id,
@@ -212,6 +218,9 @@
         finally:
             answer.close(whole)
 
+    def _count(self, end: AttemptEnd) -> None:
+        self.ports.metrics.attempts.labels(end.value).inc()
+
     def _say(self, sentence: str, choice: Choice, reason: str) -> None:
         log.say(
             sentence,
--- a/src/bendshed/services/forwarder.py
+++ b/src/bendshed/services/forwarder.py
@@ -8,6 +8,7 @@
 from bendshed.ports.runner import Caller, ServiceRequest
 from bendshed.services.attempts import Attempts, OpenAnswer, RunnerPorts
 from bendshed.services.document import EngineFeatures, Route, RouteKind
+from bendshed.services.metrics import CALLER_LEFT, NO_ROUTE, Served
 from bendshed.services.routing import RouteIndex, choose_target
 from bendshed.services.stream_exchange import StreamExchange
 from bendshed.services.turn_record import TurnPorts, TurnRecord
@@ -33,14 +34,19 @@
     def __init__(self, runners: RunnerPorts, turns: TurnPorts | None = None) -> None:
         self.index: RouteIndex | None = None
         self._runners = runners
+        self._metrics = runners.metrics
         self._turns = turns
         self.num_open = 0
 
     async def serve(self, request: ServiceRequest, caller: Caller) -> None:
         """Answer one request; cancelled when its caller leaves."""
         self.num_open += 1
+        index = self.index
+        route = index.match(request.host, request.path) if index is not None else None
+        route_kind = route.kind.value if route is not None else NO_ROUTE
+        outcome = CALLER_LEFT
         try:
-            await self._serve(request, caller)
+            outcome = await self._serve(request, caller, route, index)
         except asyncio.CancelledError:
             now_s = asyncio.get_running_loop().time()
             after_ms = int((now_s - request.arrived_s) * 1000)
@@ -48,26 +54,34 @@
             raise
         finally:
             self.num_open -= 1
+            took_s = asyncio.get_running_loop().time() - request.arrived_s
+            self._metrics.requests.labels(route_kind, outcome).inc()
+            self._metrics.request_s.labels(route_kind).observe(took_s)
 
-    async def _serve(self, request: ServiceRequest, caller: Caller) -> None:
-        index = self.index
+    async def _serve(
+        self,
+        request: ServiceRequest,
+        caller: Caller,
+        route: Route | None,
+        index: RouteIndex | None,
+    ) -> str:
+        """Serve or refuse; return the outcome for the metrics."""
+        outcome: Refusal | Served
         if index is None:
-            refusal = Refusal(ErrorKind.NOT_READY, "this node knows no configuration yet")
-            await self._refuse(request, caller, refusal, version=0)
-            return
-        version = index.document.version
-        route = index.match(request.host, request.path)
-        if route is None:
-            refusal = Refusal(ErrorKind.NOT_FOUND, "no route takes this host and path")
-            await self._refuse(request, caller, refusal, version)
-            return
-        outcome = await self._serve_route(request, caller, route, index)
-        if isinstance(outcome, Refusal):
-            await self._refuse(request, caller, outcome, version)
+            outcome = Refusal(ErrorKind.NOT_READY, "this node knows no configuration yet")
+        elif route is None:
+            outcome = Refusal(ErrorKind.NOT_FOUND, "no route takes this host and path")
+        else:
+            outcome = await self._serve_route(request, caller, route, index)
+        if isinstance(outcome, Served):
+            return outcome.value
+        version = index.document.version if index is not None else 0
+        await self._refuse(request, caller, outcome, version)
+        return outcome.kind.value
 
     async def _serve_route(
         self, request: ServiceRequest, caller: Caller, route: Route, index: RouteIndex
-    ) -> Refusal | None:
+    ) -> Refusal | Served:
         wait_ms = route.timeout_ms
         if request.wait_ms is not None:
             wait_ms = min(wait_ms, request.wait_ms)
@@ -109,7 +123,7 @@
             return None
         return TurnRecord(self._turns, request, route, engine, deadline_s)
 
-    async def _serve_plain(self, attempts: Attempts, caller: Caller) -> Refusal | None:
+    async def _serve_plain(self, attempts: Attempts, caller: Caller) -> Refusal | Served:
         while True:
             opened = await attempts.open()
             if isinstance(opened, Refusal):
@@ -131,7 +145,7 @@
                 status=opened.head.status,
                 attempts=attempts.num_maybe_run,
             )
-            return None
+            return Served.WHOLE if whole else Served.CUT
 
     async def _refuse(
         self, request: ServiceRequest, caller: Caller, refusal: Refusal, version: int
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Collection
+from functools import partial
 
 from bendshed.consensus.directory import ReplicaDirectory
 from bendshed.logs import PartLog
@@ -13,8 +14,9 @@
 from bendshed.services.attempts import RunnerPorts
 from bendshed.services.document import ServiceDocument
 from bendshed.services.forwarder import Forwarder
+from bendshed.services.metrics import ServiceMetrics
 from bendshed.services.routing import RouteIndex
-from bendshed.services.runners import RunnerTable, ServiceRunner
+from bendshed.services.runners import RunnerTable, RunnerView, ServiceRunner
 from bendshed.services.turn_record import TurnPorts
 from bendshed.turns.client import TranscriptCache, TurnClient
 
@@ -47,6 +49,7 @@
         protocol: RunnerProtocol,
         zone: str,
         rng: random.Random,
+        metrics: ServiceMetrics,
     ) -> None:
         self.directory = ReplicaDirectory()
         self.on_document: Callable[[ServiceDocument], None] = lambda _document: None
@@ -57,10 +60,27 @@
             transport, rng, TURN_GROUPS, self.directory.resolve, self.directory.node_ids
         )
         self._turns = TurnPorts(
-            TurnClient(transport, rng, groups), TranscriptCache(TRANSCRIPT_BYTES)
+            TurnClient(transport, rng, groups), TranscriptCache(TRANSCRIPT_BYTES), metrics
         )
-        runners = RunnerPorts(self._table, self._pool, protocol, zone, rng)
+        runners = RunnerPorts(self._table, self._pool, protocol, zone, rng, metrics)
         self.forwarder = Forwarder(runners, self._turns)
+        self._add_gauges(metrics)
+
+    def _add_gauges(self, metrics: ServiceMetrics) -> None:
+        """What is told as it stands when it is asked for."""
+        opened = metrics.gauge("bendshed_open_requests", "Requests under way")
+        opened.set_function(lambda: self.forwarder.num_open)
+        ready = metrics.gauge("bendshed_ready", "1 while new clients may be sent here")
+        ready.set_function(lambda: float(self.is_ready))
+        version = metrics.gauge("bendshed_configuration_version", "Configuration in force")
+        version.set_function(self._version)
+        runners = metrics.labelled_gauge("bendshed_runners", "Runners by state", "state")
+        for state in RunnerView:
+            runners.labels(state.value).set_function(partial(self._table.count, state))
+
+    def _version(self) -> float:
+        index = self.forwarder.index
+        return float(index.document.version) if index is not None else 0.0
 
     @property
     def is_ready(self) -> bool:
--- a/src/bendshed/services/runners.py
+++ b/src/bendshed/services/runners.py
@@ -21,6 +21,15 @@
     DRAINING = "draining"
 
 
+class RunnerView(StrEnum):
+    """What a node makes of a runner."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    UNLISTED = "unlisted"
+    """It vanished from a list that could not be trusted."""
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceRunner:
     """One incarnation of a runner, as listed."""
@@ -52,6 +61,13 @@
     avoid_until_s: float = 0.0
     unlisted_at_s: float | None = None
 
+    @property
+    def view(self) -> RunnerView:
+        """What this node makes of it."""
+        if self.unlisted_at_s is not None:
+            return RunnerView.UNLISTED
+        return RunnerView(self.listed.state.value)
+
     def is_avoided(self, now_s: float) -> bool:
         """Whether it was full or broken a moment ago."""
         return now_s < self.avoid_until_s
@@ -132,6 +148,10 @@
         del self.by_id[record.listed.runner_id]
         self._by_service(record.listed.service).pop(record.listed.runner_id, None)
 
+    def count(self, view: RunnerView) -> int:
+        """Runners of which this node makes that."""
+        return sum(1 for record in self.by_id.values() if record.view is view)
+
     def usable(self, service: str, now_s: float) -> list[RunnerRecord]:
         """Runners that may get new work: the listed ready ones, else the doubtful ones."""
         records = self._by_service(service)
--- a/src/bendshed/services/stream_exchange.py
+++ b/src/bendshed/services/stream_exchange.py
@@ -13,6 +13,7 @@
 from bendshed.ports.runner import Caller, ServiceRequest
 from bendshed.services.attempts import Attempts, OpenAnswer
 from bendshed.services.events import EventSplitter, StreamEvent
+from bendshed.services.metrics import Served
 from bendshed.services.turn_record import TurnRecord
 
 SUCCESS = 200
@@ -40,8 +41,8 @@
     record: TurnRecord | None
     num_events: int = 0
 
-    async def run(self) -> Refusal | None:
-        """Serve the request; return a refusal that the caller has not been told yet."""
+    async def run(self) -> Refusal | Served:
+        """Serve the request; a refusal has not been told to the caller yet."""
         if self.record is None:
             return await self._run_begun()
         refusal = await self.record.begin()
@@ -53,7 +54,7 @@
         finally:
             self.record.finish_broken()
 
-    async def _run_begun(self) -> Refusal | None:
+    async def _run_begun(self) -> Refusal | Served:
         opened = await self.attempts.open()
         if isinstance(opened, Refusal):
             return opened
@@ -74,7 +75,7 @@
             self.caller.break_off()
         finally:
             opened.close(whole)
-        return None
+        return Served.WHOLE if whole else Served.CUT
 
     async def _relay(self, opened: OpenAnswer) -> bool:
         """Pass the stream on event by event; raise when it is not whole."""
@@ -92,7 +93,9 @@
             if not events:
                 continue
             if first_ms is None:
-                first_ms = int((loop.time() - self.request.arrived_s) * 1000)
+                first_s = loop.time() - self.request.arrived_s
+                first_ms = int(first_s * 1000)
+                self.attempts.ports.metrics.first_event_s.observe(first_s)
             for event in events:
                 last_id = self._check_order(event, last_id)
                 self._count(event)
--- a/src/bendshed/services/turn_record.py
+++ b/src/bendshed/services/turn_record.py
@@ -10,6 +10,7 @@
 from bendshed.programs.client import GroupUnavailable
 from bendshed.services.document import EngineFeatures, Route
 from bendshed.services.events import StreamEvent
+from bendshed.services.metrics import ServiceMetrics
 from bendshed.turns.client import TranscriptCache, TurnClient
 from bendshed.wire import turns_pb2 as wire
 
@@ -33,6 +34,7 @@
 
     client: TurnClient
     transcripts: TranscriptCache
+    metrics: ServiceMetrics
     late: "set[asyncio.Task[Any]]" = field(default_factory=set)
 
 
@@ -107,6 +109,8 @@
             self._take_chain(preview, held)
         else:
             refusal = await self._begin_committed(begin, held)
+        took_s = loop.time() - began_s
+        self.ports.metrics.turn_begin_s.labels(str(is_previewed).lower()).observe(took_s)
         log.say(
             "begun" if refusal is None else "not begun",
             request=self.request.request_id,
@@ -114,7 +118,7 @@
             previous=previous,
             previewed=is_previewed,
             detail=refusal.detail if refusal is not None else "",
-            took_ms=round((loop.time() - began_s) * 1000, 1),
+            took_ms=round(took_s * 1000, 1),
         )
         return refusal
 
@@ -240,11 +244,13 @@
         if self.route.keeps_turns:
             said = self.request.body + b"".join(self._output)
             self.ports.transcripts.put(self.request.request_id, self._transcript + said)
+        took_s = loop.time() - began_s
+        self.ports.metrics.turn_end_s.observe(took_s)
         log.say(
             "ended",
             request=self.request.request_id,
             tokens=self._tokens(),
-            took_ms=round((loop.time() - began_s) * 1000, 1),
+            took_ms=round(took_s * 1000, 1),
         )
         return True
 
--- a/src/bendshed/turns/node.py
+++ b/src/bendshed/turns/node.py
@@ -2,17 +2,20 @@
 
 import asyncio
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
+from functools import partial
 from pathlib import Path
 
 from bendshed.consensus.directory import ReplicaDirectory, load_directory, save_directory
-from bendshed.consensus.host import GroupHost
+from bendshed.consensus.host import GroupHost, HostedGroup
+from bendshed.consensus.raft_types import Role
 from bendshed.consensus.supervisor import ReplicaSupervisor
 from bendshed.logs import PartLog
 from bendshed.ports.log_storage import LogStorage
 from bendshed.ports.registry import ReplicaNode, ReplicaRegistry, Retirement
 from bendshed.ports.transport import Address, Transport
-from bendshed.turns.service import TurnService
+from bendshed.turns.metrics import TurnLogMetrics
+from bendshed.turns.service import TURN_GROUP, TurnService
 from bendshed.turns.state import TurnLogState
 
 TICK_S = 0.025
@@ -43,6 +46,7 @@
         registry: ReplicaRegistry,
         num_voters: int,
         rng: random.Random,
+        metrics: TurnLogMetrics,
         folder: Path | None = None,
     ) -> None:
         self.directory = ReplicaDirectory()
@@ -60,7 +64,33 @@
         self.supervisor = ReplicaSupervisor(
             self.host, storage, transport, registry, self.directory, me, TICK_S, num_voters
         )
-        self._service = TurnService(self.host, transport)
+        self._service = TurnService(self.host, transport, metrics)
+        self._add_gauges(metrics)
+
+    def _add_gauges(self, metrics: TurnLogMetrics) -> None:
+        """What is told as it stands when it is asked for."""
+        readings: dict[str, tuple[str, Callable[[HostedGroup], float]]] = {
+            "bendshed_turn_log_leader": (
+                "1 while this replica leads",
+                lambda group: float(group.replica.role is Role.LEADER),
+            ),
+            "bendshed_turn_log_term": ("Term", lambda group: group.replica.term),
+            "bendshed_turn_log_commit_index": (
+                "Last committed entry",
+                lambda group: group.replica.commit_index,
+            ),
+            "bendshed_turn_log_voters": (
+                "Voters of the membership in the log",
+                lambda group: len(group.replica.membership.voters),
+            ),
+        }
+        for name, (text, read) in readings.items():
+            metrics.gauge(name, text).set_function(partial(self._read_group, read))
+
+    def _read_group(self, read: Callable[[HostedGroup], float]) -> float:
+        """Read the turn log's group; 0 where this process holds no replica."""
+        group = self.host.groups.get(TURN_GROUP)
+        return float(read(group)) if group is not None else 0.0
 
     def start(self) -> None:
         """Start all parts."""
--- a/src/bendshed/turns/service.py
+++ b/src/bendshed/turns/service.py
@@ -6,6 +6,7 @@
 from bendshed.consensus.host import CommitUnknown, GroupHost, NotCommitted, NotLeader
 from bendshed.logs import PartLog
 from bendshed.ports.transport import Transport
+from bendshed.turns.metrics import CommandEnd, TurnLogMetrics
 from bendshed.turns.state import TurnLogState
 from bendshed.wire import turns_pb2 as wire
 
@@ -30,8 +31,9 @@
 class TurnService:
     """Answers commands of executors."""
 
-    def __init__(self, host: GroupHost, transport: Transport) -> None:
+    def __init__(self, host: GroupHost, transport: Transport, metrics: TurnLogMetrics) -> None:
         self._host = host
+        self._metrics = metrics
         self._transport = transport
         self._clock: _LeaderClock | None = None
 
@@ -43,16 +45,23 @@
     async def answer(self, payload: bytes) -> bytes:
         """Commit one command and return the reply of applying it."""
         command = wire.TurnCommand.FromString(payload)
+        began_s = asyncio.get_running_loop().time()
+        end = CommandEnd.COMMITTED
         try:
             command.elapsed_ms = self._elapsed_ms()
             reply = await self._host.propose(
                 TURN_GROUP, command.SerializeToString(), COMMIT_TIMEOUT_S
             )
         except NotLeader as error:
+            end = CommandEnd.NOT_LEADER
             reply = wire.TurnReply(answer=wire.TURN_ANSWER_NOT_LEADER, leader_id=error.leader_id)
         except (CommitUnknown, NotCommitted) as error:
+            end = CommandEnd.UNKNOWN
             log.say("a command was not seen to commit", reason=repr(error))
             reply = wire.TurnReply(answer=wire.TURN_ANSWER_UNAVAILABLE)
+        self._metrics.commands.labels(end.value).inc()
+        if end is CommandEnd.COMMITTED:
+            self._metrics.commit_s.observe(asyncio.get_running_loop().time() - began_s)
         assert isinstance(reply, wire.TurnReply)
         return reply.SerializeToString()
 
--- a/tests/test_log_table.py
+++ b/tests/test_log_table.py
@@ -10,6 +10,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 SOURCES = ROOT / "src" / "bendshed"
+METRIC_NAME = re.compile(r'"(bendshed_[a-z_]+)"')
 FOLDERS = ("services", "turns", "consensus", "platform", "adapters")
 OWN_INTERFACE_ONLY = {"placement.py"}
 """Modules that the platform's processes do not run."""
@@ -55,3 +56,12 @@
     def test_the_explanation_knows_only_lines_and_kinds_that_exist(self) -> None:
         self.assertLessEqual({*CONTEXT, *ENDS, REFUSED}, all_sentences())
         self.assertLessEqual(set(CAUSES), {kind.value for kind in ErrorKind})
+
+
+class MetricsTableTest(unittest.TestCase):
+    def test_the_table_is_the_code(self) -> None:
+        page = (ROOT / "docs" / "OPERATIONS.md").read_text()
+        told = set(re.findall(r"^\| `(bendshed_[a-z_]+)`", page, re.MULTILINE))
+        paths = [p for folder in FOLDERS for p in (SOURCES / folder).rglob("*.py")]
+        named = set().union(*(METRIC_NAME.findall(path.read_text()) for path in paths))
+        self.assertEqual(told, named)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -4,7 +4,8 @@
 import contextlib
 import unittest
 
-from bendshed.adapters.http_server import bind, make_server
+from bendshed.adapters.http_server import make_server
+from bendshed.adapters.sockets import bind
 from bendshed.platform import names
 from bendshed.platform.encode import write_document, write_runner
 from bendshed.platform.objects import HistoryGone, ObjectApi, PlatformObject
--- a/tests/test_runner_answers.py
+++ b/tests/test_runner_answers.py
@@ -5,6 +5,8 @@
 import unittest
 from dataclasses import replace
 
+from prometheus_client import CollectorRegistry
+
 from bendshed.adapters.connection_pool import ConnectionPool
 from bendshed.errors import Refusal
 from bendshed.platform.runner_protocol import PlatformRunnerProtocol
@@ -21,6 +23,7 @@
 from bendshed.services.attempts import RunnerPorts
 from bendshed.services.document import Route, RouteKind, ServiceDocument, WeightedService
 from bendshed.services.forwarder import Forwarder
+from bendshed.services.metrics import ServiceMetrics
 from bendshed.services.routing import RouteIndex
 from bendshed.services.runners import RunnerState, RunnerTable, ServiceRunner
 
@@ -71,7 +74,8 @@
         self.servers = [await self.add(name) for name in ("one", "two")]
         self.pool = ConnectionPool(1.0)
         rng = random.Random(1)
-        ports = RunnerPorts(self.table, self.pool, PlatformRunnerProtocol(), "z", rng)
+        metrics = ServiceMetrics(CollectorRegistry())
+        ports = RunnerPorts(self.table, self.pool, PlatformRunnerProtocol(), "z", rng, metrics)
         self.forwarder = Forwarder(ports)
         self.put_route(ROUTE)
 
