One decision on memberships serves both interfaces

consensus/repair.py and membership_plan.py decided alike. The groups of the own interface ask plan_membership too; choosing and ranking replicas is replica_choice.py, used by both. A group with more voters than wanted now also sheds the one that joined last where none is weak (before: it kept it).

--- a/src/bendshed/consensus/placement.py
+++ b/src/bendshed/consensus/placement.py
@@ -3,8 +3,10 @@
 import asyncio
 
 from bendshed.consensus.host import GroupHost
+from bendshed.consensus.membership_plan import ReplicaFacts, plan_membership
+from bendshed.consensus.raft import RaftReplica
 from bendshed.consensus.raft_types import Role
-from bendshed.consensus.repair import DiskNode, choose_replicas, next_membership
+from bendshed.consensus.replica_choice import DiskNode, choose_replicas, rank_candidates
 from bendshed.identifiers import rendezvous_rank
 from bendshed.logs import PartLog
 from bendshed.membership.service import MembershipService
@@ -113,19 +115,31 @@
             replica = group.replica
             if replica.role is not Role.LEADER or not replica.membership_settled:
                 continue
-            wanted = next_membership(
-                group_id,
-                replica.membership,
-                live,
-                gone,
-                replica.followers.caught_up(
-                    replica.membership.learners, replica.last_index, MAX_LEARNER_LAG
-                ),
-                self._settings.replicas,
-            )
+            facts = self._facts(group_id, replica, live, gone)
+            wanted = plan_membership(replica.membership, facts)
             if wanted is not None and self._host.propose_membership(group_id, wanted):
                 log.say("changes a group's replicas", group=group_id, voters=list(wanted.voters))
 
+    def _facts(
+        self, group_id: int, replica: RaftReplica, live: dict[str, DiskNode], gone: set[str]
+    ) -> ReplicaFacts:
+        membership = replica.membership
+        members = [*membership.voters, *membership.learners]
+        zone_of = {node_id: node.zone for node_id, node in live.items()}
+        free = [node for node in live if node not in members]
+        sound = [node for node in members if node not in gone]
+        return ReplicaFacts(
+            me=self._host.node_id,
+            wiped=(),
+            silent=gone,
+            retiring=(),
+            caught_up=replica.followers.caught_up(
+                membership.learners, replica.last_index, MAX_LEARNER_LAG
+            ),
+            candidates=rank_candidates(group_id, zone_of, free, sound),
+            count=self._settings.replicas,
+        )
+
     def _long_missing(self, live: dict[str, DiskNode]) -> set[str]:
         """Replicas that have not been live for the time after which they are replaced."""
         now_s = asyncio.get_running_loop().time()
--- a/src/bendshed/consensus/supervisor.py
+++ b/src/bendshed/consensus/supervisor.py
@@ -8,8 +8,7 @@
 from bendshed.consensus.membership_plan import ReplicaFacts, plan_membership
 from bendshed.consensus.raft import RaftReplica
 from bendshed.consensus.raft_types import Role
-from bendshed.consensus.repair import DiskNode, choose_replicas
-from bendshed.identifiers import rendezvous_rank
+from bendshed.consensus.replica_choice import DiskNode, choose_replicas, rank_candidates
 from bendshed.logs import PartLog
 from bendshed.ports.log_storage import LogStorage
 from bendshed.ports.registry import RegistryUnavailable, ReplicaNode, ReplicaRegistry
@@ -192,7 +191,6 @@
         """Free machines, those in zones without a voter first."""
         now_s = asyncio.get_running_loop().time()
         zone_of = {node.node_id: node.zone for node in self._directory.by_name.values()}
-        used_zones = {zone_of[node] for node in members if node in zone_of}
         free = [
             node
             for node in zone_of
@@ -200,9 +198,7 @@
             and node not in retiring
             and self._rejected_until_s.get(node, 0.0) <= now_s
         ]
-        ranked = rendezvous_rank(f"group-{GROUP}", free)
-        ranked.sort(key=lambda node: zone_of[node] in used_zones)
-        return ranked
+        return rank_candidates(GROUP, zone_of, free, members)
 
     def _can_hand_over(self, group: HostedGroup) -> bool:
         replica = group.replica
