A loss of the turn log is told once it lasts; explanations show only what concerns the request

Change: a loss is told after 0.3 s without any answer; context lines are the request's own processes' and the replicas'. Seen: tests/test_turn_client.py, tests/test_explanation.py.

--- a/src/bendshed/operators/explanation.py
+++ b/src/bendshed/operators/explanation.py
@@ -34,6 +34,9 @@
 )
 """Sentences that may explain what happened to a request."""
 
+REPLICA_PARTS = ("consensus: ", "supervisor: ", "replicas: ")
+"""Lines of these parts concern every front; others only those of their own process."""
+
 CAUSES = {
     "not_ready": "The front knew no configuration yet: it had just started, or the store is down.",
     "not_found": "No route takes this host and path, or the previous turn is not kept.",
@@ -77,6 +80,11 @@
     request: str
     fields: dict[str, Any]
 
+    @property
+    def name(self) -> str:
+        """The process without its life: a start may explain what happened to the life before."""
+        return self.process.partition("/")[0]
+
 
 @dataclass(frozen=True, slots=True)
 class Explanation:
@@ -115,7 +123,14 @@
     if not own:
         return Explanation(cause=f"No line names request {request_id}.")
     from_s, to_s = own[0].at_s - BEFORE_S, own[-1].at_s + AFTER_S
-    context = [line for line in everything if line.text in CONTEXT and from_s <= line.at_s <= to_s]
+    names = {line.name for line in own}
+    context = [
+        line
+        for line in everything
+        if line.text in CONTEXT
+        and from_s <= line.at_s <= to_s
+        and (line.name in names or line.text.startswith(REPLICA_PARTS))
+    ]
     joined = sorted([*own, *context], key=lambda line: line.at_s)
     return Explanation(joined, find_cause(own))
 
--- a/src/bendshed/turns/client.py
+++ b/src/bendshed/turns/client.py
@@ -15,6 +15,8 @@
 TRY_TIMEOUT_S = 0.3
 """Longest wait for one replica's reply; a commit takes some ms."""
 PREVIEW_TIMEOUT_S = 0.2
+LOSS_TOLD_S = 0.3
+"""After this long without any answer a line tells it."""
 RETRY_MIN_S = 0.01
 RETRY_MAX_S = 0.05
 
@@ -30,6 +32,7 @@
 
     def __init__(self, transport: Transport, rng: random.Random, groups: GroupClient) -> None:
         self.lost_since_s: float | None = None
+        self._is_loss_told = False
         self._transport = transport
         self._rng = rng
         self._groups = groups
@@ -66,13 +69,19 @@
         await self.preview(wire.BeginTurn())
 
     def _note(self, was_answered: bool) -> None:
+        """Remember since when nobody answers; single failures around a failover are not told."""
+        now_s = asyncio.get_running_loop().time()
         if was_answered:
-            if self.lost_since_s is not None:
+            if self._is_loss_told:
                 log.say("regained the turn log")
             self.lost_since_s = None
-        elif self.lost_since_s is None:
-            self.lost_since_s = asyncio.get_running_loop().time()
+            self._is_loss_told = False
+            return
+        if self.lost_since_s is None:
+            self.lost_since_s = now_s
+        elif not self._is_loss_told and now_s - self.lost_since_s > LOSS_TOLD_S:
             log.say("no replica of the turn log answers")
+            self._is_loss_told = True
 
     async def _try_once(self, payload: bytes, timeout_s: float) -> wire.TurnReply | None:
         content = await self._groups.ask_leader(TURN_GROUP, TURN_METHOD, payload, timeout_s)
--- /dev/null
+++ b/tests/test_turn_client.py
@@ -0,0 +1,42 @@
+"""The fronts' side of the turn log: what is told of a loss."""
+
+import unittest
+from unittest import mock
+
+from bendshed.rehearsal.site.programs import ProgramPlan
+from bendshed.rehearsal.site.sim_world import SiteWorld
+from bendshed.turns import client as turn_client
+
+
+class LossTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = SiteWorld.started(1)
+        self.addCleanup(self.world.close)
+        patch = mock.patch.object(turn_client, "log")
+        self.log = patch.start()
+        self.addCleanup(patch.stop)
+
+    def told(self) -> list[str]:
+        return [call.args[0] for call in self.log.say.call_args_list]
+
+    def test_a_change_of_the_leader_is_not_told_as_a_loss(self) -> None:
+        leader = self.world.leader()
+        assert leader is not None
+        self.world.kill(leader)
+        for _ in range(6):
+            self.world.start_program(ProgramPlan(turns=2, tools=0))
+        self.world.run_for(4.0)
+        self.assertEqual(self.told(), [])
+
+    def test_a_loss_is_told_once_and_its_end_too(self) -> None:
+        front = self.world.fronts["front-1"]
+        for store in self.world.stores.values():
+            self.world.network.cuts.add((front.host, store.host))
+        for _ in range(9):
+            self.world.start_program(ProgramPlan(turns=1, tools=0))
+        self.world.run_for(4.0)
+        self.world.network.cuts.clear()
+        self.world.run_for(4.0)
+        self.assertEqual(
+            self.told(), ["no replica of the turn log answers", "regained the turn log"]
+        )
