--- a/src/bendshed/cli/rehearse.py
+++ b/src/bendshed/cli/rehearse.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import asdict
 from pathlib import Path
-from typing import ClassVar
+from typing import TYPE_CHECKING, Any, ClassVar
 
 import orjson
 from cleo.commands.command import Command
@@ -13,6 +13,9 @@
 
 from bendshed.cli.options import EXIT_BAD_INPUT, EXIT_DONE, EXIT_FAILED, json_option
 
+if TYPE_CHECKING:
+    from bendshed.rehearsal.search import Game, SearchReport
+
 STANDINS = ("platform", "engine", "tool")
 
 
@@ -57,30 +60,70 @@
         return main()
 
 
-class SiteFuzzCommand(Command):
+class SearchCommand(Command):
+    """What the two searches share."""
+
+    def search(self, game: "Game[Any, Any, Any]", max_steps: int) -> int:
+        """Replay a trace, or play worlds until the bound or the first violation."""
+        if self.option("replay"):
+            seed, steps = game.read_trace(Path(self.option("replay")).read_text())
+            world, violations = game.run(seed, steps)
+            world.close()
+            for violation in violations:
+                self.line(f"promise {game.describe(violation)}")
+            return EXIT_FAILED if violations else EXIT_DONE
+        seed, max_s = int(self.option("seed")), float(self.option("seconds"))
+        for report in game.search(seed, max_steps, max_s):
+            if not self.option("json"):
+                self.line(
+                    f"{report.worlds} worlds, {report.steps} steps, {report.requests} requests, "
+                    f"{report.simulated_s:.0f} s simulated in {report.real_s:.0f} s"
+                )
+        self._tell(report)
+        return EXIT_FAILED if report.violations else EXIT_DONE
+
+    def _tell(self, report: "SearchReport") -> None:
+        if self.option("json"):
+            self.line(orjson.dumps(asdict(report)).decode())
+            return
+        self.line(f"faults: {report.faults}")
+        for violation in report.violations:
+            self.line(f"promise {violation}")
+        if report.trace:
+            self.line(f"trace: {report.trace}")
+
+
+def search_options() -> list[Option]:
+    """Options of each search."""
+    return [
+        option("seed", None, "Seed of the first world", flag=False, default="1"),
+        option("seconds", None, "Time bound", flag=False, default="300"),
+        option("replay", None, "File with a printed trace", flag=False),
+        json_option(),
+    ]
+
+
+class SiteFuzzCommand(SearchCommand):
     """Searches for broken rules of a simulated site."""
 
     name = "rehearse site-fuzz"
-    description = "Play random faults against a simulated site until a rule breaks."
-    help = "Example: <info>bendshed rehearse site-fuzz --seed 1 --worlds 20</info>"
+    description = "Random failures against a simulated site; a violation prints a trace."
+    help = (
+        "Example: <info>bendshed rehearse site-fuzz --seed 1 --worlds 20</info>, or "
+        "<info>bendshed rehearse site-fuzz --replay trace.json</info>.\n"
+        "Exit codes: 0 all rules held, 1 one did not."
+    )
     options: ClassVar[list[Option]] = [
-        option("seed", None, "Seed of the first world", flag=False, default="1"),
+        *search_options(),
         option("worlds", None, "Worlds to play", flag=False, default="20"),
-        option("seconds", None, "Time bound", flag=False, default="300"),
-        json_option(),
     ]
 
     def handle(self) -> int:
         """Run."""
-        from bendshed.rehearsal.site.fuzz import SiteFuzzReport, search
+        from bendshed.rehearsal.search import STEPS_PER_WORLD
+        from bendshed.rehearsal.site.fuzz import SITE
 
-        report = SiteFuzzReport()
-        seed, worlds = int(self.option("seed")), int(self.option("worlds"))
-        for report in search(seed, worlds, float(self.option("seconds"))):
-            if not self.option("json"):
-                self.line(f"worlds {report.worlds}, requests {report.requests}, runs {report.runs}")
-        self.line(orjson.dumps(asdict(report)).decode())
-        return EXIT_FAILED if report.violations else EXIT_DONE
+        return self.search(SITE, int(self.option("worlds")) * STEPS_PER_WORLD)
 
 
 class SiteTimesCommand(Command):
@@ -134,7 +177,7 @@
         return EXIT_FAILED if result["not_whole"] else EXIT_DONE
 
 
-class FuzzCommand(Command):
+class FuzzCommand(SearchCommand):
     """Searches for broken promises under virtual time."""
 
     name = "rehearse fuzz"
@@ -145,39 +188,15 @@
         "Exit codes: 0 all promises held, 1 one did not."
     )
     options: ClassVar[list[Option]] = [
-        option("seed", None, "Seed of the first world", flag=False, default="1"),
+        *search_options(),
         option("steps", None, "Steps over all worlds", flag=False, default="1000"),
-        option("replay", None, "File with a printed trace", flag=False),
-        json_option(),
     ]
 
     def handle(self) -> int:
         """Run."""
-        from bendshed.rehearsal.simulator import fuzz
+        from bendshed.rehearsal.simulator.fuzz import INSTALLATION
 
-        if self.option("replay"):
-            seed, steps = fuzz.read_trace(Path(self.option("replay")).read_text())
-            world, violations = fuzz.run_world(seed, steps)
-            world.close()
-            for violation in violations:
-                self.line(f"promise {violation.promise}: {violation.detail}")
-            return EXIT_FAILED if violations else EXIT_DONE
-        report = fuzz.FuzzReport()
-        for report in fuzz.fuzz(int(self.option("seed")), int(self.option("steps"))):
-            if not self.option("json"):
-                self.line(
-                    f"{report.worlds} worlds, {report.steps} steps, "
-                    f"{report.simulated_s:.0f} s simulated in {report.real_s:.0f} s"
-                )
-        if self.option("json"):
-            self.line(orjson.dumps(asdict(report)).decode())
-        else:
-            self.line(f"faults: {report.faults}")
-            for violation_text in report.violations:
-                self.line(f"promise {violation_text}")
-            if report.trace:
-                self.line(f"trace: {report.trace}")
-        return EXIT_FAILED if report.violations else EXIT_DONE
+        return self.search(INSTALLATION, int(self.option("steps")))
 
 
 class HollowCommand(Command):
--- a/src/bendshed/rehearsal/simulator/fuzz.py
+++ b/src/bendshed/rehearsal/simulator/fuzz.py
@@ -1,23 +1,16 @@
-"""Random failures against a simulated installation, replayable from a list of steps.
+"""Random failures against a simulated installation."""
 
-``Step`` is a plain value, so a trace can be written, replayed and shortened. The Hypothesis
-state machine in the tests draws the same steps.
-"""
-
-import json
-import random
-import time
-from collections.abc import Callable, Iterator
-from dataclasses import asdict, dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass
 from enum import StrEnum
 
 from bendshed.configuration.document import DrainRunner, SetBudget, SetPriority
+from bendshed.rehearsal.search import Game, Step
 from bendshed.rehearsal.simulator.callers import PlannedCall
 from bendshed.rehearsal.simulator.oracle import Violation
 from bendshed.rehearsal.simulator.world import TENANT, TENANT_TOKENS, World
 
 CLOCK_STEP_MS = 90_000
-STEPS_PER_WORLD = 40
 
 
 class Action(StrEnum):
@@ -48,24 +41,15 @@
     CLOCK_STEP = "clock step"
 
 
-@dataclass(frozen=True, slots=True)
-class Step:
-    """One step: what, on which node or engine (by number), and how much."""
-
-    action: Action
-    which: int = 0
-    amount: float = 1.0
-
-
 @dataclass(slots=True)
 class Fuzzer:
     """Carries steps out. A step that makes no sense now does nothing."""
 
     world: World
 
-    def apply(self, step: Step) -> None:
+    def apply(self, step: Step[Action]) -> None:
         """Carry one step out and let a little time pass."""
-        handlers: dict[Action, Callable[[Step], None]] = {
+        handlers: dict[Action, Callable[[Step[Action]], None]] = {
             Action.ADVANCE: lambda s: self.world.run_for(s.amount * 4),
             Action.START_PROGRAM: self._start_program,
             Action.START_BRANCHES: self._start_branches,
@@ -95,7 +79,7 @@
 
     # --- load ----------------------------------------------------------------------------
 
-    def _start_program(self, step: Step) -> None:
+    def _start_program(self, step: Step[Action]) -> None:
         count = 2 + step.which % 4
         calls = [
             PlannedCall(number, unrepeatable=(number + step.which) % 3 == 0)
@@ -104,7 +88,7 @@
         tokens = 400 if step.amount < 0.2 else 4_000
         self.world.start_program(calls, tokens)
 
-    def _start_branches(self, step: Step) -> None:
+    def _start_branches(self, step: Step[Action]) -> None:
         """A main chain, and a sub-agent that branches from it after the first call."""
         driver = self.world.start_program([PlannedCall(1)])
         self.world.run_for(2.0)
@@ -114,7 +98,7 @@
         self.world.spawn_calls(driver, side)
         self.world.spawn_calls(driver, main)
 
-    def _submit_twice(self, step: Step) -> None:
+    def _submit_twice(self, step: Step[Action]) -> None:
         """One call at two nodes at once, as an impatient caller's proxy would."""
         driver = self.world.start_program([])
         call = PlannedCall(1, unrepeatable=step.which % 2 == 0)
@@ -126,23 +110,23 @@
 
     # --- faults --------------------------------------------------------------------------
 
-    def _node(self, step: Step) -> str:
+    def _node(self, step: Step[Action]) -> str:
         names = sorted(self.world.nodes)
         return names[step.which % len(names)]
 
-    def _runner(self, step: Step) -> str:
+    def _runner(self, step: Step[Action]) -> str:
         names = [n for n in sorted(self.world.runners) if n not in self.world.seen.left_at_s]
         return names[step.which % len(names)]
 
-    def _kill_node(self, step: Step) -> None:
+    def _kill_node(self, step: Step[Action]) -> None:
         if self.world.nodes[self._node(step)].is_up:
             self.world.kill_node(self._node(step))
 
-    def _restart_node(self, step: Step) -> None:
+    def _restart_node(self, step: Step[Action]) -> None:
         if not self.world.nodes[self._node(step)].is_up:
             self.world.start_node(self._node(step))
 
-    def _wipe_disk(self, step: Step) -> None:
+    def _wipe_disk(self, step: Step[Action]) -> None:
         """Kill a disk node and replace its disk, if no data would be lost by that alone."""
         name = f"node-{1 + step.which % 3}"
         if self.world.may_lose_disk(name):
@@ -150,33 +134,33 @@
             self.world.wipe_disk(name)
             self.world.start_node(name)
 
-    def _pause_node(self, step: Step) -> None:
+    def _pause_node(self, step: Step[Action]) -> None:
         holder = self.world.nodes[self._node(step)]
         if holder.is_up and not holder.process.paused:
             self.world.pause_node(holder.name)
 
-    def _resume_node(self, step: Step) -> None:
+    def _resume_node(self, step: Step[Action]) -> None:
         paused = [h.name for h in self.world.nodes.values() if h.is_up and h.process.paused]
         if paused:
             self.world.resume_node(paused[step.which % len(paused)])
 
-    def _cut_one_way(self, step: Step) -> None:
+    def _cut_one_way(self, step: Step[Action]) -> None:
         hosts = [holder.host for holder in self.world.nodes.values()]
         one = step.which % len(hosts)
         other = (one + 1 + int(step.amount * 3)) % len(hosts)
         if one != other:
             self.world.cut(hosts[one], hosts[other], both_ways=False)
 
-    def _cut_engine(self, step: Step) -> None:
+    def _cut_engine(self, step: Step[Action]) -> None:
         host = self.world.nodes[self._node(step)].host
         self.world.cut(host, self._runner(step), both_ways=step.amount > 0.5)
 
-    def _lose_datagrams(self, step: Step) -> None:
+    def _lose_datagrams(self, step: Step[Action]) -> None:
         self.world.count("lose and double datagrams")
         self.world.network.datagram_loss = 0.3 * step.amount
         self.world.network.datagram_copies = 0.1
 
-    def _slow_network(self, step: Step) -> None:
+    def _slow_network(self, step: Step[Action]) -> None:
         self.world.count("slow network")
         self.world.network.slow_s = 0.2 * step.amount
 
@@ -185,23 +169,23 @@
             self.world.count("store down")
         self.world.store.down = down
 
-    def _store_flaky(self, step: Step) -> None:
+    def _store_flaky(self, step: Step[Action]) -> None:
         self.world.count("store loses answers, reads stale")
         self.world.store.answer_loss = 0.5 * step.amount
         self.world.store.stale_reads = 0.5 * step.amount
 
-    def _engine_leaves(self, step: Step) -> None:
+    def _engine_leaves(self, step: Step[Action]) -> None:
         """One engine leaves; a fresh one takes its place."""
         if len(self.world.seen.left_at_s) < 2:
             self.world.leave_runner(self._runner(step))
             self.world.add_runner(f"runner-{len(self.world.runners) + 1}")
 
-    def _planned_stop(self, step: Step) -> None:
+    def _planned_stop(self, step: Step[Action]) -> None:
         holder = self.world.nodes[self._node(step)]
         if holder.is_up and not holder.process.paused and not self.world.is_draining(holder.name):
             self.world.drain_node(holder.name)
 
-    def _orders_race(self, step: Step) -> None:
+    def _orders_race(self, step: Step[Action]) -> None:
         """Two operators order at two nodes at the same time."""
         self.world.count("orders race")
         budget = TENANT_TOKENS + int(step.amount * 1000)
@@ -213,106 +197,26 @@
             drain = DrainRunner(runner="runner-9", drain=True)
             self.world.order(drain, second, wait=False)
 
-    def _clock_step(self, step: Step) -> None:
+    def _clock_step(self, step: Step[Action]) -> None:
         self.world.step_clock(self._node(step), int((step.amount - 0.5) * CLOCK_STEP_MS))
 
 
 # --- long runs ------------------------------------------------------------------------------
 
 
-@dataclass(slots=True)
-class FuzzReport:
-    """Figures of a long run.
-
-    Attributes:
-        faults: injected faults by kind.
-        violations: what did not hold, with the trace that shows it.
-
-    """
-
-    worlds: int = 0
-    steps: int = 0
-    programs: int = 0
-    requests: int = 0
-    engine_starts: int = 0
-    simulated_s: float = 0.0
-    real_s: float = 0.0
-    faults: dict[str, int] = field(default_factory=dict)
-    violations: list[str] = field(default_factory=list)
-    trace: str = ""
-
-
-def random_steps(seed: int, count: int) -> list[Step]:
-    """Steps of one world; a seed fixes its whole trace."""
-    rng = random.Random(seed)
-    actions = [
-        *Action,
-        *[
-            Action.ADVANCE,
-            Action.START_PROGRAM,
-            Action.RESTART_NODE,
-            Action.HEAL,
-            Action.RESUME_NODE,
-            Action.STORE_UP,
-        ]
-        * 2,
-    ]
-    return [
-        Step(rng.choice(actions), rng.randrange(6), round(rng.random(), 3)) for _ in range(count)
-    ]
-
-
-def run_world(seed: int, steps: list[Step]) -> tuple[World, list[Violation]]:
-    """Run one world through its steps, settle and judge it. The caller closes it."""
-    world = World.started(seed)
-    try:
-        fuzzer = Fuzzer(world)
-        for step in steps:
-            fuzzer.apply(step)
-        return world, world.settle()
-    except BaseException:
-        world.close()
-        raise
-
-
-def fuzz(seed: int, steps: int) -> Iterator[FuzzReport]:
-    """Worlds of ``STEPS_PER_WORLD`` steps each, until ``steps`` are done or a promise breaks.
-
-    Yields the growing report after each world.
-    """
-    report = FuzzReport()
-    started_s = time.monotonic()
-    while report.steps < steps and not report.violations:
-        world_seed = seed + report.worlds
-        trace = random_steps(world_seed, min(STEPS_PER_WORLD, steps - report.steps))
-        world, violations = run_world(world_seed, trace)
-        _add(report, world, len(trace))
-        report.real_s = time.monotonic() - started_s
-        if violations:
-            report.violations = [f"{v.promise}: {v.detail}" for v in violations]
-            report.trace = write_trace(world_seed, trace)
-        world.close()
-        yield report
-
-
-def _add(report: FuzzReport, world: World, steps: int) -> None:
-    report.worlds += 1
-    report.steps += steps
-    report.programs += len(world.seen.programs)
-    report.requests += len(world.seen.requests)
-    report.engine_starts += len(world.seen.starts)
-    report.simulated_s += world.loop.time()
-    for fault, count in world.faults.items():
-        report.faults[fault] = report.faults.get(fault, 0) + count
-
-
-def write_trace(seed: int, steps: list[Step]) -> str:
-    """One line of JSON that replays."""
-    return json.dumps({"seed": seed, "steps": [list(asdict(step).values()) for step in steps]})
-
-
-def read_trace(text: str) -> tuple[int, list[Step]]:
-    """Read what ``write_trace`` wrote."""
-    content = json.loads(text)
-    steps = [Step(Action(action), which, amount) for action, which, amount in content["steps"]]
-    return content["seed"], steps
+REPAIR = (
+    Action.ADVANCE,
+    Action.START_PROGRAM,
+    Action.RESTART_NODE,
+    Action.HEAL,
+    Action.RESUME_NODE,
+    Action.STORE_UP,
+)
+
+INSTALLATION: Game[Action, World, Violation] = Game(
+    start=World.started,
+    apply=lambda world, step: Fuzzer(world).apply(step),
+    actions=(*Action, *REPAIR * 2),
+    read_action=Action,
+    describe=lambda violation: f"{violation.promise}: {violation.detail}",
+)
--- a/src/bendshed/rehearsal/simulator/world.py
+++ b/src/bendshed/rehearsal/simulator/world.py
@@ -23,6 +23,7 @@
 from bendshed.ports.store import Machine
 from bendshed.ports.transport import Address
 from bendshed.rehearsal.engine_model import EngineParameters
+from bendshed.rehearsal.search import Tally
 from bendshed.rehearsal.simulator.callers import (
     CALLER_LATENCY_S,
     CALLER_TIMEOUT_S,
@@ -59,8 +60,7 @@
 QUIET_S = 45.0
 DRAIN_LIMIT_S = 300.0
 PROGRAM_TOKENS = 4_000
-TENANT = "desk"
-TENANT_TOKENS = 60_000
+TENANT, TENANT_TOKENS = "desk", 60_000
 SLOW_ENGINE = EngineParameters(slots=4, step_base_s=0.05, answer_tokens=16)
 
 
@@ -488,6 +488,11 @@
         }
         return check_all(self.seen)
 
+    def tally(self) -> Tally:
+        """Count what was seen."""
+        counts = (len(self.seen.programs), len(self.seen.requests), len(self.seen.starts))
+        return Tally(*counts, self.loop.time())
+
     def close(self) -> None:
         """Drop everything that still runs."""
         self.loop.abandon()
--- a/src/bendshed/rehearsal/site/fuzz.py
+++ b/src/bendshed/rehearsal/site/fuzz.py
@@ -1,18 +1,16 @@
-"""Random failures against a simulated site. A seed fixes a world and all of its steps."""
+"""Random failures against a simulated site."""
 
-import random
-import time
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass
 from enum import StrEnum
 
+from bendshed.rehearsal.search import Game, Step
 from bendshed.rehearsal.simulator.platform import SimDisk
 from bendshed.rehearsal.site.oracle import Violation
 from bendshed.rehearsal.site.programs import ProgramPlan
 from bendshed.rehearsal.site.runner import SiteRunner
 from bendshed.rehearsal.site.sim_world import CATCH_UP_S, SimMachine, SiteWorld
 
-STEPS_PER_WORLD = 40
 MAX_PROGRAMS = 25
 
 
@@ -61,25 +59,16 @@
 CALM = (Action.ADVANCE, Action.START_PROGRAM, Action.HEAL, Action.RESTART, Action.RESUME)
 
 
-@dataclass(frozen=True, slots=True)
-class Step:
-    """One step: what, on which machine or runner (by number), and how much."""
-
-    action: Action
-    which: int = 0
-    amount: float = 1.0
-
-
 @dataclass(slots=True)
 class SiteFuzzer:
     """Carries steps out. A step that makes no sense now does nothing."""
 
     world: SiteWorld
 
-    def apply(self, step: Step) -> None:
+    def apply(self, step: Step[Action]) -> None:
         """Carry one step out and let a little time pass."""
         world = self.world
-        handlers: dict[Action, Callable[[Step], None]] = {
+        handlers: dict[Action, Callable[[Step[Action]], None]] = {
             Action.ADVANCE: lambda s: world.run_for(s.amount * 3),
             Action.START_PROGRAM: self._start_program,
             Action.START_LOOP: self._start_loop,
@@ -123,22 +112,22 @@
 
     # --- load ----------------------------------------------------------------------------
 
-    def _start_program(self, step: Step) -> None:
+    def _start_program(self, step: Step[Action]) -> None:
         if len(self.world.programs) < MAX_PROGRAMS:
             plan = ProgramPlan(1 + step.which % 4, step.which % 3, sub_agents=step.which % 2 * 2)
             self.world.start_program(plan)
 
-    def _start_loop(self, step: Step) -> None:
+    def _start_loop(self, step: Step[Action]) -> None:
         if len(self.world.programs) < MAX_PROGRAMS:
             self.world.start_program(ProgramPlan(sub_agents=2 + step.which, loops=True))
 
-    def _continue_turn(self, step: Step) -> None:
+    def _continue_turn(self, step: Step[Action]) -> None:
         turns = [program.last_turn for program in self.world.programs if program.last_turn]
         if turns and len(self.world.programs) < MAX_PROGRAMS:
             continues = turns[step.which % len(turns)]
             self.world.start_program(ProgramPlan(turns=2, tools=0), continues=continues)
 
-    def _client_leaves(self, step: Step) -> None:
+    def _client_leaves(self, step: Step[Action]) -> None:
         waiting = self.world.waiting_requests()
         if waiting:
             self.world.count("client leaves")
@@ -173,7 +162,7 @@
         self.world.run_for(CATCH_UP_S + 0.5)
         return self.world.stores_are_sound()
 
-    def _wipe_in_the_dark(self, step: Step) -> None:
+    def _wipe_in_the_dark(self, step: Step[Action]) -> None:
         """One disk is lost while all machines lose power."""
         machine = _pick(self.world.stores, step.which)
         if not self._calm_stores():
@@ -186,7 +175,7 @@
         for other in machines:
             self.world.restart(other)
 
-    def _replace_store(self, step: Step) -> None:
+    def _replace_store(self, step: Step[Action]) -> None:
         world = self.world
         machine = _pick(world.stores, step.which)
         if len(world.stores) > 6 or not self._calm_stores():
@@ -240,7 +229,7 @@
         self.world.network.resend_share = 0.0
         self.world.store_trouble_s = self.world.loop.time()
 
-    def _isolate_store(self, step: Step) -> None:
+    def _isolate_store(self, step: Step[Action]) -> None:
         self.world.count("isolate a store")
         machine = _pick(self.world.stores, step.which)
         for other in self.world.stores.values():
@@ -248,7 +237,7 @@
                 self._cut(machine.host, other.host)
                 self._cut(other.host, machine.host)
 
-    def _cut_one_way(self, step: Step) -> None:
+    def _cut_one_way(self, step: Step[Action]) -> None:
         self.world.count("cut a store one way")
         machine = _pick(self.world.stores, step.which)
         for other in self.world.stores.values():
@@ -265,30 +254,30 @@
                 self._cut(one, other)
                 self._cut(other, one)
 
-    def _cut_front(self, step: Step) -> None:
+    def _cut_front(self, step: Step[Action]) -> None:
         self.world.count("cut a front from stores")
         front = _pick(self.world.fronts, step.which)
         for machine in self.world.stores.values():
             self._cut(front.host, machine.host)
             self._cut(machine.host, front.host)
 
-    def _slow_network(self, step: Step) -> None:
+    def _slow_network(self, step: Step[Action]) -> None:
         self.world.count("slow network")
         self.world.network.slow_s = 0.1 * step.amount
 
-    def _lossy_network(self, step: Step) -> None:
+    def _lossy_network(self, step: Step[Action]) -> None:
         """Packets are lost and sent again, so messages come late and in bunches."""
         self.world.count("lossy network")
         self.world.network.resend_share = 0.1 * step.amount
 
-    def _full_disk(self, step: Step) -> None:
+    def _full_disk(self, step: Step[Action]) -> None:
         machine = _pick(self.world.stores, step.which)
         if machine.disk is not None:
             self.world.count("full disk")
             machine.disk.is_full = not machine.disk.is_full
             self._note_trouble(machine)
 
-    def _retire_store(self, step: Step) -> None:
+    def _retire_store(self, step: Step[Action]) -> None:
         """Empty a store; when it is told complete its machine is taken away with its disk."""
         world = self.world
         machine = _pick(world.stores, step.which)
@@ -314,29 +303,29 @@
             self.world.registry.answer_loss = 0.0
             self.world.seen.end_blindness("", now_s)
 
-    def _registry_loses(self, step: Step) -> None:
+    def _registry_loses(self, step: Step[Action]) -> None:
         self.world.count("metadata store loses answers")
         self.world.registry.answer_loss = 0.6 * step.amount
 
     # --- runners and configuration -------------------------------------------------------
 
-    def _runner(self, step: Step) -> SiteRunner:
+    def _runner(self, step: Step[Action]) -> SiteRunner:
         alive = {name: r for name, r in self.world.runners.items() if not r.is_dead}
         return alive[sorted(alive)[step.which % len(alive)]]
 
-    def _trouble(self, step: Step, kind: str) -> None:
+    def _trouble(self, step: Step[Action], kind: str) -> None:
         self.world.count(f"runner: {kind}")
         setattr(self._runner(step).troubles, kind, 0.4 * step.amount)
 
-    def _slow_runner(self, step: Step) -> None:
+    def _slow_runner(self, step: Step[Action]) -> None:
         self.world.count("slow runner")
         self._runner(step).troubles.slow = 1 + 6 * step.amount
 
-    def _replace_runner(self, step: Step) -> None:
+    def _replace_runner(self, step: Step[Action]) -> None:
         self.world.count("runner dies")
         self.world.replace_runner(self._runner(step).runner_id)
 
-    def _runner_leaves(self, step: Step) -> None:
+    def _runner_leaves(self, step: Step[Action]) -> None:
         runner = self._runner(step)
         others = [
             row
@@ -356,74 +345,10 @@
     return machines[names[which % len(names)]]
 
 
-@dataclass(slots=True)
-class SiteFuzzReport:
-    """Figures of a search.
-
-    Attributes:
-        faults: injected faults by kind.
-        violations: what did not hold.
-        failing_seed: seed of the world that showed it.
-
-    """
-
-    worlds: int = 0
-    steps: int = 0
-    programs: int = 0
-    requests: int = 0
-    runs: int = 0
-    simulated_s: float = 0.0
-    real_s: float = 0.0
-    faults: dict[str, int] = field(default_factory=dict)
-    violations: list[str] = field(default_factory=list)
-    failing_seed: int | None = None
-
-
-def random_steps(seed: int, count: int) -> list[Step]:
-    """Steps of one world."""
-    rng = random.Random(seed)
-    actions = [*Action, *CALM * 3]
-    return [
-        Step(rng.choice(actions), rng.randrange(6), round(rng.random(), 3)) for _ in range(count)
-    ]
-
-
-def run_world(seed: int, steps: list[Step]) -> tuple[SiteWorld, list[Violation]]:
-    """Run one world through its steps, settle and judge it. The caller closes it."""
-    world = SiteWorld.started(seed)
-    try:
-        fuzzer = SiteFuzzer(world)
-        for step in steps:
-            fuzzer.apply(step)
-        return world, world.settle()
-    except BaseException:
-        world.close()
-        raise
-
-
-def search(seed: int, max_worlds: int, max_s: float) -> Iterator[SiteFuzzReport]:
-    """Play worlds until the bound or the first violation; yield the growing report."""
-    report = SiteFuzzReport()
-    started_s = time.monotonic()
-    while report.worlds < max_worlds and not report.violations and report.real_s < max_s:
-        world_seed = seed + report.worlds
-        steps = random_steps(world_seed, STEPS_PER_WORLD)
-        world, violations = run_world(world_seed, steps)
-        _add(report, world, len(steps))
-        report.real_s = time.monotonic() - started_s
-        if violations:
-            report.violations = [f"{v.rule}: {v.detail}" for v in violations]
-            report.failing_seed = world_seed
-        world.close()
-        yield report
-
-
-def _add(report: SiteFuzzReport, world: SiteWorld, steps: int) -> None:
-    report.worlds += 1
-    report.steps += steps
-    report.programs += len(world.programs)
-    report.requests += len(world.seen.requests)
-    report.runs += len(world.seen.runs)
-    report.simulated_s += world.loop.time()
-    for fault, count in world.faults.items():
-        report.faults[fault] = report.faults.get(fault, 0) + count
+SITE: Game[Action, SiteWorld, Violation] = Game(
+    start=SiteWorld.started,
+    apply=lambda world, step: SiteFuzzer(world).apply(step),
+    actions=(*Action, *CALM * 3),
+    read_action=Action,
+    describe=lambda violation: f"{violation.rule}: {violation.detail}",
+)
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -9,6 +9,7 @@
 
 from bendshed.ports.registry import Retirement
 from bendshed.ports.transport import Address
+from bendshed.rehearsal.search import Tally
 from bendshed.rehearsal.simulator.loop import SimProcess, VirtualTimeLoop
 from bendshed.rehearsal.simulator.network import Network, SimTransport
 from bendshed.rehearsal.simulator.platform import SimDisk, SimLogStorage
@@ -449,6 +450,11 @@
             if not program.finished and 404 not in program.statuses:
                 raise AssertionError(f"{program.program_id} is not served: {program.statuses}")
 
+    def tally(self) -> Tally:
+        """Count what was seen."""
+        seen = self.seen
+        return Tally(len(self.programs), len(seen.requests), len(seen.runs), self.loop.time())
+
     def close(self) -> None:
         """Drop everything."""
         self.loop.abandon()
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -4,7 +4,7 @@
 
 from bendshed.rehearsal.simulator import world as world_module
 from bendshed.rehearsal.simulator.callers import PlannedCall, ProgramDriver
-from bendshed.rehearsal.simulator.fuzz import random_steps, run_world
+from bendshed.rehearsal.simulator.fuzz import INSTALLATION
 from bendshed.rehearsal.simulator.oracle import Violation
 from bendshed.rehearsal.simulator.world import World
 
@@ -13,7 +13,7 @@
 
 def random_world(seed: int) -> list[Violation]:
     """Random failures of one seed."""
-    world, violations = run_world(seed, random_steps(seed, RANDOM_STEPS))
+    world, violations = INSTALLATION.run(seed, INSTALLATION.random_steps(seed, RANDOM_STEPS))
     world.close()
     return violations
 
--- /dev/null
+++ b/tests/search_machine.py
@@ -0,0 +1,54 @@
+"""The Hypothesis state machine that both simulated worlds share."""
+
+from typing import Any
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from bendshed.rehearsal.search import MAX_WHICH, Game, Step
+
+numbers = st.integers(0, MAX_WHICH - 1)
+amounts = st.integers(0, 10).map(lambda tenths: tenths / 10)
+
+
+def machine_of(game: Game, groups: dict[str, tuple[Any, ...]]) -> type[RuleBasedStateMachine]:  # type: ignore[type-arg]
+    """Steps of each group in any order; at the end everything heals and the oracle judges."""
+
+    class Machine(RuleBasedStateMachine):
+        world: Any = None
+
+        @initialize(seed=st.integers(0, 1000))
+        def start(self, seed: int) -> None:
+            self.world = game.start(seed)
+
+        def teardown(self) -> None:
+            if self.world is None:
+                return
+            try:
+                violations = self.world.settle()
+                assert not violations, violations
+            finally:
+                self.world.close()
+
+    for name, actions in groups.items():
+
+        def play(self: Machine, action: Any, which: int, amount: float) -> None:
+            game.apply(self.world, Step(action, which, amount))
+
+        play.__name__ = name
+        drawn = st.sampled_from(actions)
+        setattr(Machine, name, rule(action=drawn, which=numbers, amount=amounts)(play))
+    return Machine
+
+
+def same_verdict(examples: int, steps: int) -> settings:
+    """Settings under which every run draws the same."""
+    return settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        suppress_health_check=list(HealthCheck),
+    )
