--- a/tests/test_site_processes.py
+++ b/tests/test_site_processes.py
@@ -1,11 +1,16 @@
 """Drives real fronts and stores on stand-ins, waiting for events."""
 
 import asyncio
+import fcntl
+import os
 import signal
+import struct
 import tempfile
+import termios
 import unittest
 from pathlib import Path
 
+from bendshed.adapters.http import HttpClient
 from bendshed.rehearsal.site.demo import make_program
 from bendshed.rehearsal.site.installation import SiteInstallation, is_ready
 from bendshed.rehearsal.site.oracle import check_all
@@ -58,3 +63,48 @@
     async def _wait_for_run(self, site: SiteInstallation, program: str) -> None:
         while not any(run.program_id == program for run in site.seen.runs):  # noqa: ASYNC110
             await asyncio.sleep(0)
+
+
+class UnreadLogTest(unittest.IsolatedAsyncioTestCase):
+    """A front whose log nobody reads serves on."""
+
+    PIPE_BYTES = 64 * 1024
+
+    async def test_a_full_pipe_stops_nothing(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            site = SiteInstallation(Path(folder))
+            client = HttpClient()
+            try:
+                await site.start(num_fronts=1)
+                reader = await self._restart_with_unread_log(site)
+                await self._fill(site, client, reader)
+                program = make_program(site, "p", ProgramPlan(turns=2, tools=1))
+                await program.run()
+                self.assertTrue(program.finished, program.statuses)
+                os.close(reader)
+            finally:
+                await client.close()
+                await site.stop()
+
+    async def _restart_with_unread_log(self, site: SiteInstallation) -> int:
+        front = site.fronts["front-1"]
+        await front.end(signal.SIGKILL)
+        front.log = front.log.with_suffix(".pipe")
+        os.mkfifo(front.log)
+        reader = os.open(front.log, os.O_RDONLY | os.O_NONBLOCK)
+        await front.start()
+        await site.wait_ready(front)
+        return reader
+
+    async def _fill(self, site: SiteInstallation, client: HttpClient, reader: int) -> None:
+        """Ask for what no route takes, a line each, until the pipe holds no more, and on."""
+        url = f"http://{site.fronts['front-1'].front}/nowhere"
+        asked = 0
+        while self._unread_bytes(reader) < self.PIPE_BYTES - 4096 or asked % 100:
+            answer = await client.send("GET", url, headers={"X-Request-Id": f"r{asked}"})
+            self.assertEqual(answer.status, 404)
+            asked += 1
+
+    @staticmethod
+    def _unread_bytes(reader: int) -> int:
+        return int(struct.unpack("i", fcntl.ioctl(reader, termios.FIONREAD, b"\0" * 4))[0])
