The last survivor of two voters goes on alone; a stale announcement cannot disown a store

By its log: three stores; one is emptied with no other free, so two voters stay; the leader of the two loses its disk; the last one holds everything and cannot lead, since a majority of two is both. Besides, the store that came back empty read the registry's old announcement of itself after its own and took its new identity for the lost one. Ruled out: keeping a retiring store as a voter until another is free (the evacuation would wait, maybe for ever); an operator's order to force the group (the site is to run unattended). Change: quorum_size: while a majority survives nothing changes; with fewer, all survivors are a quorum if they meet every majority of the voters, so that each committed entry is on one of them. Lost identities never vote and no longer count as holding anything. A process's own name is only ever its own identity.

--- a/src/bendshed/consensus/directory.py
+++ b/src/bendshed/consensus/directory.py
@@ -20,10 +20,11 @@
 class ReplicaDirectory:
     """Replica machines by name.
 
-    Invariant: an identity that was superseded at its machine never comes back, since its disk
-    is lost.
+    Invariants: an identity that was superseded at its machine never comes back, since its disk
+    is lost; this process's own identity is never superseded.
 
     Attributes:
+        own: this process's announcement; ``None``: it holds no replica.
         by_name: the latest known announcement of each machine.
         wiped: identities whose disk is lost.
         retiring: names of machines that operators want emptied.
@@ -31,6 +32,7 @@
 
     """
 
+    own: ReplicaNode | None = None
     by_name: dict[str, ReplicaNode] = field(default_factory=dict)
     wiped: set[str] = field(default_factory=set)
     retiring: set[str] = field(default_factory=set)
@@ -38,6 +40,9 @@
 
     def put(self, node: ReplicaNode) -> None:
         """Take an announcement."""
+        if self._is_own_past(node):
+            self.wiped.add(node.node_id)
+            return
         known = self.by_name.get(node.name)
         if node == known or node.node_id in self.wiped:
             return
@@ -49,6 +54,11 @@
         for notify in self.on_change:
             notify()
 
+    def _is_own_past(self, node: ReplicaNode) -> bool:
+        """The registry still tells what this machine was before it lost its disk."""
+        own = self.own
+        return own is not None and node.name == own.name and node.node_id != own.node_id
+
     def resolve(self, node_id: str) -> Address | None:
         """Where an identity is reached; ``None``: unknown or wiped."""
         for node in self.by_name.values():
--- a/src/bendshed/consensus/followers.py
+++ b/src/bendshed/consensus/followers.py
@@ -87,12 +87,14 @@
             return None
         return max(sorted(alive), key=lambda node: self._progress[node].match_index)
 
-    def durable_at(self, voters: Collection[str], own_index: int, majority: int) -> int:
-        """Highest index that a majority of the voters holds durably."""
+    def durable_at(self, voters: Collection[str], own_index: int, quorum: int) -> int:
+        """Highest index that a quorum of the voters holds durably; 0: there are too few."""
+        if len(voters) < quorum:
+            return 0
         matches = sorted(
             own_index if node == self.me else self._progress[node].match_index for node in voters
         )
-        return matches[len(matches) - majority]
+        return matches[len(matches) - quorum]
 
     def caught_up(self, nodes: Iterable[str], last_index: int, max_lag: int) -> list[str]:
         """Those of ``nodes`` that lack at most ``max_lag`` entries."""
--- a/src/bendshed/consensus/raft.py
+++ b/src/bendshed/consensus/raft.py
@@ -10,6 +10,7 @@
 
 from bendshed.consensus.election_timer import ELECTION_TICKS_MIN, ElectionTimer
 from bendshed.consensus.followers import FollowerTable, Progress
+from bendshed.consensus.quorum import quorum_size
 from bendshed.consensus.raft_types import (
     Apply,
     Effect,
@@ -44,6 +45,7 @@
         persisted_index: last own entry known to be durable.
         followers: what the leader knows of the others.
         log: entries since the last snapshot.
+        lost: identities whose disks are known to be lost for good.
 
     """
 
@@ -59,6 +61,7 @@
         self.applied_index = stored.snapshot.index
         self.persisted_index = self.log.last_index
         self.followers = FollowerTable(node_id)
+        self.lost: frozenset[str] = frozenset()
         self._votes: set[str] = set()
         self._timer = ElectionTimer(rng)
         self._ticks_since_heartbeat = 0
@@ -97,7 +100,7 @@
     def membership_settled(self) -> bool:
         """Whether no membership change is uncommitted."""
         pending = self.log.between(self.commit_index + 1, self.last_index)
-        return all(entry.kind != wire.ENTRY_KIND_MEMBERSHIP for entry in pending)
+        return not any(entry.kind == wire.ENTRY_KIND_MEMBERSHIP for entry in pending)
 
     # --- events --------------------------------------------------------------------------
 
@@ -196,23 +199,25 @@
         return bool(self.leader_id) and self._timer.heard_lately
 
     def _hears_majority(self) -> bool:
-        return (
-            len(self.followers.heard(self.membership.voters, ELECTION_TICKS_MIN)) >= self._majority
-        )
+        return len(self.followers.heard(self._survivors, ELECTION_TICKS_MIN)) >= self._quorum
+
+    @property
+    def _quorum(self) -> int:
+        return quorum_size(len(self.membership.voters), len(self._survivors))
 
     @property
-    def _majority(self) -> int:
-        return len(self.membership.voters) // 2 + 1
+    def _survivors(self) -> list[str]:
+        return [node for node in self.membership.voters if node not in self.lost]
 
     def _start_pre_vote(self) -> None:
         self._timer.reset()
         self.role = Role.PRE_CANDIDATE
         self.leader_id = ""
         self._votes = {self.node_id}
-        if len(self._votes) >= self._majority:
+        if len(self._votes) >= self._quorum:
             self._start_election(transfer=False)
-            return
-        self._request_votes(term=self.term + 1, pre_vote=True, transfer=False)
+        else:
+            self._request_votes(term=self.term + 1, pre_vote=True, transfer=False)
 
     def _start_election(self, transfer: bool) -> None:
         self.term += 1
@@ -222,10 +227,10 @@
         self._votes = {self.node_id}
         self._timer.reset()
         self._persist_hard_state()
-        if len(self._votes) >= self._majority:
+        if len(self._votes) >= self._quorum:
             self._become_leader()
-            return
-        self._request_votes(term=self.term, pre_vote=False, transfer=transfer)
+        else:
+            self._request_votes(term=self.term, pre_vote=False, transfer=transfer)
 
     def _request_votes(self, term: int, pre_vote: bool, transfer: bool) -> None:
         for node in self.membership.voters:
@@ -268,7 +273,7 @@
         if not counts or not message.granted or message.sender not in self.membership.voters:
             return
         self._votes.add(message.sender)
-        if len(self._votes) < self._majority:
+        if len(self._votes) < self._quorum:
             return
         if self.role is Role.PRE_CANDIDATE:
             self._start_election(transfer=False)
@@ -281,7 +286,7 @@
         self._transfer_target = ""
         self.followers.reset(self._peers(), self.log.last_index + 1)
         self._append_own(wire.ENTRY_KIND_EMPTY, b"")
-        self._announce_role()
+        self._effects.append(RoleChanged(self.role, self.term, self.leader_id))
         self._replicate_all()
 
     def _become_follower(self, term: int, leader_id: str) -> None:
@@ -296,7 +301,7 @@
         self.followers.clear()
         if changed:
             self._timer.follow(self.leader_id, self.node_id, self.membership.voters)
-            self._announce_role()
+            self._effects.append(RoleChanged(self.role, self.term, self.leader_id))
 
     # --- replication ---------------------------------------------------------------------
 
@@ -343,7 +348,7 @@
         message.entries.extend(entries)
         if entries:
             progress.next_index = entries[-1].index + 1
-        self._effects.append(SendMessage(message, after_persist=False))
+        self._send_now(message)
 
     def _send_snapshot(self, node: str, progress: Progress, heartbeat: bool) -> None:
         is_sent = progress.snapshot_sent == self.snapshot_index
@@ -352,7 +357,7 @@
         progress.snapshot_sent = self.snapshot_index
         message = self._message(wire.CONSENSUS_KIND_SNAPSHOT, node)
         message.snapshot.CopyFrom(self.log.snapshot)
-        self._effects.append(SendMessage(message, after_persist=False))
+        self._send_now(message)
 
     def _on_append_request(self, message: wire.ConsensusMessage) -> None:
         reply = self._message(wire.CONSENSUS_KIND_APPEND_REPLY, message.sender)
@@ -367,8 +372,8 @@
             self._send(reply)
             return
         if self.log.term_at(message.previous_index) != message.previous_term:
-            hint = self.log.conflict_hint(message.previous_index, self.commit_index)
-            reply.previous_index = hint
+            previous = message.previous_index
+            reply.previous_index = self.log.conflict_hint(previous, self.commit_index)
             self._send(reply)
             return
         self._store_entries(list(message.entries))
@@ -415,13 +420,10 @@
         if node == self._transfer_target and (
             self.followers[node].match_index == self.log.last_index
         ):
-            message = self._message(wire.CONSENSUS_KIND_TIMEOUT_NOW, node)
-            self._effects.append(SendMessage(message, after_persist=False))
+            self._send_now(self._message(wire.CONSENSUS_KIND_TIMEOUT_NOW, node))
 
     def _advance_commit(self) -> None:
-        candidate = self.followers.durable_at(
-            self.membership.voters, self.persisted_index, self._majority
-        )
+        candidate = self.followers.durable_at(self._survivors, self.persisted_index, self._quorum)
         if candidate > self.commit_index and self.log.term_at(candidate) == self.term:
             self._commit_to(candidate)
             if not self.is_voter and self.membership_settled:
@@ -466,8 +468,8 @@
             self.followers.follow(self._peers(), self.log.last_index)
 
     def _peers(self) -> list[str]:
-        everyone = [*self.membership.voters, *self.membership.learners]
-        return [node for node in everyone if node != self.node_id]
+        members = (*self.membership.voters, *self.membership.learners)
+        return [node for node in members if node != self.node_id]
 
     def _message(
         self, kind: "wire.ConsensusKind.ValueType", receiver: str
@@ -483,16 +485,15 @@
     def _send(self, message: wire.ConsensusMessage) -> None:
         self._effects.append(SendMessage(message, after_persist=True))
 
+    def _send_now(self, message: wire.ConsensusMessage) -> None:
+        self._effects.append(SendMessage(message, after_persist=False))
+
     def _persist(self, write: GroupWrite) -> None:
         self._effects.append(Persist(write))
 
     def _persist_hard_state(self) -> None:
         self._persist(GroupWrite(self.group_id, term=self.term, voted_for=self.voted_for))
 
-    def _announce_role(self) -> None:
-        self._effects.append(RoleChanged(self.role, self.term, self.leader_id))
-
     def _take_effects(self) -> list[Effect]:
-        effects = self._effects
-        self._effects = []
+        effects, self._effects = self._effects, []
         return effects
--- a/src/bendshed/consensus/supervisor.py
+++ b/src/bendshed/consensus/supervisor.py
@@ -66,6 +66,7 @@
 
     def start(self) -> None:
         """Begin."""
+        self._directory.own = self.me
         self._directory.put(self.me)
         self._transport.one_way_handlers[HELLO_METHOD] = self._take_hello
         self._host.on_foreign_message = self._introduce_to
@@ -143,6 +144,8 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             group = self._host.groups.get(GROUP)
+            if group is not None:
+                group.replica.lost = frozenset(self._directory.wiped)
             if group is None or not group.replica.is_ready_leader:
                 continue
             if self.me.node_id in self._directory.retiring_ids() and self._can_hand_over(group):
--- a/tests/site_defects.py
+++ b/tests/site_defects.py
@@ -205,7 +205,7 @@
         Rule.FOUND, calm, patch(TurnLogState, "_keep", lambda self, finish: None)
     ),
     "one replica is a majority": Defect(
-        Rule.FOUND, leader_loses_its_disk, patch(RaftReplica, "_majority", property(lambda _s: 1))
+        Rule.FOUND, leader_loses_its_disk, patch(RaftReplica, "_quorum", property(lambda _s: 1))
     ),
     "leaving is ignored": Defect(
         Rule.DRAIN, a_runner_leaves, patch(RunnerTable, "usable", _all_of_service)
