A start listens before it loads, reads JSON settings, and elects at once

Ruled out: waiting for the configuration (1 ms after the start) and for the first commit (3 ms). Change: sockets are bound before anything heavy is loaded; settings come as JSON through the deploy file's template, without the interpreter's own packages (-S); a replica that starts asks for votes within 50 to 150 ms by rank (pre-vote: a leader that is heard is not disturbed); requests wait up to 0.5 s for the first configuration. tests/test_start.py fails without it.

--- a/src/bendshed/consensus/election_timer.py
+++ b/src/bendshed/consensus/election_timer.py
@@ -8,6 +8,11 @@
 RANK_TICKS = 3
 """Ticks between two followers' first tries: time enough for an election to end."""
 RANK_JITTER_TICKS = 2
+START_TICKS = 2
+START_RANK_TICKS = 2
+START_TRIES = 6
+"""A replica that has just started asks at once, by rank, and a few times in quick succession: a
+restart of all waits for nothing, and a leader that others hear is not disturbed (pre-vote)."""
 
 
 class ElectionTimer:
@@ -17,8 +22,15 @@
         self._rng = rng
         self._ticks = 0
         self._due_ticks = 0
+        self._num_start_tries = 0
         self.reset()
 
+    def start(self, me: str, voters: Collection[str]) -> None:
+        """Begin a process that holds a vote: the first tries come quickly, by rank."""
+        self._num_start_tries = START_TRIES
+        rank = sorted(voters).index(me) if me in voters else 0
+        self._due_ticks = START_TICKS + rank * START_RANK_TICKS
+
     @property
     def is_due(self) -> bool:
         """No leader was heard for as long as this replica waits."""
@@ -41,10 +53,15 @@
         """Begin anew, with another length."""
         self._ticks = 0
         self._due_ticks = self._rng.randrange(ELECTION_TICKS_MIN, ELECTION_TICKS_MAX)
+        if self._num_start_tries:
+            self._num_start_tries -= 1
+            self._due_ticks = self._rng.randrange(START_TICKS, ELECTION_TICKS_MIN)
 
     def follow(self, leader_id: str, me: str, voters: Collection[str]) -> None:
         """Begin anew behind a leader, by rank among its followers; without one, at random."""
         successors = sorted(set(voters) - {leader_id})
+        if leader_id:
+            self._num_start_tries = 0
         self.reset()
         if leader_id and me in successors:
             rank_ticks = successors.index(me) * RANK_TICKS
--- a/src/bendshed/consensus/raft.py
+++ b/src/bendshed/consensus/raft.py
@@ -67,6 +67,7 @@
         self._ticks_since_heartbeat = 0
         self._transfer_target = ""
         self.membership = self.log.membership_at(self.log.last_index)
+        self._timer.start(node_id, self.membership.voters)
         self._effects: list[Effect] = []
 
     # --- what others may ask -------------------------------------------------------------
--- a/src/bendshed/platform/front.py
+++ b/src/bendshed/platform/front.py
@@ -3,19 +3,18 @@
 import asyncio
 import contextlib
 import random
-import socket
 
 from prometheus_client import CollectorRegistry
 
 from bendshed.adapters.connection_pool import ConnectionPool
 from bendshed.adapters.http_server import make_server
-from bendshed.adapters.sockets import bind
 from bendshed.adapters.tcp_transport import TcpTransport
 from bendshed.gateway.asgi import Receive, Scope, Send, send_text, serve_lifespan
 from bendshed.gateway.forwarding import ForwardingApplication
 from bendshed.logs import PartLog
 from bendshed.platform import names
 from bendshed.platform.caller_protocol import PlatformCallerProtocol
+from bendshed.platform.listeners import Listeners
 from bendshed.platform.objects import ObjectApi, ObjectEvent, PlatformObject
 from bendshed.platform.runner_protocol import PlatformRunnerProtocol
 from bendshed.platform.settings import SiteSettings, read_address
@@ -52,8 +51,11 @@
 class FrontProcess:
     """Shells around a ``ServiceNode``."""
 
-    def __init__(self, settings: SiteSettings, registry: CollectorRegistry) -> None:
+    def __init__(
+        self, settings: SiteSettings, listeners: Listeners, registry: CollectorRegistry
+    ) -> None:
         self._settings = settings
+        self._listeners = listeners
         self._rng = random.Random()
         self._transport = TcpTransport(settings.ip, settings.peer_address.port)
         self._api = ObjectApi(read_address(settings.platform.addr))
@@ -89,15 +91,14 @@
             ),
         ]
         self._runners.on_trouble = self._restart_others
-        self._front_port = 0
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve until told to stop, then drain."""
         await self._transport.start()
-        sockets = self._bind_all()
         watchers = [self._runners, *self._others]
         following = [start_loop(watcher.run(), "platform") for watcher in watchers]
         following.append(start_loop(self._node.watch_turn_log(), "turns"))
+        sockets = list(self._listeners.sockets)
         serving = asyncio.get_running_loop().create_task(self._server.serve(sockets=sockets))
         log.say("started", name=self._settings.nodeName, zone=self._settings.zone)
         await stopping.wait()
@@ -117,14 +118,6 @@
         opened.set_function(lambda: self._connections.num_opened)
         return metrics
 
-    def _bind_all(self) -> list[socket.socket]:
-        listen = self._settings.listen
-        if listen.front is not None:
-            self._front_port = read_address(listen.front).port
-        texts = [text for text in (listen.front, listen.ready) if text is not None]
-        addresses = [read_address(text) for text in texts]
-        return [bind(address.host, address.port) for address in addresses]
-
     async def _drain(self, serving: "asyncio.Task[None]") -> None:
         """Not ready at once; serve what comes until the platform has noticed; finish the rest."""
         until_s = asyncio.get_running_loop().time() + self._settings.bounds.graceS - STOP_MARGIN_S
@@ -143,7 +136,7 @@
         """Clients' port to the forwarder; the rest is a question for readiness."""
         if scope["type"] == "lifespan":
             await serve_lifespan(receive, send)
-        elif scope["server"][1] == self._front_port:
+        elif scope["server"][1] == self._listeners.front_port:
             await self._forwarding(scope, receive, send)
         else:
             is_ready = self._node.is_ready
--- /dev/null
+++ b/src/bendshed/platform/roles.py
@@ -0,0 +1,77 @@
+"""Runs one role in this process: logs, metrics, signals, then the role itself."""
+
+import asyncio
+import random
+import signal
+import sys
+from pathlib import Path
+
+from prometheus_client import CollectorRegistry
+
+from bendshed.adapters.metrics_page import MetricsPage, count_dropped_lines
+from bendshed.logs import BoundedLineWriter, PartLog, log_to, name_process
+from bendshed.platform.listeners import Listeners
+from bendshed.platform.settings import SiteSettings, SiteSettingsInvalid, load_site_settings
+
+METRICS_PATH = "/metrics"
+
+log = PartLog("process")
+
+
+def run_role(
+    role: str, metrics_port: int | None, settings: SiteSettings, listeners: Listeners
+) -> None:
+    """Run a role until a signal stops it; ``metrics_port``: where metrics are told, if anywhere."""
+    writer = log_to(sys.stdout.fileno())
+    name_process(settings.nodeName, f"{random.getrandbits(32):08x}")
+    asyncio.run(_run(role, metrics_port, settings, listeners, writer))
+
+
+async def _run(
+    role: str,
+    metrics_port: int | None,
+    settings: SiteSettings,
+    listeners: Listeners,
+    writer: BoundedLineWriter,
+) -> None:
+    registry = CollectorRegistry()
+    count_dropped_lines(registry, writer)
+    if metrics_port is not None:
+        MetricsPage(registry, METRICS_PATH).listen(settings.ip, metrics_port)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    reloader = _Reloader(settings)
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
+    if role == "node":
+        from bendshed.platform.front import FrontProcess  # noqa: PLC0415 (a role loads its part)
+
+        await FrontProcess(settings, listeners, registry).run(stopping)
+        return
+    from bendshed.platform.replica import StoreProcess  # noqa: PLC0415
+
+    if settings.dataDir is None:
+        raise SiteSettingsInvalid("dataDir: (missing): run the role store where there is a disk")
+    await StoreProcess(settings, Path(settings.dataDir), registry).run(stopping)
+
+
+class _Reloader:
+    """Reads the settings again on a signal and says what changed."""
+
+    def __init__(self, settings: SiteSettings) -> None:
+        self._settings = settings
+
+    def reload(self) -> None:
+        try:
+            fresh = load_site_settings()
+        except SiteSettingsInvalid as error:
+            log.say("the new settings are refused, the old ones stay", reason=str(error))
+            return
+        changed = [
+            name
+            for name in SiteSettings.__struct_fields__
+            if getattr(fresh, name) != getattr(self._settings, name)
+        ]
+        self._settings = fresh
+        log.say("read the settings again", changed=changed)
--- a/src/bendshed/platform/settings.py
+++ b/src/bendshed/platform/settings.py
@@ -1,5 +1,8 @@
 """Reads the settings file that the platform lays on each machine.
 
+The deploy file asks for JSON (`deploy/settings.template`), which is read at once; YAML, the form
+that the platform lays otherwise, is read too and costs each start its library's load.
+
 Checked by msgspec and not by the library of the product's own settings: that one costs each process
 of the platform 20 MB of memory and a third of its start (docs/CAPACITY.md).
 """
@@ -10,7 +13,6 @@
 from typing import Annotated, Any
 
 import msgspec
-import yaml
 from msgspec import Meta
 
 from bendshed.platform.names import SETTINGS_VARIABLE
@@ -105,13 +107,28 @@
             f"{SETTINGS_VARIABLE}: (missing): set it to the settings file's path"
         )
     try:
-        content: Any = yaml.safe_load(Path(path).read_text())
+        text = Path(path).read_text()
     except OSError as error:
         raise SiteSettingsInvalid(f"{path}: {error}: name a file that can be read") from error
-    except yaml.YAMLError as error:
-        reason = " ".join(str(error).split())
-        raise SiteSettingsInvalid(f"{path}: {reason}: write valid YAML") from error
+    content = _parse_json(path, text) if text.startswith("{") else _parse_yaml(path, text)
     try:
         return msgspec.convert(content, SiteSettings)
     except msgspec.ValidationError as error:
         raise SiteSettingsInvalid(f"{path}: {error}: correct this field") from error
+
+
+def _parse_json(path: str, text: str) -> Any:
+    try:
+        return msgspec.json.decode(text)
+    except msgspec.DecodeError as error:
+        raise SiteSettingsInvalid(f"{path}: {error}: write valid JSON") from error
+
+
+def _parse_yaml(path: str, text: str) -> Any:
+    import yaml  # noqa: PLC0415 (see the module's text)
+
+    try:
+        return yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        reason = " ".join(str(error).split())
+        raise SiteSettingsInvalid(f"{path}: {reason}: write valid YAML") from error
--- a/src/bendshed/services/forwarder.py
+++ b/src/bendshed/services/forwarder.py
@@ -1,6 +1,7 @@
 """Takes callers' requests: finds the route, and serves plain ones and turns."""
 
 import asyncio
+import contextlib
 
 from bendshed.errors import ErrorKind, Refusal
 from bendshed.logs import PartLog
@@ -18,35 +19,59 @@
 ANSWER_MARGIN_S = 0.1
 """A runner's own answer at its deadline may still come this much later."""
 
+FIRST_DOCUMENT_WAIT_S = 0.5
+"""A node that has just started reads its first document within some ms; requests wait this long."""
+
 log = PartLog("forward")
 
 
 class Forwarder:
     """Serves requests by the document in force.
 
-    Attributes:
-        index: routes in force; ``None`` until a document is known.
-
     Without ``turns`` no turn is kept here: a stream is only relayed.
 
     """
 
     def __init__(self, runners: RunnerPorts, turns: TurnPorts | None = None) -> None:
-        self.index: RouteIndex | None = None
+        self._index: RouteIndex | None = None
+        self._has_index = asyncio.Event()
+        self._refuse_unknown_from_s: float | None = None
         self._runners = runners
         self._metrics = runners.metrics
         self._turns = turns
         self.num_open = 0
 
+    @property
+    def index(self) -> RouteIndex | None:
+        """Routes in force; ``None`` until a document is known."""
+        return self._index
+
+    @index.setter
+    def index(self, index: RouteIndex) -> None:
+        self._index = index
+        self._has_index.set()
+
+    async def _index_or_wait(self) -> RouteIndex | None:
+        """Routes in force; for a moment after the first request of all, wait for the first ones."""
+        if self._index is None:
+            now_s = asyncio.get_running_loop().time()
+            if self._refuse_unknown_from_s is None:
+                self._refuse_unknown_from_s = now_s + FIRST_DOCUMENT_WAIT_S
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(self._refuse_unknown_from_s):
+                    await self._has_index.wait()
+        return self._index
+
     async def serve(self, request: ServiceRequest, caller: Caller) -> None:
         """Answer one request; cancelled when its caller leaves."""
         self.num_open += 1
         loop = asyncio.get_running_loop()
-        index = self.index
-        route = index.match(request.host, request.path) if index is not None else None
-        route_kind = route.kind.value if route is not None else NO_ROUTE
+        route_kind = NO_ROUTE
         outcome = CALLER_LEFT
         try:
+            index = await self._index_or_wait()
+            route = index.match(request.host, request.path) if index is not None else None
+            route_kind = route.kind.value if route is not None else NO_ROUTE
             outcome = await self._serve(request, caller, route, index)
         except asyncio.CancelledError:
             after_ms = int((loop.time() - request.arrived_s) * 1000)
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -66,6 +66,11 @@
         settings = self.load(yaml.safe_dump(SETTINGS))
         self.assertEqual(str(settings.peer_address), "10.1.0.38:7380")  # type: ignore[attr-defined]
 
+    def test_the_form_that_the_deploy_file_asks_for(self) -> None:
+        template = Path(__file__).parent.parent / "deploy" / "settings.template"
+        filled = template.read_text().replace("{{.|json}}", orjson.dumps(SETTINGS).decode())
+        self.assertEqual(self.load(filled), self.load(yaml.safe_dump(SETTINGS)))
+
     def test_each_problem_names_its_field(self) -> None:
         cases = {
             "platform": {name: value for name, value in SETTINGS.items() if name != "platform"},
@@ -78,10 +83,15 @@
                 self.load(yaml.safe_dump(content))
             self.assertIn(field, str(caught.exception))
             self.assertNotIn("\n", str(caught.exception))
+            with self.assertRaises(SiteSettingsInvalid) as caught:
+                self.load(orjson.dumps(content).decode())
+            self.assertIn(field, str(caught.exception))
 
     def test_a_file_that_is_no_yaml_or_missing(self) -> None:
         with self.assertRaises(SiteSettingsInvalid):
             self.load("{unclosed")
+        with self.assertRaises(SiteSettingsInvalid):
+            self.load("- [unclosed")
         with self.assertRaises(SiteSettingsInvalid):
             load_site_settings({})
         with self.assertRaises(SiteSettingsInvalid):
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,117 @@
+"""What a start of one process or of all of them costs those who wait for it."""
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from prometheus_client import CollectorRegistry
+
+from bendshed.platform import main as platform_main
+from bendshed.platform import roles
+from bendshed.platform.encode import write_settings
+from bendshed.platform.listeners import Listeners
+from bendshed.platform.names import SETTINGS_VARIABLE
+from bendshed.platform.settings import SiteSettings
+from bendshed.ports.transport import Address
+from bendshed.rehearsal.site.documents import make_document
+from bendshed.rehearsal.site.installation import HOST, free_ports
+from bendshed.rehearsal.site.sim_world import SiteWorld
+from bendshed.services.attempts import RunnerPorts
+from bendshed.services.forwarder import FIRST_DOCUMENT_WAIT_S, Forwarder
+from bendshed.services.metrics import ServiceMetrics
+from bendshed.services.routing import RouteIndex
+from bendshed.services.runners import RunnerTable
+
+LEADER_GOAL_S = 0.25
+HEAVY = ("uvicorn", "prometheus_client", "eliot", "google.protobuf", "yaml", "asyncio")
+
+
+class ListenEarlyTest(unittest.TestCase):
+    def test_a_front_takes_connections_before_it_loads_its_parts(self) -> None:
+        ports = free_ports(3)
+        seen: list[Listeners] = []
+
+        def run_role(
+            _role: str, _port: int | None, _settings: SiteSettings, listeners: Listeners
+        ) -> None:
+            for port in ports[1:]:
+                socket.create_connection((HOST, port)).close()
+            seen.append(listeners)
+
+        handler = signal.getsignal(signal.SIGHUP)
+        self.addCleanup(signal.signal, signal.SIGHUP, handler)
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.yaml"
+            path.write_text(write_settings("f", "a", ports, Address(HOST, 1), HOST, None))
+            with (
+                mock.patch.dict(os.environ, {SETTINGS_VARIABLE: str(path)}),
+                mock.patch.object(roles, "run_role", run_role),
+            ):
+                self.assertEqual(platform_main.main(["node"]), 0)
+        self.assertEqual(seen[0].front_port, ports[1])
+        for listener in seen[0].sockets:
+            listener.close()
+
+    def test_nothing_heavy_is_loaded_before_it_listens(self) -> None:
+        code = (
+            f"import sys, bendshed.platform.main; print([n for n in {HEAVY} if n in sys.modules])"
+        )
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True)
+        self.assertEqual(done.stdout.decode().strip(), "[]")
+
+
+class FirstDocumentTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        metrics = ServiceMetrics(CollectorRegistry())
+        ports = RunnerPorts(RunnerTable(), mock.Mock(), mock.Mock(), "a", mock.Mock(), metrics)
+        self.forwarder = Forwarder(ports)
+        self.request = mock.Mock(host="nowhere", path="/x/", arrived_s=0.0)
+        self.refused: list[str] = []
+        self.caller = mock.Mock()
+        self.caller.refuse = mock.AsyncMock(
+            side_effect=lambda refusal: self.refused.append(refusal.kind.value)
+        )
+
+    async def test_a_request_waits_for_the_first_document(self) -> None:
+        serving = asyncio.create_task(self.forwarder.serve(self.request, self.caller))
+        await asyncio.sleep(0)
+        self.assertEqual(self.refused, [])
+        self.forwarder.index = RouteIndex(make_document(1))
+        await serving
+        self.assertEqual(self.refused, ["not_found"])
+
+    async def test_it_is_refused_at_once_when_the_node_waited_before(self) -> None:
+        loop = asyncio.get_running_loop()
+        with mock.patch.object(loop, "time", return_value=loop.time()) as clock:
+            first = asyncio.create_task(self.forwarder.serve(self.request, self.caller))
+            await asyncio.sleep(0)
+            clock.return_value += FIRST_DOCUMENT_WAIT_S + 0.1
+            await first
+            before_s = clock.return_value
+            await self.forwarder.serve(self.request, self.caller)
+            self.assertEqual(clock.return_value, before_s)
+        self.assertEqual(self.refused, ["not_ready", "not_ready"])
+
+
+class RestartOfAllStoresTest(unittest.TestCase):
+    def test_a_leader_is_there_soon(self) -> None:
+        for seed in range(1, 9):
+            with self.subTest(seed=seed):
+                world = SiteWorld.started(seed)
+                self.addCleanup(world.close)
+                for store in world.stores.values():
+                    world.kill(store)
+                world.run_for(1.0)
+                for store in world.stores.values():
+                    world.restart(store)
+                back_s = world.loop.time()
+                while not world.is_led():
+                    world.run_for(0.01)
+                self.assertLess(world.loop.time() - back_s, LEADER_GOAL_S)
