--- /dev/null
+++ b/src/bendshed/adapters/kept_file.py
@@ -0,0 +1,41 @@
+"""Small files that are whole at any moment: written beside, synced, renamed, with a digest."""
+
+import os
+from pathlib import Path
+
+import xxhash
+
+DIGEST_BYTES = 8
+
+
+class FileDamaged(Exception):
+    """The file's digest does not fit its content."""
+
+
+def write_kept(path: Path, content: bytes) -> None:
+    """Replace a file durably; raise ``OSError``."""
+    beside = path.with_suffix(".new")
+    with beside.open("wb") as file:
+        file.write(xxhash.xxh3_64_digest(content) + content)
+        file.flush()
+        os.fsync(file.fileno())
+    beside.replace(path)
+    _sync_folder(path.parent)
+
+
+def read_kept(path: Path) -> bytes:
+    """Read a file; raise ``OSError`` or ``FileDamaged``."""
+    whole = path.read_bytes()
+    digest, content = whole[:DIGEST_BYTES], whole[DIGEST_BYTES:]
+    if digest != xxhash.xxh3_64_digest(content):
+        raise FileDamaged(str(path))
+    return content
+
+
+def _sync_folder(folder: Path) -> None:
+    """A renamed name lasts once its folder is synced."""
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- a/src/bendshed/adapters/tcp_transport.py
+++ b/src/bendshed/adapters/tcp_transport.py
@@ -19,7 +19,8 @@
 
 LENGTH = struct.Struct("!I")
 MAX_FRAME_BYTES = 256 * 1024 * 1024
-CONNECT_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 0.5
+"""A machine that was dark a moment ago is asked anew, and not when a lost packet is sent again."""
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 """One-way messages to a peer that does not read are dropped beyond this."""
 HANDLER_FAILED = "handler_failed"
@@ -46,7 +47,7 @@
         self._owner.connections.discard(self)
         for future in self.waiting.values():
             if not future.done():
-                future.set_exception(PeerUnreachable("connection lost"))
+                future.set_exception(PeerUnreachable("connection lost", is_silent=False))
         self.waiting.clear()
         self.transport = None
 
@@ -212,7 +213,8 @@
         try:
             return await asyncio.shield(task)
         except (OSError, TimeoutError) as error:
-            raise PeerUnreachable(f"cannot connect to {peer}") from error
+            was_refused = isinstance(error, ConnectionError)
+            raise PeerUnreachable(f"cannot connect to {peer}", not was_refused) from error
 
     def _open_connection(self, peer: Address) -> _Connection | None:
         """Connection to a peer if one is open now."""
@@ -237,7 +239,7 @@
             if future is None or future.done():
                 return
             if frame.error_kind:
-                future.set_exception(PeerUnreachable(frame.error_detail))
+                future.set_exception(PeerUnreachable(frame.error_detail, is_silent=False))
             else:
                 future.set_result(frame.payload)
         elif frame.request_id == 0:
--- /dev/null
+++ b/src/bendshed/catalog/codec.py
@@ -0,0 +1,126 @@
+"""The catalog on the wire (protobuf; the document inside it as msgspec writes it)."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+from google.protobuf.message import DecodeError
+
+from bendshed.catalog.state import Catalog, KnownRunner, Removal
+from bendshed.consensus.directory import from_wire, to_wire
+from bendshed.ports.registry import ReplicaNode
+from bendshed.ports.transport import Address
+from bendshed.services.document import ServiceDocument
+from bendshed.services.runners import RunnerState, ServiceRunner
+from bendshed.wire import catalog_pb2 as wire
+
+
+class DocumentUnreadable(Exception):
+    """The bytes are no document of this version of the program."""
+
+
+def write_address(address: Address) -> wire.PeerAddress:
+    """Translate an address for the wire."""
+    return wire.PeerAddress(host=address.host, port=address.port)
+
+
+def read_peer(address: wire.PeerAddress) -> Address:
+    """Translate an address from the wire."""
+    return Address(address.host, address.port)
+
+
+def write_document(document: ServiceDocument) -> bytes:
+    """Write a document."""
+    return msgspec.json.encode(document)
+
+
+def read_document(content: bytes) -> ServiceDocument:
+    """Read a document; raise ``DocumentUnreadable``."""
+    try:
+        return msgspec.json.decode(content, type=ServiceDocument)
+    except msgspec.DecodeError as error:
+        raise DocumentUnreadable(str(error)) from error
+
+
+def write_reply(catalog: Catalog, since: int, known_version: int) -> wire.CatalogReply:
+    """Write what an asker lacks that knows a revision and a version."""
+    reply = wire.CatalogReply(document_version=catalog.version)
+    if catalog.document is not None and catalog.version > known_version:
+        reply.document = write_document(catalog.document)
+    if catalog.runners_at:
+        changes = catalog.changes_since(since)
+        reply.has_runners = True
+        reply.since = changes.since
+        reply.runners_at = changes.at
+        reply.runners.extend(_write_runner(known) for known in changes.runners)
+        reply.removed.extend(_write_removal(gone) for gone in changes.removed)
+    return reply
+
+
+@dataclass(frozen=True, slots=True)
+class KeptCatalog:
+    """What a replica machine keeps on its disk between lives."""
+
+    catalog: Catalog = field(default_factory=Catalog)
+    replicas: tuple[ReplicaNode, ...] = ()
+    fronts: tuple[Address, ...] = ()
+
+
+def encode_kept(kept: KeptCatalog) -> bytes:
+    """Write what is kept."""
+    everything = write_reply(kept.catalog, since=0, known_version=0)
+    everything.replicas.extend(to_wire(node) for node in kept.replicas)
+    everything.fronts.extend(write_address(front) for front in kept.fronts)
+    return everything.SerializeToString()
+
+
+def decode_kept(content: bytes | None) -> KeptCatalog:
+    """Read what was kept; nothing, or what another version of the program wrote, is no harm."""
+    if content is None:
+        return KeptCatalog()
+    try:
+        everything = wire.CatalogReply.FromString(content)
+        return KeptCatalog(
+            _read_catalog(everything),
+            tuple(from_wire(hello) for hello in everything.replicas),
+            tuple(read_peer(front) for front in everything.fronts),
+        )
+    except (DecodeError, DocumentUnreadable):
+        return KeptCatalog()
+
+
+def _read_catalog(reply: wire.CatalogReply) -> Catalog:
+    catalog = Catalog()
+    if reply.document:
+        catalog.take_document(read_document(reply.document))
+    if reply.has_runners:
+        runners = [read_runner(row) for row in reply.runners]
+        catalog.list_runners(runners, reply.runners_at, is_trusted=False)
+    return catalog
+
+
+def _write_runner(known: KnownRunner) -> wire.CatalogRunner:
+    runner = known.runner
+    return wire.CatalogRunner(
+        runner_id=runner.runner_id,
+        service=runner.service,
+        address=write_address(runner.address),
+        zone=runner.zone,
+        slots=runner.slots,
+        is_draining=runner.state is RunnerState.DRAINING,
+        revision=known.revision,
+    )
+
+
+def read_runner(row: wire.CatalogRunner) -> KnownRunner:
+    """Translate a runner from the wire."""
+    state = RunnerState.DRAINING if row.is_draining else RunnerState.READY
+    runner = ServiceRunner(
+        row.runner_id, row.service, read_peer(row.address), row.zone, row.slots, state
+    )
+    return KnownRunner(runner, row.revision)
+
+
+def _write_removal(gone: Removal) -> wire.RemovedRunner:
+    return wire.RemovedRunner(
+        runner_id=gone.runner_id, revision=gone.revision, is_trusted=gone.is_trusted
+    )
--- /dev/null
+++ b/src/bendshed/catalog/file.py
@@ -0,0 +1,33 @@
+"""The catalog on a replica machine's disk: for a start while the registry is away."""
+
+import asyncio
+from pathlib import Path
+
+from bendshed.adapters.kept_file import FileDamaged, read_kept, write_kept
+from bendshed.logs import PartLog
+from bendshed.ports.catalog_storage import CatalogStorage
+
+FILE_NAME = "catalog.bin"
+
+log = PartLog("catalog")
+
+
+class FileCatalogStorage(CatalogStorage):
+    """One file of the data folder."""
+
+    def __init__(self, folder: Path) -> None:
+        self._path = folder / FILE_NAME
+
+    def load(self) -> bytes | None:
+        """Return what was kept whole."""
+        try:
+            return read_kept(self._path)
+        except (OSError, FileDamaged):
+            return None
+
+    async def save(self, content: bytes) -> None:
+        """Write it on a thread, since the disk may take its time."""
+        try:
+            await asyncio.to_thread(write_kept, self._path, content)
+        except OSError as error:
+            log.say("was not kept", reason=str(error))
--- /dev/null
+++ b/src/bendshed/catalog/server.py
@@ -0,0 +1,241 @@
+"""A replica machine's side of the catalog: answers fronts, and keeps the catalog on its disk."""
+
+import asyncio
+import random
+from collections.abc import Callable, Collection
+from enum import StrEnum
+
+from bendshed.catalog.codec import (
+    KeptCatalog,
+    decode_kept,
+    encode_kept,
+    read_peer,
+    write_address,
+    write_reply,
+)
+from bendshed.catalog.state import KnownRunner
+from bendshed.consensus.directory import HELLO_METHOD, ReplicaDirectory, to_wire
+from bendshed.logs import PartLog
+from bendshed.ports.catalog_storage import CatalogStorage
+from bendshed.ports.transport import Address, Transport
+from bendshed.services.document import ServiceDocument
+from bendshed.wire import catalog_pb2 as wire
+
+CATALOG_METHOD = "catalog.read"
+FRONTS_METHOD = "catalog.fronts"
+ASKER_KEPT_S = 3.0
+"""A front that did not ask for this long is not named to others."""
+MAX_FRONTS_TOLD = 6
+SHARE_INTERVAL_S = 1.0
+MAX_FRONTS_SHARED = 12
+"""Fronts that a machine names to the other replica machines: enough for others to relay through."""
+SAVE_PACE_S = 1.0
+GREETING_PAUSES_S = (0.0, 0.1, 0.2, 0.4, 0.8, 1.6)
+"""A front that starts at the same time may listen a little later."""
+MIN_SHARED_ASKERS = 8
+"""From this many fronts on it costs the registry less to be read by this machine for all of them,
+several times a second, than by each of them (docs/design/0004)."""
+
+NEVER_CONFIRMED_MS = 2**31
+
+log = PartLog("catalog")
+
+
+class CatalogPart(StrEnum):
+    """What the registry confirms apart."""
+
+    DOCUMENT = "document"
+    RUNNERS = "runners"
+
+
+class CatalogServer:
+    """What one replica machine tells fronts.
+
+    Attributes:
+        catalog: what it knows; a start begins with what its disk holds.
+        confirmed_at_s: loop time at which the registry last confirmed each part in this life.
+
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        directory: ReplicaDirectory,
+        me: Address,
+        rng: random.Random,
+        storage: CatalogStorage,
+    ) -> None:
+        self._kept = decode_kept(storage.load())
+        self.catalog = self._kept.catalog
+        self.confirmed_at_s: dict[CatalogPart, float] = {}
+        self.on_demand: Callable[[], None] = lambda: None
+        self._transport = transport
+        self._directory = directory
+        self._me = me
+        self._rng = rng
+        self._storage = storage
+        self._asked_at_s: dict[Address, float] = {}
+        self._elsewhere: dict[Address, float] = {}
+        self._changed = asyncio.Event()
+        self._unsaved = asyncio.Event()
+
+    def start(self) -> None:
+        """Begin to answer, with what the disk held."""
+        for node in self._kept.replicas:
+            self._directory.put(node)
+        self._directory.on_change.append(self._unsaved.set)
+        self._unsaved.set()
+        self._transport.handlers[CATALOG_METHOD] = self._answer
+        self._transport.one_way_handlers[FRONTS_METHOD] = self._take_fronts
+        log.say("starts with", version=self.catalog.version, runners_at=self.catalog.runners_at)
+
+    # --- what the registry tells -----------------------------------------------------------
+
+    def take_document(self, document: ServiceDocument) -> None:
+        """Take a configuration."""
+        if self.catalog.take_document(document):
+            self._announce()
+
+    def list_runners(self, runners: Collection[KnownRunner], at: int, is_trusted: bool) -> None:
+        """Take the whole list of runners."""
+        if self.catalog.list_runners(runners, at, is_trusted):
+            self._announce()
+
+    def put_runner(self, known: KnownRunner) -> None:
+        """Take one runner's state."""
+        if self.catalog.put_runner(known):
+            self._announce()
+
+    def remove_runner(self, runner_id: str, at: int, is_trusted: bool) -> None:
+        """A runner is not listed any more."""
+        if self.catalog.remove_runner(runner_id, at, is_trusted):
+            self._announce()
+
+    def confirm(self, part: CatalogPart, at: int) -> None:
+        """The registry answered: this part is known up to a revision."""
+        self.confirmed_at_s[part] = asyncio.get_running_loop().time()
+        if part is CatalogPart.RUNNERS:
+            self.catalog.advance(at)
+
+    def _announce(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+        self._unsaved.set()
+
+    # --- fronts ----------------------------------------------------------------------------
+
+    @property
+    def num_askers(self) -> int:
+        """Fronts that asked lately."""
+        self._forget_silent()
+        return len(self._asked_at_s)
+
+    @property
+    def is_in_demand(self) -> bool:
+        """Whether enough fronts rely on this machine that it reads the registry for them."""
+        return self.num_askers >= MIN_SHARED_ASKERS
+
+    async def _answer(self, payload: bytes) -> bytes:
+        """Tell a front what it lacks, at once or when something changes."""
+        request = wire.CatalogRequest.FromString(payload)
+        loop = asyncio.get_running_loop()
+        was_in_demand = self.is_in_demand
+        asker = read_peer(request.asker)
+        if asker not in self._asked_at_s:
+            self._unsaved.set()
+        self._asked_at_s[asker] = loop.time()
+        if self.is_in_demand and not was_in_demand:
+            log.say("reads the registry for fronts", fronts=self.num_askers)
+            self.on_demand()
+        if not self._has_news(request):
+            await self._wait_for_change(request.wait_ms / 1000)
+        reply = write_reply(self.catalog, request.runners_at, request.document_version)
+        reply.age_ms = self._age_ms()
+        reply.num_askers = self.num_askers
+        reply.replicas.extend(to_wire(node) for node in self._directory.by_name.values())
+        reply.fronts.extend(write_address(front) for front in self._some_fronts(request))
+        return reply.SerializeToString()
+
+    def _has_news(self, request: wire.CatalogRequest) -> bool:
+        if self.catalog.version > request.document_version:
+            return True
+        changes = self.catalog.changes_since(request.runners_at)
+        return bool(changes.runners or changes.removed)
+
+    async def _wait_for_change(self, wait_s: float) -> None:
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _age_ms(self) -> int:
+        """Since the registry last confirmed the older part; very old when it never did."""
+        now_s = asyncio.get_running_loop().time()
+        if len(self.confirmed_at_s) < len(CatalogPart):
+            return NEVER_CONFIRMED_MS
+        return int((now_s - min(self.confirmed_at_s.values())) * 1000)
+
+    def _forget_silent(self) -> None:
+        oldest_s = asyncio.get_running_loop().time() - ASKER_KEPT_S
+        for known in (self._asked_at_s, self._elsewhere):
+            for front in [front for front, at_s in known.items() if at_s < oldest_s]:
+                del known[front]
+
+    def _some_fronts(self, request: wire.CatalogRequest) -> list[Address]:
+        """Fronts that were heard lately, half of them by others' word, so of several zones."""
+        asker = read_peer(request.asker)
+        near = [front for front in self._asked_at_s if front != asker]
+        far = [front for front in self._elsewhere if front not in self._asked_at_s]
+        half = MAX_FRONTS_TOLD // 2
+        chosen = self._rng.sample(far, min(half, len(far)))
+        chosen += self._rng.sample(near, min(MAX_FRONTS_TOLD - len(chosen), len(near)))
+        return chosen
+
+    def _take_fronts(self, payload: bytes) -> None:
+        """Another replica machine names fronts that it hears."""
+        now_s = asyncio.get_running_loop().time()
+        for front in wire.CatalogReply.FromString(payload).fronts:
+            self._elsewhere[read_peer(front)] = now_s
+
+    # --- in the background -----------------------------------------------------------------
+
+    async def greet(self) -> None:
+        """Tell the fronts of the last life where this machine is: they may have no other source."""
+        for pause_s in GREETING_PAUSES_S:
+            await asyncio.sleep(pause_s)
+            own = self._directory.own
+            if own is None:
+                continue
+            hello = to_wire(own).SerializeToString()
+            for front in self._kept.fronts:
+                if front not in self._asked_at_s:
+                    self._transport.send(front, HELLO_METHOD, hello)
+
+    async def share_fronts(self) -> None:
+        """Name some fronts to the other replica machines, again and again."""
+        while True:
+            await asyncio.sleep(SHARE_INTERVAL_S)
+            self._forget_silent()
+            fronts = list(self._asked_at_s)
+            if not fronts:
+                continue
+            chosen = self._rng.sample(fronts, min(MAX_FRONTS_SHARED, len(fronts)))
+            told = wire.CatalogReply(fronts=[write_address(front) for front in chosen])
+            for node in self._directory.by_name.values():
+                if node.address != self._me:
+                    self._transport.send(node.address, FRONTS_METHOD, told.SerializeToString())
+
+    async def keep(self) -> None:
+        """Keep the catalog on the disk after changes, at a bounded pace."""
+        while True:
+            await self._unsaved.wait()
+            self._unsaved.clear()
+            fronts = {*self._asked_at_s, *self._elsewhere} or set(self._kept.fronts)
+            kept = KeptCatalog(
+                self.catalog,
+                tuple(self._directory.by_name.values()),
+                tuple(sorted(fronts, key=str)),
+            )
+            await self._storage.save(encode_kept(kept))
+            await asyncio.sleep(SAVE_PACE_S)
--- /dev/null
+++ b/src/bendshed/catalog/state.py
@@ -0,0 +1,131 @@
+"""What a replica machine knows of configuration and runners, by revision. Pure.
+
+Revisions are the registry's own: one counter over all its changes. So what two machines tell can be
+compared, and an asker that names the revision it knows is told just what changed since.
+"""
+
+from collections import OrderedDict
+from collections.abc import Collection
+from dataclasses import dataclass, field
+
+from bendshed.services.document import ServiceDocument
+from bendshed.services.runners import ServiceRunner
+
+MAX_REMOVED = 1_000
+"""Removals remembered; whoever knows less than the oldest is told the whole list."""
+
+
+@dataclass(frozen=True, slots=True)
+class KnownRunner:
+    """A runner and the revision of its last change."""
+
+    runner: ServiceRunner
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Removal:
+    """A runner that is not listed any more.
+
+    Attributes:
+        is_trusted: the registry was well when it told so.
+
+    """
+
+    runner_id: str
+    revision: int
+    is_trusted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerChanges:
+    """What changed between two revisions.
+
+    Attributes:
+        since: the asker's revision; 0: ``runners`` are all there are.
+
+    """
+
+    since: int
+    at: int
+    runners: tuple[KnownRunner, ...]
+    removed: tuple[Removal, ...]
+
+
+@dataclass(slots=True)
+class Catalog:
+    """The newest known configuration and runners.
+
+    Invariants: neither the document's version nor ``runners_at`` ever falls.
+
+    Attributes:
+        document: ``None``: none is known.
+        runners_at: revision up to which the runners are known; 0: no list was read.
+
+    """
+
+    document: ServiceDocument | None = None
+    runners_at: int = 0
+    _runners: dict[str, KnownRunner] = field(default_factory=dict)
+    _removed: "OrderedDict[str, Removal]" = field(default_factory=OrderedDict)
+    _told_from: int = 0
+
+    @property
+    def version(self) -> int:
+        """Version of the document; 0: none is known."""
+        return self.document.version if self.document is not None else 0
+
+    def take_document(self, document: ServiceDocument) -> bool:
+        """Take a newer document; ``False``: it is not newer."""
+        if document.version <= self.version:
+            return False
+        self.document = document
+        return True
+
+    def list_runners(self, runners: Collection[KnownRunner], at: int, is_trusted: bool) -> bool:
+        """Take the whole list at a revision; ``False``: nothing changed."""
+        if at < self.runners_at:
+            return False
+        listed = {known.runner.runner_id: known for known in runners}
+        changed = False
+        for runner_id in [name for name in self._runners if name not in listed]:
+            changed |= self.remove_runner(runner_id, at, is_trusted)
+        for known in runners:
+            changed |= self.put_runner(known)
+        if self.runners_at == 0:
+            self._told_from = at
+            changed = True
+        self.advance(at)
+        return changed
+
+    def put_runner(self, known: KnownRunner) -> bool:
+        """Take one runner's state; ``False``: it is not newer."""
+        runner_id = known.runner.runner_id
+        held = self._runners.get(runner_id)
+        if held is not None and held.revision >= known.revision:
+            return False
+        self._runners[runner_id] = known
+        self._removed.pop(runner_id, None)
+        return True
+
+    def remove_runner(self, runner_id: str, at: int, is_trusted: bool) -> bool:
+        """A runner vanished from the list; ``False``: it was not known."""
+        if self._runners.pop(runner_id, None) is None:
+            return False
+        self._removed[runner_id] = Removal(runner_id, at, is_trusted)
+        while len(self._removed) > MAX_REMOVED:
+            _, dropped = self._removed.popitem(last=False)
+            self._told_from = max(self._told_from, dropped.revision)
+        return True
+
+    def advance(self, at: int) -> None:
+        """All changes up to this revision have been taken."""
+        self.runners_at = max(self.runners_at, at)
+
+    def changes_since(self, since: int) -> RunnerChanges:
+        """What an asker that knows ``since`` lacks; everything, if that cannot be told apart."""
+        if since < self._told_from or since > self.runners_at:
+            return RunnerChanges(0, self.runners_at, tuple(self._runners.values()), ())
+        runners = tuple(known for known in self._runners.values() if known.revision > since)
+        removed = tuple(gone for gone in self._removed.values() if gone.revision > since)
+        return RunnerChanges(since, self.runners_at, runners, removed)
--- a/src/bendshed/consensus/directory.py
+++ b/src/bendshed/consensus/directory.py
@@ -2,16 +2,14 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from pathlib import Path
-
-from google.protobuf.message import DecodeError
 
 from bendshed.logs import PartLog
 from bendshed.ports.registry import ReplicaNode
 from bendshed.ports.transport import Address
 from bendshed.wire import turns_pb2 as wire
 
-FILE_NAME = "replicas.bin"
+HELLO_METHOD = "replica.hello"
+"""A replica machine tells who and where it is (one way)."""
 
 log = PartLog("replicas")
 
@@ -89,27 +87,3 @@
 def from_wire(hello: wire.ReplicaHello) -> ReplicaNode:
     """Translate an announcement from the wire."""
     return ReplicaNode(hello.name, hello.node_id, Address(hello.host, hello.port), hello.zone)
-
-
-def save_directory(folder: Path, directory: ReplicaDirectory) -> None:
-    """Keep the announcements beside the log: a hint for a start without the registry."""
-    content = wire.ReplicaDirectory(
-        replicas=[to_wire(node) for node in directory.by_name.values()]
-    ).SerializeToString()
-    try:
-        fresh = folder / (FILE_NAME + ".new")
-        fresh.write_bytes(content)
-        fresh.replace(folder / FILE_NAME)
-    except OSError as error:
-        log.say("the directory was not kept", reason=str(error))
-
-
-def load_directory(folder: Path, directory: ReplicaDirectory) -> None:
-    """Read what was kept; nothing, or a torn file, is no harm."""
-    try:
-        content = wire.ReplicaDirectory.FromString((folder / FILE_NAME).read_bytes())
-    except (OSError, DecodeError):
-        return
-    for hello in content.replicas:
-        if hello.node_id and hello.port:
-            directory.put(from_wire(hello))
--- a/src/bendshed/consensus/supervisor.py
+++ b/src/bendshed/consensus/supervisor.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Sequence
 
-from bendshed.consensus.directory import ReplicaDirectory, from_wire, to_wire
+from bendshed.consensus.directory import HELLO_METHOD, ReplicaDirectory, from_wire, to_wire
 from bendshed.consensus.host import GroupHost, HostedGroup
 from bendshed.consensus.membership_plan import ReplicaFacts, plan_membership
 from bendshed.consensus.raft import RaftReplica
@@ -17,7 +17,6 @@
 from bendshed.wire import turns_pb2 as wire
 from bendshed.wire.consensus_pb2 import GroupMembership
 
-HELLO_METHOD = "replica.hello"
 GROUP = 0
 CHECK_INTERVAL_S = 0.1
 FOUND_RETRY_S = 0.3
--- a/src/bendshed/gateway/forwarding.py
+++ b/src/bendshed/gateway/forwarding.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 import orjson
 
@@ -90,17 +91,26 @@
     Attributes:
         is_closing: the process drains.
 
+    ``sends_away`` tells whether callers had better connect to another node.
+
     """
 
-    def __init__(self, forwarder: Forwarder, protocol: CallerProtocol) -> None:
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        protocol: CallerProtocol,
+        sends_away: Callable[[], bool] = lambda: False,
+    ) -> None:
         self.is_closing = False
         self._forwarder = forwarder
         self._protocol = protocol
+        self._sends_away = sends_away
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
         arrived_s = asyncio.get_running_loop().time()
-        caller = AsgiCaller(send, self._protocol, self.is_closing)
+        closes = self.is_closing or self._sends_away()
+        caller = AsgiCaller(send, self._protocol, closes)
         try:
             body = await self._read_body(receive)
         except ClientGone:
--- /dev/null
+++ b/src/bendshed/paths/__init__.py
@@ -0,0 +1,1 @@
+"""Ways to a peer: direct, or through another node."""
--- /dev/null
+++ b/src/bendshed/paths/relayed.py
@@ -0,0 +1,270 @@
+"""Requests that reach a peer through another node while the direct way is silent.
+
+One hop and never more: a relay asks the target directly. The same request may arrive on both ways,
+so only requests that may be repeated without harm go here. (SWIM's indirect probes, Das 2002, are
+the same idea for heartbeats.)
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from bendshed.logs import PartLog
+from bendshed.ports.transport import Address, PeerUnreachable, Transport
+from bendshed.wire import catalog_pb2 as wire
+
+RELAY_METHOD = "paths.relay"
+PATIENCE_S = 0.06
+"""A target that said nothing at all for this long may be cut off: another way is tried."""
+DIRECT_PROBE_S = 0.5
+"""While a target is reached through others, one request this often also goes directly."""
+RELAY_PATIENCE_S = 0.1
+"""A relay that is silent for this long may be cut off or dark itself: the next one is asked."""
+RELAY_REPLY_SHARE = 0.8
+"""A relay says that a target is silent before its asker gives the relay itself up."""
+RELAY_SILENT_S = 1.0
+"""A node that did not answer as a relay, or did not reach a target, is not asked for this long."""
+MAX_UNREACHED = 2
+"""So many relays that do not reach a target prove that it is not this node that is cut off."""
+UNREACHED_PAUSE_S = 0.2
+"""A target that relays do not reach either is not looked for through others for this long."""
+ISOLATED_S = 0.3
+"""A node that hears nobody for this long, neither targets nor relays, is cut off from all."""
+MAX_OPEN_RELAYS = 64
+"""Requests that a node passes on for others at the same time."""
+
+log = PartLog("paths")
+
+
+@dataclass(slots=True)
+class _Way:
+    """What is known of the way to one target.
+
+    Attributes:
+        is_cut: relays reach it and the direct way does not.
+        heard_s: loop time of the last direct reply.
+        is_scouting: a request is finding out whether relays reach it.
+        relay: the one that reached it last; asked first.
+        avoided_until_s: relays that did not reach it, and until when they are not asked.
+
+    """
+
+    is_cut: bool = False
+    heard_s: float = float("-inf")
+    is_scouting: bool = False
+    probe_from_s: float = 0.0
+    no_relay_until_s: float = 0.0
+    relay: Address | None = None
+    avoided_until_s: dict[Address, float] = field(default_factory=dict)
+
+
+class RelayedRequests:
+    """Sends requests on the way that works, and passes others' requests on.
+
+    Attributes:
+        relays: asks for addresses of nodes that may pass requests on.
+        num_relayed: requests of this node that were answered through another.
+
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        rng: random.Random,
+        relays: Callable[[], list[Address]],
+        relayed_methods: frozenset[str],
+    ) -> None:
+        self.relays = relays
+        self.num_relayed = 0
+        self._transport = transport
+        self._rng = rng
+        self._relayed_methods = relayed_methods
+        self._ways: dict[Address, _Way] = {}
+        self._relay_silent_until_s: dict[Address, float] = {}
+        self._silent_since_s: float | None = None
+        self._relay_heard_s = float("-inf")
+        self._num_open = 0
+        transport.handlers[RELAY_METHOD] = self._pass_on
+
+    @property
+    def is_isolated(self) -> bool:
+        """Nobody, neither a target nor a relay, has said anything for a while."""
+        if self._silent_since_s is None:
+            return False
+        now_s = asyncio.get_running_loop().time()
+        is_heard_by_relays = now_s - self._relay_heard_s < RELAY_SILENT_S + ISOLATED_S
+        return now_s - self._silent_since_s > ISOLATED_S and not is_heard_by_relays
+
+    async def request(self, peer: Address, method: str, payload: bytes, timeout_s: float) -> bytes:
+        """Send a request; raise ``PeerUnreachable`` when no way gives an answer in time."""
+        way = self._ways.setdefault(peer, _Way())
+        now_s = asyncio.get_running_loop().time()
+        until_s = now_s + timeout_s
+        tasks: set[asyncio.Task[bytes]] = set()
+        if not way.is_cut or now_s >= way.probe_from_s:
+            way.probe_from_s = now_s + DIRECT_PROBE_S
+            tasks.add(_spawn(self._directly(way, peer, method, payload, timeout_s)))
+        try:
+            if not way.is_cut:
+                done, _ = await asyncio.wait(tasks, timeout=min(PATIENCE_S, timeout_s))
+                if done and not _failed(done):
+                    return done.pop().result()
+            left_s = until_s - asyncio.get_running_loop().time()
+            if left_s > 0 and self._may_relay(way):
+                tasks.add(_spawn(self._indirectly(way, peer, method, payload, left_s)))
+            return await _first_answer(tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    def _may_relay(self, way: _Way) -> bool:
+        if way.is_cut:
+            return True
+        now_s = asyncio.get_running_loop().time()
+        was_heard = now_s - way.heard_s < PATIENCE_S
+        return not was_heard and not way.is_scouting and now_s >= way.no_relay_until_s
+
+    async def _directly(
+        self, way: _Way, peer: Address, method: str, payload: bytes, timeout_s: float
+    ) -> bytes:
+        try:
+            answer = await self._transport.request(peer, method, payload, timeout_s)
+        except PeerUnreachable as error:
+            self._note_failure(error)
+            raise
+        way.heard_s = asyncio.get_running_loop().time()
+        self._silent_since_s = None
+        if way.is_cut:
+            way.is_cut = False
+            log.say("reaches a peer directly again", peer=str(peer))
+        return answer
+
+    async def _indirectly(
+        self, way: _Way, peer: Address, method: str, payload: bytes, timeout_s: float
+    ) -> bytes:
+        way.is_scouting = not way.is_cut
+        try:
+            answer = await self._through_relays(way, peer, method, payload, timeout_s)
+        except PeerUnreachable:
+            way.probe_from_s = 0.0
+            if not way.is_cut:
+                way.no_relay_until_s = asyncio.get_running_loop().time() + UNREACHED_PAUSE_S
+            raise
+        finally:
+            way.is_scouting = False
+        self.num_relayed += 1
+        if not way.is_cut:
+            way.is_cut = True
+            log.say("reaches a peer through others", peer=str(peer))
+        return answer
+
+    async def _through_relays(
+        self, way: _Way, peer: Address, method: str, payload: bytes, timeout_s: float
+    ) -> bytes:
+        """Ask one relay after the other, first the one that reached the target last."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + timeout_s
+        request = wire.RelayRequest(
+            target=wire.PeerAddress(host=peer.host, port=peer.port), method=method, payload=payload
+        )
+        num_unreached = 0
+        for relay in self._candidates(way, peer):
+            try_s = min(RELAY_PATIENCE_S, until_s - loop.time())
+            if try_s <= 0 or num_unreached >= MAX_UNREACHED:
+                break
+            request.timeout_ms = max(1, int(RELAY_REPLY_SHARE * try_s * 1000))
+            reply = await self._ask_relay(relay, request, try_s)
+            if reply is not None and reply.is_reached:
+                way.relay = relay
+                return reply.payload
+            way.avoided_until_s[relay] = loop.time() + RELAY_SILENT_S
+            num_unreached += reply is not None
+        raise PeerUnreachable(f"no relay reaches {peer}")
+
+    async def _ask_relay(
+        self, relay: Address, request: wire.RelayRequest, timeout_s: float
+    ) -> wire.RelayReply | None:
+        """Ask one relay; ``None``: it does not answer."""
+        try:
+            content = await self._transport.request(
+                relay, RELAY_METHOD, request.SerializeToString(), timeout_s
+            )
+        except PeerUnreachable as error:
+            self._note_failure(error)
+            silent_until_s = asyncio.get_running_loop().time() + RELAY_SILENT_S
+            self._relay_silent_until_s[relay] = silent_until_s
+            return None
+        self._silent_since_s = None
+        self._relay_heard_s = asyncio.get_running_loop().time()
+        return wire.RelayReply.FromString(content)
+
+    def _candidates(self, way: _Way, peer: Address) -> list[Address]:
+        now_s = asyncio.get_running_loop().time()
+        waits = (self._relay_silent_until_s, way.avoided_until_s)
+        heard = [
+            node
+            for node in self.relays()
+            if node != peer and all(until_s.get(node, 0.0) <= now_s for until_s in waits)
+        ]
+        self._rng.shuffle(heard)
+        heard.sort(key=lambda node: node != way.relay)
+        return heard
+
+    def _note_failure(self, error: PeerUnreachable) -> None:
+        if not error.is_silent:
+            self._silent_since_s = None
+        elif self._silent_since_s is None:
+            self._silent_since_s = asyncio.get_running_loop().time()
+
+    # --- for others ------------------------------------------------------------------------
+
+    async def _pass_on(self, payload: bytes) -> bytes:
+        """Ask a target directly for another node."""
+        request = wire.RelayRequest.FromString(payload)
+        target = Address(request.target.host, request.target.port)
+        is_known = request.method in self._relayed_methods
+        if not is_known or self._num_open >= MAX_OPEN_RELAYS:
+            return wire.RelayReply(is_reached=False).SerializeToString()
+        self._num_open += 1
+        try:
+            answer = await self._transport.request(
+                target, request.method, request.payload, request.timeout_ms / 1000
+            )
+        except PeerUnreachable:
+            return wire.RelayReply(is_reached=False).SerializeToString()
+        finally:
+            self._num_open -= 1
+        return wire.RelayReply(is_reached=True, payload=answer).SerializeToString()
+
+
+def _spawn(work: Coroutine[Any, Any, bytes]) -> "asyncio.Task[bytes]":
+    task = asyncio.get_running_loop().create_task(work)
+    task.add_done_callback(_see_failure)
+    return task
+
+
+def _see_failure(task: "asyncio.Task[bytes]") -> None:
+    """A way that was not waited for may fail."""
+    if not task.cancelled():
+        task.exception()
+
+
+def _failed(done: "set[asyncio.Task[bytes]]") -> bool:
+    return all(task.exception() is not None for task in done)
+
+
+async def _first_answer(tasks: "set[asyncio.Task[bytes]]") -> bytes:
+    """The first task's result that is one; without one, raise the failure that tells most."""
+    waiting = set(tasks)
+    failure: BaseException = PeerUnreachable("no way to the peer")
+    while waiting:
+        done, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            error = task.exception()
+            if error is None:
+                return task.result()
+            if not isinstance(failure, PeerUnreachable) or failure.is_silent:
+                failure = error
+    raise failure
--- a/src/bendshed/platform/front.py
+++ b/src/bendshed/platform/front.py
@@ -9,26 +9,21 @@
 from bendshed.adapters.connection_pool import ConnectionPool
 from bendshed.adapters.http_server import make_server
 from bendshed.adapters.tcp_transport import TcpTransport
+from bendshed.catalog.follower import CatalogTimes
 from bendshed.gateway.asgi import Receive, Scope, Send, send_text, serve_lifespan
 from bendshed.gateway.forwarding import ForwardingApplication
 from bendshed.logs import PartLog
 from bendshed.platform import names
 from bendshed.platform.caller_protocol import PlatformCallerProtocol
 from bendshed.platform.listeners import Listeners
-from bendshed.platform.objects import ObjectApi, ObjectEvent, PlatformObject
+from bendshed.platform.objects import ObjectApi, ObjectEvent, ObjectList, PlatformObject
 from bendshed.platform.runner_protocol import PlatformRunnerProtocol
 from bendshed.platform.settings import SiteSettings, read_address
 from bendshed.platform.translate import read_document, read_replica, read_runner
-from bendshed.platform.watcher import (
-    PACE_S,
-    EventHandler,
-    KindHandler,
-    KindWatcher,
-    ListHandler,
-)
+from bendshed.platform.watcher import KindHandler, KindWatcher
 from bendshed.services.document import ServiceDocument
 from bendshed.services.metrics import ServiceMetrics
-from bendshed.services.node import ServiceNode
+from bendshed.services.node import NodePlace, ServiceNode
 from bendshed.tasks import start_loop
 
 RUNNER_CONNECT_TIMEOUT_S = 0.6
@@ -37,6 +32,8 @@
 again must act on what the store says."""
 HISTORY_SHARE = 0.75
 """A watch is asked anew while the store still remembers where it began."""
+PACE_SHARE = 0.15
+"""Changes of this share of the time in which they must be in force cost one call together."""
 REPLICA_PACE_S = 1.0
 """Where replicas are is not urgent: a stale address costs one more try."""
 NOTICE_S = 2.6
@@ -64,28 +61,32 @@
             self._transport,
             self._connections,
             PlatformRunnerProtocol(),
-            settings.zone,
+            NodePlace(settings.zone, settings.peer_address),
+            CatalogTimes.within(settings.bounds.applyMs / 1000),
             self._rng,
             self._make_metrics(registry),
         )
         self._node.on_document = self._apply_limits
-        self._forwarding = ForwardingApplication(self._node.forwarder, PlatformCallerProtocol())
+        self._node.catalog.on_freshness = self._follow_freshness
+        self._forwarding = ForwardingApplication(
+            self._node.forwarder, PlatformCallerProtocol(), lambda: self._node.is_isolated
+        )
         self._server = make_server(self._application)
         self._runners = self._watcher(
-            names.RUNNER_KIND, self._list_runners, self._on_runner, self._short_watch_s()
+            names.RUNNER_KIND,
+            KindHandler(self._list_runners, self._on_runner, self._node.catalog.note_registry),
+            self._short_watch_s(),
         )
         long_watch_s = HISTORY_SHARE * settings.platform.historyS
         self._others = [
             self._watcher(
                 names.CONFIGURATION_KIND,
-                self._list_configuration,
-                self._on_configuration,
+                KindHandler(self._list_configuration, self._on_configuration),
                 long_watch_s,
             ),
             self._watcher(
                 names.REPLICA_KIND,
-                self._list_replicas,
-                self._on_replica,
+                KindHandler(self._list_replicas, self._on_replica),
                 long_watch_s,
                 REPLICA_PACE_S,
             ),
@@ -98,6 +99,7 @@
         watchers = [self._runners, *self._others]
         following = [start_loop(watcher.run(), "platform") for watcher in watchers]
         following.append(start_loop(self._node.watch_turn_log(), "turns"))
+        following.append(start_loop(self._node.catalog.run(), "catalog"))
         sockets = list(self._listeners.sockets)
         serving = asyncio.get_running_loop().create_task(self._server.serve(sockets=sockets))
         log.say("started", name=self._settings.nodeName, zone=self._settings.zone)
@@ -153,22 +155,26 @@
         return NOTICE_SHARE * (bounds.contactMs + bounds.applyMs) / 1000
 
     def _watcher(
-        self,
-        kind: str,
-        on_list: ListHandler,
-        on_event: EventHandler,
-        wait_s: float,
-        pace_s: float = PACE_S,
+        self, kind: str, handler: KindHandler, wait_s: float, pace_s: float | None = None
     ) -> KindWatcher:
-        handler = KindHandler(on_list, on_event)
+        if pace_s is None:
+            pace_s = PACE_SHARE * self._settings.bounds.applyMs / 1000
         return KindWatcher(self._api, kind, handler, wait_s, self._rng, pace_s)
 
+    def _follow_freshness(self) -> None:
+        """Ask the platform's store only while nobody else tells what it says."""
+        for watcher in (self._runners, *self._others):
+            if self._node.catalog.is_fresh:
+                watcher.pause()
+            else:
+                watcher.resume(self._node.catalog.runners_at)
+
     def _restart_others(self) -> None:
         for watcher in self._others:
             watcher.restart()
 
-    def _list_runners(self, items: list[PlatformObject]) -> None:
-        runners = [read_runner(item) for item in items]
+    def _list_runners(self, listed: ObjectList) -> None:
+        runners = [read_runner(item) for item in listed.items]
         self._node.list_runners(runners, trusted=not self._runners.is_in_doubt)
 
     def _on_runner(self, event: ObjectEvent) -> None:
@@ -178,19 +184,22 @@
         else:
             self._node.put_runner(read_runner(event.object))
 
-    def _list_configuration(self, items: list[PlatformObject]) -> None:
-        for item in items:
-            if item.name == names.CONFIGURATION_NAME:
-                self._node.take_document(read_document(item.spec))
+    def _list_configuration(self, listed: ObjectList) -> None:
+        for item in listed.items:
+            self._take_configuration(item)
 
     def _on_configuration(self, event: ObjectEvent) -> None:
         if not event.is_gone:
-            self._list_configuration([event.object])
+            self._take_configuration(event.object)
+
+    def _take_configuration(self, item: PlatformObject) -> None:
+        if item.name == names.CONFIGURATION_NAME:
+            self._node.take_document(read_document(item.spec))
 
-    def _list_replicas(self, items: list[PlatformObject]) -> None:
-        for item in items:
+    def _list_replicas(self, listed: ObjectList) -> None:
+        for item in listed.items:
             self._node.directory.put(read_replica(item))
 
     def _on_replica(self, event: ObjectEvent) -> None:
         if not event.is_gone:
-            self._list_replicas([event.object])
+            self._node.directory.put(read_replica(event.object))
--- a/src/bendshed/platform/objects.py
+++ b/src/bendshed/platform/objects.py
@@ -36,10 +36,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ObjectEvent:
-    """One change of a kind."""
+    """One change of a kind.
+
+    Attributes:
+        at: revision up to which the answer told changes; not below the change's own.
+
+    """
 
     object: PlatformObject
     is_gone: bool
+    at: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,10 +113,12 @@
         )
         if status == 410:
             raise HistoryGone(kind)
+        told_at = int(content["at"])
         events = [
-            ObjectEvent(_read_object(row["object"]), bool(row["gone"])) for row in content["events"]
+            ObjectEvent(_read_object(row["object"]), bool(row["gone"]), told_at)
+            for row in content["events"]
         ]
-        return ObjectEvents(events, int(content["at"]))
+        return ObjectEvents(events, told_at)
 
     async def create(self, kind: str, name: str, spec: Any) -> PlatformObject:
         """Create an object; raise ``VersionConflict`` if it exists."""
--- a/src/bendshed/platform/watcher.py
+++ b/src/bendshed/platform/watcher.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from bendshed.logs import PartLog
-from bendshed.platform.objects import HistoryGone, ObjectApi, ObjectEvent, PlatformObject
+from bendshed.platform.objects import HistoryGone, ObjectApi, ObjectEvent, ObjectList
 from bendshed.ports.store import StoreUnavailable
 
 RETRY_MIN_S = 0.15
@@ -21,8 +21,13 @@
 log = PartLog("platform")
 
 
-ListHandler = Callable[[list[PlatformObject]], None]
+ListHandler = Callable[[ObjectList], None]
 EventHandler = Callable[[ObjectEvent], None]
+ConfirmedHandler = Callable[[int], None]
+
+
+def _pass_over(_at: int) -> None:
+    """Nobody needs to know."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,17 +37,21 @@
     Attributes:
         on_list: all objects, after the first read and after a gap.
         on_event: one change.
+        on_confirmed: the store answered: all is known up to a revision.
 
     """
 
     on_list: ListHandler
     on_event: EventHandler
+    on_confirmed: ConfirmedHandler = _pass_over
 
 
 class KindWatcher:
     """Lists a kind, then watches it for ever.
 
     Attributes:
+        wait_s: how long a watch may wait for a change.
+        pace_s: shortest pause between two watches.
         failed_at_s: loop time of the last failed call.
         on_trouble: called when the store is lost and again when it is regained: a watch begun in
             between may hang on a connection that will never speak.
@@ -63,13 +72,15 @@
         self._api = api
         self._kind = kind
         self._handler = handler
-        self._wait_s = wait_s
+        self.wait_s = wait_s
         self._rng = rng
-        self._pace_s = pace_s
+        self.pace_s = pace_s
         self._at: int | None = None
         self._listed: dict[str, int] = {}
         self._call: asyncio.Task[None] | None = None
         self._is_lost = False
+        self._is_wanted = asyncio.Event()
+        self._is_wanted.set()
 
     @property
     def is_in_doubt(self) -> bool:
@@ -80,11 +91,12 @@
         """Follow the kind until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
+            await self._is_wanted.wait()
             self._call = loop.create_task(self._step())
             try:
                 await self._call
                 self._note_regained()
-                await asyncio.sleep(self._pace_s)
+                await asyncio.sleep(self.pace_s)
             except HistoryGone:
                 log.say("the history is gone, lists again", kind=self._kind)
                 self._at = None
@@ -97,6 +109,17 @@
                     self._call.cancel()
                     raise
 
+    def pause(self) -> None:
+        """Ask nothing until ``resume``: somebody else tells of this kind."""
+        self._is_wanted.clear()
+        self.restart()
+
+    def resume(self, at: int) -> None:
+        """Ask again; everything up to a revision is known from elsewhere."""
+        if self._at is not None:
+            self._at = max(self._at, at)
+        self._is_wanted.set()
+
     def restart(self) -> None:
         """Give a watch up that may hang on a dead connection, and begin it again."""
         if self._call is not None:
@@ -107,14 +130,16 @@
             listed = await self._api.list(self._kind)
             self._at = listed.at
             self._listed = {item.name: item.revision for item in listed.items}
-            self._handler.on_list(listed.items)
+            self._handler.on_list(listed)
+            self._handler.on_confirmed(listed.at)
             return
-        wait_s = LOST_WAIT_S if self._is_lost else self._wait_s
+        wait_s = LOST_WAIT_S if self._is_lost else self.wait_s
         changes = await self._api.watch(self._kind, self._at, wait_s)
         self._at = changes.at
         for event in changes.events:
             if not self._is_old(event):
                 self._handler.on_event(event)
+        self._handler.on_confirmed(changes.at)
 
     def _is_old(self, event: ObjectEvent) -> bool:
         """A list of several pages tells later states than those at which its watch begins."""
--- a/src/bendshed/ports/transport.py
+++ b/src/bendshed/ports/transport.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 Handler = Callable[[bytes], Awaitable[bytes]]
 OneWayHandler = Callable[[bytes], None]
@@ -20,7 +21,23 @@
 
 
 class PeerUnreachable(Exception):
-    """The peer did not answer in time, refused the connection or broke it."""
+    """The peer did not answer in time, refused the connection or broke it.
+
+    Attributes:
+        is_silent: nothing came; otherwise its machine refused or reset the connection.
+
+    """
+
+    def __init__(self, text: str, is_silent: bool = True) -> None:
+        super().__init__(text)
+        self.is_silent = is_silent
+
+
+class Requests(Protocol):
+    """Whoever sends a request to a peer and gives its answer."""
+
+    async def request(self, peer: Address, method: str, payload: bytes, timeout_s: float) -> bytes:
+        """Send a request and return the reply's payload; raise ``PeerUnreachable``."""
 
 
 class Transport(ABC):
--- a/src/bendshed/programs/client.py
+++ b/src/bendshed/programs/client.py
@@ -6,14 +6,15 @@
 from dataclasses import dataclass
 
 from bendshed.identifiers import group_of
-from bendshed.ports.transport import Address, PeerUnreachable, Transport
+from bendshed.ports.transport import Address, PeerUnreachable, Requests
 from bendshed.wire import programs_pb2 as wire
 
 COMMAND_METHOD = "group.command"
 REPLY_MARGIN_S = 1.0
 """Time that a leader may take beyond the wait that it was asked for."""
 SILENT_S = 1.0
-"""A node that gave no answer is not tried for this long while others can be."""
+"""A node that gave no answer is not tried for this long while others can be. One whose machine
+refuses the connection costs nothing to ask, and may be about to start."""
 RETRY_MIN_S = 0.02
 RETRY_MAX_S = 0.2
 
@@ -43,7 +44,7 @@
 
     def __init__(
         self,
-        transport: Transport,
+        transport: Requests,
         rng: random.Random,
         group_count: int,
         resolve: Callable[[str], Address | None],
@@ -108,9 +109,10 @@
             return None
         try:
             content = await self._transport.request(address, method, payload, timeout_s)
-        except PeerUnreachable:
+        except PeerUnreachable as error:
             self._forget(group_id, target)
-            self._silent_until_s[target] = asyncio.get_running_loop().time() + SILENT_S
+            if error.is_silent:
+                self._silent_until_s[target] = asyncio.get_running_loop().time() + SILENT_S
             return None
         self._silent_until_s.pop(target, None)
         return LeaderAnswer(target, content)
--- a/src/bendshed/rehearsal/simulator/network.py
+++ b/src/bendshed/rehearsal/simulator/network.py
@@ -100,7 +100,7 @@
             handler = self.handlers[method]
             reply = await handler(payload)
         except Exception as error:
-            failure = PeerUnreachable(repr(error))
+            failure = PeerUnreachable(repr(error), is_silent=False)
             self._deliver(asker.address, lambda _t: _fail(answer, failure), None)
             return
         self._deliver(asker.address, lambda _target: _succeed(answer, reply), None)
@@ -145,7 +145,7 @@
         target = network.transports.get(peer)
         if target is None or target.process.dead:
             if refused is not None:
-                failure = PeerUnreachable(f"{peer} refused the connection")
+                failure = PeerUnreachable(f"{peer} refused the connection", is_silent=False)
                 network.loop.call_at(arrival, _fail, refused, failure)
             return
         network.loop.call_at(arrival, arrive, target, context=target.process.context.copy())  # type: ignore[arg-type]
--- a/src/bendshed/rehearsal/simulator/platform.py
+++ b/src/bendshed/rehearsal/simulator/platform.py
@@ -149,12 +149,13 @@
 
 @dataclass(slots=True)
 class SimDisk:
-    """What outlives a process: logs, identity, the kept configuration."""
+    """What outlives a process: logs, identity, the kept configuration and catalog."""
 
     identity: str
     groups: dict[int, _GroupFile] = field(default_factory=dict)
     bootstrapped: bool = False
     configuration: Snapshot | None = None
+    catalog: bytes | None = None
     commit_s: float = DISK_COMMIT_S
     is_full: bool = False
     commits: int = 0
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -7,6 +7,9 @@
 
 from prometheus_client import CollectorRegistry
 
+from bendshed.catalog.follower import CatalogTimes
+from bendshed.catalog.server import CatalogPart
+from bendshed.catalog.state import KnownRunner
 from bendshed.ports.registry import Retirement
 from bendshed.ports.transport import Address
 from bendshed.rehearsal.search import Tally
@@ -24,11 +27,12 @@
     SimCaller,
     to_service_request,
 )
+from bendshed.rehearsal.site.sim_catalog import SimCatalogStorage
 from bendshed.rehearsal.site.sim_registry import SimRegistry
 from bendshed.rehearsal.site.sim_runners import SimConnections, SimRunnerNet, SimRunnerProtocol
 from bendshed.services.document import ServiceDocument
 from bendshed.services.metrics import ServiceMetrics
-from bendshed.services.node import ServiceNode
+from bendshed.services.node import NodePlace, ServiceNode
 from bendshed.services.runners import RunnerState, ServiceRunner
 from bendshed.turns.metrics import TurnLogMetrics
 from bendshed.turns.node import TurnLogNode
@@ -37,6 +41,7 @@
 NUM_FRONTS, NUM_STORES, NUM_ENGINES, NUM_TOOLS = 3, 4, 3, 2
 NUM_VOTERS = 3
 FOLLOW_S = 0.1
+APPLY_S = 2.0
 START_LIMIT_S = 20.0
 QUIET_S = 40.0
 CATCH_UP_S = 4.4
@@ -88,6 +93,8 @@
     _waiting: dict[str, asyncio.Event] = field(default_factory=dict)
     _served_by: dict[str, SimProcess] = field(default_factory=dict)
     _num_ids: int = 0
+    _revision: int = 0
+    _known: dict[str, KnownRunner] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         asyncio.set_event_loop(self.loop)
@@ -164,12 +171,15 @@
         connections = SimConnections(self.net, machine.process, machine.host)
         metrics = ServiceMetrics(CollectorRegistry())
         self.metrics[machine.process.name] = metrics
-        front = ServiceNode(transport, connections, SimRunnerProtocol(), machine.zone, rng, metrics)
+        place = NodePlace(machine.zone, transport.address)
+        times = CatalogTimes.within(APPLY_S)
+        front = ServiceNode(transport, connections, SimRunnerProtocol(), place, times, rng, metrics)
         versions = self.seen.versions.setdefault(machine.process.name, [])
         front.on_document = lambda document: versions.append(document.version)
         machine.front = front
         machine.process.spawn(self.loop, self._follow(machine, self._tell_front))
         machine.process.spawn(self.loop, front.watch_turn_log())
+        machine.process.spawn(self.loop, front.catalog.run())
 
     def _start_store(
         self,
@@ -191,6 +201,7 @@
             NUM_VOTERS,
             rng,
             metrics,
+            SimCatalogStorage(disk),
         )
         machine.replica.start()
         machine.process.spawn(self.loop, self._follow(machine, self._tell_store))
@@ -205,15 +216,40 @@
     def _tell_front(self, machine: SimMachine) -> None:
         """Tell all that is stored; while answers are lost, also an older configuration."""
         assert machine.front is not None
+        if machine.front.catalog.is_fresh:
+            return
         if self.registry.answer_loss:
             machine.front.take_document(self.older_document)
         machine.front.take_document(self.document)
         machine.front.list_runners(list(self.listed.values()), trusted=True)
+        self._note_runners()
+        machine.front.catalog.note_registry(self._revision)
         for node in self.registry.announced.values():
             machine.front.directory.put(node)
 
+    def _note_runners(self) -> None:
+        """Give each change of the list a revision, as the platform's store does."""
+        changed = [
+            runner
+            for name, runner in self.listed.items()
+            if name not in self._known or self._known[name].runner != runner
+        ]
+        gone = [name for name in self._known if name not in self.listed]
+        for runner in changed:
+            self._revision += 1
+            self._known[runner.runner_id] = KnownRunner(runner, self._revision)
+        for name in gone:
+            self._revision += 1
+            del self._known[name]
+
     def _tell_store(self, machine: SimMachine) -> None:
         assert machine.replica is not None
+        self._note_runners()
+        catalog = machine.replica.catalog
+        catalog.take_document(self.document)
+        catalog.list_runners(list(self._known.values()), self._revision, is_trusted=True)
+        catalog.confirm(CatalogPart.DOCUMENT, self._revision)
+        catalog.confirm(CatalogPart.RUNNERS, self._revision)
         for node in self.registry.announced.values():
             machine.replica.directory.put(node)
         wishes = [Retirement(name, done) for name, done in self.registry.retirements.items()]
--- a/src/bendshed/services/forwarder.py
+++ b/src/bendshed/services/forwarder.py
@@ -20,7 +20,7 @@
 """A runner's own answer at its deadline may still come this much later."""
 
 FIRST_DOCUMENT_WAIT_S = 0.5
-"""A node that has just started reads its first document within some ms; requests wait this long."""
+"""A node that has just started is told of routes and runners soon; requests wait this long."""
 
 log = PartLog("forward")
 
@@ -52,14 +52,15 @@
         self._has_index.set()
 
     async def _index_or_wait(self) -> RouteIndex | None:
-        """Routes in force; for a moment after the first request of all, wait for the first ones."""
-        if self._index is None:
+        """Routes in force; a node that has just started waits a moment for them and for runners."""
+        if self._index is None or not self._runners.table.has_any.is_set():
             now_s = asyncio.get_running_loop().time()
             if self._refuse_unknown_from_s is None:
                 self._refuse_unknown_from_s = now_s + FIRST_DOCUMENT_WAIT_S
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout_at(self._refuse_unknown_from_s):
                     await self._has_index.wait()
+                    await self._runners.table.has_any.wait()
         return self._index
 
     async def serve(self, request: ServiceRequest, caller: Caller) -> None:
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -3,13 +3,17 @@
 import asyncio
 import random
 from collections.abc import Callable, Collection
+from dataclasses import dataclass
 from functools import partial
 
+from bendshed.catalog.follower import CatalogFollower, CatalogTimes
+from bendshed.catalog.server import CATALOG_METHOD
 from bendshed.consensus.directory import ReplicaDirectory
 from bendshed.logs import PartLog
+from bendshed.paths.relayed import RelayedRequests
 from bendshed.ports.runner import RunnerProtocol
 from bendshed.ports.runner_connections import RunnerConnections
-from bendshed.ports.transport import Transport
+from bendshed.ports.transport import Address, Transport
 from bendshed.programs.client import GroupClient
 from bendshed.services.attempts import RunnerPorts
 from bendshed.services.document import ServiceDocument
@@ -19,16 +23,27 @@
 from bendshed.services.runners import RunnerTable, RunnerView, ServiceRunner
 from bendshed.services.turn_record import TurnPorts
 from bendshed.turns.client import TranscriptCache, TurnClient
+from bendshed.turns.service import PREVIEW_METHOD, TURN_METHOD
 
 TRANSCRIPT_BYTES = 16 * 1024 * 1024
 TURN_GROUPS = 1
 TURNS_LOST_S = 1.5
 """A node that no replica of the turn log answered for this long sends its clients elsewhere."""
 PROBE_INTERVAL_S = 0.4
+RELAYED_METHODS = frozenset({TURN_METHOD, PREVIEW_METHOD, CATALOG_METHOD})
+"""Requests that may be repeated without harm, so that they may go through another node."""
 
 log = PartLog("node")
 
 
+@dataclass(frozen=True, slots=True)
+class NodePlace:
+    """Where a node is, and where other nodes reach it."""
+
+    zone: str
+    address: Address
+
+
 class ServiceNode:
     """Everything of a node but its shells.
 
@@ -37,6 +52,7 @@
 
     Attributes:
         directory: where the turn log's replicas are.
+        catalog: what replica machines tell of configuration and runners.
         forwarder: serves requests.
         on_document: called with each document that comes into force.
 
@@ -47,7 +63,8 @@
         transport: Transport,
         connections: RunnerConnections,
         protocol: RunnerProtocol,
-        zone: str,
+        place: NodePlace,
+        times: CatalogTimes,
         rng: random.Random,
         metrics: ServiceMetrics,
     ) -> None:
@@ -56,22 +73,41 @@
         self.is_draining = False
         self._table = RunnerTable()
         self._pool = connections
-        groups = GroupClient(
-            transport, rng, TURN_GROUPS, self.directory.resolve, self.directory.node_ids
+        self._requests = RelayedRequests(transport, rng, self._other_nodes, RELAYED_METHODS)
+        self.catalog = CatalogFollower(
+            transport,
+            self._requests,
+            self.directory,
+            self,
+            place.address,
+            place.zone,
+            times,
+            rng,
         )
-        self._turns = TurnPorts(
-            TurnClient(transport, rng, groups), TranscriptCache(TRANSCRIPT_BYTES), metrics
+        groups = GroupClient(
+            self._requests, rng, TURN_GROUPS, self.directory.resolve, self.directory.node_ids
         )
-        runners = RunnerPorts(self._table, self._pool, protocol, zone, rng, metrics)
+        client = TurnClient(rng, groups, lambda: self._requests.is_isolated)
+        self._turns = TurnPorts(client, TranscriptCache(TRANSCRIPT_BYTES), metrics)
+        runners = RunnerPorts(self._table, self._pool, protocol, place.zone, rng, metrics)
         self.forwarder = Forwarder(runners, self._turns)
         self._add_gauges(metrics)
 
+    def _other_nodes(self) -> list[Address]:
+        return self.catalog.fronts
+
     def _add_gauges(self, metrics: ServiceMetrics) -> None:
         """What is told as it stands when it is asked for."""
         opened = metrics.gauge("bendshed_open_requests", "Requests under way")
         opened.set_function(lambda: self.forwarder.num_open)
         ready = metrics.gauge("bendshed_ready", "1 while new clients may be sent here")
         ready.set_function(lambda: float(self.is_ready))
+        relayed = metrics.gauge("bendshed_requests_relayed", "Answers that came through others")
+        relayed.set_function(lambda: float(self._requests.num_relayed))
+        fresh = metrics.gauge(
+            "bendshed_catalog_fresh", "1 while replica machines read for this node"
+        )
+        fresh.set_function(lambda: float(self.catalog.is_fresh))
         version = metrics.gauge("bendshed_configuration_version", "Configuration in force")
         version.set_function(self._version)
         runners = metrics.labelled_gauge("bendshed_runners", "Runners by state", "state")
@@ -89,6 +125,8 @@
         return knows and not self.is_draining and not self._has_lost_turns()
 
     def _has_lost_turns(self) -> bool:
+        if self._turns.client.is_isolated:
+            return True
         lost_since_s = self._turns.client.lost_since_s
         if lost_since_s is None:
             return False
@@ -108,6 +146,7 @@
         if before is not None and document.version <= before:
             return False
         self.forwarder.index = RouteIndex(document)
+        self.catalog.version = document.version
         log.say(
             "puts a configuration in force",
             version=document.version,
@@ -117,6 +156,11 @@
         self.on_document(document)
         return True
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether no other node has answered for a while, on any way."""
+        return self._turns.client.is_isolated
+
     def list_runners(self, runners: Collection[ServiceRunner], trusted: bool) -> None:
         """Take the whole list of runners; see ``remove_runner`` for ``trusted``."""
         listed = {runner.runner_id for runner in runners}
--- a/src/bendshed/services/runners.py
+++ b/src/bendshed/services/runners.py
@@ -1,5 +1,6 @@
 """The runners behind the services, as this node sees them: listed state and own experience."""
 
+import asyncio
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -99,9 +100,15 @@
 
 @dataclass(slots=True)
 class RunnerTable:
-    """All runners by id and by service."""
+    """All runners by id and by service.
+
+    Attributes:
+        has_any: set once a runner has been listed.
+
+    """
 
     by_id: dict[str, RunnerRecord] = field(default_factory=dict)
+    has_any: asyncio.Event = field(default_factory=asyncio.Event)
     by_service: dict[str, dict[str, RunnerRecord]] = field(default_factory=dict)
 
     def put(self, runner: ServiceRunner) -> None:
@@ -111,6 +118,7 @@
             return
         if record is None:
             record = RunnerRecord(runner)
+            self.has_any.set()
             self.by_id[runner.runner_id] = record
         elif record.listed.service != runner.service:
             self._by_service(record.listed.service).pop(runner.runner_id, None)
--- a/src/bendshed/services/turn_record.py
+++ b/src/bendshed/services/turn_record.py
@@ -92,6 +92,8 @@
         A preview lets the turn go to its runner while its reservation is still being committed;
         ``confirm`` waits for that before anything is handed to the caller.
         """
+        if self.ports.client.is_isolated:
+            return Refusal(ErrorKind.TURN_LOG_UNAVAILABLE, "no other node answers this one")
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         begin = self._begin_command()
--- a/src/bendshed/turns/client.py
+++ b/src/bendshed/turns/client.py
@@ -3,9 +3,9 @@
 import asyncio
 import random
 from collections import OrderedDict
+from collections.abc import Callable
 
 from bendshed.logs import PartLog
-from bendshed.ports.transport import Transport
 from bendshed.programs.client import GroupClient, GroupUnavailable
 from bendshed.turns.service import PREVIEW_METHOD, TURN_GROUP, TURN_METHOD
 from bendshed.wire import turns_pb2 as wire
@@ -30,13 +30,23 @@
 
     """
 
-    def __init__(self, transport: Transport, rng: random.Random, groups: GroupClient) -> None:
+    def __init__(
+        self,
+        rng: random.Random,
+        groups: GroupClient,
+        is_isolated: Callable[[], bool] = lambda: False,
+    ) -> None:
         self.lost_since_s: float | None = None
         self._is_loss_told = False
-        self._transport = transport
+        self._is_isolated = is_isolated
         self._rng = rng
         self._groups = groups
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether no other node has answered for a while: a retry here is of no use."""
+        return self._is_isolated()
+
     async def command(self, command: wire.TurnCommand, timeout_s: float) -> wire.TurnReply:
         """Commit a command.
 
--- a/src/bendshed/turns/node.py
+++ b/src/bendshed/turns/node.py
@@ -4,16 +4,18 @@
 import random
 from collections.abc import Callable, Collection
 from functools import partial
-from pathlib import Path
 
-from bendshed.consensus.directory import ReplicaDirectory, load_directory, save_directory
+from bendshed.catalog.server import CatalogServer
+from bendshed.consensus.directory import ReplicaDirectory
 from bendshed.consensus.host import GroupHost, HostedGroup
 from bendshed.consensus.raft_types import Role
 from bendshed.consensus.supervisor import ReplicaSupervisor
 from bendshed.logs import PartLog
+from bendshed.ports.catalog_storage import CatalogStorage
 from bendshed.ports.log_storage import LogStorage
 from bendshed.ports.registry import ReplicaNode, ReplicaRegistry, Retirement
 from bendshed.ports.transport import Address, Transport
+from bendshed.tasks import start_loop
 from bendshed.turns.metrics import TurnLogMetrics
 from bendshed.turns.service import TURN_GROUP, TurnService
 from bendshed.turns.state import TurnLogState
@@ -33,7 +35,7 @@
 
     Attributes:
         directory: the replica machines it knows.
-        folder: where the directory is kept between lives; ``None``: nowhere.
+        catalog: what it tells fronts of configuration and runners.
 
     """
 
@@ -48,10 +50,9 @@
         num_voters: int,
         rng: random.Random,
         metrics: TurnLogMetrics,
-        folder: Path | None = None,
+        catalog_storage: CatalogStorage,
     ) -> None:
         self.directory = ReplicaDirectory()
-        self.folder = folder
         self.host = GroupHost(
             storage,
             transport,
@@ -66,6 +67,8 @@
             self.host, storage, transport, registry, self.directory, me, TICK_S, num_voters
         )
         self._service = TurnService(self.host, transport, metrics)
+        self.catalog = CatalogServer(transport, self.directory, address, rng, catalog_storage)
+        self._catalog_tasks: list[asyncio.Task[None]] = []
         self._add_gauges(metrics)
 
     def _add_gauges(self, metrics: TurnLogMetrics) -> None:
@@ -95,18 +98,23 @@
 
     def start(self) -> None:
         """Start all parts."""
-        if self.folder is not None:
-            load_directory(self.folder, self.directory)
         self.host.start()
         self.supervisor.start()
         self._service.start()
-        self.directory.on_change.append(self._keep_directory)
-        self._keep_directory()
+        self.catalog.start()
+        self._catalog_tasks = [
+            asyncio.get_running_loop().create_task(self.catalog.greet()),
+            start_loop(self.catalog.share_fronts(), "catalog"),
+            start_loop(self.catalog.keep(), "catalog"),
+        ]
         log.say("started", node=self.host.node_id)
 
     async def stop(self) -> None:
         """Hand leadership over, then stop all parts."""
         await self._hand_over()
+        for task in self._catalog_tasks:
+            task.cancel()
+        await asyncio.gather(*self._catalog_tasks, return_exceptions=True)
         await self.supervisor.stop()
         await self.host.stop()
         log.say("stopped", node=self.host.node_id)
@@ -119,10 +127,6 @@
             self.host.hand_over()
             await asyncio.sleep(HAND_OVER_CHECK_S)
 
-    def _keep_directory(self) -> None:
-        if self.folder is not None:
-            save_directory(self.folder, self.directory)
-
     # --- retirements ---------------------------------------------------------------------
 
     def list_retirements(self, wishes: Collection[Retirement]) -> None:
--- /dev/null
+++ b/tests/test_catalog.py
@@ -0,0 +1,153 @@
+"""Configuration and runners as told by replica machines: what is told, and to whom it is enough."""
+
+import unittest
+from unittest import mock
+
+from bendshed.catalog import follower, server
+from bendshed.catalog.codec import KeptCatalog, decode_kept, encode_kept
+from bendshed.catalog.state import MAX_REMOVED, Catalog, KnownRunner
+from bendshed.ports.registry import ReplicaNode
+from bendshed.ports.transport import Address
+from bendshed.rehearsal.site.documents import make_document
+from bendshed.rehearsal.site.programs import ProgramPlan
+from bendshed.rehearsal.site.sim_world import APPLY_S, SiteWorld
+from bendshed.services.runners import RunnerState, ServiceRunner
+
+
+def known(name: str, revision: int, state: RunnerState = RunnerState.READY) -> KnownRunner:
+    return KnownRunner(
+        ServiceRunner(name, "engines", Address("10.0.3.1", 80), "zone-a", 8, state), revision
+    )
+
+
+class CatalogTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.catalog = Catalog()
+        self.catalog.list_runners([known("a", 3), known("b", 5)], at=6, is_trusted=True)
+
+    def test_an_asker_that_knows_nothing_is_told_all(self) -> None:
+        changes = self.catalog.changes_since(0)
+        self.assertEqual((changes.since, changes.at, len(changes.runners)), (0, 6, 2))
+
+    def test_an_asker_is_told_just_what_changed(self) -> None:
+        self.catalog.put_runner(known("b", 8, RunnerState.DRAINING))
+        self.catalog.remove_runner("a", 9, is_trusted=True)
+        self.catalog.advance(9)
+        changes = self.catalog.changes_since(6)
+        self.assertEqual((changes.since, changes.at), (6, 9))
+        self.assertEqual([k.runner.runner_id for k in changes.runners], ["b"])
+        self.assertEqual([gone.runner_id for gone in changes.removed], ["a"])
+        self.assertEqual(self.catalog.changes_since(9).runners, ())
+
+    def test_who_knows_less_than_the_first_list_is_told_all(self) -> None:
+        self.assertEqual(self.catalog.changes_since(4).since, 0)
+
+    def test_who_knows_less_than_the_oldest_removal_is_told_all(self) -> None:
+        for number in range(MAX_REMOVED + 1):
+            self.catalog.put_runner(known(f"r{number}", 10 + 2 * number))
+            self.catalog.remove_runner(f"r{number}", 11 + 2 * number, is_trusted=True)
+        self.catalog.advance(20 + 2 * MAX_REMOVED)
+        self.assertEqual(self.catalog.changes_since(10).since, 0)
+        self.assertEqual(self.catalog.changes_since(12).since, 12)
+
+    def test_nothing_goes_back(self) -> None:
+        self.catalog.take_document(make_document(4))
+        self.assertFalse(self.catalog.take_document(make_document(3)))
+        self.assertFalse(self.catalog.put_runner(known("a", 2, RunnerState.DRAINING)))
+        self.assertFalse(self.catalog.list_runners([], at=5, is_trusted=True))
+        self.assertEqual((self.catalog.version, self.catalog.runners_at), (4, 6))
+
+    def test_what_was_kept_is_read_again_and_a_foreign_file_is_nothing(self) -> None:
+        self.catalog.take_document(make_document(4))
+        node = ReplicaNode("store-1", "abc", Address("10.0.1.1", 7000), "zone-a")
+        front = Address("10.0.2.1", 7000)
+        kept = decode_kept(encode_kept(KeptCatalog(self.catalog, (node,), (front,))))
+        self.assertEqual((kept.replicas, kept.fronts), ((node,), (front,)))
+        read = kept.catalog
+        self.assertEqual((read.version, read.runners_at), (4, 6))
+        self.assertEqual(read.document, self.catalog.document)
+        self.assertEqual(decode_kept(b"\xff\xff").catalog.version, 0)
+        self.assertEqual(decode_kept(None).catalog.version, 0)
+
+
+class ColdStartTest(unittest.TestCase):
+    def test_a_site_started_while_the_registry_is_away_serves(self) -> None:
+        for seed in (1, 2):
+            with self.subTest(seed=seed):
+                world = SiteWorld.started(seed)
+                self.addCleanup(world.close)
+                world.run_for(2.0)
+                world.registry.is_down = True
+                machines = [*world.fronts.values(), *world.stores.values()]
+                for machine in machines:
+                    world.kill(machine)
+                world.run_for(1.0)
+                for machine in machines:
+                    world.restart(machine)
+                world.run_for(1.0)
+                program = world.start_program(ProgramPlan(turns=2, tools=1))
+                world.run_for(3.0)
+                self.assertTrue(program.finished)
+                self.assertEqual(set(program.statuses), {200})
+
+
+class SharedReadingTest(unittest.TestCase):
+    """With enough fronts one replica machine of a zone asks the registry for all of them."""
+
+    def setUp(self) -> None:
+        for module in (follower, server):
+            patch = mock.patch.object(module, "MIN_SHARED_ASKERS", 1)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.world = SiteWorld.started(3)
+        self.addCleanup(self.world.close)
+        self.world.run_for(3.0)
+        self.front = self.world.fronts["front-1"]
+
+    def version(self) -> int:
+        assert self.front.front is not None
+        index = self.front.front.forwarder.index
+        return index.document.version if index is not None else 0
+
+    def is_fresh(self) -> bool:
+        assert self.front.front is not None
+        return self.front.front.catalog.is_fresh
+
+    def change(self) -> int:
+        version = self.world.document.version + 1
+        self.world.document = make_document(version)
+        return version
+
+    def test_a_change_comes_from_a_replica_machine(self) -> None:
+        self.world.network.cuts.add(("registry", self.front.host))
+        self.assertTrue(self.is_fresh())
+        version = self.change()
+        self.world.run_for(0.5)
+        self.assertEqual(self.version(), version)
+
+    def test_a_change_is_in_force_in_time_when_the_machine_that_reads_falls_silent(self) -> None:
+        for store in self.world.stores.values():
+            pairs = ((store.host, self.front.host), (self.front.host, store.host))
+            self.world.network.cuts.update(pairs)
+        version = self.change()
+        self.world.run_for(0.75 * APPLY_S)
+        self.assertEqual(self.version(), version)
+
+    def test_a_change_is_in_force_in_time_when_that_machine_loses_the_registry(self) -> None:
+        for store in self.world.stores.values():
+            self.world.network.cuts.add(("registry", store.host))
+        version = self.change()
+        self.world.run_for(0.75 * APPLY_S)
+        self.assertEqual(self.version(), version)
+        self.assertFalse(self.is_fresh())
+        self.world.network.cuts.clear()
+        self.world.run_for(3.0)
+        self.assertTrue(self.is_fresh())
+
+    def test_a_leaving_runner_is_known_in_time(self) -> None:
+        self.world.network.cuts.add(("registry", self.front.host))
+        del self.world.listed["engine-1"]
+        self.world.run_for(0.5)
+        assert self.front.front is not None
+        names = {record.listed.runner_id for record in self.front.front._table.usable("engines", 0)}
+        self.assertEqual(names, {"engine-2", "engine-3"})
--- a/tests/test_log_table.py
+++ b/tests/test_log_table.py
@@ -11,7 +11,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 SOURCES = ROOT / "src" / "bendshed"
 METRIC_NAME = re.compile(r'"(bendshed_[a-z_]+)"')
-FOLDERS = ("services", "turns", "consensus", "platform", "adapters")
+FOLDERS = ("services", "turns", "consensus", "platform", "adapters", "catalog", "paths")
 OWN_INTERFACE_ONLY = {"placement.py"}
 """Modules that the platform's processes do not run."""
 
--- a/tests/test_platform_watcher.py
+++ b/tests/test_platform_watcher.py
@@ -47,7 +47,7 @@
                     await self.changed.wait()
         revisions = [old for old in self.older if old > at]
         revisions += [self.revision] if self.revision > at and self.list_at is None else []
-        events = [ObjectEvent(self._object(revision), False) for revision in revisions]
+        events = [ObjectEvent(self._object(old), False, self.revision) for old in revisions]
         return ObjectEvents(events, self.revision)
 
     def change(self, revision: int) -> None:
@@ -84,7 +84,7 @@
 
     def watcher(self, seen: list[int], wait_s: float) -> KindWatcher:
         handler = KindHandler(
-            lambda items: seen.extend(item.revision for item in items),
+            lambda listed: seen.extend(item.revision for item in listed.items),
             lambda event: seen.append(event.object.revision),
         )
         return KindWatcher(self.store, "kind", handler, wait_s, random.Random(1))  # type: ignore[arg-type]
@@ -120,6 +120,19 @@
                 self.run_for(1.6)
                 self.assertEqual(self.seen[-1], self.store.revision)
 
+    def test_a_paused_watch_asks_nothing_and_goes_on_where_others_told_up_to(self) -> None:
+        self.run_for(1.0)
+        self.long.pause()
+        self.store.change(5)
+        self.run_for(3.0)
+        self.assertEqual(self.seen, [1])
+        self.long.resume(at=5)
+        self.run_for(0.5)
+        self.assertEqual(self.seen, [1])
+        self.store.change(6)
+        self.run_for(0.5)
+        self.assertEqual(self.seen, [1, 6])
+
     def test_lost_history_is_listed_again(self) -> None:
         self.run_for(1.0)
         self.store.history_from = 8
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -22,7 +22,8 @@
 from bendshed.ports.transport import Address
 from bendshed.rehearsal.site.documents import make_document
 from bendshed.rehearsal.site.installation import HOST, free_ports
-from bendshed.rehearsal.site.sim_world import SiteWorld
+from bendshed.rehearsal.site.programs import ProgramPlan
+from bendshed.rehearsal.site.sim_world import SimMachine, SiteWorld
 from bendshed.services.attempts import RunnerPorts
 from bendshed.services.forwarder import FIRST_DOCUMENT_WAIT_S, Forwarder
 from bendshed.services.metrics import ServiceMetrics
@@ -30,6 +31,8 @@
 from bendshed.services.runners import RunnerTable
 
 LEADER_GOAL_S = 0.25
+SERVED_GOAL_S = 0.15
+NUM_TURNS = 6
 HEAVY = ("uvicorn", "prometheus_client", "eliot", "google.protobuf", "yaml", "asyncio")
 
 
@@ -115,3 +118,36 @@
                 while not world.is_led():
                     world.run_for(0.01)
                 self.assertLess(world.loop.time() - back_s, LEADER_GOAL_S)
+
+    def test_fronts_that_start_before_the_voters_are_served_at_once(self) -> None:
+        for seed in range(1, 5):
+            with self.subTest(seed=seed):
+                world = SiteWorld.started(seed)
+                self.addCleanup(world.close)
+                voters = self.voters(world)
+                machines = [*world.fronts.values(), *world.stores.values()]
+                for machine in machines:
+                    world.kill(machine)
+                world.run_for(1.0)
+                for machine in machines:
+                    if machine not in voters:
+                        world.restart(machine)
+                for _ in range(NUM_TURNS):
+                    world.start_program(ProgramPlan(turns=1, tools=0))
+                world.run_for(0.4)
+                for voter in voters:
+                    world.restart(voter)
+                world.wait_for(world.is_led, 2.0)
+                world.run_for(SERVED_GOAL_S)
+                ran = {run.request_id for run in world.seen.runs}
+                self.assertEqual(len(ran), NUM_TURNS)
+                world.run_for(3.0)  # all turns end
+
+    @staticmethod
+    def voters(world: SiteWorld) -> list[SimMachine]:
+        leader = world.leader()
+        assert leader is not None
+        assert leader.replica is not None
+        ids = leader.replica.host.groups[0].replica.membership.voters
+        by_id = {m.replica.host.node_id: m for m in world.stores.values() if m.replica is not None}
+        return [by_id[node_id] for node_id in ids]
--- a/tests/test_turn_client.py
+++ b/tests/test_turn_client.py
@@ -30,8 +30,9 @@
 
     def test_a_loss_is_told_once_and_its_end_too(self) -> None:
         front = self.world.fronts["front-1"]
-        for store in self.world.stores.values():
-            self.world.network.cuts.add((front.host, store.host))
+        for other in [*self.world.stores.values(), *self.world.fronts.values()]:
+            if other is not front:
+                self.world.network.cuts.add((front.host, other.host))
         for _ in range(9):
             self.world.start_program(ProgramPlan(turns=1, tools=0))
         self.world.run_for(4.0)
