--- a/src/bendshed/cli/main.py
+++ b/src/bendshed/cli/main.py
@@ -9,10 +9,7 @@
 from bendshed.cli.rehearse import (
     DemoCommand,
     FuzzCommand,
-    HollowCommand,
     LoadCommand,
-    ObjectsCommand,
-    ScaleCommand,
     SiteDemoCommand,
     SiteFuzzCommand,
     SiteTimesCommand,
@@ -37,9 +34,6 @@
         SiteTimesCommand(),
         LoadCommand(),
         FuzzCommand(),
-        ScaleCommand(),
-        HollowCommand(),
-        ObjectsCommand(),
     ):
         application.add(command)
     application.auto_exits(False)
