--- a/src/bendshed/platform/caller_protocol.py
+++ b/src/bendshed/platform/caller_protocol.py
@@ -56,7 +56,6 @@
             last_event_id=_text(fields, names.LAST_EVENT_ID),
             turn=turn if program_id else None,
             arrived_s=received.arrived_s,
-            shared_part=_read_shared_part(_text(fields, names.PROMPT_PREFIX)),
         )
 
     def answer_of(self, refusal: Refusal) -> RefusalAnswer:
@@ -78,12 +77,6 @@
     return fields.get(name, b"").decode("latin-1")
 
 
-def _read_shared_part(parts: str) -> str:
-    """The first of the prompt's parts, unless it is the only one: the last is the request's own."""
-    first, comma, _ = parts.partition(",")
-    return first.partition(":")[0] if comma else ""
-
-
 def _passed_on(received: Headers) -> Headers:
     """The client's headers for the runner; length, deadline and ours are set anew."""
     return [(name, value) for name, value in end_to_end(received) if name not in _OWN]
--- a/src/bendshed/ports/runner.py
+++ b/src/bendshed/ports/runner.py
@@ -35,8 +35,6 @@
         headers: to be passed on as they are.
         wait_ms: how long the caller waits from arrival; ``None``: not told.
         session: requests that share a prompt prefix; empty: none.
-        shared_part: first part of the prompt, where other sessions' prompts begin with it too;
-            empty: none is known.
         last_event_id: the caller resumes a stream behind this event; empty: a start.
         arrived_s: loop time.
 
@@ -55,7 +53,6 @@
     last_event_id: str
     turn: TurnDetails | None
     arrived_s: float
-    shared_part: str = ""
 
 
 class Caller(ABC):
--- a/src/bendshed/services/attempts.py
+++ b/src/bendshed/services/attempts.py
@@ -78,7 +78,6 @@
         service: where it goes.
         deadline_s: loop time after which nothing is sent.
         sticky_key: session or nothing, for the choice of the runner.
-        shared_part: what its prompt shares with those of other sessions, for the same choice.
         num_maybe_run: attempts after which the request may have run.
 
     """
@@ -90,7 +89,6 @@
     body: bytes
     deadline_s: float
     sticky_key: str
-    shared_part: str = ""
     num_maybe_run: int = 0
     _num_unrun: int = 0
     _tried: set[str] = field(default_factory=set)
@@ -111,7 +109,6 @@
                 usable,
                 self._tried,
                 self.sticky_key,
-                self.shared_part,
                 self.ports.zone,
                 loop.time(),
                 self.ports.rng,
--- a/src/bendshed/services/forwarder.py
+++ b/src/bendshed/services/forwarder.py
@@ -123,7 +123,6 @@
             request.body,
             deadline_s,
             request.session if is_sticky else "",
-            request.shared_part if is_sticky else "",
         )
         try:
             async with asyncio.timeout_at(deadline_s + ANSWER_MARGIN_S):
--- a/src/bendshed/services/placement.py
+++ b/src/bendshed/services/placement.py
@@ -1,6 +1,5 @@
 """Chooses the runner of one request. One readable step; pure but for the random source."""
 
-import math
 import random
 from collections.abc import Collection
 from dataclasses import dataclass
@@ -8,8 +7,6 @@
 from bendshed.identifiers import rendezvous_rank
 from bendshed.services.runners import RunnerRecord
 
-SHARED_PART_SPREAD = 1 / 3
-"""Share of the runners that keep one shared part: each further one has to read it once more."""
 SESSION_MAX_EXTRA = 3
 """A session leaves its runner when this many more requests are there than at the idlest."""
 
@@ -32,7 +29,6 @@
     usable: Collection[RunnerRecord],
     tried: Collection[str],
     session: str,
-    shared_part: str,
     zone: str,
     now_s: float,
     rng: random.Random,
@@ -43,7 +39,6 @@
         usable: runners that may get new work.
         tried: runner ids that this request was sent to before.
         session: requests of one session go where its cache is; empty: anywhere.
-        shared_part: sessions whose prompts begin alike go to few runners; empty: to any.
         zone: this node's; decides between equals.
         now_s: loop time.
         rng: decides between the rest.
@@ -55,15 +50,15 @@
     sound = [record for record in untried if not record.is_avoided(now_s)]
     pool = sound or untried
     if session:
-        choice = _by_session(pool, session, shared_part)
+        choice = _by_session(pool, session)
     else:
         choice = Choice(_least_loaded(pool, zone, rng), "least_loaded")
     return choice if sound else Choice(choice.record, "only_avoided")
 
 
-def _by_session(pool: list[RunnerRecord], session: str, shared_part: str) -> Choice:
+def _by_session(pool: list[RunnerRecord], session: str) -> Choice:
     by_id = {record.listed.runner_id: record for record in pool}
-    ranked = _rank(by_id, session, shared_part)
+    ranked = rendezvous_rank(session, by_id)
     fewest = min(record.in_flight for record in pool)
     for place, runner_id in enumerate(ranked):
         record = by_id[runner_id]
@@ -72,18 +67,6 @@
     return Choice(by_id[ranked[0]], "session")
 
 
-def _rank(runner_ids: Collection[str], session: str, shared_part: str) -> list[str]:
-    """Runners in the order in which a session prefers them; every node finds the same.
-
-    The few that a shared part prefers come first, among them those that the session prefers.
-    """
-    if not shared_part:
-        return rendezvous_rank(session, runner_ids)
-    by_part = rendezvous_rank(shared_part, runner_ids)
-    num_near = math.ceil(len(by_part) * SHARED_PART_SPREAD)
-    return rendezvous_rank(session, by_part[:num_near]) + by_part[num_near:]
-
-
 def _least_loaded(pool: list[RunnerRecord], zone: str, rng: random.Random) -> RunnerRecord:
     def cost(record: RunnerRecord) -> tuple[float, int, float]:
         share = record.in_flight / max(1, record.listed.slots)
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -1,6 +1,5 @@
 """Routes, splits, runners, placement, events: the decisions before a request is sent."""
 
-import math
 import random
 import unittest
 
@@ -10,7 +9,7 @@
 from bendshed.ports.transport import Address
 from bendshed.services.document import Route, RouteKind, ServiceDocument, WeightedService
 from bendshed.services.events import EventSplitter, read_event
-from bendshed.services.placement import SESSION_MAX_EXTRA, SHARED_PART_SPREAD, choose_runner
+from bendshed.services.placement import SESSION_MAX_EXTRA, choose_runner
 from bendshed.services.routing import RouteIndex, choose_target
 from bendshed.services.runners import (
     FAILURES_TO_AVOID,
@@ -103,10 +102,8 @@
         self.records = [RunnerRecord(runner(name)) for name in "abcd"]
         self.rng = random.Random(1)
 
-    def choose(
-        self, session: str = "", tried: str = "", zone: str = "z", shared_part: str = ""
-    ) -> str:
-        choice = choose_runner(self.records, tried, session, shared_part, zone, 0.0, self.rng)
+    def choose(self, session: str = "", tried: str = "", zone: str = "z") -> str:
+        choice = choose_runner(self.records, tried, session, zone, 0.0, self.rng)
         return choice.record.listed.runner_id if choice is not None else ""
 
     def test_a_session_stays_until_its_runner_is_loaded(self) -> None:
@@ -118,22 +115,6 @@
         record.in_flight = SESSION_MAX_EXTRA + 1
         self.assertNotEqual(self.choose("session"), home)
 
-    def test_sessions_that_begin_alike_go_to_few_runners_and_all_runners_are_used(self) -> None:
-        used = set()
-        for part in "pqrstuvw":
-            homes = {self.choose(f"session-{n}", shared_part=part) for n in range(40)}
-            self.assertLessEqual(len(homes), math.ceil(len(self.records) * SHARED_PART_SPREAD))
-            used |= homes
-        self.assertEqual(used, set("abcd"))
-
-    def test_a_session_with_a_shared_part_stays_and_steps_aside_near_first(self) -> None:
-        homes = {self.choose(f"session-{n}", shared_part="p") for n in range(40)}
-        home = self.choose("session", shared_part="p")
-        self.assertEqual({self.choose("session", shared_part="p") for _ in range(20)}, {home})
-        record = next(r for r in self.records if r.listed.runner_id == home)
-        record.in_flight = SESSION_MAX_EXTRA + 1
-        self.assertEqual({self.choose("session", shared_part="p")}, homes - {home})
-
     def test_the_least_loaded_runner_of_the_own_zone(self) -> None:
         self.records[2].listed = runner("c", zone="mine")
         self.assertEqual(self.choose(zone="mine"), "c")
