Switches for each mechanism; one reader for many fronts; the platform's folder decides less

Change: Policy (checked beside the platform's fields in the settings template) switches nine mechanisms; all fronts rely on the same first replica machine by rank; a front that knows a kind looks for a lost store every 0.5 to 0.9 s and with one watch; how often a store reads is decided in catalog/times.py.

--- a/src/bendshed/catalog/follower.py
+++ b/src/bendshed/catalog/follower.py
@@ -7,16 +7,15 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Protocol
 
 from bendshed.catalog.codec import DocumentUnreadable, read_document, read_peer, read_runner
 from bendshed.catalog.server import CATALOG_METHOD, MIN_SHARED_ASKERS, NEVER_CONFIRMED_MS
+from bendshed.catalog.times import CatalogTimes
 from bendshed.consensus.directory import HELLO_METHOD, ReplicaDirectory, from_wire
 from bendshed.identifiers import rendezvous_rank
 from bendshed.logs import PartLog
 from bendshed.paths.relayed import RelayedRequests
-from bendshed.ports.registry import ReplicaNode
 from bendshed.ports.transport import Address, PeerUnreachable, Transport
 from bendshed.services.document import ServiceDocument
 from bendshed.services.runners import ServiceRunner
@@ -29,31 +28,10 @@
 RETRY_MIN_S, RETRY_MAX_S = 0.05, 0.2
 SETTLED_REPLIES = 3
 """So many fresh words in a row let the front do without the registry."""
-INTERVAL_SHARE = 0.2
-MAX_AGE_SHARE = 0.55
 
 log = PartLog("catalog")
 
 
-@dataclass(frozen=True, slots=True)
-class CatalogTimes:
-    """How fresh a word must be.
-
-    Attributes:
-        interval_s: a replica machine in demand asks the registry, and is asked, this often.
-        max_age_s: with an older word a front asks the registry itself.
-
-    """
-
-    interval_s: float
-    max_age_s: float
-
-    @classmethod
-    def within(cls, apply_s: float) -> "CatalogTimes":
-        """Such that a change is in force within ``apply_s``, also when the word stops midway."""
-        return cls(INTERVAL_SHARE * apply_s, MAX_AGE_SHARE * apply_s)
-
-
 class CatalogTaker(Protocol):
     """Who is told of configuration and runners."""
 
@@ -89,9 +67,9 @@
         directory: ReplicaDirectory,
         taker: CatalogTaker,
         me: Address,
-        zone: str,
         times: CatalogTimes,
         rng: random.Random,
+        may_share: bool = True,
     ) -> None:
         self.runners_at = 0
         self.version = 0
@@ -103,9 +81,9 @@
         self._directory = directory
         self._taker = taker
         self._me = me
-        self._zone = zone
         self._times = times
         self._rng = rng
+        self._may_share = may_share
         self._num_fresh = 0
         self._is_shared = False
         self._num_failed = 0
@@ -136,14 +114,10 @@
     # --- asking ----------------------------------------------------------------------------
 
     def _target(self) -> Address | None:
-        """The first replica machine by rank, those of this zone before others; failed ones last."""
-        places = [node.address for node in self._ranked()]
-        return places[self._num_failed % len(places)] if places else None
-
-    def _ranked(self) -> list[ReplicaNode]:
-        by_id = {node.node_id: node for node in self._directory.by_name.values()}
-        ranked = [by_id[node_id] for node_id in rendezvous_rank(self._zone, by_id)]
-        return sorted(ranked, key=lambda node: node.zone != self._zone)
+        """The first replica machine by a rank that all fronts share; after a failure, the next."""
+        by_name = self._directory.by_name
+        ranked = rendezvous_rank(CATALOG_METHOD, by_name)
+        return by_name[ranked[self._num_failed % len(ranked)]].address if ranked else None
 
     async def _ask(self, target: Address) -> wire.CatalogReply | None:
         wait_s = self._times.interval_s if self._is_shared else 0.0
@@ -152,7 +126,6 @@
             document_version=self.version,
             wait_ms=int(wait_s * 1000),
             asker=wire.PeerAddress(host=self._me.host, port=self._me.port),
-            zone=self._zone,
         )
         # A word that is waited for says nothing of the way meanwhile, so it goes directly.
         ways = self._transport if wait_s and not self._num_failed else self._requests
@@ -173,7 +146,7 @@
         for hello in reply.replicas:
             self._directory.put(from_wire(hello))
         self.fronts = [read_peer(front) for front in reply.fronts]
-        self._is_shared = reply.num_askers >= MIN_SHARED_ASKERS
+        self._is_shared = self._may_share and reply.num_askers >= MIN_SHARED_ASKERS
         age_s = reply.age_ms / 1000
         is_current = is_level and reply.document_version >= self.version
         if self._is_shared and is_current and age_s < self._times.max_age_s:
--- a/src/bendshed/catalog/server.py
+++ b/src/bendshed/catalog/server.py
@@ -14,6 +14,7 @@
     write_reply,
 )
 from bendshed.catalog.state import KnownRunner
+from bendshed.catalog.times import CatalogTimes, ReadingPace
 from bendshed.consensus.directory import HELLO_METHOD, ReplicaDirectory, to_wire
 from bendshed.logs import PartLog
 from bendshed.ports.catalog_storage import CatalogStorage
@@ -30,6 +31,8 @@
 MAX_FRONTS_SHARED = 12
 """Fronts that a machine names to the other replica machines: enough for others to relay through."""
 SAVE_PACE_S = 1.0
+KEPT_FRONTS_S = 10.0
+"""Fronts of the last life that have not asked by then are forgotten."""
 GREETING_PAUSES_S = (0.0, 0.1, 0.2, 0.4, 0.8, 1.6)
 """A front that starts at the same time may listen a little later."""
 MIN_SHARED_ASKERS = 8
@@ -53,6 +56,8 @@
 
     Attributes:
         catalog: what it knows; a start begins with what its disk holds.
+        pace: how it reads the registry now.
+        on_pace: called when that has changed.
         confirmed_at_s: loop time at which the registry last confirmed each part in this life.
 
     """
@@ -64,11 +69,15 @@
         me: Address,
         rng: random.Random,
         storage: CatalogStorage,
+        times: CatalogTimes,
+        reads_kept: bool = True,
     ) -> None:
-        self._kept = decode_kept(storage.load())
+        self._kept = decode_kept(storage.load() if reads_kept else None)
         self.catalog = self._kept.catalog
         self.confirmed_at_s: dict[CatalogPart, float] = {}
-        self.on_demand: Callable[[], None] = lambda: None
+        self.pace = times.pace(in_demand=False)
+        self.on_pace: Callable[[ReadingPace], None] = lambda _pace: None
+        self._times = times
         self._transport = transport
         self._directory = directory
         self._me = me
@@ -76,11 +85,13 @@
         self._storage = storage
         self._asked_at_s: dict[Address, float] = {}
         self._elsewhere: dict[Address, float] = {}
+        self._forgets_kept_at_s = 0.0
         self._changed = asyncio.Event()
         self._unsaved = asyncio.Event()
 
     def start(self) -> None:
         """Begin to answer, with what the disk held."""
+        self._forgets_kept_at_s = asyncio.get_running_loop().time() + KEPT_FRONTS_S
         for node in self._kept.replicas:
             self._directory.put(node)
         self._directory.on_change.append(self._unsaved.set)
@@ -139,14 +150,11 @@
         """Tell a front what it lacks, at once or when something changes."""
         request = wire.CatalogRequest.FromString(payload)
         loop = asyncio.get_running_loop()
-        was_in_demand = self.is_in_demand
         asker = read_peer(request.asker)
         if asker not in self._asked_at_s:
             self._unsaved.set()
         self._asked_at_s[asker] = loop.time()
-        if self.is_in_demand and not was_in_demand:
-            log.say("reads the registry for fronts", fronts=self.num_askers)
-            self.on_demand()
+        self._follow_demand()
         if not self._has_news(request):
             await self._wait_for_change(request.wait_ms / 1000)
         reply = write_reply(self.catalog, request.runners_at, request.document_version)
@@ -198,6 +206,15 @@
         for front in wire.CatalogReply.FromString(payload).fronts:
             self._elsewhere[read_peer(front)] = now_s
 
+    def _follow_demand(self) -> None:
+        """While fronts rely on this machine, it reads the registry often."""
+        pace = self._times.pace(self.is_in_demand)
+        if pace == self.pace:
+            return
+        self.pace = pace
+        log.say("reads the registry for fronts", fronts=self.num_askers, every_s=pace.wait_s)
+        self.on_pace(pace)
+
     # --- in the background -----------------------------------------------------------------
 
     async def greet(self) -> None:
@@ -213,10 +230,10 @@
                     self._transport.send(front, HELLO_METHOD, hello)
 
     async def share_fronts(self) -> None:
-        """Name some fronts to the other replica machines, again and again."""
+        """Name some fronts to the other replica machines, again and again; see who still asks."""
         while True:
             await asyncio.sleep(SHARE_INTERVAL_S)
-            self._forget_silent()
+            self._follow_demand()
             fronts = list(self._asked_at_s)
             if not fronts:
                 continue
@@ -231,7 +248,9 @@
         while True:
             await self._unsaved.wait()
             self._unsaved.clear()
-            fronts = {*self._asked_at_s, *self._elsewhere} or set(self._kept.fronts)
+            fronts = {*self._asked_at_s, *self._elsewhere}
+            if asyncio.get_running_loop().time() < self._forgets_kept_at_s:
+                fronts.update(self._kept.fronts)
             kept = KeptCatalog(
                 self.catalog,
                 tuple(self._directory.by_name.values()),
--- a/src/bendshed/consensus/host.py
+++ b/src/bendshed/consensus/host.py
@@ -89,6 +89,7 @@
         resolve: Callable[[str], Address | None],
         compact_after_entries: int = COMPACT_AFTER_ENTRIES,
         compact_after_bytes: int = COMPACT_AFTER_BYTES,
+        stands_at_once: bool = True,
     ) -> None:
         self.node_id = storage.node_id()
         self.groups: dict[int, HostedGroup] = {}
@@ -103,6 +104,7 @@
         self._resolve = resolve
         self._compact_after_entries = staggered(compact_after_entries, self.node_id)
         self._compact_after_bytes = staggered(compact_after_bytes, self.node_id)
+        self._stands_at_once = stands_at_once
         self._writes: list[GroupWrite] = []
         self._after_writes: list[wire.ConsensusMessage] = []
         self._writing = False
@@ -145,7 +147,8 @@
         state = self._new_state(stored.group_id)
         if stored.snapshot.state:
             state.restore(stored.snapshot.state)
-        group = HostedGroup(RaftReplica(self.node_id, stored, self._rng), state)
+        replica = RaftReplica(self.node_id, stored, self._rng, self._stands_at_once)
+        group = HostedGroup(replica, state)
         self.groups[stored.group_id] = group
         return group
 
--- a/src/bendshed/consensus/raft.py
+++ b/src/bendshed/consensus/raft.py
@@ -49,7 +49,13 @@
 
     """
 
-    def __init__(self, node_id: str, stored: StoredGroup, rng: random.Random) -> None:
+    def __init__(
+        self,
+        node_id: str,
+        stored: StoredGroup,
+        rng: random.Random,
+        stands_at_once: bool = True,
+    ) -> None:
         self.node_id = node_id
         self.group_id = stored.group_id
         self.term = stored.term
@@ -67,7 +73,8 @@
         self._ticks_since_heartbeat = 0
         self._transfer_target = ""
         self.membership = self.log.membership_at(self.log.last_index)
-        self._timer.start(node_id, self.membership.voters)
+        if stands_at_once:
+            self._timer.start(node_id, self.membership.voters)
         self._effects: list[Effect] = []
 
     # --- what others may ask -------------------------------------------------------------
--- a/src/bendshed/platform/front.py
+++ b/src/bendshed/platform/front.py
@@ -9,7 +9,7 @@
 from bendshed.adapters.connection_pool import ConnectionPool
 from bendshed.adapters.http_server import make_server
 from bendshed.adapters.tcp_transport import TcpTransport
-from bendshed.catalog.follower import CatalogTimes
+from bendshed.catalog.times import CatalogTimes
 from bendshed.gateway.asgi import Receive, Scope, Send, send_text, serve_lifespan
 from bendshed.gateway.forwarding import ForwardingApplication
 from bendshed.logs import PartLog
@@ -30,12 +30,8 @@
 NOTICE_SHARE = 0.6
 """A dead way to the store is noticed within this share of the time until a node that is in touch
 again must act on what the store says."""
-HISTORY_SHARE = 0.75
-"""A watch is asked anew while the store still remembers where it began."""
 PACE_SHARE = 0.15
 """Changes of this share of the time in which they must be in force cost one call together."""
-REPLICA_PACE_S = 1.0
-"""Where replicas are is not urgent: a stale address costs one more try."""
 NOTICE_S = 2.6
 """The platform sends no new clients after two of its questions, a second apart, went unanswered."""
 STOP_MARGIN_S = 0.8
@@ -57,14 +53,16 @@
         self._transport = TcpTransport(settings.ip, settings.peer_address.port)
         self._api = ObjectApi(read_address(settings.platform.addr))
         self._connections = ConnectionPool(RUNNER_CONNECT_TIMEOUT_S)
+        times = CatalogTimes.within(settings.apply_s, settings.platform.historyS)
         self._node = ServiceNode(
             self._transport,
             self._connections,
             PlatformRunnerProtocol(),
             NodePlace(settings.zone, settings.peer_address),
-            CatalogTimes.within(settings.bounds.applyMs / 1000),
+            times,
             self._rng,
             self._make_metrics(registry),
+            settings.policy,
         )
         self._node.on_document = self._apply_limits
         self._node.catalog.on_freshness = self._follow_freshness
@@ -77,21 +75,20 @@
             KindHandler(self._list_runners, self._on_runner, self._node.catalog.note_registry),
             self._short_watch_s(),
         )
-        long_watch_s = HISTORY_SHARE * settings.platform.historyS
+        long_watch_s = times.idle_wait_s
         self._others = [
             self._watcher(
                 names.CONFIGURATION_KIND,
-                KindHandler(self._list_configuration, self._on_configuration),
+                KindHandler.of_states(self._take_configuration),
                 long_watch_s,
             ),
             self._watcher(
                 names.REPLICA_KIND,
-                KindHandler(self._list_replicas, self._on_replica),
+                KindHandler.of_states(self._take_replica),
                 long_watch_s,
-                REPLICA_PACE_S,
             ),
         ]
-        self._runners.on_trouble = self._restart_others
+        self._runners.on_trouble = self._follow_trouble
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve until told to stop, then drain."""
@@ -154,24 +151,27 @@
         bounds = self._settings.bounds
         return NOTICE_SHARE * (bounds.contactMs + bounds.applyMs) / 1000
 
-    def _watcher(
-        self, kind: str, handler: KindHandler, wait_s: float, pace_s: float | None = None
-    ) -> KindWatcher:
-        if pace_s is None:
-            pace_s = PACE_SHARE * self._settings.bounds.applyMs / 1000
+    def _watcher(self, kind: str, handler: KindHandler, wait_s: float) -> KindWatcher:
+        pace_s = PACE_SHARE * self._settings.apply_s
         return KindWatcher(self._api, kind, handler, wait_s, self._rng, pace_s)
 
     def _follow_freshness(self) -> None:
         """Ask the platform's store only while nobody else tells what it says."""
-        for watcher in (self._runners, *self._others):
-            if self._node.catalog.is_fresh:
+        if self._node.catalog.is_fresh:
+            for watcher in (self._runners, *self._others):
                 watcher.pause()
-            else:
-                watcher.resume(self._node.catalog.runners_at)
+            return
+        self._runners.resume(self._node.catalog.runners_at)
+        for watcher in self._others:
+            watcher.resume()
 
-    def _restart_others(self) -> None:
+    def _follow_trouble(self) -> None:
+        """One watch looks for a store that is away; the others begin afresh once it is back."""
         for watcher in self._others:
-            watcher.restart()
+            if self._runners.is_lost:
+                watcher.pause()
+            elif not self._node.catalog.is_fresh:
+                watcher.resume()
 
     def _list_runners(self, listed: ObjectList) -> None:
         runners = [read_runner(item) for item in listed.items]
@@ -184,22 +184,9 @@
         else:
             self._node.put_runner(read_runner(event.object))
 
-    def _list_configuration(self, listed: ObjectList) -> None:
-        for item in listed.items:
-            self._take_configuration(item)
-
-    def _on_configuration(self, event: ObjectEvent) -> None:
-        if not event.is_gone:
-            self._take_configuration(event.object)
-
     def _take_configuration(self, item: PlatformObject) -> None:
         if item.name == names.CONFIGURATION_NAME:
             self._node.take_document(read_document(item.spec))
 
-    def _list_replicas(self, listed: ObjectList) -> None:
-        for item in listed.items:
-            self._node.directory.put(read_replica(item))
-
-    def _on_replica(self, event: ObjectEvent) -> None:
-        if not event.is_gone:
-            self._node.directory.put(read_replica(event.object))
+    def _take_replica(self, item: PlatformObject) -> None:
+        self._node.directory.put(read_replica(item))
--- a/src/bendshed/platform/replica.py
+++ b/src/bendshed/platform/replica.py
@@ -2,15 +2,16 @@
 
 import asyncio
 import random
+from functools import partial
 from pathlib import Path
 
 from prometheus_client import CollectorRegistry
 
 from bendshed.adapters.tcp_transport import TcpTransport
 from bendshed.catalog.file import FileCatalogStorage
-from bendshed.catalog.follower import CatalogTimes
 from bendshed.catalog.server import CatalogPart
 from bendshed.catalog.state import KnownRunner
+from bendshed.catalog.times import CatalogTimes, ReadingPace
 from bendshed.consensus.sqlite_storage import open_or_replace
 from bendshed.logs import PartLog
 from bendshed.platform import names
@@ -24,9 +25,6 @@
 from bendshed.turns.node import TurnLogNode
 
 WATCH_S = 8.0
-PACE_S = 1.0
-DEMAND_PACE_S = 0.05
-DEMAND_CHECK_S = 1.0
 
 log = PartLog("store")
 
@@ -53,24 +51,25 @@
             self._rng,
             TurnLogMetrics(registry),
             FileCatalogStorage(data_folder),
+            CatalogTimes.within(settings.apply_s, settings.platform.historyS),
+            settings.policy,
         )
-        self._times = CatalogTimes.within(settings.bounds.applyMs / 1000)
+        confirm = self._node.catalog.confirm
         self._runners = self._watcher(
             names.RUNNER_KIND,
-            KindHandler(self._list_runners, self._on_runner, self._confirm_runners),
+            KindHandler(self._list_runners, self._on_runner, partial(confirm, CatalogPart.RUNNERS)),
         )
         self._configuration = self._watcher(
             names.CONFIGURATION_KIND,
-            KindHandler(self._list_configuration, self._on_configuration, self._confirm_document),
+            KindHandler.of_states(self._take_configuration, partial(confirm, CatalogPart.DOCUMENT)),
         )
-        self._node.catalog.on_demand = self._follow_demand
+        self._node.catalog.on_pace = self._set_pace
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve until told to stop."""
         await self._transport.start()
         self._node.start()
         following = [start_loop(watcher.run(), "platform") for watcher in self._make_watchers()]
-        following.append(start_loop(self._watch_demand(), "platform"))
         log.say("started", name=self._settings.nodeName, zone=self._settings.zone)
         await stopping.wait()
         await self._node.stop()
@@ -81,36 +80,24 @@
         self._storage.close()
 
     def _make_watchers(self) -> list[KindWatcher]:
-        replicas = KindHandler(self._list_replicas, self._on_replica)
+        replicas = KindHandler.of_states(self._take_replica)
         retirements = KindHandler(self._list_retirements, self._on_retirement)
         return [
-            self._watcher(names.REPLICA_KIND, replicas),
-            self._watcher(names.RETIREMENT_KIND, retirements, DEMAND_PACE_S),
+            KindWatcher(self._api, names.REPLICA_KIND, replicas, WATCH_S, self._rng),
+            KindWatcher(self._api, names.RETIREMENT_KIND, retirements, WATCH_S, self._rng),
             self._runners,
             self._configuration,
         ]
 
-    def _watcher(self, kind: str, handler: KindHandler, pace_s: float = PACE_S) -> KindWatcher:
-        return KindWatcher(self._api, kind, handler, WATCH_S, self._rng, pace_s)
+    def _watcher(self, kind: str, handler: KindHandler) -> KindWatcher:
+        pace = self._node.catalog.pace
+        return KindWatcher(self._api, kind, handler, pace.wait_s, self._rng, pace.pace_s)
 
     # --- what fronts rely on ---------------------------------------------------------------
 
-    async def _watch_demand(self) -> None:
-        while True:
-            await asyncio.sleep(DEMAND_CHECK_S)
-            self._follow_demand()
-
-    def _follow_demand(self) -> None:
-        """While fronts rely on this process, ask often enough that its word is fresh."""
-        in_demand = self._node.catalog.is_in_demand
-        wait_s = self._times.interval_s if in_demand else WATCH_S
+    def _set_pace(self, pace: ReadingPace) -> None:
         for watcher in (self._runners, self._configuration):
-            if watcher.wait_s == wait_s:
-                continue
-            watcher.wait_s = wait_s
-            watcher.pace_s = DEMAND_PACE_S if in_demand else PACE_S
-            if in_demand:
-                watcher.restart()
+            watcher.set_pace(pace.wait_s, pace.pace_s)
 
     def _list_runners(self, listed: ObjectList) -> None:
         runners = [KnownRunner(read_runner(item), item.revision) for item in listed.items]
@@ -125,33 +112,14 @@
         else:
             self._node.catalog.put_runner(KnownRunner(read_runner(item), item.revision))
 
-    def _confirm_runners(self, at: int) -> None:
-        self._node.catalog.confirm(CatalogPart.RUNNERS, at)
-
-    def _list_configuration(self, listed: ObjectList) -> None:
-        for item in listed.items:
-            self._take_configuration(item)
-
-    def _on_configuration(self, event: ObjectEvent) -> None:
-        if not event.is_gone:
-            self._take_configuration(event.object)
-
     def _take_configuration(self, item: PlatformObject) -> None:
         if item.name == names.CONFIGURATION_NAME:
             self._node.catalog.take_document(read_document(item.spec))
 
-    def _confirm_document(self, at: int) -> None:
-        self._node.catalog.confirm(CatalogPart.DOCUMENT, at)
-
     # --- replicas and retirements ----------------------------------------------------------
 
-    def _list_replicas(self, listed: ObjectList) -> None:
-        for item in listed.items:
-            self._node.directory.put(read_replica(item))
-
-    def _on_replica(self, event: ObjectEvent) -> None:
-        if not event.is_gone:
-            self._node.directory.put(read_replica(event.object))
+    def _take_replica(self, item: PlatformObject) -> None:
+        self._node.directory.put(read_replica(item))
 
     def _list_retirements(self, listed: ObjectList) -> None:
         self._node.list_retirements([read_retirement(item) for item in listed.items])
--- a/src/bendshed/platform/roles.py
+++ b/src/bendshed/platform/roles.py
@@ -42,8 +42,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    reloader = _Reloader(settings)
-    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
+    loop.add_signal_handler(signal.SIGHUP, _tell_changes, settings)
     if role == "node":
         from bendshed.platform.front import FrontProcess  # noqa: PLC0415 (a role loads its part)
 
@@ -56,22 +55,13 @@
     await StoreProcess(settings, Path(settings.dataDir), registry).run(stopping)
 
 
-class _Reloader:
-    """Reads the settings again on a signal and says what changed."""
-
-    def __init__(self, settings: SiteSettings) -> None:
-        self._settings = settings
-
-    def reload(self) -> None:
-        try:
-            fresh = load_site_settings()
-        except SiteSettingsInvalid as error:
-            log.say("the new settings are refused, the old ones stay", reason=str(error))
-            return
-        changed = [
-            name
-            for name in SiteSettings.__struct_fields__
-            if getattr(fresh, name) != getattr(self._settings, name)
-        ]
-        self._settings = fresh
-        log.say("read the settings again", changed=changed)
+def _tell_changes(in_force: SiteSettings) -> None:
+    """Read the settings again and say what differs from those in force."""
+    try:
+        fresh = load_site_settings()
+    except SiteSettingsInvalid as error:
+        log.say("the new settings are refused, the old ones stay", reason=str(error))
+        return
+    names = SiteSettings.__struct_fields__
+    changed = [name for name in names if getattr(fresh, name) != getattr(in_force, name)]
+    log.say("read the settings again", changed=changed)
--- a/src/bendshed/platform/settings.py
+++ b/src/bendshed/platform/settings.py
@@ -16,6 +16,7 @@
 from msgspec import Meta
 
 from bendshed.platform.names import SETTINGS_VARIABLE
+from bendshed.policy import EVERYTHING, SWITCHES_CURE, Policy, unknown_switches
 from bendshed.ports.transport import Address
 
 _IP = r"\d{1,3}(\.\d{1,3}){3}"
@@ -86,6 +87,12 @@
     faultTolerance: FaultTolerance = FaultTolerance()  # noqa: N815
     bounds: Bounds = Bounds()
     platform: MetadataStore
+    policy: Policy = EVERYTHING
+
+    @property
+    def apply_s(self) -> float:
+        """A change of the configuration or of a runner must be in force within this time."""
+        return self.bounds.applyMs / 1000
 
     @property
     def peer_address(self) -> Address:
@@ -111,12 +118,23 @@
     except OSError as error:
         raise SiteSettingsInvalid(f"{path}: {error}: name a file that can be read") from error
     content = _parse_json(path, text) if text.startswith("{") else _parse_yaml(path, text)
+    content = _merge_policy(path, content)
     try:
         return msgspec.convert(content, SiteSettings)
     except msgspec.ValidationError as error:
         raise SiteSettingsInvalid(f"{path}: {error}: correct this field") from error
 
 
+def _merge_policy(path: str, content: Any) -> Any:
+    """The template lays the platform's fields beside the policy; without it, they stand alone."""
+    if not isinstance(content, dict) or "site" not in content:
+        return content
+    policy = content.get("policy") or {}
+    for name in unknown_switches(policy):
+        raise SiteSettingsInvalid(f"{path}: policy.{name}: unknown: {SWITCHES_CURE}")
+    return {**content["site"], "policy": policy}
+
+
 def _parse_json(path: str, text: str) -> Any:
     try:
         return msgspec.json.decode(text)
--- a/src/bendshed/platform/watcher.py
+++ b/src/bendshed/platform/watcher.py
@@ -6,11 +6,21 @@
 from dataclasses import dataclass
 
 from bendshed.logs import PartLog
-from bendshed.platform.objects import HistoryGone, ObjectApi, ObjectEvent, ObjectList
+from bendshed.platform.objects import (
+    HistoryGone,
+    ObjectApi,
+    ObjectEvent,
+    ObjectList,
+    PlatformObject,
+)
 from bendshed.ports.store import StoreUnavailable
 
 RETRY_MIN_S = 0.15
 RETRY_MAX_S = 0.4
+"""A process that knows nothing yet asks again soon."""
+KNOWING_RETRY_MIN_S = 0.5
+KNOWING_RETRY_MAX_S = 0.9
+"""One that knows the kind serves on meanwhile; calls to a store that is away cost like others."""
 LOST_WAIT_S = 0.1
 """While the store is lost, a watch asks for so short a wait that its silence is noticed soon."""
 PACE_S = 0.05
@@ -45,6 +55,22 @@
     on_event: EventHandler
     on_confirmed: ConfirmedHandler = _pass_over
 
+    @classmethod
+    def of_states(
+        cls, take: Callable[[PlatformObject], object], on_confirmed: ConfirmedHandler = _pass_over
+    ) -> "KindHandler":
+        """Take each object's newest state; objects that go are passed over."""
+
+        def on_list(listed: ObjectList) -> None:
+            for item in listed.items:
+                take(item)
+
+        def on_event(event: ObjectEvent) -> None:
+            if not event.is_gone:
+                take(event.object)
+
+        return cls(on_list, on_event, on_confirmed)
+
 
 class KindWatcher:
     """Lists a kind, then watches it for ever.
@@ -82,6 +108,11 @@
         self._is_wanted = asyncio.Event()
         self._is_wanted.set()
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the last call failed."""
+        return self._is_lost
+
     @property
     def is_in_doubt(self) -> bool:
         """Whether the store failed a moment ago."""
@@ -102,20 +133,32 @@
                 self._at = None
             except (StoreUnavailable, KeyError, ValueError, TypeError) as error:
                 self._note_failure(error)
-                await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
+                await asyncio.sleep(self._retry_s())
             except asyncio.CancelledError:
                 current = asyncio.current_task()
                 if current is not None and current.cancelling():
                     self._call.cancel()
                     raise
 
+    def set_pace(self, wait_s: float, pace_s: float) -> None:
+        """From now on watch at another pace; a shorter one begins at once."""
+        is_shorter = wait_s < self.wait_s
+        self.wait_s, self.pace_s = wait_s, pace_s
+        if is_shorter:
+            self.restart()
+
+    def _retry_s(self) -> float:
+        if self._at is None:
+            return self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
+        return self._rng.uniform(KNOWING_RETRY_MIN_S, KNOWING_RETRY_MAX_S)
+
     def pause(self) -> None:
         """Ask nothing until ``resume``: somebody else tells of this kind."""
         self._is_wanted.clear()
         self.restart()
 
-    def resume(self, at: int) -> None:
-        """Ask again; everything up to a revision is known from elsewhere."""
+    def resume(self, at: int = 0) -> None:
+        """Ask again; ``at``: everything up to this revision is known from elsewhere."""
         if self._at is not None:
             self._at = max(self._at, at)
         self._is_wanted.set()
--- /dev/null
+++ b/src/bendshed/policy.py
@@ -0,0 +1,47 @@
+"""Mechanisms of the decisions that can be switched off one at a time.
+
+Operators leave all of them on; each exists so that its worth can be measured anew (docs/POLICY.md).
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, fields
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """What is in use.
+
+    Attributes:
+        session_affinity: a session stays at the runner that holds its cache.
+        step_aside: a session leaves a runner that is loaded far above the idlest one.
+        avoidance: runners that were broken, unreachable or full a moment ago come last.
+        preview: a turn goes to its runner while its reservation is still being committed.
+        relays: requests for the turn log go through other fronts around a cut.
+        refusal_when_isolated: a front that nobody answers refuses turns at once.
+        shared_reading: many fronts rely on one replica machine's reading of the registry.
+        kept_catalog: replica machines tell after a start what they knew before it.
+        quick_election: a replica that has just started stands for election at once.
+
+    """
+
+    session_affinity: bool = True
+    step_aside: bool = True
+    avoidance: bool = True
+    preview: bool = True
+    relays: bool = True
+    refusal_when_isolated: bool = True
+    shared_reading: bool = True
+    kept_catalog: bool = True
+    quick_election: bool = True
+
+
+EVERYTHING = Policy()
+"""What operators run."""
+
+SWITCHES = frozenset(field.name for field in fields(Policy))
+SWITCHES_CURE = f"use one of {', '.join(sorted(SWITCHES))}"
+
+
+def unknown_switches(names: Iterable[str]) -> list[str]:
+    """Names that are no switch, for a check of settings."""
+    return [name for name in names if name not in SWITCHES]
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -7,9 +7,9 @@
 
 from prometheus_client import CollectorRegistry
 
-from bendshed.catalog.follower import CatalogTimes
 from bendshed.catalog.server import CatalogPart
 from bendshed.catalog.state import KnownRunner
+from bendshed.catalog.times import CatalogTimes
 from bendshed.ports.registry import Retirement
 from bendshed.ports.transport import Address
 from bendshed.rehearsal.search import Tally
@@ -42,6 +42,8 @@
 NUM_VOTERS = 3
 FOLLOW_S = 0.1
 APPLY_S = 2.0
+HISTORY_S = 20.0
+TIMES = CatalogTimes.within(APPLY_S, HISTORY_S)
 START_LIMIT_S = 20.0
 QUIET_S = 40.0
 CATCH_UP_S = 4.4
@@ -172,8 +174,7 @@
         metrics = ServiceMetrics(CollectorRegistry())
         self.metrics[machine.process.name] = metrics
         place = NodePlace(machine.zone, transport.address)
-        times = CatalogTimes.within(APPLY_S)
-        front = ServiceNode(transport, connections, SimRunnerProtocol(), place, times, rng, metrics)
+        front = ServiceNode(transport, connections, SimRunnerProtocol(), place, TIMES, rng, metrics)
         versions = self.seen.versions.setdefault(machine.process.name, [])
         front.on_document = lambda document: versions.append(document.version)
         machine.front = front
@@ -202,6 +203,7 @@
             rng,
             metrics,
             SimCatalogStorage(disk),
+            TIMES,
         )
         machine.replica.start()
         machine.process.spawn(self.loop, self._follow(machine, self._tell_store))
--- a/src/bendshed/services/attempts.py
+++ b/src/bendshed/services/attempts.py
@@ -7,6 +7,7 @@
 
 from bendshed.errors import ErrorKind, Refusal
 from bendshed.logs import PartLog
+from bendshed.policy import EVERYTHING, Policy
 from bendshed.ports.http_messages import ConnectFailed, ResponseBroken, ResponseHead
 from bendshed.ports.runner import RunnerProtocol, ServiceRequest, Verdict
 from bendshed.ports.runner_connections import RunnerConnection, RunnerConnections
@@ -33,6 +34,7 @@
     zone: str
     rng: random.Random
     metrics: ServiceMetrics
+    policy: Policy = EVERYTHING
 
 
 @dataclass(slots=True)
@@ -112,6 +114,7 @@
                 self.ports.zone,
                 loop.time(),
                 self.ports.rng,
+                self.ports.policy,
             )
             if choice is None or self._num_unrun >= MAX_UNRUN_TRIES:
                 kind = ErrorKind.OVERLOADED if self._num_unrun else ErrorKind.NO_RUNNER
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -6,11 +6,13 @@
 from dataclasses import dataclass
 from functools import partial
 
-from bendshed.catalog.follower import CatalogFollower, CatalogTimes
+from bendshed.catalog.follower import CatalogFollower
 from bendshed.catalog.server import CATALOG_METHOD
+from bendshed.catalog.times import CatalogTimes
 from bendshed.consensus.directory import ReplicaDirectory
 from bendshed.logs import PartLog
 from bendshed.paths.relayed import RelayedRequests
+from bendshed.policy import EVERYTHING, Policy
 from bendshed.ports.runner import RunnerProtocol
 from bendshed.ports.runner_connections import RunnerConnections
 from bendshed.ports.transport import Address, Transport
@@ -67,10 +69,12 @@
         times: CatalogTimes,
         rng: random.Random,
         metrics: ServiceMetrics,
+        policy: Policy = EVERYTHING,
     ) -> None:
         self.directory = ReplicaDirectory()
         self.on_document: Callable[[ServiceDocument], None] = lambda _document: None
         self.is_draining = False
+        self._policy = policy
         self._table = RunnerTable()
         self._pool = connections
         self._requests = RelayedRequests(transport, rng, self._other_nodes, RELAYED_METHODS)
@@ -80,21 +84,24 @@
             self.directory,
             self,
             place.address,
-            place.zone,
             times,
             rng,
+            policy.shared_reading,
         )
         groups = GroupClient(
             self._requests, rng, TURN_GROUPS, self.directory.resolve, self.directory.node_ids
         )
-        client = TurnClient(rng, groups, lambda: self._requests.is_isolated)
-        self._turns = TurnPorts(client, TranscriptCache(TRANSCRIPT_BYTES), metrics)
-        runners = RunnerPorts(self._table, self._pool, protocol, place.zone, rng, metrics)
+        client = TurnClient(rng, groups, self._refuses_alone)
+        self._turns = TurnPorts(client, TranscriptCache(TRANSCRIPT_BYTES), metrics, policy)
+        runners = RunnerPorts(self._table, self._pool, protocol, place.zone, rng, metrics, policy)
         self.forwarder = Forwarder(runners, self._turns)
         self._add_gauges(metrics)
 
     def _other_nodes(self) -> list[Address]:
-        return self.catalog.fronts
+        return self.catalog.fronts if self._policy.relays else []
+
+    def _refuses_alone(self) -> bool:
+        return self._policy.refusal_when_isolated and self._requests.is_isolated
 
     def _add_gauges(self, metrics: ServiceMetrics) -> None:
         """What is told as it stands when it is asked for."""
--- a/src/bendshed/services/placement.py
+++ b/src/bendshed/services/placement.py
@@ -1,10 +1,12 @@
 """Chooses the runner of one request. One readable step; pure but for the random source."""
 
+import math
 import random
 from collections.abc import Collection
 from dataclasses import dataclass
 
 from bendshed.identifiers import rendezvous_rank
+from bendshed.policy import EVERYTHING, Policy
 from bendshed.services.runners import RunnerRecord
 
 SESSION_MAX_EXTRA = 3
@@ -32,6 +34,7 @@
     zone: str,
     now_s: float,
     rng: random.Random,
+    policy: Policy = EVERYTHING,
 ) -> Choice | None:
     """Choose a runner that was not tried yet; ``None``: there is none.
 
@@ -42,27 +45,28 @@
         zone: this node's; decides between equals.
         now_s: loop time.
         rng: decides between the rest.
+        policy: what of this is in use.
 
     """
     untried = [record for record in usable if record.listed.runner_id not in tried]
     if not untried:
         return None
-    sound = [record for record in untried if not record.is_avoided(now_s)]
+    sound = [r for r in untried if not (policy.avoidance and r.is_avoided(now_s))]
     pool = sound or untried
-    if session:
-        choice = _by_session(pool, session)
+    if session and policy.session_affinity:
+        choice = _by_session(pool, session, SESSION_MAX_EXTRA if policy.step_aside else math.inf)
     else:
         choice = Choice(_least_loaded(pool, zone, rng), "least_loaded")
     return choice if sound else Choice(choice.record, "only_avoided")
 
 
-def _by_session(pool: list[RunnerRecord], session: str) -> Choice:
+def _by_session(pool: list[RunnerRecord], session: str, max_extra: float) -> Choice:
     by_id = {record.listed.runner_id: record for record in pool}
     ranked = rendezvous_rank(session, by_id)
     fewest = min(record.in_flight for record in pool)
     for place, runner_id in enumerate(ranked):
         record = by_id[runner_id]
-        if record.in_flight <= fewest + SESSION_MAX_EXTRA:
+        if record.in_flight <= fewest + max_extra:
             return Choice(record, "session" if place == 0 else "step_aside")
     return Choice(by_id[ranked[0]], "session")
 
--- a/src/bendshed/services/turn_record.py
+++ b/src/bendshed/services/turn_record.py
@@ -6,6 +6,7 @@
 
 from bendshed.errors import ErrorKind, Refusal
 from bendshed.logs import PartLog
+from bendshed.policy import EVERYTHING, Policy
 from bendshed.ports.runner import ServiceRequest
 from bendshed.programs.client import GroupUnavailable
 from bendshed.services.document import EngineFeatures, Route
@@ -35,6 +36,7 @@
     client: TurnClient
     transcripts: TranscriptCache
     metrics: ServiceMetrics
+    policy: Policy = EVERYTHING
     late: "set[asyncio.Task[Any]]" = field(default_factory=set)
 
 
@@ -101,7 +103,7 @@
         held = self.ports.transcripts.get(previous) if previous else None
         begin.held_turn = previous if held is not None else ""
         self._is_begun = True  # from here on the reservation may exist
-        previewing = loop.create_task(self.ports.client.preview(begin))
+        previewing = loop.create_task(self._preview(begin))
         await asyncio.sleep(0)  # the preview leaves first
         self._committing = self._commit_begin(begin)
         preview = await previewing
@@ -124,6 +126,9 @@
         )
         return refusal
 
+    async def _preview(self, begin: wire.BeginTurn) -> wire.TurnReply | None:
+        return await self.ports.client.preview(begin) if self.ports.policy.preview else None
+
     def _begin_command(self) -> wire.BeginTurn:
         turn = self.request.turn
         assert turn is not None
--- a/src/bendshed/turns/node.py
+++ b/src/bendshed/turns/node.py
@@ -6,11 +6,13 @@
 from functools import partial
 
 from bendshed.catalog.server import CatalogServer
+from bendshed.catalog.times import CatalogTimes
 from bendshed.consensus.directory import ReplicaDirectory
 from bendshed.consensus.host import GroupHost, HostedGroup
 from bendshed.consensus.raft_types import Role
 from bendshed.consensus.supervisor import ReplicaSupervisor
 from bendshed.logs import PartLog
+from bendshed.policy import EVERYTHING, Policy
 from bendshed.ports.catalog_storage import CatalogStorage
 from bendshed.ports.log_storage import LogStorage
 from bendshed.ports.registry import ReplicaNode, ReplicaRegistry, Retirement
@@ -51,6 +53,8 @@
         rng: random.Random,
         metrics: TurnLogMetrics,
         catalog_storage: CatalogStorage,
+        times: CatalogTimes,
+        policy: Policy = EVERYTHING,
     ) -> None:
         self.directory = ReplicaDirectory()
         self.host = GroupHost(
@@ -61,13 +65,16 @@
             TurnLogState,
             self.directory.resolve,
             COMPACT_AFTER_ENTRIES,
+            stands_at_once=policy.quick_election,
         )
         me = ReplicaNode(name, self.host.node_id, address, zone)
         self.supervisor = ReplicaSupervisor(
             self.host, storage, transport, registry, self.directory, me, TICK_S, num_voters
         )
         self._service = TurnService(self.host, transport, metrics)
-        self.catalog = CatalogServer(transport, self.directory, address, rng, catalog_storage)
+        self.catalog = CatalogServer(
+            transport, self.directory, address, rng, catalog_storage, times, policy.kept_catalog
+        )
         self._catalog_tasks: list[asyncio.Task[None]] = []
         self._add_gauges(metrics)
 
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -16,6 +16,7 @@
 from bendshed.platform.runner_protocol import PlatformRunnerProtocol
 from bendshed.platform.settings import SiteSettingsInvalid, load_site_settings
 from bendshed.platform.translate import read_document, read_runner
+from bendshed.policy import Policy
 from bendshed.ports.caller_protocol import ReceivedRequest
 from bendshed.ports.http_messages import Headers, ResponseHead
 from bendshed.ports.runner import ServiceRequest, Verdict
@@ -71,6 +72,15 @@
         filled = template.read_text().replace("{{.|json}}", orjson.dumps(SETTINGS).decode())
         self.assertEqual(self.load(filled), self.load(yaml.safe_dump(SETTINGS)))
 
+    def test_mechanisms_are_switched_off_beside_the_platforms_fields(self) -> None:
+        content = {"site": SETTINGS, "policy": {"relays": False}}
+        settings = self.load(orjson.dumps(content).decode())
+        self.assertEqual(settings.policy, Policy(relays=False))  # type: ignore[attr-defined]
+        for policy, named in (({"relay": False}, "policy.relay"), ({"relays": "no"}, "relays")):
+            with self.assertRaises(SiteSettingsInvalid) as caught:
+                self.load(orjson.dumps({"site": SETTINGS, "policy": policy}).decode())
+            self.assertIn(named, str(caught.exception))
+
     def test_each_problem_names_its_field(self) -> None:
         cases = {
             "platform": {name: value for name, value in SETTINGS.items() if name != "platform"},
