A replica machine greets fronts that fell silent, not only those of its last life

Change: a front that asked and has not asked for 1.2 s is greeted every 0.3 s for 30 s at most. tests/test_catalog.py (a front that restarts alone) fails without it.

--- a/src/bendshed/catalog/server.py
+++ b/src/bendshed/catalog/server.py
@@ -33,8 +33,11 @@
 SAVE_PACE_S = 1.0
 KEPT_FRONTS_S = 10.0
 """Fronts of the last life that have not asked by then are forgotten."""
-GREETING_PAUSES_S = (0.0, 0.1, 0.2, 0.4, 0.8, 1.6)
-"""A front that starts at the same time may listen a little later."""
+GREETING_INTERVAL_S = 0.3
+SILENT_ASKER_S = 1.2
+"""A front that has not asked for this long may have started anew and know nobody."""
+GREETED_S = 30.0
+"""A front that has been silent for this long is given up."""
 MIN_SHARED_ASKERS = 8
 """From this many fronts on it costs the registry less to be read by this machine for all of them,
 several times a second, than by each of them (docs/design/0004)."""
@@ -138,8 +141,7 @@
     @property
     def num_askers(self) -> int:
         """Fronts that asked lately."""
-        self._forget_silent()
-        return len(self._asked_at_s)
+        return len(self._askers())
 
     @property
     def is_in_demand(self) -> bool:
@@ -184,16 +186,20 @@
             return NEVER_CONFIRMED_MS
         return int((now_s - min(self.confirmed_at_s.values())) * 1000)
 
-    def _forget_silent(self) -> None:
+    def _askers(self) -> list[Address]:
         oldest_s = asyncio.get_running_loop().time() - ASKER_KEPT_S
-        for known in (self._asked_at_s, self._elsewhere):
-            for front in [front for front, at_s in known.items() if at_s < oldest_s]:
+        return [front for front, at_s in self._asked_at_s.items() if at_s >= oldest_s]
+
+    def _forget_silent(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for known, kept_s in ((self._asked_at_s, GREETED_S), (self._elsewhere, ASKER_KEPT_S)):
+            for front in [front for front, at_s in known.items() if now_s - at_s > kept_s]:
                 del known[front]
 
     def _some_fronts(self, request: wire.CatalogRequest) -> list[Address]:
         """Fronts that were heard lately, half of them by others' word, so of several zones."""
         asker = read_peer(request.asker)
-        near = [front for front in self._asked_at_s if front != asker]
+        near = [front for front in self._askers() if front != asker]
         far = [front for front in self._elsewhere if front not in self._asked_at_s]
         half = MAX_FRONTS_TOLD // 2
         chosen = self._rng.sample(far, min(half, len(far)))
@@ -218,23 +224,34 @@
     # --- in the background -----------------------------------------------------------------
 
     async def greet(self) -> None:
-        """Tell the fronts of the last life where this machine is: they may have no other source."""
-        for pause_s in GREETING_PAUSES_S:
-            await asyncio.sleep(pause_s)
+        """Tell fronts that fell silent where this machine is: they may have no other source."""
+        while True:
             own = self._directory.own
-            if own is None:
-                continue
-            hello = to_wire(own).SerializeToString()
-            for front in self._kept.fronts:
-                if front not in self._asked_at_s:
+            if own is not None:
+                hello = to_wire(own).SerializeToString()
+                for front in self._silent_fronts():
                     self._transport.send(front, HELLO_METHOD, hello)
+            await asyncio.sleep(GREETING_INTERVAL_S)
+
+    def _silent_fronts(self) -> list[Address]:
+        """Fronts that asked this machine or its last life and do not any more."""
+        now_s = asyncio.get_running_loop().time()
+        silent = [
+            front
+            for front, at_s in self._asked_at_s.items()
+            if SILENT_ASKER_S < now_s - at_s < GREETED_S
+        ]
+        if now_s < self._forgets_kept_at_s:
+            silent += [front for front in self._kept.fronts if front not in self._asked_at_s]
+        return silent
 
     async def share_fronts(self) -> None:
         """Name some fronts to the other replica machines, again and again; see who still asks."""
         while True:
             await asyncio.sleep(SHARE_INTERVAL_S)
+            self._forget_silent()
             self._follow_demand()
-            fronts = list(self._asked_at_s)
+            fronts = self._askers()
             if not fronts:
                 continue
             chosen = self._rng.sample(fronts, min(MAX_FRONTS_SHARED, len(fronts)))
--- a/src/bendshed/turns/node.py
+++ b/src/bendshed/turns/node.py
@@ -110,7 +110,7 @@
         self._service.start()
         self.catalog.start()
         self._catalog_tasks = [
-            asyncio.get_running_loop().create_task(self.catalog.greet()),
+            start_loop(self.catalog.greet(), "catalog"),
             start_loop(self.catalog.share_fronts(), "catalog"),
             start_loop(self.catalog.keep(), "catalog"),
         ]
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -90,6 +90,25 @@
                 self.assertTrue(program.finished)
                 self.assertEqual(set(program.statuses), {200})
 
+    def test_a_front_that_restarts_alone_while_the_registry_is_away_serves(self) -> None:
+        for seed in (1, 2):
+            with self.subTest(seed=seed):
+                world = SiteWorld.started(seed)
+                self.addCleanup(world.close)
+                world.run_for(2.0)
+                world.registry.is_down = True
+                front = world.fronts["front-2"]
+                world.kill(front)
+                world.run_for(0.6)
+                world.restart(front)
+                world.run_for(1.2)
+                assert front.front is not None
+                self.assertIsNotNone(front.front.forwarder.index)
+                program = world.start_program(ProgramPlan(turns=2, tools=1))
+                world.run_for(3.0)
+                self.assertTrue(program.finished)
+                self.assertEqual(set(program.statuses), {200})
+
 
 class SharedReadingTest(unittest.TestCase):
     """With enough fronts one replica machine of a zone asks the registry for all of them."""
