--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -71,6 +71,12 @@
 
 
 class ColdStartTest(unittest.TestCase):
+    def assert_serves(self, world: SiteWorld) -> None:
+        program = world.start_program(ProgramPlan(turns=2, tools=1))
+        world.run_for(3.0)
+        self.assertTrue(program.finished)
+        self.assertEqual(set(program.statuses), {200})
+
     def test_a_site_started_while_the_registry_is_away_serves(self) -> None:
         for seed in (1, 2):
             with self.subTest(seed=seed):
@@ -85,10 +91,7 @@
                 for machine in machines:
                     world.restart(machine)
                 world.run_for(1.0)
-                program = world.start_program(ProgramPlan(turns=2, tools=1))
-                world.run_for(3.0)
-                self.assertTrue(program.finished)
-                self.assertEqual(set(program.statuses), {200})
+                self.assert_serves(world)
 
     def test_a_front_that_restarts_alone_while_the_registry_is_away_serves(self) -> None:
         for seed in (1, 2):
@@ -104,10 +107,7 @@
                 world.run_for(1.2)
                 assert front.front is not None
                 self.assertIsNotNone(front.front.forwarder.index)
-                program = world.start_program(ProgramPlan(turns=2, tools=1))
-                world.run_for(3.0)
-                self.assertTrue(program.finished)
-                self.assertEqual(set(program.statuses), {200})
+                self.assert_serves(world)
 
 
 class SharedReadingTest(unittest.TestCase):
