--- a/src/bendshed/adapters/connection_pool.py
+++ b/src/bendshed/adapters/connection_pool.py
@@ -40,6 +40,14 @@
             connection.abort()
         return None
 
+    def has_idle(self, address: Address) -> bool:
+        """Whether a connection rests there that may be used again."""
+        now_s = asyncio.get_running_loop().time()
+        return any(
+            connection.is_reusable and connection.rest_until_s > now_s
+            for connection in self._idle.get(address, ())
+        )
+
     def release(self, address: Address, connection: RunnerConnection) -> None:
         """Give a connection back after ``finish``, or drop it."""
         idle = self._idle.setdefault(address, [])
--- a/src/bendshed/catalog/state.py
+++ b/src/bendshed/catalog/state.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from bendshed.services.document import ServiceDocument
-from bendshed.services.runners import ServiceRunner
+from bendshed.services.runners import RunnerState, ServiceRunner
 
 MAX_REMOVED = 1_000
 """Removals remembered; whoever knows less than the oldest is told the whole list."""
@@ -67,6 +67,7 @@
     document: ServiceDocument | None = None
     runners_at: int = 0
     _runners: dict[str, KnownRunner] = field(default_factory=dict)
+    _ready: dict[str, dict[str, ServiceRunner]] = field(default_factory=dict)
     _removed: "OrderedDict[str, Removal]" = field(default_factory=OrderedDict)
     _told_from: int = 0
 
@@ -75,6 +76,15 @@
         """Version of the document; 0: none is known."""
         return self.document.version if self.document is not None else 0
 
+    @property
+    def runner_ids(self) -> Collection[str]:
+        """All that are listed, ready or not."""
+        return self._runners.keys()
+
+    def ready_runners(self, service: str) -> list[ServiceRunner]:
+        """Runners of a service that may get new work."""
+        return list(self._ready.get(service, {}).values())
+
     def take_document(self, document: ServiceDocument) -> bool:
         """Take a newer document; ``False``: it is not newer."""
         if document.version <= self.version:
@@ -104,14 +114,26 @@
         held = self._runners.get(runner_id)
         if held is not None and held.revision >= known.revision:
             return False
+        if held is not None:
+            self._set_ready(held.runner, False)
         self._runners[runner_id] = known
+        self._set_ready(known.runner, known.runner.state is RunnerState.READY)
         self._removed.pop(runner_id, None)
         return True
 
+    def _set_ready(self, runner: ServiceRunner, is_ready: bool) -> None:
+        of_service = self._ready.setdefault(runner.service, {})
+        if is_ready:
+            of_service[runner.runner_id] = runner
+        else:
+            of_service.pop(runner.runner_id, None)
+
     def remove_runner(self, runner_id: str, at: int, is_trusted: bool) -> bool:
         """A runner vanished from the list; ``False``: it was not known."""
-        if self._runners.pop(runner_id, None) is None:
+        held = self._runners.pop(runner_id, None)
+        if held is None:
             return False
+        self._set_ready(held.runner, False)
         self._removed[runner_id] = Removal(runner_id, at, is_trusted)
         while len(self._removed) > MAX_REMOVED:
             _, dropped = self._removed.popitem(last=False)
--- a/src/bendshed/gateway/services.py
+++ b/src/bendshed/gateway/services.py
@@ -55,6 +55,7 @@
             connections,
             ServiceRunnerProtocol(),
             node.settings.node.zone,
+            node.node_id,
             node.ports.rng,
             ServiceMetrics(registry),
         )
--- /dev/null
+++ b/src/bendshed/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Where turns run, decided from the load of all nodes."""
--- /dev/null
+++ b/src/bendshed/placement/board.py
@@ -0,0 +1,298 @@
+"""The load of all nodes' turns at each runner, and where the next turn had best run. Pure.
+
+The leader of the turn log hears of every turn before it is sent and after it has ended. So it knows
+what all nodes have under way at each runner at this moment, without any message of its own, and
+every node is told the same: nodes do not herd on old counts. Nothing here is replicated: a new
+leader begins empty and knows the load after the length of one turn; what it does not know costs
+time and never truth.
+
+The choice is the least of costs that have one unit, milliseconds of the turn: waiting for a slot,
+reading what the runner does not keep, slowness, failures, a new connection.
+"""
+
+import heapq
+import random
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass, field
+
+from bendshed.identifiers import rendezvous_rank
+from bendshed.placement.prompt_cache import PromptCache, PromptPart
+from bendshed.placement.runner_health import RunnerHealth, median_pace
+from bendshed.services.runners import ServiceRunner
+
+READ_TOKENS_PER_MS = 80.0
+"""Prompt tokens that a runner reads in a millisecond; engines met so far read 65 to 163."""
+RUNNING_MS = 4.0
+"""What one more running turn costs the others at its runner: its prompt is read between their
+tokens. A continued turn's new input takes 4 to 10 ms."""
+OTHER_ZONE_MS = 3.0
+"""A round trip between zones (0.9 to 1.4 ms a way on today's sites)."""
+NEW_CONNECTION_MS = 30.0
+"""A round trip, and a handshake that occupies a slot; operators price connections as they price some
+tens of milliseconds of a runner."""
+FAILED_TURN_MS = 1_000.0
+"""What a failed turn costs its program: its client comes back after up to 0.4 s, from the start."""
+FIRST_TURN_MS = 250.0
+"""Length of a turn until any has ended."""
+TURN_WEIGHT = 0.05
+"""Weight of the newest turn in the mean length: some twenty turns tell a change."""
+MEMORY_SHARE = 0.8
+"""Share of a runner's memory that running turns may fill; beyond it the newest is put back."""
+OVERDUE_TURNS = 4.0
+"""A turn that takes this many mean lengths tells that its runner is slow or hangs."""
+MAX_CANDIDATES = 64
+"""Runners that one choice looks at; of larger pools a sample, beside those that keep the prompt."""
+DEFAULT_CAPACITY_TOKENS = 50_000
+"""Memory of a runner when the configuration does not tell it."""
+SLOW_FROM = 1.6
+"""A runner counts as slow from this many times the pool's median time between events on; below it is
+chance: batches and prompts read in between make single turns differ by a third."""
+NEAR_MS = 1.0
+"""Costs this near to the least count as equal; the rank by session decides then."""
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What a turn asks of a runner.
+
+    Attributes:
+        line: turns of one line share their prompts; decides between equals.
+        most_tokens: most that it may generate.
+        left_s: until its deadline; after that it counts as over.
+        connected: runners to which the asker has an idle connection.
+        avoided: runners that failed the asker a moment ago.
+        zone: the asker's.
+
+    """
+
+    turn_id: str
+    line: str
+    parts: Sequence[PromptPart]
+    most_tokens: int
+    left_s: float
+    connected: Collection[str] = ()
+    avoided: Collection[str] = ()
+    zone: str = ""
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Length of the whole prompt."""
+        return sum(part.tokens for part in self.parts)
+
+
+@dataclass(frozen=True, slots=True)
+class Advice:
+    """Where a turn had best run, for the log too.
+
+    Attributes:
+        cost_ms: what was the least.
+        num_running: turns of all nodes that the board knows there, without this one.
+        cached_tokens: of the prompt, very likely kept there.
+
+    """
+
+    runner_id: str
+    cost_ms: float
+    num_running: int
+    cached_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """What the node of a turn saw.
+
+    Attributes:
+        runner_id: whose answer was passed on; empty: none.
+        gap_ms: mean time between events; 0: unknown.
+        failed: runners that broke their answers or were not reached.
+
+    """
+
+    turn_id: str
+    runner_id: str = ""
+    gap_ms: float = 0.0
+    failed: Collection[str] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class _Running:
+    """A turn under way."""
+
+    runner_id: str
+    tokens: int
+    began_s: float
+
+
+@dataclass(slots=True)
+class _RunnerLoad:
+    """One runner.
+
+    Attributes:
+        turns: under way there, by turn id, the oldest first.
+        num_tokens: prompts and worst outputs of these.
+
+    """
+
+    cache: PromptCache
+    health: RunnerHealth = field(default_factory=RunnerHealth)
+    turns: dict[str, _Running] = field(default_factory=dict)
+    num_tokens: int = 0
+
+    def oldest_age_s(self, now_s: float) -> float:
+        """Age of the turn that is longest under way; 0: none is."""
+        for turn in self.turns.values():
+            return now_s - turn.began_s
+        return 0.0
+
+
+class LoadBoard:
+    """Turns under way by runner.
+
+    Invariant: a turn counts at one runner from its advice until its end or its deadline.
+
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.turn_ms = FIRST_TURN_MS
+        self._rng = rng
+        self._loads: dict[str, _RunnerLoad] = {}
+        self._turns: dict[str, str] = {}
+        self._deadlines: list[tuple[float, str]] = []
+
+    @property
+    def num_running(self) -> int:
+        """Turns under way."""
+        return len(self._turns)
+
+    def running_at(self, runner_id: str) -> int:
+        """Turns under way at one runner."""
+        load = self._loads.get(runner_id)
+        return len(load.turns) if load is not None else 0
+
+    def advise(
+        self,
+        demand: Demand,
+        runners: Sequence[ServiceRunner],
+        capacity_tokens: int,
+        now_s: float,
+    ) -> Advice | None:
+        """Choose the runner of a turn and count it there; ``None``: there is no runner.
+
+        Args:
+            demand: the turn.
+            runners: those of its service that may get new work.
+            capacity_tokens: memory of each; 0: not told.
+            now_s: steady time.
+
+        """
+        self._end_overdue(now_s)
+        if not runners:
+            return None
+        for runner in runners:
+            if runner.runner_id not in self._loads:
+                cache = PromptCache(capacity_tokens or DEFAULT_CAPACITY_TOKENS)
+                self._loads[runner.runner_id] = _RunnerLoad(cache)
+        pool_gap = median_pace(self._loads[runner.runner_id].health for runner in runners)
+        costs = {
+            runner.runner_id: self._cost_ms(demand, runner, pool_gap, now_s)
+            for runner in self._candidates(demand, runners)
+        }
+        least_ms = min(costs.values())
+        near = [runner_id for runner_id, cost in costs.items() if cost <= least_ms + NEAR_MS]
+        chosen = near[0] if len(near) == 1 else rendezvous_rank(demand.line, near)[0]
+        load = self._loads[chosen]
+        advice = Advice(
+            chosen, costs[chosen], len(load.turns), load.cache.cached_tokens(demand.parts)
+        )
+        self._begin(demand, chosen, now_s)
+        return advice
+
+    def _candidates(
+        self, demand: Demand, runners: Sequence[ServiceRunner]
+    ) -> Sequence[ServiceRunner]:
+        """All of a small pool; of a large one a sample, and those that are near the turn."""
+        if len(runners) <= MAX_CANDIDATES:
+            return runners
+        near = [
+            runner
+            for runner in runners
+            if runner.runner_id in demand.connected
+            or self._loads[runner.runner_id].cache.cached_tokens(demand.parts)
+        ]
+        return [*near, *self._rng.sample(list(runners), MAX_CANDIDATES)]
+
+    def _cost_ms(
+        self, demand: Demand, runner: ServiceRunner, pool_gap: float, now_s: float
+    ) -> float:
+        """Milliseconds that the turn very likely loses at a runner."""
+        load = self._loads[runner.runner_id]
+        num_running = len(load.turns)
+        slowness = load.health.slowness_now(pool_gap, now_s, SLOW_FROM)
+        overdue = 1000 * load.oldest_age_s(now_s) / (OVERDUE_TURNS * self.turn_ms)
+        slowness = max(slowness, overdue)
+        num_waiting = max(0, num_running + 1 - runner.slots)
+        waiting_ms = self.turn_ms * num_waiting / runner.slots
+        unread = demand.prompt_tokens - load.cache.cached_tokens(demand.parts)
+        reading_ms = unread / READ_TOKENS_PER_MS
+        cost_ms = slowness * (waiting_ms + reading_ms + RUNNING_MS * num_running)
+        cost_ms += (slowness - 1.0) * self.turn_ms
+        cost_ms += FAILED_TURN_MS * load.health.failures_now(now_s)
+        wanted = load.num_tokens + demand.prompt_tokens + demand.most_tokens
+        if wanted > MEMORY_SHARE * load.cache.capacity_tokens:
+            cost_ms += self.turn_ms
+        if runner.runner_id in demand.avoided:
+            cost_ms += FAILED_TURN_MS
+        if runner.runner_id not in demand.connected:
+            cost_ms += NEW_CONNECTION_MS
+        if runner.zone != demand.zone:
+            cost_ms += OTHER_ZONE_MS
+        return cost_ms
+
+    # --- turns under way -------------------------------------------------------------------
+
+    def _begin(self, demand: Demand, runner_id: str, now_s: float) -> None:
+        self._remove(demand.turn_id)
+        load = self._loads[runner_id]
+        tokens = demand.prompt_tokens + demand.most_tokens
+        load.turns[demand.turn_id] = _Running(runner_id, tokens, now_s)
+        load.num_tokens += tokens
+        load.cache.note_read(demand.parts)
+        self._turns[demand.turn_id] = runner_id
+        heapq.heappush(self._deadlines, (now_s + demand.left_s, demand.turn_id))
+
+    def end(self, ended: Ended, now_s: float) -> None:
+        """A turn has ended, well or not."""
+        turn = self._remove(ended.turn_id)
+        if turn is not None and turn.runner_id == ended.runner_id:
+            took_ms = 1000 * (now_s - turn.began_s)
+            self.turn_ms += TURN_WEIGHT * (took_ms - self.turn_ms)
+        load = self._loads.get(ended.runner_id)
+        if load is not None:
+            load.health.note_try(False, now_s)
+            if ended.gap_ms:
+                load.health.note_pace(ended.gap_ms, now_s)
+        for runner_id in ended.failed:
+            failing = self._loads.get(runner_id)
+            if failing is not None:
+                failing.health.note_try(True, now_s)
+
+    def _remove(self, turn_id: str) -> _Running | None:
+        runner_id = self._turns.pop(turn_id, None)
+        if runner_id is None:
+            return None
+        load = self._loads[runner_id]
+        turn = load.turns.pop(turn_id)
+        load.num_tokens -= turn.tokens
+        return turn
+
+    def _end_overdue(self, now_s: float) -> None:
+        """Turns whose deadline has passed are over, whatever became of their nodes."""
+        while self._deadlines and self._deadlines[0][0] <= now_s:
+            _, turn_id = heapq.heappop(self._deadlines)
+            self._remove(turn_id)
+
+    def keep_only(self, listed: Collection[str]) -> None:
+        """Forget runners that are not listed any more."""
+        for runner_id in [name for name in self._loads if name not in listed]:
+            for turn_id in self._loads.pop(runner_id).turns:
+                del self._turns[turn_id]
--- /dev/null
+++ b/src/bendshed/placement/runner_health.py
@@ -0,0 +1,75 @@
+"""How fast and how sound one runner has been lately, against the others of its service. Pure."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from statistics import median
+
+PACE_WEIGHT = 0.4
+"""Weight of the newest pace in a runner's mean: two or three requests tell a change."""
+HALF_LIFE_S = 1.5
+"""A finding that nobody has repeated loses half of its weight in this time, so that a runner that
+was slow or failing gets work again and can show that it is well."""
+FAILURE_WEIGHT = 0.4
+"""Weight of the newest try in a runner's share of failures."""
+
+
+@dataclass(slots=True)
+class RunnerHealth:
+    """What requests saw of one runner.
+
+    A pace is time by unit of work; whoever keeps the record chooses the unit.
+
+    Attributes:
+        pace: the mean, the latest ones weighing most; 0: unknown.
+        pace_at_s: when the last one was told.
+        failure_share: share of tries that failed, the latest ones weighing most.
+        failure_at_s: when the last try was told.
+
+    """
+
+    pace: float = 0.0
+    pace_at_s: float = 0.0
+    failure_share: float = 0.0
+    failure_at_s: float = 0.0
+
+    def note_pace(self, pace: float, now_s: float) -> None:
+        """A request ended that had this pace."""
+        known = self.pace or pace
+        self.pace = known + PACE_WEIGHT * (pace - known)
+        self.pace_at_s = now_s
+
+    def note_try(self, failed: bool, now_s: float) -> None:
+        """A try ended."""
+        before = self.failures_now(now_s)
+        self.failure_share = before + FAILURE_WEIGHT * (float(failed) - before)
+        self.failure_at_s = now_s
+
+    def failures_now(self, now_s: float) -> float:
+        """Share of tries that are likely to fail now."""
+        return self.failure_share * _fading(now_s - self.failure_at_s)
+
+    def slowness_now(self, pool_pace: float, now_s: float, slow_from: float) -> float:
+        """How many times as long work very likely takes there as at the others; at least 1.
+
+        Args:
+            pool_pace: ``median_pace`` of the service's runners; 0: unknown.
+            now_s: steady time.
+            slow_from: a smaller ratio is chance.
+
+        """
+        if not self.pace or not pool_pace:
+            return 1.0
+        ratio = self.pace / pool_pace
+        if ratio < slow_from:
+            return 1.0
+        return 1.0 + (ratio - 1.0) * _fading(now_s - self.pace_at_s)
+
+
+def _fading(age_s: float) -> float:
+    return float(0.5 ** (max(0.0, age_s) / HALF_LIFE_S))
+
+
+def median_pace(healths: Iterable[RunnerHealth]) -> float:
+    """Median over runners whose pace is known; 0: none is."""
+    known = [health.pace for health in healths if health.pace]
+    return median(known) if known else 0.0
--- a/src/bendshed/platform/caller_protocol.py
+++ b/src/bendshed/platform/caller_protocol.py
@@ -1,6 +1,7 @@
 """How the platform's clients speak: their headers, and how refusals are told to them."""
 
 from bendshed.errors import ErrorKind, Refusal, WasRun
+from bendshed.placement.prompt_cache import PromptPart
 from bendshed.platform import names
 from bendshed.ports.caller_protocol import CallerProtocol, ReceivedRequest, RefusalAnswer
 from bendshed.ports.http_messages import Headers, end_to_end
@@ -86,11 +87,31 @@
     counts = fields.get(names.TOKEN_COUNTS)
     if counts is None:
         return None
-    _, _, most = counts.partition(b",")
+    prompt, _, most = counts.partition(b",")
     if not most.strip().isdigit():
         raise ValueError(f"X-Token-Counts: {counts!r}: write the prompt's tokens, the most out")
-    previous = _text(fields, names.PREVIOUS_TURN)
-    return TurnDetails(previous, _read_int(fields, names.TOKEN_BUDGET), int(most))
+    line = _text(fields, names.SESSION_ID)
+    parts = _read_parts(_text(fields, names.PROMPT_PARTS))
+    if not parts and prompt.strip().isdigit():
+        parts = (PromptPart(line, int(prompt)),)
+    return TurnDetails(
+        previous_turn=_text(fields, names.PREVIOUS_TURN),
+        budget_tokens=_read_int(fields, names.TOKEN_BUDGET),
+        most_tokens=int(most),
+        parts=parts,
+        line=line,
+    )
+
+
+def _read_parts(text: str) -> tuple[PromptPart, ...]:
+    """Parts of the prompt, as ID:TOKENS by commas; a hint: what cannot be read ends it."""
+    parts = []
+    for part in text.split(","):
+        part_id, _, tokens = part.strip().partition(":")
+        if not part_id or not tokens.isdigit():
+            break
+        parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
 
 
 def _read_int(fields: dict[bytes, bytes], name: bytes) -> int | None:
--- a/src/bendshed/platform/translate.py
+++ b/src/bendshed/platform/translate.py
@@ -63,7 +63,9 @@
 
 def _read_engine(row: Any) -> EngineFeatures:
     return EngineFeatures(
-        slots=int(row.get("slots") or 1), event_tokens=int(row.get("eventTokens") or 1)
+        slots=int(row.get("slots") or 1),
+        event_tokens=int(row.get("eventTokens") or 1),
+        memory_tokens=int(row.get("kvCapTokens") or 0),
     )
 
 
--- a/src/bendshed/policy.py
+++ b/src/bendshed/policy.py
@@ -21,6 +21,8 @@
         shared_reading: many fronts rely on one replica machine's reading of the registry.
         kept_catalog: replica machines tell after a start what they knew before it.
         quick_election: a replica that has just started stands for election at once.
+        shared_load: a turn runs where the leader of the turn log advises, which hears of all turns.
+        kept_connections: a request goes to a runner with an idle connection unless that costs it.
 
     """
 
@@ -33,6 +35,8 @@
     shared_reading: bool = True
     kept_catalog: bool = True
     quick_election: bool = True
+    shared_load: bool = True
+    kept_connections: bool = True
 
 
 EVERYTHING = Policy()
--- a/src/bendshed/ports/runner.py
+++ b/src/bendshed/ports/runner.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 from bendshed.errors import Refusal
+from bendshed.placement.prompt_cache import PromptPart
 from bendshed.ports.http_messages import ClientRequest, Headers, ResponseHead
 from bendshed.services.document import Route
 from bendshed.services.runners import ServiceRunner
@@ -18,12 +19,16 @@
         previous_turn: id of the turn that it continues; empty at a chain's start.
         budget_tokens: what the whole program may generate; ``None``: no bound.
         most_tokens: most that this turn may generate.
+        parts: of its prompt, in order; requests may share all but the last.
+        line: turns of one line continue each other.
 
     """
 
     previous_turn: str
     budget_tokens: int | None
     most_tokens: int
+    parts: tuple[PromptPart, ...] = ()
+    line: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bendshed/ports/runner_connections.py
+++ b/src/bendshed/ports/runner_connections.py
@@ -34,6 +34,10 @@
     async def acquire(self, address: Address) -> RunnerConnection:
         """Take an idle connection or open one; raise ``ConnectFailed``."""
 
+    @abstractmethod
+    def has_idle(self, address: Address) -> bool:
+        """Whether ``acquire`` would find a connection that is open already."""
+
     @abstractmethod
     def release(self, address: Address, connection: RunnerConnection) -> None:
         """Give a connection back after ``finish`` or ``abort``."""
--- a/src/bendshed/rehearsal/site/sim_runners.py
+++ b/src/bendshed/rehearsal/site/sim_runners.py
@@ -192,6 +192,10 @@
             raise ConnectFailed("refused")
         return SimConnection(self._net, self._owner, self._host, runner)
 
+    def has_idle(self, address: Address) -> bool:
+        """Nothing is kept."""
+        return False
+
     def release(self, address: Address, connection: RunnerConnection) -> None:
         """Nothing is kept."""
 
--- a/src/bendshed/services/attempts.py
+++ b/src/bendshed/services/attempts.py
@@ -13,7 +13,7 @@
 from bendshed.ports.runner_connections import RunnerConnection, RunnerConnections
 from bendshed.services.document import Route
 from bendshed.services.metrics import AttemptEnd, ServiceMetrics
-from bendshed.services.placement import Choice, choose_runner
+from bendshed.services.placement import Choice, NodeView, choose_runner
 from bendshed.services.runners import RunnerRecord, RunnerTable
 
 MAX_UNRUN_TRIES = 4
@@ -26,28 +26,53 @@
 
 @dataclass(frozen=True, slots=True)
 class RunnerPorts:
-    """What attempts need of a node."""
+    """What attempts need of a node.
+
+    Attributes:
+        zone, node: the node's zone and a name that other nodes do not have.
+
+    """
 
     table: RunnerTable
     pool: RunnerConnections
     protocol: RunnerProtocol
     zone: str
+    node: str
     rng: random.Random
     metrics: ServiceMetrics
     policy: Policy = EVERYTHING
 
 
+@dataclass(frozen=True, slots=True)
+class RunnerState:
+    """What this node can tell of a service's runners.
+
+    Attributes:
+        connected: ids of those to which a connection rests.
+        avoided: ids of those that failed a moment ago.
+
+    """
+
+    connected: list[str]
+    avoided: list[str]
+
+
 @dataclass(slots=True)
 class OpenAnswer:
     """An answer whose head has come.
 
     ``close`` must be called once, whatever happens.
+
+    Attributes:
+        sent_s: loop time at which the request was sent.
+
     """
 
     head: ResponseHead
     record: RunnerRecord
     connection: RunnerConnection
     pool: RunnerConnections
+    sent_s: float
     _closed: bool = False
 
     async def body(self) -> AsyncIterator[bytes]:
@@ -80,6 +105,9 @@
         service: where it goes.
         deadline_s: loop time after which nothing is sent.
         sticky_key: session or nothing, for the choice of the runner.
+        advised: id of the runner that the leader of the turn log advises; empty: no advice.
+        answered_by: id of the runner whose answer was taken; empty: none yet.
+        failed: ids of runners that were not reached or gave no answer.
         num_maybe_run: attempts after which the request may have run.
 
     """
@@ -91,6 +119,9 @@
     body: bytes
     deadline_s: float
     sticky_key: str
+    advised: str = ""
+    answered_by: str = ""
+    failed: list[str] = field(default_factory=list)
     num_maybe_run: int = 0
     _num_unrun: int = 0
     _tried: set[str] = field(default_factory=set)
@@ -106,16 +137,7 @@
         while True:
             if self.deadline_s - loop.time() < MIN_LEFT_S:
                 return self._refusal(ErrorKind.DEADLINE_EXCEEDED, "no time is left")
-            usable = self.ports.table.usable(self.service, loop.time())
-            choice = choose_runner(
-                usable,
-                self._tried,
-                self.sticky_key,
-                self.ports.zone,
-                loop.time(),
-                self.ports.rng,
-                self.ports.policy,
-            )
+            choice = self._choose(loop.time())
             if choice is None or self._num_unrun >= MAX_UNRUN_TRIES:
                 kind = ErrorKind.OVERLOADED if self._num_unrun else ErrorKind.NO_RUNNER
                 return self._refusal(kind, f"no runner of {self.service} takes the request now")
@@ -125,6 +147,34 @@
             if self.may_have_run and not self._may_repeat():
                 return Refusal(ErrorKind.ENGINE_LOST, "the runner gave no whole answer")
 
+    def runner_state(self) -> RunnerState:
+        """What this node can tell others of the service's runners."""
+        now_s = asyncio.get_running_loop().time()
+        usable = self.ports.table.usable(self.service, now_s)
+        connected: list[str] = []
+        if self.ports.policy.kept_connections:
+            connected = [r.listed.runner_id for r in usable if self._is_connected(r)]
+        return RunnerState(connected, [r.listed.runner_id for r in usable if r.is_avoided(now_s)])
+
+    def _is_connected(self, record: RunnerRecord) -> bool:
+        return self.ports.pool.has_idle(record.listed.address)
+
+    def _choose(self, now_s: float) -> Choice | None:
+        """The advised runner if it may get new work from here, else one by this node's own view."""
+        usable = self.ports.table.usable(self.service, now_s)
+        for record in usable:
+            runner_id = record.listed.runner_id
+            is_fit = runner_id not in self._tried and not record.is_avoided(now_s)
+            if runner_id == self.advised and is_fit:
+                return Choice(record, "advised")
+        connected: set[str] = set()
+        if self.ports.policy.kept_connections:
+            connected = {r.listed.runner_id for r in usable if self._is_connected(r)}
+        view = NodeView(self.ports.node, self.ports.zone, connected, now_s)
+        return choose_runner(
+            usable, self._tried, self.sticky_key, view, self.ports.rng, self.ports.policy
+        )
+
     def may_try_again(self) -> bool:
         """Whether a broken answer may be replaced by another attempt."""
         return self._may_repeat()
@@ -154,6 +204,7 @@
             return None
         match self.ports.protocol.verdict(answer.head):
             case Verdict.ANSWERED:
+                self.answered_by = runner.runner_id
                 self._count(AttemptEnd.ANSWERED)
                 return answer
             case Verdict.NOT_RUN:
@@ -171,6 +222,7 @@
             connection = await self.ports.pool.acquire(runner.address)
         except ConnectFailed as error:
             self._num_unrun += 1
+            self.failed.append(runner.runner_id)
             self._count(AttemptEnd.UNREACHABLE)
             record.note_unreachable(loop.time())
             self._say("could not be sent", choice, reason=str(error))
@@ -187,10 +239,12 @@
             left_ms=left_ms,
             attempt=self.num_maybe_run,
         )
+        sent_s = loop.time()
         try:
             head = await connection.send(sent)
         except ResponseBroken as error:
             connection.abort()
+            self.failed.append(runner.runner_id)
             self._count(AttemptEnd.NO_ANSWER)
             record.note_broken(loop.time())
             self._say("got no answer", choice, reason=str(error))
@@ -198,7 +252,13 @@
         except BaseException:
             connection.abort()
             raise
-        return OpenAnswer(head, record, connection, self.ports.pool)
+        return OpenAnswer(head, record, connection, self.ports.pool, sent_s)
+
+    def note_work_time(self, answer: OpenAnswer) -> None:
+        """A plain request was answered whole: what that tells of its runner's speed."""
+        now_s = asyncio.get_running_loop().time()
+        pace = self.ports.table.work_times.in_typical(self.route.name, now_s - answer.sent_s)
+        answer.record.health.note_pace(pace, now_s)
 
     async def _drop_unrun(self, answer: OpenAnswer, reason: str) -> None:
         self.num_maybe_run -= 1
--- a/src/bendshed/services/document.py
+++ b/src/bendshed/services/document.py
@@ -66,11 +66,13 @@
     Attributes:
         slots: requests that run at once.
         event_tokens: tokens that one event of a stream holds at most.
+        memory_tokens: running requests and kept parts of prompts together; 0: not told.
 
     """
 
     slots: int
     event_tokens: int
+    memory_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bendshed/services/forwarder.py
+++ b/src/bendshed/services/forwarder.py
@@ -129,7 +129,7 @@
                 if route.kind is RouteKind.STREAM:
                     known = index.document.services.get(service)
                     engine = known.engine if known is not None else None
-                    record = self._record_of(request, route, engine, deadline_s)
+                    record = self._record_of(request, route, attempts, engine, deadline_s)
                     return await StreamExchange(request, attempts, caller, record).run()
                 return await self._serve_plain(attempts, caller)
         except TimeoutError:
@@ -142,12 +142,13 @@
         self,
         request: ServiceRequest,
         route: Route,
+        attempts: Attempts,
         engine: EngineFeatures | None,
         deadline_s: float,
     ) -> TurnRecord | None:
         if request.turn is None or self._turns is None:
             return None
-        return TurnRecord(self._turns, request, route, engine, deadline_s)
+        return TurnRecord(self._turns, request, route, attempts, engine, deadline_s)
 
     async def _serve_plain(self, attempts: Attempts, caller: Caller) -> Refusal | Served:
         while True:
@@ -163,6 +164,8 @@
                 continue
             finally:
                 opened.close(whole)
+            if whole:
+                attempts.note_work_time(opened)
             log.say(
                 "answered" if whole else "the answer was cut midway",
                 request=attempts.request.request_id,
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -93,7 +93,16 @@
         )
         client = TurnClient(rng, groups, self._refuses_alone)
         self._turns = TurnPorts(client, TranscriptCache(TRANSCRIPT_BYTES), metrics, policy)
-        runners = RunnerPorts(self._table, self._pool, protocol, place.zone, rng, metrics, policy)
+        runners = RunnerPorts(
+            self._table,
+            self._pool,
+            protocol,
+            place.zone,
+            str(place.address),
+            rng,
+            metrics,
+            policy,
+        )
         self.forwarder = Forwarder(runners, self._turns)
         self._add_gauges(metrics)
 
--- a/src/bendshed/services/placement.py
+++ b/src/bendshed/services/placement.py
@@ -1,4 +1,8 @@
-"""Chooses the runner of one request. One readable step; pure but for the random source."""
+"""Chooses the runner of one request by what this node knows. Pure but for the random source.
+
+Turns follow the advice of the turn log's leader, which knows the load of all nodes
+(`placement/board.py`); this is for requests that are no turns, and for turns without advice.
+"""
 
 import math
 import random
@@ -6,11 +10,37 @@
 from dataclasses import dataclass
 
 from bendshed.identifiers import rendezvous_rank
+from bendshed.placement.runner_health import median_pace
 from bendshed.policy import EVERYTHING, Policy
 from bendshed.services.runners import RunnerRecord
 
 SESSION_MAX_EXTRA = 3
 """A session leaves its runner when this many more requests are there than at the idlest."""
+NEW_CONNECTION_LOAD = 1.5
+"""A new connection is opened when the idle ones lead to runners with this many more requests of this
+node: one may wait behind another for a moment, two may not."""
+
+SLOW_FROM = 3.0
+"""A runner counts as slow from this many times the pool's median work time on: single requests of
+a route differ by a factor of e on today's services."""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeView:
+    """Who chooses.
+
+    Attributes:
+        node: a name that other nodes do not have; each node opens its connections to other runners.
+        zone: this node's; decides between equals.
+        connected: ids of runners to which a connection rests.
+        now_s: loop time.
+
+    """
+
+    node: str
+    zone: str
+    connected: Collection[str]
+    now_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,8 +48,9 @@
     """The chosen runner and why, for the log.
 
     Attributes:
-        reason: ``session``: holds the session's cache; ``step_aside``: that one is loaded;
-            ``least_loaded``: no session; ``only_avoided``: all failed or were full lately.
+        reason: ``advised``: by the leader of the turn log; ``session``: holds the session's cache;
+            ``step_aside``: that one is loaded; ``connected``: a connection rests there;
+            ``least_loaded``: none does; ``only_avoided``: all failed or were full lately.
 
     """
 
@@ -31,8 +62,7 @@
     usable: Collection[RunnerRecord],
     tried: Collection[str],
     session: str,
-    zone: str,
-    now_s: float,
+    view: NodeView,
     rng: random.Random,
     policy: Policy = EVERYTHING,
 ) -> Choice | None:
@@ -42,8 +72,7 @@
         usable: runners that may get new work.
         tried: runner ids that this request was sent to before.
         session: requests of one session go where its cache is; empty: anywhere.
-        zone: this node's; decides between equals.
-        now_s: loop time.
+        view: the node that chooses.
         rng: decides between the rest.
         policy: what of this is in use.
 
@@ -51,12 +80,14 @@
     untried = [record for record in usable if record.listed.runner_id not in tried]
     if not untried:
         return None
-    sound = [r for r in untried if not (policy.avoidance and r.is_avoided(now_s))]
+    sound = [r for r in untried if not (policy.avoidance and r.is_avoided(view.now_s))]
     pool = sound or untried
     if session and policy.session_affinity:
         choice = _by_session(pool, session, SESSION_MAX_EXTRA if policy.step_aside else math.inf)
+    elif policy.kept_connections:
+        choice = _by_connection(pool, view)
     else:
-        choice = Choice(_least_loaded(pool, zone, rng), "least_loaded")
+        choice = Choice(_least_loaded(pool, view.zone, rng), "least_loaded")
     return choice if sound else Choice(choice.record, "only_avoided")
 
 
@@ -71,6 +102,28 @@
     return Choice(by_id[ranked[0]], "session")
 
 
+def _by_connection(pool: list[RunnerRecord], view: NodeView) -> Choice:
+    """The least loaded; an idle connection is worth waiting for a moment.
+
+    Between equals of a zone each node has a rank of its own that stays, so that it opens few
+    connections and all nodes together use all runners alike (deterministic subsetting).
+    """
+    pool_pace = median_pace(record.health for record in pool)
+
+    def cost(record: RunnerRecord) -> float:
+        is_connected = record.listed.runner_id in view.connected
+        load = 1 + record.in_flight + (0.0 if is_connected else NEW_CONNECTION_LOAD)
+        return load * record.health.slowness_now(pool_pace, view.now_s, SLOW_FROM)
+
+    costs = {record.listed.runner_id: cost(record) for record in pool}
+    least = min(costs.values())
+    equal = [record for record in pool if costs[record.listed.runner_id] <= least]
+    near = [record for record in equal if record.listed.zone == view.zone] or equal
+    by_id = {record.listed.runner_id: record for record in near}
+    chosen = rendezvous_rank(view.node, by_id)[0]
+    return Choice(by_id[chosen], "connected" if chosen in view.connected else "least_loaded")
+
+
 def _least_loaded(pool: list[RunnerRecord], zone: str, rng: random.Random) -> RunnerRecord:
     def cost(record: RunnerRecord) -> tuple[float, int, float]:
         share = record.in_flight / max(1, record.listed.slots)
--- a/src/bendshed/services/runners.py
+++ b/src/bendshed/services/runners.py
@@ -5,12 +5,15 @@
 from enum import StrEnum
 
 from bendshed.logs import PartLog
+from bendshed.placement.runner_health import RunnerHealth
 from bendshed.ports.transport import Address
 
 FAILURES_TO_AVOID = 2
 AVOID_S = 2.0
 FULL_AVOID_S = 0.15
 UNLISTED_KEPT_S = 10.0
+WORK_TIME_WEIGHT = 0.1
+"""Weight of the newest request in a route's typical time: some ten requests tell a change."""
 
 log = PartLog("runners")
 
@@ -53,11 +56,13 @@
         failures: answers in a row that were broken.
         avoid_until_s: no new work before this loop time if another can take it.
         unlisted_at_s: when it vanished from a list that could not be trusted; ``None``: listed.
+        health: its work times as this node saw them, in units of each route's typical one.
 
     """
 
     listed: ServiceRunner
     in_flight: int = 0
+    health: RunnerHealth = field(default_factory=RunnerHealth)
     failures: int = 0
     avoid_until_s: float = 0.0
     unlisted_at_s: float | None = None
@@ -98,18 +103,33 @@
         self.avoid_until_s = max(self.avoid_until_s, now_s + FULL_AVOID_S)
 
 
+@dataclass(slots=True)
+class WorkTimes:
+    """How long requests of each route typically take, so that routes can be compared."""
+
+    _typical_s: dict[str, float] = field(default_factory=dict)
+
+    def in_typical(self, route: str, took_s: float) -> float:
+        """How many times as long as is typical a request took; it counts from now on."""
+        known_s = self._typical_s.get(route, took_s)
+        self._typical_s[route] = known_s + WORK_TIME_WEIGHT * (took_s - known_s)
+        return took_s / known_s if known_s else 1.0
+
+
 @dataclass(slots=True)
 class RunnerTable:
     """All runners by id and by service.
 
     Attributes:
         has_any: set once a runner has been listed.
+        work_times: of each route, over all runners.
 
     """
 
     by_id: dict[str, RunnerRecord] = field(default_factory=dict)
     has_any: asyncio.Event = field(default_factory=asyncio.Event)
     by_service: dict[str, dict[str, RunnerRecord]] = field(default_factory=dict)
+    work_times: WorkTimes = field(default_factory=WorkTimes)
 
     def put(self, runner: ServiceRunner) -> None:
         """Take a line of the list."""
--- a/src/bendshed/services/turn_record.py
+++ b/src/bendshed/services/turn_record.py
@@ -9,6 +9,7 @@
 from bendshed.policy import EVERYTHING, Policy
 from bendshed.ports.runner import ServiceRequest
 from bendshed.programs.client import GroupUnavailable
+from bendshed.services.attempts import Attempts
 from bendshed.services.document import EngineFeatures, Route
 from bendshed.services.events import StreamEvent
 from bendshed.services.metrics import ServiceMetrics
@@ -47,6 +48,7 @@
     Invariant: tokens are counted before they are handed on; a begun turn is finished exactly once.
 
     Attributes:
+        attempts: the sendings to runners, which take the advice of the preview.
         engine: features of the service; ``None``: not a model engine.
         deadline_s: loop time after which the turn is not begun any more.
         num_events: events handed to the caller.
@@ -56,12 +58,15 @@
     ports: TurnPorts
     request: ServiceRequest
     route: Route
+    attempts: Attempts
     engine: EngineFeatures | None
     deadline_s: float
     num_events: int = 0
     _transcript: bytes = b""
     _output: list[bytes] = field(default_factory=list)
     _committing: "asyncio.Task[wire.TurnReply | None] | None" = None
+    _first_event_s: float = 0.0
+    _last_event_s: float = 0.0
     _is_begun: bool = False
     _is_finished: bool = False
 
@@ -75,9 +80,16 @@
         if event.data is None:
             return
         self.num_events += 1
+        self._note_time()
         if self.route.keeps_turns:
             self._output.append(event.data + b"\n")
 
+    def _note_time(self) -> None:
+        """Remember when the first and the latest event came."""
+        self._last_event_s = asyncio.get_running_loop().time()
+        if self.num_events == 1:
+            self._first_event_s = self._last_event_s
+
     def finish_broken(self) -> None:
         """Charge a turn that did not end well, without anybody waiting for it."""
         if not self._is_begun or self._is_finished:
@@ -111,6 +123,7 @@
         refusal = None
         if is_previewed and preview is not None:
             self._take_chain(preview, held)
+            self.attempts.advised = preview.runner_id
         else:
             refusal = await self._begin_committed(begin, held)
         took_s = loop.time() - began_s
@@ -127,7 +140,38 @@
         return refusal
 
     async def _preview(self, begin: wire.BeginTurn) -> wire.TurnReply | None:
-        return await self.ports.client.preview(begin) if self.ports.policy.preview else None
+        if not self.ports.policy.preview:
+            return None
+        asked = wire.TurnPreview(begin=begin)
+        if self.ports.policy.shared_load:
+            asked.demand.CopyFrom(self._demand())
+        return await self.ports.client.preview(asked)
+
+    def _demand(self) -> wire.TurnDemand:
+        """What the leader needs to know to advise a runner."""
+        turn = self.request.turn
+        assert turn is not None
+        left_s = self.deadline_s - asyncio.get_running_loop().time()
+        state = self.attempts.runner_state()
+        return wire.TurnDemand(
+            service=self.attempts.service,
+            parts=[wire.PromptPart(part_id=p.part_id, tokens=p.tokens) for p in turn.parts],
+            left_ms=max(1, int(left_s * 1000)),
+            connected=state.connected,
+            avoided=state.avoided,
+            zone=self.attempts.ports.zone,
+            line=turn.line or self.request.session,
+        )
+
+    def _report(self) -> wire.TurnReport:
+        """What this turn saw of runners."""
+        num_gaps = self.num_events - 1
+        gap_s = (self._last_event_s - self._first_event_s) / num_gaps if num_gaps > 0 else 0.0
+        return wire.TurnReport(
+            runner_id=self.attempts.answered_by,
+            event_gap_us=int(gap_s * 1_000_000),
+            failed=self.attempts.failed,
+        )
 
     def _begin_command(self) -> wire.BeginTurn:
         turn = self.request.turn
@@ -226,7 +270,7 @@
             output=b"".join(self._output) if keep else b"",
             retention_ms=self.route.retention_ms,
         )
-        return wire.TurnCommand(finish=finish)
+        return wire.TurnCommand(finish=finish, report=self._report())
 
     def _tokens(self) -> int:
         """Tokens handed to the caller, as the operators count them."""
--- a/src/bendshed/turns/client.py
+++ b/src/bendshed/turns/client.py
@@ -62,9 +62,9 @@
             await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
         raise GroupUnavailable(f"no leader of the turn log answered within {timeout_s:.2f} s")
 
-    async def preview(self, begin: wire.BeginTurn) -> wire.TurnReply | None:
+    async def preview(self, preview: wire.TurnPreview) -> wire.TurnReply | None:
         """Ask once what a begin would be answered; ``None``: nobody who knows answered."""
-        payload = begin.SerializeToString()
+        payload = preview.SerializeToString()
         reply = await self._ask(PREVIEW_METHOD, payload, PREVIEW_TIMEOUT_S)
         if reply is not None and reply.answer == wire.TURN_ANSWER_NOT_LEADER:
             return None
@@ -72,7 +72,7 @@
 
     async def probe(self) -> None:
         """Ask any replica something harmless; ``lost_since_s`` tells the outcome."""
-        await self.preview(wire.BeginTurn())
+        await self.preview(wire.TurnPreview())
 
     def _note(self, was_answered: bool) -> None:
         """Remember since when nobody answers; single failures around a failover are not told."""
--- a/src/bendshed/turns/node.py
+++ b/src/bendshed/turns/node.py
@@ -18,6 +18,7 @@
 from bendshed.ports.registry import ReplicaNode, ReplicaRegistry, Retirement
 from bendshed.ports.transport import Address, Transport
 from bendshed.tasks import start_loop
+from bendshed.turns.advice import TurnAdvice
 from bendshed.turns.metrics import TurnLogMetrics
 from bendshed.turns.service import TURN_GROUP, TurnService
 from bendshed.turns.state import TurnLogState
@@ -71,10 +72,11 @@
         self.supervisor = ReplicaSupervisor(
             self.host, storage, transport, registry, self.directory, me, TICK_S, num_voters
         )
-        self._service = TurnService(self.host, transport, metrics)
         self.catalog = CatalogServer(
             transport, self.directory, address, rng, catalog_storage, times, policy.kept_catalog
         )
+        self._advice = TurnAdvice(self.catalog.catalog, rng)
+        self._service = TurnService(self.host, transport, metrics, self._advice)
         self._catalog_tasks: list[asyncio.Task[None]] = []
         self._add_gauges(metrics)
 
@@ -97,6 +99,8 @@
         }
         for name, (text, read) in readings.items():
             metrics.gauge(name, text).set_function(partial(self._read_group, read))
+        running = metrics.gauge("bendshed_turns_placed", "Turns under way that were advised here")
+        running.set_function(lambda: float(self._advice.board.num_running))
 
     def _read_group(self, read: Callable[[HostedGroup], float]) -> float:
         """Read the turn log's group; 0 where this process holds no replica."""
--- a/src/bendshed/turns/service.py
+++ b/src/bendshed/turns/service.py
@@ -6,6 +6,7 @@
 from bendshed.consensus.host import CommitUnknown, GroupHost, NotCommitted, NotLeader
 from bendshed.logs import PartLog
 from bendshed.ports.transport import Transport
+from bendshed.turns.advice import TurnAdvice
 from bendshed.turns.metrics import CommandEnd, TurnLogMetrics
 from bendshed.turns.state import TurnLogState
 from bendshed.wire import turns_pb2 as wire
@@ -31,8 +32,11 @@
 class TurnService:
     """Answers commands of executors."""
 
-    def __init__(self, host: GroupHost, transport: Transport, metrics: TurnLogMetrics) -> None:
+    def __init__(
+        self, host: GroupHost, transport: Transport, metrics: TurnLogMetrics, advice: TurnAdvice
+    ) -> None:
         self._host = host
+        self._advice = advice
         self._metrics = metrics
         self._transport = transport
         self._clock: _LeaderClock | None = None
@@ -45,6 +49,7 @@
     async def answer(self, payload: bytes) -> bytes:
         """Commit one command and return the reply of applying it."""
         command = wire.TurnCommand.FromString(payload)
+        self._take_report(command)
         began_s = asyncio.get_running_loop().time()
         end = CommandEnd.COMMITTED
         try:
@@ -66,14 +71,29 @@
         return reply.SerializeToString()
 
     async def preview(self, payload: bytes) -> bytes:
-        """Tell what a begin would be answered, from the committed state, without committing."""
+        """Tell what a begin would be answered, from the committed state, without committing.
+
+        A turn that will be granted is told its runner too.
+        """
         try:
             group = self._host.ready_group(TURN_GROUP)
         except NotLeader as error:
             reply = wire.TurnReply(answer=wire.TURN_ANSWER_NOT_LEADER, leader_id=error.leader_id)
             return reply.SerializeToString()
         assert isinstance(group.state, TurnLogState)
-        return group.state.preview(wire.BeginTurn.FromString(payload)).SerializeToString()
+        preview = wire.TurnPreview.FromString(payload)
+        reply = group.state.preview(preview.begin)
+        if reply.answer == wire.TURN_ANSWER_GRANTED and preview.demand.service:
+            reply.runner_id = self._advice.advise(preview, asyncio.get_running_loop().time())
+        return reply.SerializeToString()
+
+    def _take_report(self, command: wire.TurnCommand) -> None:
+        """What a turn's end tells of runners is this process's alone: take it off the command."""
+        if not command.HasField("report"):
+            return
+        now_s = asyncio.get_running_loop().time()
+        self._advice.take_report(command.finish.turn_id, command.report, now_s)
+        command.ClearField("report")
 
     def _elapsed_ms(self) -> int:
         """Time of the log's clock; raise ``NotLeader`` elsewhere."""
--- /dev/null
+++ b/tests/test_load_board.py
@@ -0,0 +1,209 @@
+"""Placement by the load of all nodes: slots, kept prompts, speed, failures, connections."""
+
+import random
+import unittest
+
+from bendshed.placement.board import (
+    FAILED_TURN_MS,
+    FIRST_TURN_MS,
+    MAX_CANDIDATES,
+    Advice,
+    Demand,
+    Ended,
+    LoadBoard,
+)
+from bendshed.placement.prompt_cache import PromptCache, PromptPart
+from bendshed.placement.runner_health import HALF_LIFE_S, RunnerHealth, median_pace
+from bendshed.ports.transport import Address
+from bendshed.services.runners import RunnerState, ServiceRunner
+
+SLOTS = 6
+CAPACITY = 60_000
+LONG_S = 100.0
+
+
+def runner(name: str, zone: str = "z") -> ServiceRunner:
+    return ServiceRunner(name, "s", Address("10.0.0.1", 80), zone, SLOTS, RunnerState.READY)
+
+
+class LoadBoardTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.board = LoadBoard(random.Random(1))
+        self.runners = [runner(name) for name in "abcde"]
+        self.num_turns = 0
+
+    def demand(self, line: str = "", tokens: int = 1_000, **changes: object) -> Demand:
+        self.num_turns += 1
+        values: dict[str, object] = {
+            "turn_id": f"turn-{self.num_turns}",
+            "line": line or f"line-{self.num_turns}",
+            "parts": (PromptPart(line or f"line-{self.num_turns}", tokens),),
+            "most_tokens": 80,
+            "left_s": LONG_S,
+            "zone": "z",
+        }
+        return Demand(**{**values, **changes})  # type: ignore[arg-type]
+
+    def place(self, demand: Demand, now_s: float = 0.0) -> Advice:
+        advice = self.board.advise(demand, self.runners, CAPACITY, now_s)
+        assert advice is not None
+        return advice
+
+    def end(self, demand: Demand, advice: Advice, now_s: float, gap_ms: float = 30.0) -> None:
+        self.board.end(Ended(demand.turn_id, advice.runner_id, gap_ms), now_s)
+
+    def test_turns_of_all_nodes_spread_evenly(self) -> None:
+        for _ in range(20):
+            self.place(self.demand())
+        loads = [self.board.running_at(runner.runner_id) for runner in self.runners]
+        self.assertEqual(loads, [4] * 5)
+
+    def test_a_line_stays_where_its_prompt_is_kept_while_there_is_a_slot(self) -> None:
+        first = self.demand("line", 2_000)
+        home = self.place(first)
+        self.end(first, home, 0.3)
+        for _ in range(10):
+            self.place(self.demand(), 0.4)
+        second = self.place(self.demand("line", 2_500), 0.5)
+        self.assertEqual((second.runner_id, second.cached_tokens), (home.runner_id, 2_000))
+
+    def test_a_line_leaves_a_runner_whose_slots_are_taken(self) -> None:
+        first = self.demand("line", 1_000)
+        home = self.place(first)
+        self.end(first, home, 0.3)
+        others = self.runners
+        self.runners = [row for row in others if row.runner_id == home.runner_id]
+        for _ in range(SLOTS):
+            self.place(self.demand(), 0.4)
+        self.runners = others
+        self.assertNotEqual(self.place(self.demand("line", 1_000), 0.5).runner_id, home.runner_id)
+
+    def test_an_idle_connection_is_used_while_it_costs_little(self) -> None:
+        for _ in range(5):
+            self.assertEqual(self.place(self.demand(connected={"c"})).runner_id, "c")
+        while self.board.running_at("c") < SLOTS + 1:
+            self.place(self.demand(avoided=set("abde")))
+        self.assertNotEqual(self.place(self.demand(connected={"c"})).runner_id, "c")
+
+    def test_a_slow_runner_gets_its_share_and_comes_back(self) -> None:
+        first = self.demand()
+        self.end(first, self.place(first), 0.0)
+        for row in self.runners:
+            self.board.end(Ended("old", row.runner_id, 30.0), 0.0)
+        for _ in range(3):
+            self.board.end(Ended("old", "c", 150.0), 0.0)
+        for _ in range(15):
+            self.place(self.demand())
+        self.assertEqual(self.board.running_at("c"), 0)
+        later_s = 8 * HALF_LIFE_S
+        board, self.board = self.board, LoadBoard(random.Random(1))
+        self.board._loads = board._loads
+        for load in self.board._loads.values():
+            load.turns.clear()
+        for _ in range(10):
+            self.place(self.demand(), later_s)
+        self.assertEqual(self.board.running_at("c"), 2)
+
+    def test_when_all_others_are_full_a_slow_runner_is_used(self) -> None:
+        self.place(self.demand())
+        for row in self.runners:
+            self.board.end(Ended("old", row.runner_id, 30.0), 0.0)
+        for _ in range(3):
+            self.board.end(Ended("old", "c", 150.0), 0.0)
+        for _ in range(200):
+            self.place(self.demand())
+        self.assertGreater(self.board.running_at("c"), 0)
+
+    def test_a_runner_that_holds_a_turn_for_very_long_counts_as_slow(self) -> None:
+        stuck = self.place(self.demand())
+        later_s = 20 * FIRST_TURN_MS / 1000
+        for _ in range(12):
+            self.place(self.demand(), later_s)
+        self.assertEqual(self.board.running_at(stuck.runner_id), 1)
+
+    def test_a_failing_runner_is_left_for_a_while(self) -> None:
+        self.place(self.demand())
+        self.board.end(Ended("turn-1", "", failed=("a",)), 0.0)
+        for _ in range(12):
+            self.place(self.demand())
+        self.assertEqual(self.board.running_at("a"), 0)
+        self.assertEqual(self.place(self.demand(avoided=set("bcde")), 30.0).runner_id, "a")
+
+    def test_a_turn_counts_until_its_end_or_its_deadline(self) -> None:
+        first, second = self.demand(left_s=2.0), self.demand(left_s=4.0)
+        advice = self.place(first)
+        self.place(second)
+        self.end(first, advice, 0.2)
+        self.end(first, advice, 0.3)
+        self.assertEqual(self.board.num_running, 1)
+        self.place(self.demand(), 4.1)
+        self.assertEqual(self.board.num_running, 1)
+
+    def test_memory_that_would_overflow_is_avoided(self) -> None:
+        for row in self.runners[:-1]:
+            others = {other.runner_id for other in self.runners} - {row.runner_id}
+            self.place(self.demand(tokens=45_000, avoided=others))
+        self.assertEqual(self.place(self.demand(tokens=10_000)).runner_id, "e")
+
+    def test_a_large_pool_is_sampled_and_the_kept_prompt_is_still_found(self) -> None:
+        self.runners = [runner(f"runner-{number}") for number in range(4 * MAX_CANDIDATES)]
+        first = self.demand("line", 8_000)
+        home = self.place(first)
+        self.end(first, home, 0.3)
+        for _ in range(20):
+            again = self.demand("line", 8_000)
+            advice = self.place(again, 0.4)
+            self.end(again, advice, 0.5)
+            self.assertEqual(advice.runner_id, home.runner_id)
+
+    def test_runners_that_are_gone_are_forgotten_with_their_turns(self) -> None:
+        advice = self.place(self.demand())
+        self.board.keep_only([])
+        self.assertEqual(self.board.num_running, 0)
+        self.board.end(Ended("turn-1", advice.runner_id, 30.0), 1.0)
+        self.assertIsNone(self.board.advise(self.demand(), [], CAPACITY, 1.0))
+
+    def test_a_failure_costs_more_than_any_wait_for_a_slot(self) -> None:
+        self.assertGreater(FAILED_TURN_MS, FIRST_TURN_MS)
+
+
+class PromptCacheTest(unittest.TestCase):
+    def test_a_part_helps_only_behind_parts_that_are_kept(self) -> None:
+        cache = PromptCache(10_000)
+        cache.note_read([PromptPart("shared", 500), PromptPart("own", 300)])
+        self.assertEqual(cache.cached_tokens([PromptPart("shared", 500)]), 500)
+        self.assertEqual(cache.cached_tokens([PromptPart("x", 9), PromptPart("own", 300)]), 0)
+        grown = [PromptPart("shared", 500), PromptPart("own", 700), PromptPart("more", 5)]
+        self.assertEqual(cache.cached_tokens(grown), 800)
+
+    def test_the_longest_unused_part_is_given_up(self) -> None:
+        cache = PromptCache(1_000)
+        for name in "abc":
+            cache.note_read([PromptPart(name, 400)])
+        found = {name: cache.cached_tokens([PromptPart(name, 400)]) for name in "abc"}
+        self.assertEqual(found, {"a": 0, "b": 400, "c": 400})
+        self.assertEqual(cache.num_tokens, 800)
+
+
+class RunnerHealthTest(unittest.TestCase):
+    def test_slowness_is_against_the_pool_and_fades(self) -> None:
+        pool = [RunnerHealth() for _ in range(4)]
+        for health in pool:
+            health.note_pace(30.0, 0.0)
+        pool[0].note_pace(300.0, 0.0)
+        middle = median_pace(pool)
+        self.assertEqual([h.slowness_now(middle, 0.0, 1.6) for h in pool[1:]], [1.0] * 3)
+        now = pool[0].slowness_now(middle, 0.0, 1.6)
+        later = pool[0].slowness_now(middle, HALF_LIFE_S, 1.6)
+        self.assertGreater(now, 4.0)
+        self.assertAlmostEqual(later - 1.0, (now - 1.0) / 2)
+
+    def test_one_odd_request_is_no_slowness(self) -> None:
+        health = RunnerHealth()
+        health.note_pace(30.0, 0.0)
+        health.note_pace(60.0, 0.0)
+        self.assertEqual(health.slowness_now(30.0, 0.0, 1.6), 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -9,7 +9,12 @@
 from bendshed.ports.transport import Address
 from bendshed.services.document import Route, RouteKind, ServiceDocument, WeightedService
 from bendshed.services.events import EventSplitter, read_event
-from bendshed.services.placement import SESSION_MAX_EXTRA, choose_runner
+from bendshed.services.placement import (
+    SESSION_MAX_EXTRA,
+    SLOW_FROM,
+    NodeView,
+    choose_runner,
+)
 from bendshed.services.routing import RouteIndex, choose_target
 from bendshed.services.runners import (
     FAILURES_TO_AVOID,
@@ -102,8 +107,17 @@
         self.records = [RunnerRecord(runner(name)) for name in "abcd"]
         self.rng = random.Random(1)
 
-    def choose(self, session: str = "", tried: str = "", zone: str = "z") -> str:
-        choice = choose_runner(self.records, tried, session, zone, 0.0, self.rng)
+    def choose(
+        self,
+        session: str = "",
+        tried: str = "",
+        zone: str = "z",
+        connected: str = "",
+        node: str = "node",
+        now_s: float = 0.0,
+    ) -> str:
+        view = NodeView(node, zone, connected, now_s)
+        choice = choose_runner(self.records, tried, session, view, self.rng)
         return choice.record.listed.runner_id if choice is not None else ""
 
     def test_a_session_stays_until_its_runner_is_loaded(self) -> None:
@@ -121,6 +135,27 @@
         self.records[2].in_flight = 1
         self.assertNotEqual(self.choose(zone="mine"), "c")
 
+    def test_a_runner_with_an_idle_connection_is_used_until_it_is_loaded(self) -> None:
+        self.assertEqual({self.choose(connected="c") for _ in range(5)}, {"c"})
+        self.records[2].in_flight = 1
+        self.assertEqual(self.choose(connected="c"), "c")
+        self.records[2].in_flight = 2
+        self.assertNotEqual(self.choose(connected="c"), "c")
+
+    def test_a_node_opens_to_the_same_runner_and_all_nodes_to_all_runners(self) -> None:
+        first = [self.choose(node=f"node-{number}") for number in range(400)]
+        self.assertEqual(first, [self.choose(node=f"node-{number}") for number in range(400)])
+        for name in "abcd":
+            self.assertAlmostEqual(first.count(name) / 400, 0.25, delta=0.06)
+
+    def test_a_slow_runner_is_left_and_comes_back(self) -> None:
+        for record in self.records:
+            record.health.note_pace(1.0, 0.0)
+        self.records[2].health.note_pace(20.0, 0.0)
+        self.assertGreater(self.records[2].health.pace, SLOW_FROM)
+        self.assertNotEqual(self.choose(connected="c"), "c")
+        self.assertEqual(self.choose(connected="c", now_s=20.0), "c")
+
     def test_a_tried_runner_is_not_chosen_again(self) -> None:
         self.assertEqual(self.choose(tried="abc"), "d")
         self.assertEqual(self.choose(tried="abcd"), "")
