One replica machine reads the platform's store for all; a front that starts asks stores first

Change: replica machines ask the first of them by the rank that fronts use; one that lost the platform's store says so and is passed over for 1 to 8 s; the list of stores travels only when its digest changed. A front that starts reads a stale list of the stores and asks them; its own watches begin when nobody tells it enough. The watches and the decision when to read moved out of platform/, which decides nothing. Also mends the open finding on CatalogFollower._target (a dead first machine was asked again after each answer of the second).

--- a/src/bendshed/catalog/follower.py
+++ b/src/bendshed/catalog/follower.py
@@ -1,33 +1,42 @@
-"""A front's side of the catalog: asks a replica machine for configuration and runners.
+"""The askers' side of the catalog: asks a replica machine for configuration and runners.
 
-What it is told is newer than what it knows or is passed over, so an old word does no harm, and it
-serves a front that knows nothing. Only a fresh word lets the front do without the registry.
+Fronts ask, and so do replica machines: one machine, the first by a rank that all share, reads the
+registry for all. What an asker is told is newer than what it knows or is passed over, so an old
+word does no harm, and it serves a front that knows nothing. Only a fresh word lets the asker do
+without the registry.
 """
 
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 from bendshed.catalog.codec import DocumentUnreadable, read_document, read_peer, read_runner
 from bendshed.catalog.server import CATALOG_METHOD, MIN_SHARED_ASKERS, NEVER_CONFIRMED_MS
+from bendshed.catalog.state import KnownRunner
 from bendshed.catalog.times import CatalogTimes
 from bendshed.consensus.directory import HELLO_METHOD, ReplicaDirectory, from_wire
 from bendshed.identifiers import rendezvous_rank
 from bendshed.logs import PartLog
-from bendshed.paths.relayed import RelayedRequests
-from bendshed.ports.transport import Address, PeerUnreachable, Transport
+from bendshed.ports.transport import Address, PeerUnreachable, Requests, Transport
 from bendshed.services.document import ServiceDocument
-from bendshed.services.runners import ServiceRunner
 from bendshed.wire import catalog_pb2 as wire
 from bendshed.wire import turns_pb2 as wire_turns
 
 REPLY_MARGIN_S = 0.2
 IDLE_INTERVAL_S = 1.0
-"""A front that asks the registry itself asks for the catalog this often, to know other fronts."""
+"""Who asks the registry itself asks for the catalog this often, to know other nodes."""
 RETRY_MIN_S, RETRY_MAX_S = 0.05, 0.2
+AVOIDED_MIN_S, AVOIDED_MAX_S = 1.0, 8.0
+"""A machine that does not answer, or has lost the registry, is passed over for so long, twice as
+long after each further failure: the next by rank reads meanwhile."""
+MAX_QUICK_FAILURES = 4
+"""After so many failures in a row nobody is likely to know more; the asker slows down."""
+SLOW_RETRY_S = 0.5
 SETTLED_REPLIES = 3
-"""So many fresh words in a row let the front do without the registry."""
+"""So many fresh words in a row let the asker do without the registry; the first word of a life
+does so at once."""
 
 log = PartLog("catalog")
 
@@ -38,24 +47,36 @@
     def take_document(self, document: ServiceDocument) -> bool:
         """Take a configuration; an older one changes nothing."""
 
-    def put_runner(self, runner: ServiceRunner) -> None:
+    def put_runner(self, known: KnownRunner) -> None:
         """Take one runner's state."""
 
-    def remove_runner(self, runner_id: str, trusted: bool) -> None:
+    def remove_runner(self, runner_id: str, at: int, is_trusted: bool) -> None:
         """A runner is not listed any more."""
 
-    def list_runners(self, runners: list[ServiceRunner], trusted: bool) -> None:
+    def list_runners(self, runners: list[KnownRunner], at: int, is_trusted: bool) -> None:
         """Take the whole list."""
 
+    def confirm_all(self, age_s: float, runners_at: int) -> None:
+        """The registry confirmed all of this so long ago."""
+
+
+@dataclass(slots=True)
+class _Avoidance:
+    """A machine that is passed over until a loop time."""
+
+    until_s: float
+    for_s: float
+
 
 class CatalogFollower:
-    """Keeps a front informed.
+    """Keeps a node informed.
 
     Attributes:
-        runners_at: revision up to which the front knows the runners.
-        version: of the configuration that the front knows.
+        runners_at: revision up to which the node knows the runners.
+        version: of the configuration that the node knows.
         fronts: some others, for relaying.
-        is_fresh: the front may do without the registry.
+        told: set once any machine has answered.
+        is_fresh: the node may do without the registry.
         on_freshness: called when ``is_fresh`` has changed.
 
     """
@@ -63,13 +84,14 @@
     def __init__(
         self,
         transport: Transport,
-        requests: RelayedRequests,
+        requests: Requests,
         directory: ReplicaDirectory,
         taker: CatalogTaker,
         me: Address,
         times: CatalogTimes,
         rng: random.Random,
         may_share: bool = True,
+        is_replica: bool = False,
     ) -> None:
         self.runners_at = 0
         self.version = 0
@@ -84,7 +106,12 @@
         self._times = times
         self._rng = rng
         self._may_share = may_share
-        self._num_fresh = 0
+        self._is_replica = is_replica
+        self.told = asyncio.Event()
+        self._num_fresh = SETTLED_REPLIES - 1
+        self._avoided: dict[Address, _Avoidance] = {}
+        self._told_digest = 0
+        self._told_by: Address | None = None
         self._is_shared = False
         self._num_failed = 0
         self._expiry: asyncio.TimerHandle | None = None
@@ -94,19 +121,36 @@
         """Ask again and again until cancelled."""
         while True:
             target = self._target()
-            reply = await self._ask(target) if target is not None else None
+            if target is None:
+                self._lead()
+                await asyncio.sleep(self._retry_s())
+                continue
+            reply = await self._ask(target)
             if reply is None:
-                self._num_failed += 1
-                await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
+                self._avoid(target, "silent")
+                await asyncio.sleep(self._retry_s())
                 continue
-            self._take(reply)
-            if not self._is_shared:
+            self._take(target, reply)
+            if reply.is_lost:
+                self._avoid(target, "the registry is lost there")
+                await asyncio.sleep(self._retry_s())
+            elif not self._is_shared and self._target() == target:
                 await asyncio.sleep(IDLE_INTERVAL_S)
 
+    def _retry_s(self) -> float:
+        if self._num_failed > MAX_QUICK_FAILURES:
+            return SLOW_RETRY_S
+        return self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
+
     def note_registry(self, at: int) -> None:
-        """The front has read the runners from the registry itself, up to a revision."""
+        """The node has read the runners from the registry itself, up to a revision."""
         self.runners_at = max(self.runners_at, at)
 
+    def note_known(self, version: int, runners_at: int) -> None:
+        """The node knows this from its disk or from the registry."""
+        self.version = max(self.version, version)
+        self.runners_at = max(self.runners_at, runners_at)
+
     def _take_hello(self, payload: bytes) -> None:
         """A replica machine that has just started tells where it is."""
         self._directory.put(from_wire(wire_turns.ReplicaHello.FromString(payload)))
@@ -114,10 +158,38 @@
     # --- asking ----------------------------------------------------------------------------
 
     def _target(self) -> Address | None:
-        """The first replica machine by a rank that all fronts share; after a failure, the next."""
+        """The first replica machine by a rank that all share, but for avoided ones.
+
+        ``None``: nobody is known, or this machine is the first itself.
+        """
+        now_s = asyncio.get_running_loop().time()
         by_name = self._directory.by_name
-        ranked = rendezvous_rank(CATALOG_METHOD, by_name)
-        return by_name[ranked[self._num_failed % len(ranked)]].address if ranked else None
+        ranked = [by_name[name].address for name in rendezvous_rank(CATALOG_METHOD, by_name)]
+        for address in ranked:
+            if address == self._me:
+                return None
+            avoidance = self._avoided.get(address)
+            if avoidance is None or avoidance.until_s <= now_s:
+                return address
+        return min(ranked, key=lambda address: self._avoided[address].until_s, default=None)
+
+    def _lead(self) -> None:
+        """This machine is the first by rank that is not avoided: it reads the registry itself."""
+        self._is_shared = False
+        if self._expiry is not None:
+            self._expiry.cancel()
+        if self._directory.own is not None:
+            self._num_failed = 0
+        self._expire()
+
+    def _avoid(self, target: Address, reason: str) -> None:
+        """Pass over a machine for a while."""
+        self._num_failed += 1
+        before = self._avoided.get(target)
+        for_s = AVOIDED_MIN_S if before is None else min(AVOIDED_MAX_S, 2 * before.for_s)
+        until_s = asyncio.get_running_loop().time() + for_s
+        self._avoided[target] = _Avoidance(until_s, for_s)
+        log.say("asks another machine", instead_of=str(target), reason=reason, for_s=for_s)
 
     async def _ask(self, target: Address) -> wire.CatalogReply | None:
         wait_s = self._times.interval_s if self._is_shared else 0.0
@@ -126,6 +198,8 @@
             document_version=self.version,
             wait_ms=int(wait_s * 1000),
             asker=wire.PeerAddress(host=self._me.host, port=self._me.port),
+            directory_digest=self._told_digest if target == self._told_by else 0,
+            is_replica=self._is_replica,
         )
         # A word that is waited for says nothing of the way meanwhile, so it goes directly.
         ways = self._transport if wait_s and not self._num_failed else self._requests
@@ -139,21 +213,33 @@
 
     # --- what is told ----------------------------------------------------------------------
 
-    def _take(self, reply: wire.CatalogReply) -> None:
-        self._num_failed = 0
+    def _take(self, target: Address, reply: wire.CatalogReply) -> None:
+        if not reply.is_lost:
+            self._num_failed = 0
+            self._avoided.pop(target, None)
         self._take_document(reply)
         is_level = self._take_runners(reply)
-        for hello in reply.replicas:
-            self._directory.put(from_wire(hello))
+        self._take_directory(reply)
+        self._told_by, self._told_digest = target, reply.directory_digest
+        self.told.set()
         self.fronts = [read_peer(front) for front in reply.fronts]
         self._is_shared = self._may_share and reply.num_askers >= MIN_SHARED_ASKERS
         age_s = reply.age_ms / 1000
         is_current = is_level and reply.document_version >= self.version
         if self._is_shared and is_current and age_s < self._times.max_age_s:
+            self._taker.confirm_all(age_s, self.runners_at)
             self._note_fresh(self._times.max_age_s - age_s)
         else:
             self._num_fresh = 0
 
+    def _take_directory(self, reply: wire.CatalogReply) -> None:
+        if not reply.has_directory:
+            return
+        for hello in reply.replicas:
+            self._directory.put(from_wire(hello))
+        if reply.knows_retiring:
+            self._directory.list_retiring(reply.retiring)
+
     def _take_document(self, reply: wire.CatalogReply) -> None:
         if not reply.document or reply.document_version <= self.version:
             return
@@ -170,18 +256,18 @@
         """Take what is newer; ``False``: the other side knows less than this front."""
         if not reply.has_runners or reply.runners_at < self.runners_at:
             return False
-        runners = [read_runner(row).runner for row in reply.runners]
+        runners = [read_runner(row) for row in reply.runners]
         if reply.since == 0:
             is_first = self.runners_at == 0
             is_trusted = reply.age_ms / 1000 < self._times.max_age_s
-            self._taker.list_runners(runners, is_trusted)
+            self._taker.list_runners(runners, reply.runners_at, is_trusted)
             if is_first:
                 log.say("tells the runners", at=reply.runners_at, age_ms=_age_ms(reply))
         elif reply.since == self.runners_at:
-            for runner in runners:
-                self._taker.put_runner(runner)
+            for known in runners:
+                self._taker.put_runner(known)
             for gone in reply.removed:
-                self._taker.remove_runner(gone.runner_id, gone.is_trusted)
+                self._taker.remove_runner(gone.runner_id, gone.revision, gone.is_trusted)
         else:
             return False
         self.runners_at = reply.runners_at
--- /dev/null
+++ b/src/bendshed/catalog/reading.py
@@ -0,0 +1,87 @@
+"""When a node reads the registry itself: only while no other machine tells what it says."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable, Sequence
+
+from bendshed.catalog.follower import CatalogFollower
+from bendshed.catalog.watcher import KindWatcher
+from bendshed.logs import PartLog
+
+LOOK_INTERVAL_S = 0.25
+"""A node that has just started looks so often for replica machines to ask."""
+UNTOLD_PATIENCE_S = 0.5
+"""A node that nobody has told anything by then reads the registry itself."""
+
+log = PartLog("registry")
+
+
+class RegistryReading:
+    """Pauses and resumes a node's watches.
+
+    Attributes:
+        on_change: called after each change of ``is_lost``.
+
+    """
+
+    def __init__(
+        self, follower: CatalogFollower, leading: KindWatcher, others: Sequence[KindWatcher]
+    ) -> None:
+        self.on_change: Callable[[], None] = lambda: None
+        self._follower = follower
+        self._leading = leading
+        self._others = others
+        self._may_read = True
+        leading.on_trouble = self._follow_trouble
+        follower.on_freshness = self._follow_freshness
+
+    @property
+    def is_lost(self) -> bool:
+        """The registry does not answer this node, and nobody tells it what it says."""
+        return self._leading.is_lost and not self._follower.is_fresh
+
+    async def wait_for_word(self, look: Callable[[], Awaitable[bool]], settle_s: float) -> None:
+        """Read nothing until others had their time to tell: all nodes may start at once.
+
+        Args:
+            look: looks for replica machines once; ``False``: found none.
+            settle_s: once told anything, how long to wait for a word that is fresh.
+
+        """
+        self._may_read = False
+        for watcher in (self._leading, *self._others):
+            watcher.pause()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(UNTOLD_PATIENCE_S):
+                is_found = await look()
+                while not is_found:
+                    await asyncio.sleep(LOOK_INTERVAL_S)
+                    is_found = await look()
+                await self._follower.told.wait()
+        if self._follower.told.is_set():
+            await asyncio.sleep(settle_s)
+        self._may_read = True
+        log.say("may read the registry", is_told=self._follower.is_fresh)
+        self._follow_freshness()
+
+    def _follow_freshness(self) -> None:
+        """Read only while nobody else tells."""
+        if not self._may_read:
+            return
+        if self._follower.is_fresh:
+            for watcher in (self._leading, *self._others):
+                watcher.pause()
+        else:
+            self._leading.resume(self._follower.runners_at)
+            self._follow_trouble()
+        self.on_change()
+
+    def _follow_trouble(self) -> None:
+        """One watch looks for a lost registry; the others begin afresh once it is back."""
+        for watcher in self._others:
+            if self._leading.is_lost:
+                watcher.pause()
+            elif self._may_read and not self._follower.is_fresh:
+                watcher.restart()
+                watcher.resume()
+        self.on_change()
--- a/src/bendshed/catalog/server.py
+++ b/src/bendshed/catalog/server.py
@@ -87,6 +87,8 @@
         self._rng = rng
         self._storage = storage
         self._asked_at_s: dict[Address, float] = {}
+        self._replicas_asked_at_s: dict[Address, float] = {}
+        self._is_lost = False
         self._elsewhere: dict[Address, float] = {}
         self._forgets_kept_at_s = 0.0
         self._changed = asyncio.Event()
@@ -97,7 +99,7 @@
         self._forgets_kept_at_s = asyncio.get_running_loop().time() + KEPT_FRONTS_S
         for node in self._kept.replicas:
             self._directory.put(node)
-        self._directory.on_change.append(self._unsaved.set)
+        self._directory.on_change.append(self._announce)
         self._unsaved.set()
         self._transport.handlers[CATALOG_METHOD] = self._answer
         self._transport.one_way_handlers[FRONTS_METHOD] = self._take_fronts
@@ -105,10 +107,12 @@
 
     # --- what the registry tells -----------------------------------------------------------
 
-    def take_document(self, document: ServiceDocument) -> None:
-        """Take a configuration."""
-        if self.catalog.take_document(document):
+    def take_document(self, document: ServiceDocument) -> bool:
+        """Take a configuration; ``False``: it is not newer."""
+        is_newer = self.catalog.take_document(document)
+        if is_newer:
             self._announce()
+        return is_newer
 
     def list_runners(self, runners: Collection[KnownRunner], at: int, is_trusted: bool) -> None:
         """Take the whole list of runners."""
@@ -131,6 +135,19 @@
         if part is CatalogPart.RUNNERS:
             self.catalog.advance(at)
 
+    def confirm_all(self, age_s: float, runners_at: int) -> None:
+        """Another machine told that the registry confirmed everything so long ago."""
+        at_s = asyncio.get_running_loop().time() - age_s
+        for part in CatalogPart:
+            self.confirmed_at_s[part] = max(at_s, self.confirmed_at_s.get(part, at_s))
+        self.catalog.advance(runners_at)
+
+    def set_lost(self, is_lost: bool) -> None:
+        """Whether the registry answers this machine; who asks is told at once."""
+        if is_lost != self._is_lost:
+            self._is_lost = is_lost
+            self._announce()
+
     def _announce(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
@@ -140,12 +157,12 @@
 
     @property
     def num_askers(self) -> int:
-        """Fronts that asked lately."""
-        return len(self._askers())
+        """Fronts and replica machines that asked lately."""
+        return len(self._askers()) + len(self._lately(self._replicas_asked_at_s))
 
     @property
     def is_in_demand(self) -> bool:
-        """Whether enough fronts rely on this machine that it reads the registry for them."""
+        """Whether enough others rely on this machine that it reads the registry for them."""
         return self.num_askers >= MIN_SHARED_ASKERS
 
     async def _answer(self, payload: bytes) -> bytes:
@@ -153,22 +170,38 @@
         request = wire.CatalogRequest.FromString(payload)
         loop = asyncio.get_running_loop()
         asker = read_peer(request.asker)
-        if asker not in self._asked_at_s:
+        asked_at_s = self._replicas_asked_at_s if request.is_replica else self._asked_at_s
+        if asker not in asked_at_s:
             self._unsaved.set()
-        self._asked_at_s[asker] = loop.time()
+        asked_at_s[asker] = loop.time()
         self._follow_demand()
         if not self._has_news(request):
             await self._wait_for_change(request.wait_ms / 1000)
         reply = write_reply(self.catalog, request.runners_at, request.document_version)
         reply.age_ms = self._age_ms()
         reply.num_askers = self.num_askers
-        reply.replicas.extend(to_wire(node) for node in self._directory.by_name.values())
-        reply.fronts.extend(write_address(front) for front in self._some_fronts(request))
+        reply.is_lost = self._is_lost
+        self._add_directory(reply, request)
+        if not request.is_replica:
+            reply.fronts.extend(write_address(front) for front in self._some_fronts(asker))
         return reply.SerializeToString()
 
+    def _add_directory(self, reply: wire.CatalogReply, request: wire.CatalogRequest) -> None:
+        """Add the replica machines, unless the asker was told the same before."""
+        reply.directory_digest = self._directory.digest()
+        if reply.directory_digest == request.directory_digest:
+            return
+        reply.has_directory = True
+        reply.replicas.extend(to_wire(node) for node in self._directory.by_name.values())
+        reply.knows_retiring = self._directory.knows_retiring
+        reply.retiring.extend(sorted(self._directory.retiring))
+
     def _has_news(self, request: wire.CatalogRequest) -> bool:
-        if self.catalog.version > request.document_version:
+        is_newer = self.catalog.version > request.document_version
+        if is_newer or self._is_lost or self._directory.digest() != request.directory_digest:
             return True
+        if request.runners_at > self.catalog.runners_at:
+            return False
         changes = self.catalog.changes_since(request.runners_at)
         return bool(changes.runners or changes.removed)
 
@@ -187,18 +220,26 @@
         return int((now_s - min(self.confirmed_at_s.values())) * 1000)
 
     def _askers(self) -> list[Address]:
+        """Fronts that asked lately."""
+        return self._lately(self._asked_at_s)
+
+    @staticmethod
+    def _lately(asked_at_s: dict[Address, float]) -> list[Address]:
         oldest_s = asyncio.get_running_loop().time() - ASKER_KEPT_S
-        return [front for front, at_s in self._asked_at_s.items() if at_s >= oldest_s]
+        return [asker for asker, at_s in asked_at_s.items() if at_s >= oldest_s]
 
     def _forget_silent(self) -> None:
         now_s = asyncio.get_running_loop().time()
-        for known, kept_s in ((self._asked_at_s, GREETED_S), (self._elsewhere, ASKER_KEPT_S)):
+        for known, kept_s in (
+            (self._asked_at_s, GREETED_S),
+            (self._replicas_asked_at_s, ASKER_KEPT_S),
+            (self._elsewhere, ASKER_KEPT_S),
+        ):
             for front in [front for front, at_s in known.items() if now_s - at_s > kept_s]:
                 del known[front]
 
-    def _some_fronts(self, request: wire.CatalogRequest) -> list[Address]:
+    def _some_fronts(self, asker: Address) -> list[Address]:
         """Fronts that were heard lately, half of them by others' word, so of several zones."""
-        asker = read_peer(request.asker)
         near = [front for front in self._askers() if front != asker]
         far = [front for front in self._elsewhere if front not in self._asked_at_s]
         half = MAX_FRONTS_TOLD // 2
@@ -218,7 +259,8 @@
         if pace == self.pace:
             return
         self.pace = pace
-        log.say("reads the registry for fronts", fronts=self.num_askers, every_s=pace.wait_s)
+        sentence = "reads the registry for others" if self.is_in_demand else "reads for itself"
+        log.say(sentence, askers=self.num_askers, every_s=pace.wait_s)
         self.on_pace(pace)
 
     # --- in the background -----------------------------------------------------------------
--- a/src/bendshed/platform/watcher.py
+++ b/src/bendshed/catalog/watcher.py
@@ -1,4 +1,4 @@
-"""Follows all objects of one kind in the platform's store."""
+"""Follows all objects of one kind in the registry."""
 
 import asyncio
 import random
@@ -6,12 +6,12 @@
 from dataclasses import dataclass
 
 from bendshed.logs import PartLog
-from bendshed.platform.objects import (
+from bendshed.ports.objects import (
     HistoryGone,
-    ObjectApi,
     ObjectEvent,
     ObjectList,
-    PlatformObject,
+    ObjectSource,
+    StoredObject,
 )
 from bendshed.ports.store import StoreUnavailable
 
@@ -21,6 +21,9 @@
 KNOWING_RETRY_MIN_S = 0.5
 KNOWING_RETRY_MAX_S = 0.9
 """One that knows the kind serves on meanwhile; calls to a store that is away cost like others."""
+MAX_RETRY_GROWTH = 4.0
+"""A process that others tell what the store says asks up to so many times as rarely while it
+fails."""
 LOST_WAIT_S = 0.1
 """While the store is lost, a watch asks for so short a wait that its silence is noticed soon."""
 PACE_S = 0.05
@@ -28,7 +31,7 @@
 DOUBT_S = 5.0
 """For this long after a failed call the store's silence or removals prove little."""
 
-log = PartLog("platform")
+log = PartLog("registry")
 
 
 ListHandler = Callable[[ObjectList], None]
@@ -57,7 +60,7 @@
 
     @classmethod
     def of_states(
-        cls, take: Callable[[PlatformObject], object], on_confirmed: ConfirmedHandler = _pass_over
+        cls, take: Callable[[StoredObject], object], on_confirmed: ConfirmedHandler = _pass_over
     ) -> "KindHandler":
         """Take each object's newest state; objects that go are passed over."""
 
@@ -78,6 +81,7 @@
     Attributes:
         wait_s: how long a watch may wait for a change.
         pace_s: shortest pause between two watches.
+        retry_growth: how many times as rarely a lost store is asked in the end; 1: not rarer.
         failed_at_s: loop time of the last failed call.
         on_trouble: called when the store is lost and again when it is regained: a watch begun in
             between may hang on a connection that will never speak.
@@ -86,21 +90,24 @@
 
     def __init__(
         self,
-        api: ObjectApi,
+        source: ObjectSource,
         kind: str,
         handler: KindHandler,
         wait_s: float,
         rng: random.Random,
         pace_s: float = PACE_S,
+        retry_growth: float = 1.0,
     ) -> None:
         self.failed_at_s = float("-inf")
         self.on_trouble: Callable[[], None] = lambda: None
-        self._api = api
+        self._source = source
         self._kind = kind
         self._handler = handler
         self.wait_s = wait_s
         self._rng = rng
         self.pace_s = pace_s
+        self._retry_growth = retry_growth
+        self._num_failed = 0
         self._at: int | None = None
         self._listed: dict[str, int] = {}
         self._call: asyncio.Task[None] | None = None
@@ -150,7 +157,8 @@
     def _retry_s(self) -> float:
         if self._at is None:
             return self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
-        return self._rng.uniform(KNOWING_RETRY_MIN_S, KNOWING_RETRY_MAX_S)
+        growth = min(self._retry_growth, 2.0 ** max(0, self._num_failed - 2))
+        return growth * self._rng.uniform(KNOWING_RETRY_MIN_S, KNOWING_RETRY_MAX_S)
 
     def pause(self) -> None:
         """Ask nothing until ``resume``: somebody else tells of this kind."""
@@ -170,14 +178,14 @@
 
     async def _step(self) -> None:
         if self._at is None:
-            listed = await self._api.list(self._kind)
+            listed = await self._source.list(self._kind)
             self._at = listed.at
             self._listed = {item.name: item.revision for item in listed.items}
             self._handler.on_list(listed)
             self._handler.on_confirmed(listed.at)
             return
         wait_s = LOST_WAIT_S if self._is_lost else self.wait_s
-        changes = await self._api.watch(self._kind, self._at, wait_s)
+        changes = await self._source.watch(self._kind, self._at, wait_s)
         self._at = changes.at
         for event in changes.events:
             if not self._is_old(event):
@@ -190,12 +198,14 @@
 
     def _note_failure(self, error: Exception) -> None:
         self.failed_at_s = asyncio.get_running_loop().time()
+        self._num_failed += 1
         if not self._is_lost:
             log.say("lost the store", kind=self._kind, reason=str(error))
             self._is_lost = True
             self.on_trouble()
 
     def _note_regained(self) -> None:
+        self._num_failed = 0
         if self._is_lost:
             log.say("regained the store", kind=self._kind)
             self._is_lost = False
--- a/src/bendshed/consensus/directory.py
+++ b/src/bendshed/consensus/directory.py
@@ -1,8 +1,10 @@
 """Which processes can hold replicas, and where they are reached."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
+import xxhash
+
 from bendshed.logs import PartLog
 from bendshed.ports.registry import ReplicaNode
 from bendshed.ports.transport import Address
@@ -26,6 +28,7 @@
         by_name: the latest known announcement of each machine.
         wiped: identities whose disk is lost.
         retiring: names of machines that operators want emptied.
+        knows_retiring: whether operators' wishes were read in this life.
         on_change: called after each change.
 
     """
@@ -34,6 +37,7 @@
     by_name: dict[str, ReplicaNode] = field(default_factory=dict)
     wiped: set[str] = field(default_factory=set)
     retiring: set[str] = field(default_factory=set)
+    knows_retiring: bool = False
     on_change: list[Callable[[], None]] = field(default_factory=list)
 
     def put(self, node: ReplicaNode) -> None:
@@ -49,6 +53,37 @@
             log.say("lost its disk", name=node.name, old=known.node_id, new=node.node_id)
         self.by_name[node.name] = node
         log.say("is known", name=node.name, node=node.node_id, address=str(node.address))
+        self._notify()
+
+    def list_retiring(self, names: Collection[str]) -> None:
+        """Take all wishes of operators that machines are emptied."""
+        self.knows_retiring = True
+        for name in [name for name in self.retiring if name not in names]:
+            self.remove_retiring(name)
+        for name in names:
+            self.put_retiring(name)
+
+    def put_retiring(self, name: str) -> None:
+        """An operator wants a machine emptied."""
+        if name in self.retiring:
+            return
+        self.retiring.add(name)
+        log.say("is to be emptied", name=name)
+        self._notify()
+
+    def remove_retiring(self, name: str) -> None:
+        """The wish was taken back."""
+        if name in self.retiring:
+            self.retiring.discard(name)
+            self._notify()
+
+    def digest(self) -> int:
+        """64 bits that differ when anything that others are told of differs; never 0."""
+        rows = [str(node) for _, node in sorted(self.by_name.items())]
+        told = "\n".join([*rows, *sorted(self.retiring), str(self.knows_retiring)])
+        return xxhash.xxh3_64_intdigest(told.encode()) or 1
+
+    def _notify(self) -> None:
         for notify in self.on_change:
             notify()
 
--- a/src/bendshed/placement/board.py
+++ b/src/bendshed/placement/board.py
@@ -28,8 +28,8 @@
 OTHER_ZONE_MS = 3.0
 """A round trip between zones (0.9 to 1.4 ms a way on today's sites)."""
 NEW_CONNECTION_MS = 30.0
-"""A round trip, and a handshake that occupies a slot; operators price connections as they price some
-tens of milliseconds of a runner."""
+"""A round trip, and a handshake that occupies a slot; operators price a connection as they price
+some tens of milliseconds of a runner."""
 FAILED_TURN_MS = 1_000.0
 """What a failed turn costs its program: its client comes back after up to 0.4 s, from the start."""
 FIRST_TURN_MS = 250.0
@@ -45,8 +45,8 @@
 DEFAULT_CAPACITY_TOKENS = 50_000
 """Memory of a runner when the configuration does not tell it."""
 SLOW_FROM = 1.6
-"""A runner counts as slow from this many times the pool's median time between events on; below it is
-chance: batches and prompts read in between make single turns differ by a third."""
+"""A runner counts as slow from this many times the pool's median time between events on; below it
+is chance: batches and prompts read in between make single turns differ by a third."""
 NEAR_MS = 1.0
 """Costs this near to the least count as equal; the rank by session decides then."""
 
--- a/src/bendshed/platform/front.py
+++ b/src/bendshed/platform/front.py
@@ -9,18 +9,21 @@
 from bendshed.adapters.connection_pool import ConnectionPool
 from bendshed.adapters.http_server import make_server
 from bendshed.adapters.tcp_transport import TcpTransport
+from bendshed.catalog.reading import RegistryReading
 from bendshed.catalog.times import CatalogTimes
+from bendshed.catalog.watcher import MAX_RETRY_GROWTH, KindHandler, KindWatcher
 from bendshed.gateway.asgi import Receive, Scope, Send, send_text, serve_lifespan
 from bendshed.gateway.forwarding import ForwardingApplication
 from bendshed.logs import PartLog
 from bendshed.platform import names
 from bendshed.platform.caller_protocol import PlatformCallerProtocol
 from bendshed.platform.listeners import Listeners
-from bendshed.platform.objects import ObjectApi, ObjectEvent, ObjectList, PlatformObject
+from bendshed.platform.objects import ObjectApi
 from bendshed.platform.runner_protocol import PlatformRunnerProtocol
 from bendshed.platform.settings import SiteSettings, read_address
 from bendshed.platform.translate import read_document, read_replica, read_runner
-from bendshed.platform.watcher import KindHandler, KindWatcher
+from bendshed.ports.objects import ObjectEvent, ObjectList, StoredObject
+from bendshed.ports.store import StoreUnavailable
 from bendshed.services.document import ServiceDocument
 from bendshed.services.metrics import ServiceMetrics
 from bendshed.services.node import NodePlace, ServiceNode
@@ -54,6 +57,7 @@
         self._api = ObjectApi(read_address(settings.platform.addr))
         self._connections = ConnectionPool(RUNNER_CONNECT_TIMEOUT_S)
         times = CatalogTimes.within(settings.apply_s, settings.platform.historyS)
+        self._settle_s = times.max_age_s
         self._node = ServiceNode(
             self._transport,
             self._connections,
@@ -65,7 +69,6 @@
             settings.policy,
         )
         self._node.on_document = self._apply_limits
-        self._node.catalog.on_freshness = self._follow_freshness
         self._forwarding = ForwardingApplication(
             self._node.forwarder, PlatformCallerProtocol(), lambda: self._node.is_isolated
         )
@@ -88,7 +91,7 @@
                 long_watch_s,
             ),
         ]
-        self._runners.on_trouble = self._follow_trouble
+        self._reading = RegistryReading(self._node.catalog, self._runners, self._others)
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve until told to stop, then drain."""
@@ -97,6 +100,8 @@
         following = [start_loop(watcher.run(), "platform") for watcher in watchers]
         following.append(start_loop(self._node.watch_turn_log(), "turns"))
         following.append(start_loop(self._node.catalog.run(), "catalog"))
+        waiting = self._reading.wait_for_word(self._look_for_replicas, self._settle_s)
+        following.append(start_loop(waiting, "registry"))
         sockets = list(self._listeners.sockets)
         serving = asyncio.get_running_loop().create_task(self._server.serve(sockets=sockets))
         log.say("started", name=self._settings.nodeName, zone=self._settings.zone)
@@ -153,25 +158,18 @@
 
     def _watcher(self, kind: str, handler: KindHandler, wait_s: float) -> KindWatcher:
         pace_s = PACE_SHARE * self._settings.apply_s
-        return KindWatcher(self._api, kind, handler, wait_s, self._rng, pace_s)
-
-    def _follow_freshness(self) -> None:
-        """Ask the platform's store only while nobody else tells what it says."""
-        if self._node.catalog.is_fresh:
-            for watcher in (self._runners, *self._others):
-                watcher.pause()
-            return
-        self._runners.resume(self._node.catalog.runners_at)
-        for watcher in self._others:
-            watcher.resume()
-
-    def _follow_trouble(self) -> None:
-        """One watch looks for a store that is away; the others begin afresh once it is back."""
-        for watcher in self._others:
-            if self._runners.is_lost:
-                watcher.pause()
-            elif not self._node.catalog.is_fresh:
-                watcher.resume()
+        return KindWatcher(self._api, kind, handler, wait_s, self._rng, pace_s, MAX_RETRY_GROWTH)
+
+    async def _look_for_replicas(self) -> bool:
+        """Read who the replica machines are; a word seconds old is enough to ask the first."""
+        try:
+            listed = await self._api.list(names.REPLICA_KIND, may_be_stale=True)
+        except StoreUnavailable as error:
+            log.say("cannot look for replica machines yet", reason=str(error))
+            return False
+        for item in listed.items:
+            self._take_replica(item)
+        return bool(self._node.directory.by_name)
 
     def _list_runners(self, listed: ObjectList) -> None:
         runners = [read_runner(item) for item in listed.items]
@@ -184,9 +182,9 @@
         else:
             self._node.put_runner(read_runner(event.object))
 
-    def _take_configuration(self, item: PlatformObject) -> None:
+    def _take_configuration(self, item: StoredObject) -> None:
         if item.name == names.CONFIGURATION_NAME:
             self._node.take_document(read_document(item.spec))
 
-    def _take_replica(self, item: PlatformObject) -> None:
+    def _take_replica(self, item: StoredObject) -> None:
         self._node.directory.put(read_replica(item))
--- a/src/bendshed/platform/names.py
+++ b/src/bendshed/platform/names.py
@@ -37,6 +37,7 @@
 # Words of the metadata store's calls.
 HAS_MORE = "hasMore"
 WAIT_MS = "waitMs"
+STALE = "stale=1"
 
 # Kinds of objects in the metadata store.
 RUNNER_KIND = "servers"
--- a/src/bendshed/platform/objects.py
+++ b/src/bendshed/platform/objects.py
@@ -1,7 +1,6 @@
 """Calls to the platform's metadata store: objects by kind and name, watches."""
 
 import asyncio
-from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote
 
@@ -11,6 +10,14 @@
 from bendshed.adapters.http_connection import HttpConnection
 from bendshed.platform import names
 from bendshed.ports.http_messages import ClientRequest, ConnectFailed, ResponseBroken
+from bendshed.ports.objects import (
+    HistoryGone,
+    ObjectEvent,
+    ObjectEvents,
+    ObjectList,
+    ObjectSource,
+    StoredObject,
+)
 from bendshed.ports.store import StoreUnavailable, VersionConflict
 from bendshed.ports.transport import Address
 
@@ -20,51 +27,7 @@
 JSON_TYPE = (b"content-type", b"application/json")
 
 
-class HistoryGone(Exception):
-    """A watch asked for a revision that the store has forgotten; list again."""
-
-
-@dataclass(frozen=True, slots=True)
-class PlatformObject:
-    """One object as read."""
-
-    name: str
-    revision: int
-    spec: Any
-    status: Any
-
-
-@dataclass(frozen=True, slots=True)
-class ObjectEvent:
-    """One change of a kind.
-
-    Attributes:
-        at: revision up to which the answer told changes; not below the change's own.
-
-    """
-
-    object: PlatformObject
-    is_gone: bool
-    at: int
-
-
-@dataclass(frozen=True, slots=True)
-class ObjectList:
-    """All objects of a kind at a revision."""
-
-    items: list[PlatformObject]
-    at: int
-
-
-@dataclass(frozen=True, slots=True)
-class ObjectEvents:
-    """Changes of a kind up to a revision."""
-
-    events: list[ObjectEvent]
-    at: int
-
-
-class ObjectApi:
+class ObjectApi(ObjectSource):
     """The store's calls. Each raises ``StoreUnavailable`` when no proper answer comes in time.
 
     Attributes:
@@ -82,21 +45,24 @@
         """Close idle connections."""
         self._pool.close()
 
-    async def get(self, kind: str, name: str) -> PlatformObject | None:
+    async def get(self, kind: str, name: str) -> StoredObject | None:
         """Read one object; ``None``: there is none."""
         status, content = await self._call(b"GET", _path(kind, name), None, self._call_timeout_s)
         return None if status == 404 else _read_object(content)
 
-    async def list(self, kind: str) -> ObjectList:
+    async def list(self, kind: str, may_be_stale: bool = False) -> ObjectList:
         """Read all objects of a kind, page by page.
 
         ``at`` is the first page's, since objects of a page may change while a later one is read.
+        ``may_be_stale``: what is told may be seconds old, at a tenth of the price.
         """
-        items: list[PlatformObject] = []
+        items: list[StoredObject] = []
         first_at: int | None = None
         after = ""
         while True:
-            query = f"?after={quote(after, safe='')}" if after else ""
+            words = [f"after={quote(after, safe='')}"] if after else []
+            words += [names.STALE] if may_be_stale else []
+            query = f"?{'&'.join(words)}" if words else ""
             _, content = await self._call(b"GET", _path(kind) + query, None, self._call_timeout_s)
             items.extend(_read_object(row) for row in content["items"])
             if first_at is None:
@@ -120,7 +86,7 @@
         ]
         return ObjectEvents(events, told_at)
 
-    async def create(self, kind: str, name: str, spec: Any) -> PlatformObject:
+    async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Create an object; raise ``VersionConflict`` if it exists."""
         body = {"meta": {"name": name}, "spec": spec}
         status, content = await self._call(b"POST", _path(kind), body, self._call_timeout_s)
@@ -186,8 +152,8 @@
     return f"{path}/{quote(name, safe='')}" if name else path
 
 
-def _read_object(content: Any) -> PlatformObject:
+def _read_object(content: Any) -> StoredObject:
     meta = content["meta"]
-    return PlatformObject(
+    return StoredObject(
         str(meta["name"]), int(meta.get("rev", 0)), content.get("spec"), content.get("status")
     )
--- a/src/bendshed/platform/registry.py
+++ b/src/bendshed/platform/registry.py
@@ -18,15 +18,18 @@
         spec = write_replica(me)
         try:
             while not await self._api.replace(names.REPLICA_KIND, me.name, spec):
-                await self._create_announcement(me.name, spec)
+                if await self._create_announcement(me.name, spec):
+                    return
         except StoreUnavailable as error:
             raise RegistryUnavailable(str(error)) from error
 
-    async def _create_announcement(self, name: str, spec: dict[str, str]) -> None:
+    async def _create_announcement(self, name: str, spec: dict[str, str]) -> bool:
+        """Create it; ``False``: an earlier call of ours took effect, so it is replaced next."""
         try:
             await self._api.create(names.REPLICA_KIND, name, spec)
         except VersionConflict:
-            return  # an earlier call of ours took effect after all; it is replaced next
+            return False
+        return True
 
     async def founding_voters(self) -> list[str]:
         """Node ids of the first voters."""
--- a/src/bendshed/platform/replica.py
+++ b/src/bendshed/platform/replica.py
@@ -9,22 +9,27 @@
 
 from bendshed.adapters.tcp_transport import TcpTransport
 from bendshed.catalog.file import FileCatalogStorage
+from bendshed.catalog.reading import RegistryReading
 from bendshed.catalog.server import CatalogPart
 from bendshed.catalog.state import KnownRunner
 from bendshed.catalog.times import CatalogTimes, ReadingPace
+from bendshed.catalog.watcher import KindHandler, KindWatcher
 from bendshed.consensus.sqlite_storage import open_or_replace
 from bendshed.logs import PartLog
 from bendshed.platform import names
-from bendshed.platform.objects import ObjectApi, ObjectEvent, ObjectList, PlatformObject
+from bendshed.platform.objects import ObjectApi
 from bendshed.platform.registry import PlatformReplicaRegistry
 from bendshed.platform.settings import SiteSettings, read_address
 from bendshed.platform.translate import read_document, read_replica, read_retirement, read_runner
-from bendshed.platform.watcher import KindHandler, KindWatcher
+from bendshed.ports.objects import ObjectEvent, ObjectList, StoredObject
 from bendshed.tasks import start_loop
 from bendshed.turns.metrics import TurnLogMetrics
 from bendshed.turns.node import TurnLogNode
 
 WATCH_S = 8.0
+REPLICA_PACE_S = 0.25
+"""Replica machines that start at the same time cost one call of this time together; the first
+change after a quiet time is told at once."""
 
 log = PartLog("store")
 
@@ -57,19 +62,38 @@
         confirm = self._node.catalog.confirm
         self._runners = self._watcher(
             names.RUNNER_KIND,
-            KindHandler(self._list_runners, self._on_runner, partial(confirm, CatalogPart.RUNNERS)),
+            KindHandler(self._list_runners, self._on_runner, self._confirm_runners),
         )
         self._configuration = self._watcher(
             names.CONFIGURATION_KIND,
             KindHandler.of_states(self._take_configuration, partial(confirm, CatalogPart.DOCUMENT)),
         )
+        self._replicas = KindWatcher(
+            self._api,
+            names.REPLICA_KIND,
+            KindHandler.of_states(self._take_replica),
+            WATCH_S,
+            self._rng,
+            REPLICA_PACE_S,
+        )
+        self._retirements = KindWatcher(
+            self._api,
+            names.RETIREMENT_KIND,
+            KindHandler(self._list_retirements, self._on_retirement),
+            WATCH_S,
+            self._rng,
+        )
+        others = [self._configuration, self._replicas, self._retirements]
+        self._watchers = [self._runners, *others]
+        self._reading = RegistryReading(self._node.follower, self._runners, others)
+        self._reading.on_change = self._tell_loss
         self._node.catalog.on_pace = self._set_pace
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve until told to stop."""
         await self._transport.start()
         self._node.start()
-        following = [start_loop(watcher.run(), "platform") for watcher in self._make_watchers()]
+        following = [start_loop(watcher.run(), "platform") for watcher in self._watchers]
         log.say("started", name=self._settings.nodeName, zone=self._settings.zone)
         await stopping.wait()
         await self._node.stop()
@@ -79,21 +103,19 @@
         await self._transport.close()
         self._storage.close()
 
-    def _make_watchers(self) -> list[KindWatcher]:
-        replicas = KindHandler.of_states(self._take_replica)
-        retirements = KindHandler(self._list_retirements, self._on_retirement)
-        return [
-            KindWatcher(self._api, names.REPLICA_KIND, replicas, WATCH_S, self._rng),
-            KindWatcher(self._api, names.RETIREMENT_KIND, retirements, WATCH_S, self._rng),
-            self._runners,
-            self._configuration,
-        ]
-
     def _watcher(self, kind: str, handler: KindHandler) -> KindWatcher:
         pace = self._node.catalog.pace
         return KindWatcher(self._api, kind, handler, pace.wait_s, self._rng, pace.pace_s)
 
-    # --- what fronts rely on ---------------------------------------------------------------
+    # --- what others rely on ---------------------------------------------------------------
+
+    def _tell_loss(self) -> None:
+        """Who relies on this machine goes elsewhere while the registry is lost here."""
+        self._node.catalog.set_lost(self._reading.is_lost)
+
+    def _confirm_runners(self, at: int) -> None:
+        self._node.catalog.confirm(CatalogPart.RUNNERS, at)
+        self._node.follower.note_registry(at)
 
     def _set_pace(self, pace: ReadingPace) -> None:
         for watcher in (self._runners, self._configuration):
@@ -112,21 +134,23 @@
         else:
             self._node.catalog.put_runner(KnownRunner(read_runner(item), item.revision))
 
-    def _take_configuration(self, item: PlatformObject) -> None:
+    def _take_configuration(self, item: StoredObject) -> None:
         if item.name == names.CONFIGURATION_NAME:
-            self._node.catalog.take_document(read_document(item.spec))
+            document = read_document(item.spec)
+            self._node.catalog.take_document(document)
+            self._node.follower.note_known(document.version, 0)
 
     # --- replicas and retirements ----------------------------------------------------------
 
-    def _take_replica(self, item: PlatformObject) -> None:
+    def _take_replica(self, item: StoredObject) -> None:
         self._node.directory.put(read_replica(item))
 
     def _list_retirements(self, listed: ObjectList) -> None:
-        self._node.list_retirements([read_retirement(item) for item in listed.items])
+        self._node.directory.list_retiring([read_retirement(item).name for item in listed.items])
 
     def _on_retirement(self, event: ObjectEvent) -> None:
         wish = read_retirement(event.object)
         if event.is_gone:
-            self._node.remove_retirement(wish.name)
+            self._node.directory.remove_retiring(wish.name)
         else:
-            self._node.put_retirement(wish)
+            self._node.directory.put_retiring(wish.name)
--- a/src/bendshed/platform/translate.py
+++ b/src/bendshed/platform/translate.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
-from bendshed.platform.objects import PlatformObject
 from bendshed.platform.settings import read_address
+from bendshed.ports.objects import StoredObject
 from bendshed.ports.registry import ReplicaNode, Retirement
 from bendshed.services.document import (
     ClientLimits,
@@ -79,7 +79,7 @@
     )
 
 
-def read_runner(item: PlatformObject) -> ServiceRunner:
+def read_runner(item: StoredObject) -> ServiceRunner:
     """Read a runner's entry."""
     row = item.spec
     return ServiceRunner(
@@ -97,7 +97,7 @@
     return {"nodeId": node.node_id, "addr": str(node.address), "zone": node.zone}
 
 
-def read_replica(item: PlatformObject) -> ReplicaNode:
+def read_replica(item: StoredObject) -> ReplicaNode:
     """Read a replica machine's announcement."""
     row = item.spec
     return ReplicaNode(
@@ -105,7 +105,7 @@
     )
 
 
-def read_retirement(item: PlatformObject) -> Retirement:
+def read_retirement(item: StoredObject) -> Retirement:
     """Read an operator's wish to empty a machine."""
     state = (item.status or {}).get("state")
     return Retirement(item.name, state == "complete")
--- a/src/bendshed/policy.py
+++ b/src/bendshed/policy.py
@@ -19,6 +19,7 @@
         relays: requests for the turn log go through other fronts around a cut.
         refusal_when_isolated: a front that nobody answers refuses turns at once.
         shared_reading: many fronts rely on one replica machine's reading of the registry.
+        replicas_follow: replica machines rely on one machine's reading too.
         kept_catalog: replica machines tell after a start what they knew before it.
         quick_election: a replica that has just started stands for election at once.
         shared_load: a turn runs where the leader of the turn log advises, which hears of all turns.
@@ -33,6 +34,7 @@
     relays: bool = True
     refusal_when_isolated: bool = True
     shared_reading: bool = True
+    replicas_follow: bool = True
     kept_catalog: bool = True
     quick_election: bool = True
     shared_load: bool = True
--- /dev/null
+++ b/src/bendshed/ports/objects.py
@@ -0,0 +1,64 @@
+"""Port to a store of objects by kind and name, with one revision counter and watches."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from typing import Any
+
+
+class HistoryGone(Exception):
+    """A watch asked for a revision that the store has forgotten; list again."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoredObject:
+    """One object as read."""
+
+    name: str
+    revision: int
+    spec: Any
+    status: Any
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectEvent:
+    """One change of a kind.
+
+    Attributes:
+        at: revision up to which the answer told changes; not below the change's own.
+
+    """
+
+    object: StoredObject
+    is_gone: bool
+    at: int
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectList:
+    """All objects of a kind at a revision."""
+
+    items: list[StoredObject]
+    at: int
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectEvents:
+    """Changes of a kind up to a revision."""
+
+    events: list[ObjectEvent]
+    at: int
+
+
+class ObjectSource(ABC):
+    """What can be read.
+
+    Each call raises ``StoreUnavailable`` when no proper answer comes in time.
+    """
+
+    @abstractmethod
+    async def list(self, kind: str, may_be_stale: bool = False) -> ObjectList:
+        """Read all objects of a kind; ``may_be_stale``: seconds old will do, and costs less."""
+
+    @abstractmethod
+    async def watch(self, kind: str, at: int, wait_s: float) -> ObjectEvents:
+        """Wait for changes after a revision; raise ``HistoryGone``."""
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -8,6 +8,7 @@
 
 from bendshed.catalog.follower import CatalogFollower
 from bendshed.catalog.server import CATALOG_METHOD
+from bendshed.catalog.state import KnownRunner
 from bendshed.catalog.times import CatalogTimes
 from bendshed.consensus.directory import ReplicaDirectory
 from bendshed.logs import PartLog
@@ -82,7 +83,7 @@
             transport,
             self._requests,
             self.directory,
-            self,
+            _CatalogTaker(self),
             place.address,
             times,
             rng,
@@ -208,3 +209,29 @@
     def close(self) -> None:
         """Close idle connections to runners."""
         self._pool.close()
+
+
+class _CatalogTaker:
+    """What replica machines tell a node; revisions are their own matter."""
+
+    def __init__(self, node: ServiceNode) -> None:
+        self._node = node
+
+    def take_document(self, document: ServiceDocument) -> bool:
+        """Take a configuration; an older one changes nothing."""
+        return self._node.take_document(document)
+
+    def put_runner(self, known: KnownRunner) -> None:
+        """Take one runner's state."""
+        self._node.put_runner(known.runner)
+
+    def remove_runner(self, runner_id: str, _at: int, is_trusted: bool) -> None:
+        """A runner is not listed any more."""
+        self._node.remove_runner(runner_id, is_trusted)
+
+    def list_runners(self, runners: list[KnownRunner], _at: int, is_trusted: bool) -> None:
+        """Take the whole list."""
+        self._node.list_runners([known.runner for known in runners], is_trusted)
+
+    def confirm_all(self, _age_s: float, _runners_at: int) -> None:
+        """A node tells nobody else."""
--- a/src/bendshed/services/placement.py
+++ b/src/bendshed/services/placement.py
@@ -17,8 +17,8 @@
 SESSION_MAX_EXTRA = 3
 """A session leaves its runner when this many more requests are there than at the idlest."""
 NEW_CONNECTION_LOAD = 1.5
-"""A new connection is opened when the idle ones lead to runners with this many more requests of this
-node: one may wait behind another for a moment, two may not."""
+"""A new connection is opened when the idle ones lead to runners with this many more requests of
+this node: one may wait behind another for a moment, two may not."""
 
 SLOW_FROM = 3.0
 """A runner counts as slow from this many times the pool's median work time on: single requests of
--- a/src/bendshed/turns/node.py
+++ b/src/bendshed/turns/node.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from functools import partial
 
+from bendshed.catalog.follower import CatalogFollower
 from bendshed.catalog.server import CatalogServer
 from bendshed.catalog.times import CatalogTimes
 from bendshed.consensus.directory import ReplicaDirectory
@@ -15,7 +16,7 @@
 from bendshed.policy import EVERYTHING, Policy
 from bendshed.ports.catalog_storage import CatalogStorage
 from bendshed.ports.log_storage import LogStorage
-from bendshed.ports.registry import ReplicaNode, ReplicaRegistry, Retirement
+from bendshed.ports.registry import ReplicaNode, ReplicaRegistry
 from bendshed.ports.transport import Address, Transport
 from bendshed.tasks import start_loop
 from bendshed.turns.advice import TurnAdvice
@@ -38,7 +39,8 @@
 
     Attributes:
         directory: the replica machines it knows.
-        catalog: what it tells fronts of configuration and runners.
+        catalog: what it tells others of configuration and runners.
+        follower: what it is told itself, so that one machine reads the registry for all.
 
     """
 
@@ -75,6 +77,17 @@
         self.catalog = CatalogServer(
             transport, self.directory, address, rng, catalog_storage, times, policy.kept_catalog
         )
+        self.follower = CatalogFollower(
+            transport,
+            transport,
+            self.directory,
+            self.catalog,
+            address,
+            times,
+            rng,
+            policy.shared_reading and policy.replicas_follow,
+            is_replica=True,
+        )
         self._advice = TurnAdvice(self.catalog.catalog, rng)
         self._service = TurnService(self.host, transport, metrics, self._advice)
         self._catalog_tasks: list[asyncio.Task[None]] = []
@@ -113,10 +126,12 @@
         self.supervisor.start()
         self._service.start()
         self.catalog.start()
+        self.follower.note_known(self.catalog.catalog.version, self.catalog.catalog.runners_at)
         self._catalog_tasks = [
             start_loop(self.catalog.greet(), "catalog"),
             start_loop(self.catalog.share_fronts(), "catalog"),
             start_loop(self.catalog.keep(), "catalog"),
+            start_loop(self.follower.run(), "catalog"),
         ]
         log.say("started", node=self.host.node_id)
 
@@ -137,21 +152,3 @@
         while self.host.led_groups() and loop.time() < until_s:
             self.host.hand_over()
             await asyncio.sleep(HAND_OVER_CHECK_S)
-
-    # --- retirements ---------------------------------------------------------------------
-
-    def list_retirements(self, wishes: Collection[Retirement]) -> None:
-        """Take all wishes of operators."""
-        self.directory.retiring.clear()
-        for wish in wishes:
-            self.put_retirement(wish)
-
-    def put_retirement(self, wish: Retirement) -> None:
-        """An operator wants a machine emptied."""
-        if wish.name not in self.directory.retiring:
-            self.directory.retiring.add(wish.name)
-            log.say("a machine is to be emptied", name=wish.name, complete=wish.is_complete)
-
-    def remove_retirement(self, name: str) -> None:
-        """The wish was taken back."""
-        self.directory.retiring.discard(name)
