A replica machine that lost the platform's store is told by the next one itself

Cause: the first by rank led for itself for ever, also while it could not read: found by a new test. Change: it passes over itself as others do, and looks again with each return to itself. Tests for the order of readers, for a dead first machine, and for when a node reads itself.

--- a/src/bendshed/catalog/follower.py
+++ b/src/bendshed/catalog/follower.py
@@ -110,6 +110,7 @@
         self.told = asyncio.Event()
         self._num_fresh = SETTLED_REPLIES - 1
         self._avoided: dict[Address, _Avoidance] = {}
+        self._is_lost_here = False
         self._told_digest = 0
         self._told_by: Address | None = None
         self._is_shared = False
@@ -146,6 +147,12 @@
         """The node has read the runners from the registry itself, up to a revision."""
         self.runners_at = max(self.runners_at, at)
 
+    def note_own_reading(self, is_lost: bool) -> None:
+        """Whether the registry answers this replica machine itself."""
+        self._is_lost_here = is_lost
+        if not is_lost and not self.is_fresh:
+            self._avoided.pop(self._me, None)
+
     def note_known(self, version: int, runners_at: int) -> None:
         """The node knows this from its disk or from the registry."""
         self.version = max(self.version, version)
@@ -166,16 +173,20 @@
         by_name = self._directory.by_name
         ranked = [by_name[name].address for name in rendezvous_rank(CATALOG_METHOD, by_name)]
         for address in ranked:
-            if address == self._me:
-                return None
             avoidance = self._avoided.get(address)
             if avoidance is None or avoidance.until_s <= now_s:
-                return address
-        return min(ranked, key=lambda address: self._avoided[address].until_s, default=None)
+                return address if address != self._me else None
+        soonest = min(ranked, key=lambda address: self._avoided[address].until_s, default=None)
+        return soonest if soonest != self._me else None
 
     def _lead(self) -> None:
-        """This machine is the first by rank that is not avoided: it reads the registry itself."""
+        """This machine is the first by rank that is not avoided: it reads the registry itself.
+
+        If it cannot, it passes over itself as others do, and is told by the next.
+        """
         self._is_shared = False
+        if self._is_lost_here:
+            self._avoid(self._me, "the registry is lost here")
         if self._expiry is not None:
             self._expiry.cancel()
         if self._directory.own is not None:
--- a/src/bendshed/platform/replica.py
+++ b/src/bendshed/platform/replica.py
@@ -86,7 +86,7 @@
         others = [self._configuration, self._replicas, self._retirements]
         self._watchers = [self._runners, *others]
         self._reading = RegistryReading(self._node.follower, self._runners, others)
-        self._reading.on_change = self._tell_loss
+        self._reading.on_change = lambda: self._node.note_registry(self._reading.is_lost)
         self._node.catalog.on_pace = self._set_pace
 
     async def run(self, stopping: asyncio.Event) -> None:
@@ -109,10 +109,6 @@
 
     # --- what others rely on ---------------------------------------------------------------
 
-    def _tell_loss(self) -> None:
-        """Who relies on this machine goes elsewhere while the registry is lost here."""
-        self._node.catalog.set_lost(self._reading.is_lost)
-
     def _confirm_runners(self, at: int) -> None:
         self._node.catalog.confirm(CatalogPart.RUNNERS, at)
         self._node.follower.note_registry(at)
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -210,8 +210,13 @@
     async def _follow(self, machine: SimMachine, tell: Callable[[SimMachine], None]) -> None:
         """Stands for the adapter that follows the platform's store."""
         while True:
-            if not self.registry.is_down and not self.network.is_cut("registry", machine.host):
+            is_heard = not self.registry.is_down
+            is_heard = is_heard and not self.network.is_cut("registry", machine.host)
+            if is_heard:
                 tell(machine)
+            if machine.replica is not None:
+                is_told = machine.replica.follower.is_fresh
+                machine.replica.note_registry(not is_heard and not is_told)
             await asyncio.sleep(FOLLOW_S)
 
     def _tell_front(self, machine: SimMachine) -> None:
--- a/src/bendshed/turns/node.py
+++ b/src/bendshed/turns/node.py
@@ -120,6 +120,11 @@
         group = self.host.groups.get(TURN_GROUP)
         return float(read(group)) if group is not None else 0.0
 
+    def note_registry(self, is_lost: bool) -> None:
+        """Whether the registry answers this machine itself; others are told, and go elsewhere."""
+        self.catalog.set_lost(is_lost)
+        self.follower.note_own_reading(is_lost)
+
     def start(self) -> None:
         """Start all parts."""
         self.host.start()
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -5,12 +5,14 @@
 
 from bendshed.catalog import follower, server
 from bendshed.catalog.codec import KeptCatalog, decode_kept, encode_kept
+from bendshed.catalog.server import CATALOG_METHOD
 from bendshed.catalog.state import MAX_REMOVED, Catalog, KnownRunner
+from bendshed.identifiers import rendezvous_rank
 from bendshed.ports.registry import ReplicaNode
 from bendshed.ports.transport import Address
 from bendshed.rehearsal.site.documents import make_document
 from bendshed.rehearsal.site.programs import ProgramPlan
-from bendshed.rehearsal.site.sim_world import APPLY_S, SiteWorld
+from bendshed.rehearsal.site.sim_world import APPLY_S, SimMachine, SiteWorld
 from bendshed.services.runners import RunnerState, ServiceRunner
 
 
@@ -163,6 +165,51 @@
         self.world.run_for(3.0)
         self.assertTrue(self.is_fresh())
 
+    def ranked_stores(self) -> list[SimMachine]:
+        """Replica machines in the order in which they are asked."""
+        return [
+            self.world.stores[name] for name in rendezvous_rank(CATALOG_METHOD, self.world.stores)
+        ]
+
+    def test_replica_machines_rely_on_the_first_of_them(self) -> None:
+        first, *others = self.ranked_stores()
+        assert first.replica is not None
+        self.assertFalse(first.replica.follower.is_fresh)
+        for store in others:
+            assert store.replica is not None
+            self.assertTrue(store.replica.follower.is_fresh)
+            self.world.network.cuts.add(("registry", store.host))
+        version = self.change()
+        self.world.registry.retirements[others[0].name] = False
+        self.world.run_for(0.5)
+        for store in others:
+            assert store.replica is not None
+            self.assertEqual(store.replica.catalog.catalog.version, version)
+            self.assertEqual(store.replica.directory.retiring, {others[0].name})
+
+    def test_when_the_registry_turns_the_first_away_the_next_reads_for_all(self) -> None:
+        first, second, *_ = self.ranked_stores()
+        self.world.network.cuts.add(("registry", first.host))
+        self.world.network.cuts.add(("registry", self.front.host))
+        version = self.change()
+        for _ in range(30):
+            self.world.run_for(0.1)
+            self.assertTrue(self.is_fresh())
+        self.assertEqual(self.version(), version)
+        assert first.replica is not None and second.replica is not None
+        self.assertTrue(first.replica.follower.is_fresh)
+        self.assertFalse(second.replica.follower.is_fresh)
+
+    def test_a_dead_machine_is_not_asked_again_after_each_answer_of_the_next(self) -> None:
+        first = self.ranked_stores()[0]
+        self.world.kill(first)
+        with mock.patch.object(follower, "log") as log:
+            self.world.run_for(7.0)
+        asked = [call for call in log.say.call_args_list if "instead_of" in call.kwargs]
+        machines = [*self.world.fronts, *self.world.stores]
+        self.assertGreaterEqual(len(asked), len(machines) - 1)
+        self.assertLessEqual(len(asked), 3 * len(machines))
+
     def test_a_leaving_runner_is_known_in_time(self) -> None:
         self.world.network.cuts.add(("registry", self.front.host))
         del self.world.listed["engine-1"]
--- /dev/null
+++ b/tests/test_reading.py
@@ -0,0 +1,95 @@
+"""When a node reads the registry itself."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from bendshed.catalog.reading import UNTOLD_PATIENCE_S, RegistryReading
+from bendshed.rehearsal.simulator.loop import VirtualTimeLoop
+
+SETTLE_S = 1.0
+
+
+class StubWatch:
+    """A watch that remembers whether it is wanted."""
+
+    def __init__(self) -> None:
+        self.is_wanted = True
+        self.is_lost = False
+        self.num_restarts = 0
+        self.on_trouble = lambda: None
+
+    def pause(self) -> None:
+        self.is_wanted = False
+
+    def resume(self, _at: int = 0) -> None:
+        self.is_wanted = True
+
+    def restart(self) -> None:
+        self.num_restarts += 1
+
+
+class RegistryReadingTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.loop = VirtualTimeLoop()
+        asyncio.set_event_loop(self.loop)
+        self.addCleanup(self.loop.close)
+        self.follower = mock.Mock(told=asyncio.Event(), is_fresh=False, runners_at=0)
+        self.leading, self.other = StubWatch(), StubWatch()
+        self.reading = RegistryReading(self.follower, self.leading, [self.other])  # type: ignore
+        self.lost: list[bool] = []
+        self.reading.on_change = lambda: self.lost.append(self.reading.is_lost)
+
+    def wanted(self) -> tuple[bool, bool]:
+        return self.leading.is_wanted, self.other.is_wanted
+
+    def set_fresh(self, is_fresh: bool) -> None:
+        self.follower.is_fresh = is_fresh
+        self.follower.on_freshness()
+
+    def wait_for_word(self, finds: bool) -> float:
+        async def look() -> bool:
+            return finds
+
+        began_s = self.loop.time()
+        self.loop.run_until_complete(self.reading.wait_for_word(look, SETTLE_S))
+        return self.loop.time() - began_s
+
+    def test_a_node_reads_only_while_nobody_tells(self) -> None:
+        self.set_fresh(True)
+        self.assertEqual(self.wanted(), (False, False))
+        self.set_fresh(False)
+        self.assertEqual(self.wanted(), (True, True))
+
+    def test_one_watch_looks_for_a_lost_registry_and_the_others_begin_afresh(self) -> None:
+        self.leading.is_lost = True
+        self.leading.on_trouble()
+        self.assertEqual(self.wanted(), (True, False))
+        self.leading.is_lost = False
+        self.leading.on_trouble()
+        self.assertEqual((self.wanted(), self.other.num_restarts), ((True, True), 1))
+        self.assertEqual(self.lost, [True, False])
+
+    def test_a_node_that_is_told_has_not_lost_the_registry(self) -> None:
+        self.leading.is_lost = True
+        self.set_fresh(True)
+        self.assertFalse(self.reading.is_lost)
+
+    def test_a_node_that_starts_reads_nothing_when_others_tell(self) -> None:
+        self.follower.told.set()
+        self.follower.is_fresh = True
+        self.assertAlmostEqual(self.wait_for_word(finds=True), SETTLE_S, places=2)
+        self.assertEqual(self.wanted(), (False, False))
+
+    def test_a_node_that_finds_nobody_reads_soon(self) -> None:
+        self.assertAlmostEqual(self.wait_for_word(finds=False), UNTOLD_PATIENCE_S, places=2)
+        self.assertEqual(self.wanted(), (True, True))
+
+    def test_a_node_that_is_told_old_words_reads_a_little_later(self) -> None:
+        self.follower.told.set()
+        self.wait_for_word(finds=True)
+        self.assertEqual(self.wanted(), (True, True))
+
+
+if __name__ == "__main__":
+    unittest.main()
