--- a/src/bendshed/services/attempts.py
+++ b/src/bendshed/services/attempts.py
@@ -218,6 +218,7 @@
     async def _send(self, choice: Choice) -> OpenAnswer | None:
         loop = asyncio.get_running_loop()
         record, runner = choice.record, choice.record.listed
+        was_connected = self._is_connected(record)
         try:
             connection = await self.ports.pool.acquire(runner.address)
         except ConnectFailed as error:
@@ -236,6 +237,7 @@
             runner=runner.runner_id,
             chosen_by=choice.reason,
             in_flight_there=record.in_flight,
+            was_connected=was_connected,
             left_ms=left_ms,
             attempt=self.num_maybe_run,
         )
