--- a/src/bendshed/placement/board.py
+++ b/src/bendshed/placement/board.py
@@ -27,9 +27,9 @@
 tokens. A continued turn's new input takes 4 to 10 ms."""
 OTHER_ZONE_MS = 3.0
 """A round trip between zones (0.9 to 1.4 ms a way on today's sites)."""
-NEW_CONNECTION_MS = 30.0
-"""A round trip, and a handshake that occupies a slot; operators price a connection as they price
-some tens of milliseconds of a runner."""
+NEW_CONNECTION_MS = 60.0
+"""A round trip, and a handshake that occupies a slot; and operators pay for connections: at 30 ms
+three in five of all new ones only spared some 20 ms of reading (small twin of 18 nodes, calm)."""
 FAILED_TURN_MS = 1_000.0
 """What a failed turn costs its program: its client comes back after up to 0.4 s, from the start."""
 FIRST_TURN_MS = 250.0
--- a/src/bendshed/services/turn_record.py
+++ b/src/bendshed/services/turn_record.py
@@ -120,10 +120,11 @@
         self._committing = self._commit_begin(begin)
         preview = await previewing
         is_previewed = preview is not None and preview.answer == wire.TURN_ANSWER_GRANTED
+        if preview is not None:
+            self.attempts.advised = preview.runner_id
         refusal = None
         if is_previewed and preview is not None:
             self._take_chain(preview, held)
-            self.attempts.advised = preview.runner_id
         else:
             refusal = await self._begin_committed(begin, held)
         took_s = loop.time() - began_s
--- a/src/bendshed/turns/advice.py
+++ b/src/bendshed/turns/advice.py
@@ -48,6 +48,10 @@
         ended = Ended(turn_id, report.runner_id, report.event_gap_us / 1000, report.failed)
         self.board.end(ended, now_s)
 
+    def take_refusal(self, turn_id: str, now_s: float) -> None:
+        """A turn that was advised may not run after all."""
+        self.board.end(Ended(turn_id), now_s)
+
     def _memory_tokens(self, service: str) -> int:
         document = self._catalog.document
         known = document.services.get(service) if document is not None else None
--- a/src/bendshed/turns/service.py
+++ b/src/bendshed/turns/service.py
@@ -16,6 +16,12 @@
 TURN_GROUP = 0
 """The turn log is one group today; docs/design/0003 says what more groups need."""
 COMMIT_TIMEOUT_S = 1.0
+NOT_TO_RUN = (
+    wire.TURN_ANSWER_UNKNOWN_TURN,
+    wire.TURN_ANSWER_BUDGET_SPENT,
+    wire.TURN_ANSWER_CLOSED,
+)
+"""Answers to a begin after which the turn is sent to no runner, and no end is told."""
 
 log = PartLog("turns")
 
@@ -54,9 +60,11 @@
         end = CommandEnd.COMMITTED
         try:
             command.elapsed_ms = self._elapsed_ms()
-            reply = await self._host.propose(
+            applied = await self._host.propose(
                 TURN_GROUP, command.SerializeToString(), COMMIT_TIMEOUT_S
             )
+            assert isinstance(applied, wire.TurnReply)
+            reply = applied
         except NotLeader as error:
             end = CommandEnd.NOT_LEADER
             reply = wire.TurnReply(answer=wire.TURN_ANSWER_NOT_LEADER, leader_id=error.leader_id)
@@ -64,16 +72,17 @@
             end = CommandEnd.UNKNOWN
             log.say("a command was not seen to commit", reason=repr(error))
             reply = wire.TurnReply(answer=wire.TURN_ANSWER_UNAVAILABLE)
+        if command.HasField("begin") and reply.answer in NOT_TO_RUN:
+            self._advice.take_refusal(command.begin.turn_id, asyncio.get_running_loop().time())
         self._metrics.commands.labels(end.value).inc()
         if end is CommandEnd.COMMITTED:
             self._metrics.commit_s.observe(asyncio.get_running_loop().time() - began_s)
-        assert isinstance(reply, wire.TurnReply)
         return reply.SerializeToString()
 
     async def preview(self, payload: bytes) -> bytes:
         """Tell what a begin would be answered, from the committed state, without committing.
 
-        A turn that will be granted is told its runner too.
+        A turn that may be granted is told its runner too.
         """
         try:
             group = self._host.ready_group(TURN_GROUP)
@@ -83,7 +92,8 @@
         assert isinstance(group.state, TurnLogState)
         preview = wire.TurnPreview.FromString(payload)
         reply = group.state.preview(preview.begin)
-        if reply.answer == wire.TURN_ANSWER_GRANTED and preview.demand.service:
+        may_run = reply.answer in (wire.TURN_ANSWER_GRANTED, wire.TURN_ANSWER_BUDGET_SPENT)
+        if may_run and preview.demand.service:
             reply.runner_id = self._advice.advise(preview, asyncio.get_running_loop().time())
         return reply.SerializeToString()
 
