A lost platform's store is asked ever more rarely, and a watch goes on where others told up to

Change: whoever was told by others asks up to 8 times as rarely (stores 2), a watch begins where others told up to, one fresh word is enough. A machine that could not read stays unfit to be relied on while it is told by others: two that tell each other would both seem fresh (found by the test of the readers' order).

--- a/src/bendshed/catalog/follower.py
+++ b/src/bendshed/catalog/follower.py
@@ -34,9 +34,6 @@
 MAX_QUICK_FAILURES = 4
 """After so many failures in a row nobody is likely to know more; the asker slows down."""
 SLOW_RETRY_S = 0.5
-SETTLED_REPLIES = 3
-"""So many fresh words in a row let the asker do without the registry; the first word of a life
-does so at once."""
 
 log = PartLog("catalog")
 
@@ -108,7 +105,6 @@
         self._may_share = may_share
         self._is_replica = is_replica
         self.told = asyncio.Event()
-        self._num_fresh = SETTLED_REPLIES - 1
         self._avoided: dict[Address, _Avoidance] = {}
         self._is_lost_here = False
         self._told_digest = 0
@@ -240,8 +236,6 @@
         if self._is_shared and is_current and age_s < self._times.max_age_s:
             self._taker.confirm_all(age_s, self.runners_at)
             self._note_fresh(self._times.max_age_s - age_s)
-        else:
-            self._num_fresh = 0
 
     def _take_directory(self, reply: wire.CatalogReply) -> None:
         if not reply.has_directory:
@@ -287,15 +281,12 @@
     # --- freshness -------------------------------------------------------------------------
 
     def _note_fresh(self, for_s: float) -> None:
-        self._num_fresh += 1
         if self._expiry is not None:
             self._expiry.cancel()
         self._expiry = asyncio.get_running_loop().call_later(for_s, self._expire)
-        if self._num_fresh >= SETTLED_REPLIES:
-            self._set_fresh(True)
+        self._set_fresh(True)
 
     def _expire(self) -> None:
-        self._num_fresh = 0
         self._set_fresh(False)
 
     def _set_fresh(self, is_fresh: bool) -> None:
--- a/src/bendshed/catalog/reading.py
+++ b/src/bendshed/catalog/reading.py
@@ -37,8 +37,11 @@
 
     @property
     def is_lost(self) -> bool:
-        """The registry does not answer this node, and nobody tells it what it says."""
-        return self._leading.is_lost and not self._follower.is_fresh
+        """The registry did not answer this node when it asked last.
+
+        That stays while others tell this node: it must not be relied on by those who tell it.
+        """
+        return self._leading.is_lost
 
     async def wait_for_word(self, look: Callable[[], Awaitable[bool]], settle_s: float) -> None:
         """Read nothing until others had their time to tell: all nodes may start at once.
@@ -68,6 +71,8 @@
         """Read only while nobody else tells."""
         if not self._may_read:
             return
+        for watcher in (self._leading, *self._others):
+            watcher.is_known = self._follower.told.is_set()
         if self._follower.is_fresh:
             for watcher in (self._leading, *self._others):
                 watcher.pause()
--- a/src/bendshed/catalog/watcher.py
+++ b/src/bendshed/catalog/watcher.py
@@ -21,7 +21,7 @@
 KNOWING_RETRY_MIN_S = 0.5
 KNOWING_RETRY_MAX_S = 0.9
 """One that knows the kind serves on meanwhile; calls to a store that is away cost like others."""
-MAX_RETRY_GROWTH = 4.0
+MAX_RETRY_GROWTH = 8.0
 """A process that others tell what the store says asks up to so many times as rarely while it
 fails."""
 LOST_WAIT_S = 0.1
@@ -81,6 +81,7 @@
     Attributes:
         wait_s: how long a watch may wait for a change.
         pace_s: shortest pause between two watches.
+        is_known: whether somebody else has told what the kind holds.
         retry_growth: how many times as rarely a lost store is asked in the end; 1: not rarer.
         failed_at_s: loop time of the last failed call.
         on_trouble: called when the store is lost and again when it is regained: a watch begun in
@@ -103,6 +104,7 @@
         self._source = source
         self._kind = kind
         self._handler = handler
+        self.is_known = False
         self.wait_s = wait_s
         self._rng = rng
         self.pace_s = pace_s
@@ -155,9 +157,9 @@
             self.restart()
 
     def _retry_s(self) -> float:
-        if self._at is None:
+        if self._at is None and not self.is_known:
             return self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
-        growth = min(self._retry_growth, 2.0 ** max(0, self._num_failed - 2))
+        growth = min(self._retry_growth, 2.0 ** (self._num_failed - 1))
         return growth * self._rng.uniform(KNOWING_RETRY_MIN_S, KNOWING_RETRY_MAX_S)
 
     def pause(self) -> None:
@@ -167,8 +169,8 @@
 
     def resume(self, at: int = 0) -> None:
         """Ask again; ``at``: everything up to this revision is known from elsewhere."""
-        if self._at is not None:
-            self._at = max(self._at, at)
+        if at:
+            self._at = max(self._at or 0, at)
         self._is_wanted.set()
 
     def restart(self) -> None:
--- a/src/bendshed/platform/replica.py
+++ b/src/bendshed/platform/replica.py
@@ -27,6 +27,8 @@
 from bendshed.turns.node import TurnLogNode
 
 WATCH_S = 8.0
+RETRY_GROWTH = 2.0
+"""A lost store is asked up to so many times as rarely: whoever is back first tells all others."""
 REPLICA_PACE_S = 0.25
 """Replica machines that start at the same time cost one call of this time together; the first
 change after a quiet time is told at once."""
@@ -75,6 +77,7 @@
             WATCH_S,
             self._rng,
             REPLICA_PACE_S,
+            RETRY_GROWTH,
         )
         self._retirements = KindWatcher(
             self._api,
@@ -105,7 +108,9 @@
 
     def _watcher(self, kind: str, handler: KindHandler) -> KindWatcher:
         pace = self._node.catalog.pace
-        return KindWatcher(self._api, kind, handler, pace.wait_s, self._rng, pace.pace_s)
+        return KindWatcher(
+            self._api, kind, handler, pace.wait_s, self._rng, pace.pace_s, RETRY_GROWTH
+        )
 
     # --- what others rely on ---------------------------------------------------------------
 
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -215,8 +215,7 @@
             if is_heard:
                 tell(machine)
             if machine.replica is not None:
-                is_told = machine.replica.follower.is_fresh
-                machine.replica.note_registry(not is_heard and not is_told)
+                machine.replica.note_registry(not is_heard)
             await asyncio.sleep(FOLLOW_S)
 
     def _tell_front(self, machine: SimMachine) -> None:
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -16,6 +16,7 @@
     def __init__(self) -> None:
         self.is_wanted = True
         self.is_lost = False
+        self.is_known = False
         self.num_restarts = 0
         self.on_trouble = lambda: None
 
@@ -70,10 +71,10 @@
         self.assertEqual((self.wanted(), self.other.num_restarts), ((True, True), 1))
         self.assertEqual(self.lost, [True, False])
 
-    def test_a_node_that_is_told_has_not_lost_the_registry(self) -> None:
+    def test_a_node_that_is_told_by_others_must_not_be_relied_on_by_them(self) -> None:
         self.leading.is_lost = True
         self.set_fresh(True)
-        self.assertFalse(self.reading.is_lost)
+        self.assertTrue(self.reading.is_lost)
 
     def test_a_node_that_starts_reads_nothing_when_others_tell(self) -> None:
         self.follower.told.set()
@@ -85,6 +86,13 @@
         self.assertAlmostEqual(self.wait_for_word(finds=False), UNTOLD_PATIENCE_S, places=2)
         self.assertEqual(self.wanted(), (True, True))
 
+    def test_who_is_told_asks_a_lost_registry_less_often(self) -> None:
+        self.set_fresh(False)
+        self.assertFalse(self.leading.is_known)
+        self.follower.told.set()
+        self.set_fresh(False)
+        self.assertTrue(self.leading.is_known)
+
     def test_a_node_that_is_told_old_words_reads_a_little_later(self) -> None:
         self.follower.told.set()
         self.wait_for_word(finds=True)
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import unittest
+from unittest import mock
 
 from bendshed.catalog.watcher import KindHandler, KindWatcher
 from bendshed.ports.objects import (
@@ -82,12 +83,19 @@
             task.cancel()
         self.loop.run_until_complete(asyncio.gather(*self.tasks, return_exceptions=True))
 
-    def watcher(self, seen: list[int], wait_s: float) -> KindWatcher:
+    def watcher(self, seen: list[int], wait_s: float, retry_growth: float = 1.0) -> KindWatcher:
         handler = KindHandler(
             lambda listed: seen.extend(item.revision for item in listed.items),
             lambda event: seen.append(event.object.revision),
         )
-        return KindWatcher(self.store, "kind", handler, wait_s, random.Random(1))  # type: ignore[arg-type]
+        return KindWatcher(
+            self.store,  # type: ignore[arg-type]
+            "kind",
+            handler,
+            wait_s,
+            random.Random(1),
+            retry_growth=retry_growth,
+        )
 
     def run_for(self, seconds: float) -> None:
         self.loop.run_until_complete(asyncio.sleep(seconds))
@@ -133,6 +141,25 @@
         self.run_for(0.5)
         self.assertEqual(self.seen, [1, 6])
 
+    def test_a_watch_that_others_told_up_to_need_not_list(self) -> None:
+        self.run_for(0.5)
+        late = self.watcher([], 2.0)
+        late.pause()
+        late.resume(at=1)
+        self.tasks.append(self.loop.create_task(late.run()))
+        with mock.patch.object(self.store, "list") as listed:
+            self.run_for(1.0)
+        listed.assert_not_called()
+
+    def test_who_is_told_by_others_asks_a_lost_store_ever_less_often(self) -> None:
+        self.run_for(1.0)
+        patient = self.watcher([], 2.0, retry_growth=8.0)
+        patient.is_known = True
+        with mock.patch.object(self.store, "list", side_effect=StoreUnavailable("away")) as listed:
+            self.tasks.append(self.loop.create_task(patient.run()))
+            self.run_for(10.0)
+        self.assertLessEqual(listed.call_count, 5)
+
     def test_lost_history_is_listed_again(self) -> None:
         self.run_for(1.0)
         self.store.history_from = 8
