--- a/src/bendshed/operators/explanation.py
+++ b/src/bendshed/operators/explanation.py
@@ -14,8 +14,8 @@
 
 CONTEXT = frozenset(
     {
-        "platform: lost the store",
-        "platform: regained the store",
+        "registry: lost the store",
+        "registry: regained the store",
         "turns: no replica of the turn log answers",
         "turns: regained the turn log",
         "paths: reaches a peer through others",
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -36,8 +36,8 @@
         self.assertNotIn(far, explanation.lines)
 
     def test_what_other_fronts_believed_does_not(self) -> None:
-        other = line(10.1, "front-2", "platform: lost the store", kind="config")
-        same = line(10.1, "front-1", "platform: lost the store", kind="config")
+        other = line(10.1, "front-2", "registry: lost the store", kind="config")
+        same = line(10.1, "front-1", "registry: lost the store", kind="config")
         explanation = explain("r1", [other, same, *LOST_RUNNER])
         self.assertIn(same, explanation.lines)
         self.assertNotIn(other, explanation.lines)
