A running turn costs the mean reading time; a connection 30 ms; a runner is silent only where nothing ends

In the burst 60 ms for a connection outweighed fifteen running turns at 4 ms, and one turn that took four mean lengths marked its runner, with 24 slots, as slow. Change: one more running turn costs the mean reading time of a turn; 30 ms; silence counts from the last end.

--- a/src/bendshed/catalog/server.py
+++ b/src/bendshed/catalog/server.py
@@ -259,8 +259,12 @@
         if pace == self.pace:
             return
         self.pace = pace
-        sentence = "reads the registry for others" if self.is_in_demand else "reads for itself"
-        log.say(sentence, askers=self.num_askers, every_s=pace.wait_s)
+        log.say(
+            "reads the registry for others, or not any more",
+            is_in_demand=self.is_in_demand,
+            askers=self.num_askers,
+            every_s=pace.wait_s,
+        )
         self.on_pace(pace)
 
     # --- in the background -----------------------------------------------------------------
--- a/src/bendshed/placement/board.py
+++ b/src/bendshed/placement/board.py
@@ -22,14 +22,15 @@
 
 READ_TOKENS_PER_MS = 80.0
 """Prompt tokens that a runner reads in a millisecond; engines met so far read 65 to 163."""
-RUNNING_MS = 4.0
-"""What one more running turn costs the others at its runner: its prompt is read between their
-tokens. A continued turn's new input takes 4 to 10 ms."""
+MIN_RUNNING_MS = 4.0
+"""Least that one more running turn costs the others at its runner. While a turn runs, about as many
+others begin there as run beside it, and each stops it for the time in which its prompt is read; so
+the mean reading time of a turn is what one running turn costs."""
 OTHER_ZONE_MS = 3.0
 """A round trip between zones (0.9 to 1.4 ms a way on today's sites)."""
-NEW_CONNECTION_MS = 60.0
-"""A round trip, and a handshake that occupies a slot; and operators pay for connections: at 30 ms
-three in five of all new ones only spared some 20 ms of reading (small twin of 18 nodes, calm)."""
+NEW_CONNECTION_MS = 30.0
+"""A round trip, and a handshake that occupies a slot; and operators pay for connections. At 60 ms
+bursts gathered on few runners (palletlink scale-2, docs/POLICY.md)."""
 FAILED_TURN_MS = 1_000.0
 """What a failed turn costs its program: its client comes back after up to 0.4 s, from the start."""
 FIRST_TURN_MS = 250.0
@@ -38,8 +39,8 @@
 """Weight of the newest turn in the mean length: some twenty turns tell a change."""
 MEMORY_SHARE = 0.8
 """Share of a runner's memory that running turns may fill; beyond it the newest is put back."""
-OVERDUE_TURNS = 4.0
-"""A turn that takes this many mean lengths tells that its runner is slow or hangs."""
+SILENT_TURNS = 4.0
+"""A runner where no turn has ended for so many mean lengths, and some run, is slow or hangs."""
 MAX_CANDIDATES = 64
 """Runners that one choice looks at; of larger pools a sample, beside those that keep the prompt."""
 DEFAULT_CAPACITY_TOKENS = 50_000
@@ -130,6 +131,7 @@
     Attributes:
         turns: under way there, by turn id, the oldest first.
         num_tokens: prompts and worst outputs of these.
+        ended_s: when the latest turn ended here.
 
     """
 
@@ -137,11 +139,12 @@
     health: RunnerHealth = field(default_factory=RunnerHealth)
     turns: dict[str, _Running] = field(default_factory=dict)
     num_tokens: int = 0
+    ended_s: float = float("-inf")
 
-    def oldest_age_s(self, now_s: float) -> float:
-        """Age of the turn that is longest under way; 0: none is."""
+    def silent_s(self, now_s: float) -> float:
+        """For how long turns have run here and none has ended; 0: none runs."""
         for turn in self.turns.values():
-            return now_s - turn.began_s
+            return now_s - max(turn.began_s, self.ended_s)
         return 0.0
 
 
@@ -150,10 +153,15 @@
 
     Invariant: a turn counts at one runner from its advice until its end or its deadline.
 
+    Attributes:
+        turn_ms: mean length of a turn.
+        reading_ms: mean time in which a turn's prompt is read.
+
     """
 
     def __init__(self, rng: random.Random) -> None:
         self.turn_ms = FIRST_TURN_MS
+        self.reading_ms = MIN_RUNNING_MS
         self._rng = rng
         self._loads: dict[str, _RunnerLoad] = {}
         self._turns: dict[str, str] = {}
@@ -228,13 +236,13 @@
         load = self._loads[runner.runner_id]
         num_running = len(load.turns)
         slowness = load.health.slowness_now(pool_gap, now_s, SLOW_FROM)
-        overdue = 1000 * load.oldest_age_s(now_s) / (OVERDUE_TURNS * self.turn_ms)
-        slowness = max(slowness, overdue)
+        slowness = max(slowness, 1000 * load.silent_s(now_s) / (SILENT_TURNS * self.turn_ms))
         num_waiting = max(0, num_running + 1 - runner.slots)
         waiting_ms = self.turn_ms * num_waiting / runner.slots
         unread = demand.prompt_tokens - load.cache.cached_tokens(demand.parts)
         reading_ms = unread / READ_TOKENS_PER_MS
-        cost_ms = slowness * (waiting_ms + reading_ms + RUNNING_MS * num_running)
+        running_ms = max(MIN_RUNNING_MS, self.reading_ms) * num_running
+        cost_ms = slowness * (waiting_ms + reading_ms + running_ms)
         cost_ms += (slowness - 1.0) * self.turn_ms
         cost_ms += FAILED_TURN_MS * load.health.failures_now(now_s)
         wanted = load.num_tokens + demand.prompt_tokens + demand.most_tokens
@@ -256,6 +264,8 @@
         tokens = demand.prompt_tokens + demand.most_tokens
         load.turns[demand.turn_id] = _Running(runner_id, tokens, now_s)
         load.num_tokens += tokens
+        unread = demand.prompt_tokens - load.cache.cached_tokens(demand.parts)
+        self.reading_ms += TURN_WEIGHT * (unread / READ_TOKENS_PER_MS - self.reading_ms)
         load.cache.note_read(demand.parts)
         self._turns[demand.turn_id] = runner_id
         heapq.heappush(self._deadlines, (now_s + demand.left_s, demand.turn_id))
@@ -268,6 +278,7 @@
             self.turn_ms += TURN_WEIGHT * (took_ms - self.turn_ms)
         load = self._loads.get(ended.runner_id)
         if load is not None:
+            load.ended_s = now_s
             load.health.note_try(False, now_s)
             if ended.gap_ms:
                 load.health.note_pace(ended.gap_ms, now_s)
