A store that knows few fronts takes no front its relays

Ruled out: placement (turns that reached a runner were as fast), the leader (no election in that time). Change: what is told is put before what is known, twelve are kept. Test in tests/test_catalog.py.

--- a/src/bendshed/catalog/follower.py
+++ b/src/bendshed/catalog/follower.py
@@ -31,6 +31,8 @@
 AVOIDED_MIN_S, AVOIDED_MAX_S = 1.0, 8.0
 """A machine that does not answer, or has lost the registry, is passed over for so long, twice as
 long after each further failure: the next by rank reads meanwhile."""
+MAX_FRONTS_KNOWN = 12
+"""Other fronts kept for relaying: those of the latest two full replies."""
 MAX_QUICK_FAILURES = 4
 """After so many failures in a row nobody is likely to know more; the asker slows down."""
 SLOW_RETRY_S = 0.5
@@ -229,7 +231,7 @@
         self._take_directory(reply)
         self._told_by, self._told_digest = target, reply.directory_digest
         self.told.set()
-        self.fronts = [read_peer(front) for front in reply.fronts]
+        self._take_fronts([read_peer(front) for front in reply.fronts])
         self._is_shared = self._may_share and reply.num_askers >= MIN_SHARED_ASKERS
         age_s = reply.age_ms / 1000
         is_current = is_level and reply.document_version >= self.version
@@ -245,6 +247,11 @@
         if reply.knows_retiring:
             self._directory.list_retiring(reply.retiring)
 
+    def _take_fronts(self, told: list[Address]) -> None:
+        """Know the latest told first; a machine that has just started knows none or few."""
+        known = [front for front in self.fronts if front not in told]
+        self.fronts = [*told, *known][:MAX_FRONTS_KNOWN]
+
     def _take_document(self, reply: wire.CatalogReply) -> None:
         if not reply.document or reply.document_version <= self.version:
             return
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -112,6 +112,20 @@
                 self.assert_serves(world)
 
 
+class FrontsForRelayingTest(unittest.TestCase):
+    def test_a_machine_that_knows_few_fronts_takes_none_away(self) -> None:
+        world = SiteWorld.started(1)
+        self.addCleanup(world.close)
+        node = world.fronts["front-1"].front
+        assert node is not None
+        told = [Address(f"10.0.9.{number}", 7000) for number in range(20)]
+        node.catalog._take_fronts(told[:6])
+        node.catalog._take_fronts([])
+        self.assertEqual(node.catalog.fronts[:6], told[:6])
+        node.catalog._take_fronts(told[6:])
+        self.assertEqual(node.catalog.fronts, told[6:][: follower.MAX_FRONTS_KNOWN])
+
+
 class SharedReadingTest(unittest.TestCase):
     """With enough fronts one replica machine of a zone asks the registry for all of them."""
 
