The latest runner of each program stands in the turn log

The new leader's board is empty, so programs went where their prompts were not kept; untouched code finds them by hash. Change: the entry that ends a turn names its runner; the state keeps the latest of each program, and the board takes the prompt of a line that it does not know as kept there.

--- a/src/bendshed/placement/board.py
+++ b/src/bendshed/placement/board.py
@@ -41,6 +41,8 @@
 """Share of a runner's memory that running turns may fill; beyond it the newest is put back."""
 SILENT_TURNS = 4.0
 """A runner where no turn has ended for so many mean lengths, and some run, is slow or hangs."""
+MAX_LINES = 20_000
+"""Lines of turns remembered as placed here; some 2 MB."""
 MAX_CANDIDATES = 64
 """Runners that one choice looks at; of larger pools a sample, beside those that keep the prompt."""
 DEFAULT_CAPACITY_TOKENS = 50_000
@@ -63,6 +65,7 @@
         connected: runners to which the asker has an idle connection.
         avoided: runners that failed the asker a moment ago.
         zone: the asker's.
+        ran_at: where the program's latest turn ran, which a new leader knows too.
 
     """
 
@@ -74,6 +77,7 @@
     connected: Collection[str] = ()
     avoided: Collection[str] = ()
     zone: str = ""
+    ran_at: str = ""
 
     @property
     def prompt_tokens(self) -> int:
@@ -166,6 +170,7 @@
         self._loads: dict[str, _RunnerLoad] = {}
         self._turns: dict[str, str] = {}
         self._deadlines: list[tuple[float, str]] = []
+        self._lines: dict[str, None] = {}
 
     @property
     def num_running(self) -> int:
@@ -200,6 +205,7 @@
             if runner.runner_id not in self._loads:
                 cache = PromptCache(capacity_tokens or DEFAULT_CAPACITY_TOKENS)
                 self._loads[runner.runner_id] = _RunnerLoad(cache)
+        self._learn_cache(demand)
         pool_gap = median_pace(self._loads[runner.runner_id].health for runner in runners)
         costs = {
             runner.runner_id: self._cost_ms(demand, runner, pool_gap, now_s)
@@ -215,6 +221,12 @@
         self._begin(demand, chosen, now_s)
         return advice
 
+    def _learn_cache(self, demand: Demand) -> None:
+        """A new leader knows of no kept prompt: a program's are where its latest turn ran."""
+        load = self._loads.get(demand.ran_at)
+        if load is not None and demand.line not in self._lines:
+            load.cache.note_read(demand.parts)
+
     def _candidates(
         self, demand: Demand, runners: Sequence[ServiceRunner]
     ) -> Sequence[ServiceRunner]:
@@ -267,6 +279,9 @@
         unread = demand.prompt_tokens - load.cache.cached_tokens(demand.parts)
         self.reading_ms += TURN_WEIGHT * (unread / READ_TOKENS_PER_MS - self.reading_ms)
         load.cache.note_read(demand.parts)
+        self._lines[demand.line] = None
+        if len(self._lines) > MAX_LINES:
+            del self._lines[next(iter(self._lines))]
         self._turns[demand.turn_id] = runner_id
         heapq.heappush(self._deadlines, (now_s + demand.left_s, demand.turn_id))
 
--- a/src/bendshed/services/turn_record.py
+++ b/src/bendshed/services/turn_record.py
@@ -270,6 +270,7 @@
             input=self.request.body if keep else b"",
             output=b"".join(self._output) if keep else b"",
             retention_ms=self.route.retention_ms,
+            runner_id=self.attempts.answered_by,
         )
         return wire.TurnCommand(finish=finish, report=self._report())
 
--- a/src/bendshed/turns/advice.py
+++ b/src/bendshed/turns/advice.py
@@ -19,10 +19,17 @@
         self._catalog = catalog
         self._listed_at = 0
 
-    def advise(self, preview: wire.TurnPreview, now_s: float) -> str:
-        """Id of the runner where a turn had best run; empty: none is known here."""
+    def advise(self, preview: wire.TurnPreview, ran_at: str, now_s: float) -> str:
+        """Id of the runner where a turn had best run; empty: none is known here.
+
+        Args:
+            preview: the turn.
+            ran_at: where the program's latest turn ran; empty: nowhere.
+            now_s: steady time.
+
+        """
         self._follow_list()
-        demand = _read_demand(preview)
+        demand = _read_demand(preview, ran_at)
         service = preview.demand.service
         advice = self.board.advise(
             demand, self._catalog.ready_runners(service), self._memory_tokens(service), now_s
@@ -63,7 +70,7 @@
             self.board.keep_only(self._catalog.runner_ids)
 
 
-def _read_demand(preview: wire.TurnPreview) -> Demand:
+def _read_demand(preview: wire.TurnPreview, ran_at: str) -> Demand:
     wanted = preview.demand
     return Demand(
         turn_id=preview.begin.turn_id,
@@ -74,4 +81,5 @@
         connected=frozenset(wanted.connected),
         avoided=frozenset(wanted.avoided),
         zone=wanted.zone,
+        ran_at=ran_at,
     )
--- a/src/bendshed/turns/service.py
+++ b/src/bendshed/turns/service.py
@@ -94,7 +94,9 @@
         reply = group.state.preview(preview.begin)
         may_run = reply.answer in (wire.TURN_ANSWER_GRANTED, wire.TURN_ANSWER_BUDGET_SPENT)
         if may_run and preview.demand.service:
-            reply.runner_id = self._advice.advise(preview, asyncio.get_running_loop().time())
+            ran_at = group.state.runner_of(preview.begin.program_id)
+            now_s = asyncio.get_running_loop().time()
+            reply.runner_id = self._advice.advise(preview, ran_at, now_s)
         return reply.SerializeToString()
 
     def _take_report(self, command: wire.TurnCommand) -> None:
--- a/src/bendshed/turns/state.py
+++ b/src/bendshed/turns/state.py
@@ -46,6 +46,7 @@
         spent_tokens: charged for ended turns.
         reserved: worst case of each turn under way, by turn id.
         closed: the latest finished turn ids, oldest first.
+        runner_id: where its latest turn ran; empty: nowhere yet.
 
     """
 
@@ -53,6 +54,7 @@
     reserved: dict[str, int] = field(default_factory=dict)
     closed: dict[str, None] = field(default_factory=dict)
     expires_ms: int = 0
+    runner_id: str = ""
 
     @property
     def reserved_tokens(self) -> int:
@@ -117,6 +119,7 @@
                 reserved=reserved,
                 expires_ms=program.expires_ms,
                 closed_turns=list(program.closed),
+                runner_id=program.runner_id,
             )
             yield wire.TurnLogSnapshot(programs=[budget]).SerializeToString()
 
@@ -134,6 +137,7 @@
                 {entry.turn_id: entry.tokens for entry in row.reserved},
                 dict.fromkeys(row.closed_turns),
                 row.expires_ms,
+                row.runner_id,
             )
             for row in snapshot.programs
         }
@@ -169,6 +173,11 @@
         self._add_chain(reply, begin)
         return reply
 
+    def runner_of(self, program_id: str) -> str:
+        """Where the latest turn of a program ran; empty: unknown."""
+        program = self.programs.get(program_id)
+        return program.runner_id if program is not None else ""
+
     def _add_chain(self, reply: wire.TurnReply, begin: wire.BeginTurn) -> None:
         """Add what the asker does not hold of the chain."""
         if begin.previous_turn and begin.held_turn == begin.previous_turn:
@@ -210,6 +219,7 @@
         if finish.turn_id in program.closed:
             return self._reply(wire.TURN_ANSWER_CLOSED, program)
         program.reserved.pop(finish.turn_id, None)
+        program.runner_id = finish.runner_id or program.runner_id
         program.closed[finish.turn_id] = None
         if len(program.closed) > MAX_CLOSED_TURNS:
             del program.closed[next(iter(program.closed))]
--- a/tests/test_load_board.py
+++ b/tests/test_load_board.py
@@ -78,6 +78,14 @@
         self.runners = others
         self.assertNotEqual(self.place(self.demand("line", 1_000), 0.5).runner_id, home.runner_id)
 
+    def test_a_new_leader_sends_a_program_where_its_latest_turn_ran(self) -> None:
+        for _ in range(12):
+            self.place(self.demand())
+        known = self.place(self.demand("line", 8_000, ran_at="d"))
+        self.assertEqual((known.runner_id, known.cached_tokens), ("d", 8_000))
+        other = self.demand("line", 8_000, ran_at="b")
+        self.assertEqual(self.place(other).runner_id, "d")
+
     def test_an_idle_connection_is_used_while_it_costs_little(self) -> None:
         for _ in range(5):
             self.assertEqual(self.place(self.demand(connected={"c"})).runner_id, "c")
