--- a/tests/test_turn_state.py
+++ b/tests/test_turn_state.py
@@ -163,6 +163,14 @@
 
 
 class SnapshotTest(unittest.TestCase):
+    def test_where_a_programs_latest_turn_ran_survives_a_snapshot(self) -> None:
+        log, copy = Log(), Log()
+        for turn, runner in (("t1", "a"), ("t2", "b"), ("t3", "")):
+            finish = wire.FinishTurn(program_id="p", turn_id=turn, runner_id=runner)
+            log.apply(finish=finish)
+        copy.state.restore(log.state.snapshot())
+        self.assertEqual((copy.state.runner_of("p"), copy.state.runner_of("q")), ("b", ""))
+
     def test_a_restored_state_answers_alike(self) -> None:
         log, copy = Log(), Log()
         log.now_ms = 1234
