--- a/tests/test_runner_answers.py
+++ b/tests/test_runner_answers.py
@@ -75,7 +75,7 @@
         self.pool = ConnectionPool(1.0)
         rng = random.Random(1)
         metrics = ServiceMetrics(CollectorRegistry())
-        ports = RunnerPorts(self.table, self.pool, PlatformRunnerProtocol(), "z", rng, metrics)
+        ports = RunnerPorts(self.table, self.pool, PlatformRunnerProtocol(), "z", "n", rng, metrics)
         self.forwarder = Forwarder(ports)
         self.put_route(ROUTE)
 
