Tests: a stalled disk costs no commit while a majority of disks is well

Nothing changed in the code: a leader sends entries before its own disk has them, and a majority without it commits. A stalled leader and a stalled follower in the simulated site serve programs as before (1.5 s for two turns and a call); with two of three disks stalled nothing counts as kept. Leadership is not handed on by a stalled leader: open, it costs nothing that these tests see.

--- /dev/null
+++ b/tests/test_disk_stall.py
@@ -0,0 +1,62 @@
+"""A disk that answers nothing for seconds costs no commit while a majority of disks is well."""
+
+import unittest
+
+from bendshed.rehearsal.site.programs import ProgramPlan
+from bendshed.rehearsal.site.sim_world import SimMachine, SiteWorld
+
+STALL_S = 4.0
+PROGRAM_S = 1.5
+"""Two turns and a call take half a second here; the rest is a bound on what a stall may cost."""
+
+
+class DiskStallTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = SiteWorld.started(4)
+        self.addCleanup(self.world.close)
+        self.world.run_for(1.0)
+
+    def stall(self, store: SimMachine) -> None:
+        assert store.disk is not None
+        store.disk.commit_s = STALL_S
+
+    def leader(self) -> SimMachine:
+        leader = self.world.leader()
+        assert leader is not None
+        return leader
+
+    def voters(self) -> list[SimMachine]:
+        replica = self.leader().replica
+        assert replica is not None
+        ids = set(replica.host.groups[0].replica.membership.voters)
+        return [
+            store
+            for store in self.world.stores.values()
+            if store.replica is not None and store.replica.host.node_id in ids
+        ]
+
+    def assert_serves(self) -> None:
+        programs = [self.world.start_program(ProgramPlan(turns=2, tools=1)) for _ in range(5)]
+        self.world.run_for(PROGRAM_S)
+        self.assertTrue(all(program.finished for program in programs))
+        statuses = {status for program in programs for status in program.statuses}
+        self.assertEqual(statuses, {200})
+
+    def test_a_stalled_leader_still_commits_through_the_others(self) -> None:
+        self.stall(self.leader())
+        self.assert_serves()
+
+    def test_a_stalled_follower_costs_nothing(self) -> None:
+        self.stall(next(store for store in self.voters() if store is not self.leader()))
+        self.assert_serves()
+
+    def test_without_a_majority_of_disks_nothing_counts_as_kept(self) -> None:
+        for store in self.voters()[:2]:
+            self.stall(store)
+        program = self.world.start_program(ProgramPlan(turns=2, tools=0))
+        self.world.run_for(PROGRAM_S)
+        self.assertFalse(program.finished)
+
+
+if __name__ == "__main__":
+    unittest.main()
