One way to keep a small file; a damaged catalog file is told

Change: the own product's kept configuration uses write_kept and read_kept (a file of the old form is fetched anew, as a damaged one was); a store that cannot read its catalog file says so and starts without.

--- a/src/bendshed/catalog/file.py
+++ b/src/bendshed/catalog/file.py
@@ -20,9 +20,12 @@
 
     def load(self) -> bytes | None:
         """Return what was kept whole."""
+        if not self._path.exists():
+            return None
         try:
             return read_kept(self._path)
-        except (OSError, FileDamaged):
+        except (OSError, FileDamaged) as error:
+            log.say("what was kept cannot be read", reason=repr(error))
             return None
 
     async def save(self, content: bytes) -> None:
--- a/src/bendshed/configuration/file_cache.py
+++ b/src/bendshed/configuration/file_cache.py
@@ -1,11 +1,10 @@
 """Keeps the newest configuration in one file of the data folder."""
 
-import os
 from pathlib import Path
 
-import xxhash
 from pydantic import ValidationError
 
+from bendshed.adapters.kept_file import FileDamaged, read_kept, write_kept
 from bendshed.configuration.document import Snapshot
 from bendshed.configuration.service import ConfigurationCache
 from bendshed.logs import PartLog
@@ -16,7 +15,7 @@
 
 
 class FileConfigurationCache(ConfigurationCache):
-    """First line: checksum in hex; rest: the snapshot as JSON."""
+    """The snapshot as JSON in a file with a digest; a file of another form is fetched anew."""
 
     def __init__(self, folder: Path) -> None:
         self._path = folder / FILE_NAME
@@ -25,21 +24,12 @@
         """Return what was kept; a damaged file counts as nothing and is reported."""
         if not self._path.exists():
             return None
-        checksum, _, content = self._path.read_bytes().partition(b"\n")
         try:
-            if checksum.decode() != xxhash.xxh3_64_hexdigest(content):
-                raise ValueError("checksum")
-            return Snapshot.model_validate_json(content)
-        except (ValueError, ValidationError) as error:
+            return Snapshot.model_validate_json(read_kept(self._path))
+        except (FileDamaged, ValidationError) as error:
             log.say("the kept configuration is damaged and is fetched anew", reason=str(error))
             return None
 
     def save(self, snapshot: Snapshot) -> None:
-        """Write beside, sync, rename: the file is whole at any moment."""
-        content = snapshot.model_dump_json().encode()
-        beside = self._path.with_suffix(".new")
-        with beside.open("wb") as file:
-            file.write(xxhash.xxh3_64_hexdigest(content).encode() + b"\n" + content)
-            file.flush()
-            os.fsync(file.fileno())
-        beside.rename(self._path)
+        """Replace the file; it is whole at any moment."""
+        write_kept(self._path, snapshot.model_dump_json().encode())
