--- a/src/bendshed/placement/board.py
+++ b/src/bendshed/placement/board.py
@@ -22,6 +22,10 @@
 
 READ_TOKENS_PER_MS = 80.0
 """Prompt tokens that a runner reads in a millisecond; engines met so far read 65 to 163."""
+HISTORY_WEIGHT = 3.0
+"""How many times its reading time a line's own history costs when it must be read again: that also
+stops the turns beside it, and nobody else will use it; a part that many share is read once for all.
+At 1, bursts on the large site lost a tenth of the programs (docs/POLICY.md)."""
 MIN_RUNNING_MS = 4.0
 """Least that one more running turn costs the others at its runner. While a turn runs, about as many
 others begin there as run beside it, and each stops it for the time in which its prompt is read; so
@@ -251,8 +255,7 @@
         slowness = max(slowness, 1000 * load.silent_s(now_s) / (SILENT_TURNS * self.turn_ms))
         num_waiting = max(0, num_running + 1 - runner.slots)
         waiting_ms = self.turn_ms * num_waiting / runner.slots
-        unread = demand.prompt_tokens - load.cache.cached_tokens(demand.parts)
-        reading_ms = unread / READ_TOKENS_PER_MS
+        reading_ms = self._reading_cost_ms(demand, load.cache)
         running_ms = max(MIN_RUNNING_MS, self.reading_ms) * num_running
         cost_ms = slowness * (waiting_ms + reading_ms + running_ms)
         cost_ms += (slowness - 1.0) * self.turn_ms
@@ -268,6 +271,14 @@
             cost_ms += OTHER_ZONE_MS
         return cost_ms
 
+    @staticmethod
+    def _reading_cost_ms(demand: Demand, cache: PromptCache) -> float:
+        """What reading costs that a runner does not keep; the last part is the line's own."""
+        unread = demand.prompt_tokens - cache.cached_tokens(demand.parts)
+        own = demand.parts[-1].tokens if demand.parts else 0
+        unread_own = min(unread, own)
+        return (unread - unread_own + HISTORY_WEIGHT * unread_own) / READ_TOKENS_PER_MS
+
     # --- turns under way -------------------------------------------------------------------
 
     def _begin(self, demand: Demand, runner_id: str, now_s: float) -> None:
--- a/tests/test_load_board.py
+++ b/tests/test_load_board.py
@@ -67,6 +67,15 @@
         second = self.place(self.demand("line", 2_500), 0.5)
         self.assertEqual((second.runner_id, second.cached_tokens), (home.runner_id, 2_000))
 
+    def test_a_line_stays_while_a_slot_is_free_though_others_run_nothing(self) -> None:
+        first = self.demand("line", 1_900)
+        home = self.place(first)
+        self.end(first, home, 0.3)
+        others = {row.runner_id for row in self.runners} - {home.runner_id}
+        for _ in range(SLOTS - 1):
+            self.place(self.demand(avoided=others), 0.4)
+        self.assertEqual(self.place(self.demand("line", 2_200), 0.5).runner_id, home.runner_id)
+
     def test_a_line_leaves_a_runner_whose_slots_are_taken(self) -> None:
         first = self.demand("line", 1_000)
         home = self.place(first)
