--- a/src/bendshed/placement/board.py
+++ b/src/bendshed/placement/board.py
@@ -51,9 +51,9 @@
 """Runners that one choice looks at; of larger pools a sample, beside those that keep the prompt."""
 DEFAULT_CAPACITY_TOKENS = 50_000
 """Memory of a runner when the configuration does not tell it."""
-SLOW_FROM = 1.6
-"""A runner counts as slow from this many times the pool's median time between events on; below it
-is chance: batches and prompts read in between make single turns differ by a third."""
+SLOW_FROM = 2.5
+"""A runner counts as slow from this many times the pool's median time between events on. Below it
+is chance: in a burst prompts read in between make a mean of three turns half as long again."""
 NEAR_MS = 1.0
 """Costs this near to the least count as equal; the rank by session decides then."""
 
