A parent's prompt is a program's own history too

A sub-agent's prompt starts with its parent's, which stood among the parts that count once, so five sub-agents read it at five runners. Ruled out: evictions of the first part, which every turn uses. Change: all parts but the first are the program's own and cost three times their reading time.

--- a/src/bendshed/placement/board.py
+++ b/src/bendshed/placement/board.py
@@ -23,8 +23,8 @@
 READ_TOKENS_PER_MS = 80.0
 """Prompt tokens that a runner reads in a millisecond; engines met so far read 65 to 163."""
 HISTORY_WEIGHT = 3.0
-"""How many times its reading time a line's own history costs when it must be read again: that also
-stops the turns beside it, and nobody else will use it; a part that many share is read once for all.
+"""How many times its reading time a program's own history costs when it must be read again: that
+also stops the turns beside it, and no other program will use it; the first part is for all.
 At 1, bursts on the large site lost a tenth of the programs (docs/POLICY.md)."""
 MIN_RUNNING_MS = 4.0
 """Least that one more running turn costs the others at its runner. While a turn runs, about as many
@@ -273,10 +273,13 @@
 
     @staticmethod
     def _reading_cost_ms(demand: Demand, cache: PromptCache) -> float:
-        """What reading costs that a runner does not keep; the last part is the line's own."""
+        """What reading costs that a runner does not keep.
+
+        All but the first of several parts is the program's own: its line, or a parent's.
+        """
         unread = demand.prompt_tokens - cache.cached_tokens(demand.parts)
-        own = demand.parts[-1].tokens if demand.parts else 0
-        unread_own = min(unread, own)
+        shared = demand.parts[0].tokens if len(demand.parts) > 1 else 0
+        unread_own = min(unread, demand.prompt_tokens - shared)
         return (unread - unread_own + HISTORY_WEIGHT * unread_own) / READ_TOKENS_PER_MS
 
     # --- turns under way -------------------------------------------------------------------
--- a/tests/test_load_board.py
+++ b/tests/test_load_board.py
@@ -76,6 +76,23 @@
             self.place(self.demand(avoided=others), 0.4)
         self.assertEqual(self.place(self.demand("line", 2_200), 0.5).runner_id, home.runner_id)
 
+    def test_a_child_stays_where_its_parents_prompt_is_kept(self) -> None:
+        shared, parent = PromptPart("shared", 500), PromptPart("parent", 2_000)
+        first = self.demand(parts=(shared, parent))
+        home = self.place(first)
+        self.end(first, home, 0.3)
+        for number in range(4):
+            own = PromptPart(f"child-{number}", 300)
+            child = self.demand(f"child-{number}", parts=(shared, parent, own))
+            self.assertEqual(self.place(child, 0.4).runner_id, home.runner_id)
+
+    def test_a_first_part_that_many_share_is_read_by_runners_with_less_to_do(self) -> None:
+        shared = PromptPart("shared", 1_000)
+        for number in range(20):
+            self.place(self.demand(parts=(shared, PromptPart(f"own-{number}", 100))))
+        loads = [self.board.running_at(runner.runner_id) for runner in self.runners]
+        self.assertLessEqual(max(loads) - min(loads), 2)
+
     def test_a_line_leaves_a_runner_whose_slots_are_taken(self) -> None:
         first = self.demand("line", 1_000)
         home = self.place(first)
