--- a/src/bendshed/catalog/follower.py
+++ b/src/bendshed/catalog/follower.py
@@ -31,8 +31,11 @@
 AVOIDED_MIN_S, AVOIDED_MAX_S = 1.0, 8.0
 """A machine that does not answer, or has lost the registry, is passed over for so long, twice as
 long after each further failure: the next by rank reads meanwhile."""
-MAX_FRONTS_KNOWN = 12
-"""Other fronts kept for relaying: those of the latest two full replies."""
+ENOUGH_FRONTS = 3
+"""A reply that names so many other fronts replaces those known before: what is named was heard
+lately, and a front that is cut off itself is no relay. A shorter one adds to them."""
+MAX_FRONTS_KNOWN = 6
+"""Other fronts kept for relaying."""
 MAX_QUICK_FAILURES = 4
 """After so many failures in a row nobody is likely to know more; the asker slows down."""
 SLOW_RETRY_S = 0.5
@@ -248,7 +251,10 @@
             self._directory.list_retiring(reply.retiring)
 
     def _take_fronts(self, told: list[Address]) -> None:
-        """Know the latest told first; a machine that has just started knows none or few."""
+        """Keep those known when a machine names few: it may just have started."""
+        if len(told) >= ENOUGH_FRONTS:
+            self.fronts = told
+            return
         known = [front for front in self.fronts if front not in told]
         self.fronts = [*told, *known][:MAX_FRONTS_KNOWN]
 
