Advice counts a prompt's tokens once

Change: the tokens of a demand are counted when it is made; a runner that never failed costs no power of two. The choices are the same: 6,000 drawn turns on 25 runners end at the same runners before and after.

--- a/src/bendshed/placement/board.py
+++ b/src/bendshed/placement/board.py
@@ -70,6 +70,8 @@
         avoided: runners that failed the asker a moment ago.
         zone: the asker's.
         ran_at: where the program's latest turn ran, which a new leader knows too.
+        prompt_tokens: length of the whole prompt; counted once, since each runner is asked for it.
+        own_tokens: of it, the program's own: all but the first of several parts.
 
     """
 
@@ -82,11 +84,14 @@
     avoided: Collection[str] = ()
     zone: str = ""
     ran_at: str = ""
+    prompt_tokens: int = field(init=False)
+    own_tokens: int = field(init=False)
 
-    @property
-    def prompt_tokens(self) -> int:
-        """Length of the whole prompt."""
-        return sum(part.tokens for part in self.parts)
+    def __post_init__(self) -> None:
+        prompt_tokens = sum(part.tokens for part in self.parts)
+        shared_tokens = self.parts[0].tokens if len(self.parts) > 1 else 0
+        object.__setattr__(self, "prompt_tokens", prompt_tokens)
+        object.__setattr__(self, "own_tokens", prompt_tokens - shared_tokens)
 
 
 @dataclass(frozen=True, slots=True)
@@ -273,13 +278,9 @@
 
     @staticmethod
     def _reading_cost_ms(demand: Demand, cache: PromptCache) -> float:
-        """What reading costs that a runner does not keep.
-
-        All but the first of several parts is the program's own: its line, or a parent's.
-        """
+        """What reading costs that a runner does not keep."""
         unread = demand.prompt_tokens - cache.cached_tokens(demand.parts)
-        shared = demand.parts[0].tokens if len(demand.parts) > 1 else 0
-        unread_own = min(unread, demand.prompt_tokens - shared)
+        unread_own = min(unread, demand.own_tokens)
         return (unread - unread_own + HISTORY_WEIGHT * unread_own) / READ_TOKENS_PER_MS
 
     # --- turns under way -------------------------------------------------------------------
--- a/src/bendshed/placement/runner_health.py
+++ b/src/bendshed/placement/runner_health.py
@@ -46,6 +46,8 @@
 
     def failures_now(self, now_s: float) -> float:
         """Share of tries that are likely to fail now."""
+        if not self.failure_share:
+            return 0.0
         return self.failure_share * _fading(now_s - self.failure_at_s)
 
     def slowness_now(self, pool_pace: float, now_s: float, slow_from: float) -> float:
