--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -113,27 +113,25 @@
 
 
 class FrontsForRelayingTest(unittest.TestCase):
-    def test_a_machine_that_knows_few_fronts_takes_none_away(self) -> None:
+    def setUp(self) -> None:
         world = SiteWorld.started(1)
         self.addCleanup(world.close)
         node = world.fronts["front-1"].front
         assert node is not None
-        told = [Address(f"10.0.9.{number}", 7000) for number in range(20)]
-        node.catalog._take_fronts(told[:6])
-        node.catalog._take_fronts([])
-        self.assertEqual(node.catalog.fronts, told[:6])
-        node.catalog._take_fronts(told[6:8])
-        self.assertEqual(node.catalog.fronts, [*told[6:8], *told[:4]])
+        self.follower = node.catalog
+        self.told = [Address(f"10.0.9.{number}", 7000) for number in range(20)]
+
+    def test_a_machine_that_knows_few_fronts_takes_none_away(self) -> None:
+        self.follower._take_fronts(self.told[:6])
+        self.follower._take_fronts([])
+        self.assertEqual(self.follower.fronts, self.told[:6])
+        self.follower._take_fronts(self.told[6:8])
+        self.assertEqual(self.follower.fronts, [*self.told[6:8], *self.told[:4]])
 
     def test_a_machine_that_knows_many_replaces_those_that_may_be_cut_off_meanwhile(self) -> None:
-        world = SiteWorld.started(1)
-        self.addCleanup(world.close)
-        node = world.fronts["front-1"].front
-        assert node is not None
-        told = [Address(f"10.0.9.{number}", 7000) for number in range(20)]
-        node.catalog._take_fronts(told[:6])
-        node.catalog._take_fronts(told[6:12])
-        self.assertEqual(node.catalog.fronts, told[6:12])
+        self.follower._take_fronts(self.told[:6])
+        self.follower._take_fronts(self.told[6:12])
+        self.assertEqual(self.follower.fronts, self.told[6:12])
 
 
 class SharedReadingTest(unittest.TestCase):
