Ways around a cut: a relay that knows its own cut says so, no leader is called silent behind one

Three reasons: the catalog's long questions went through relays, which give up after 0.1 s, so each relay was held for silent in turn; a relay that was cut off itself tried for 80 ms and counted as proof that the target is down; a leader that two such relays did not reach was called silent, and then passed over for a second whatever hints said, while the front asked one store after the other. Ruled out: slow relays (4 to 10 ms each), the stores' load (0.43 of a core at the leader). Change: behind a cut the catalog is asked without waiting there; a relay that reaches the target only through others says that at once, and it proves nothing; what relays do not reach is not called silent behind a cut; the relay that worked is asked first for other targets, without patience.

--- a/src/bendshed/catalog/follower.py
+++ b/src/bendshed/catalog/follower.py
@@ -94,6 +94,7 @@
         rng: random.Random,
         may_share: bool = True,
         is_replica: bool = False,
+        is_cut: Callable[[Address], bool] = lambda _peer: False,
     ) -> None:
         self.runners_at = 0
         self.version = 0
@@ -109,6 +110,7 @@
         self._rng = rng
         self._may_share = may_share
         self._is_replica = is_replica
+        self._is_cut = is_cut
         self.told = asyncio.Event()
         self._avoided: dict[Address, _Avoidance] = {}
         self._is_lost_here = False
@@ -127,7 +129,8 @@
                 self._lead()
                 await asyncio.sleep(self._retry_s())
                 continue
-            reply = await self._ask(target)
+            waits_there = self._is_shared and not self._is_relayed(target)
+            reply = await self._ask(target, waits_there)
             if reply is None:
                 self._avoid(target, "silent")
                 await asyncio.sleep(self._retry_s())
@@ -138,6 +141,12 @@
                 await asyncio.sleep(self._retry_s())
             elif not self._is_shared and self._target() == target:
                 await asyncio.sleep(IDLE_INTERVAL_S)
+            elif self._is_shared and not waits_there:
+                await asyncio.sleep(self._times.interval_s)
+
+    def _is_relayed(self, target: Address) -> bool:
+        """Whether the next word comes through others, whose patience is short."""
+        return self._num_failed > 0 or self._is_cut(target)
 
     def _retry_s(self) -> float:
         if self._num_failed > MAX_QUICK_FAILURES:
@@ -203,8 +212,9 @@
         self._avoided[target] = _Avoidance(until_s, for_s)
         log.say("asks another machine", instead_of=str(target), reason=reason, for_s=for_s)
 
-    async def _ask(self, target: Address) -> wire.CatalogReply | None:
-        wait_s = self._times.interval_s if self._is_shared else 0.0
+    async def _ask(self, target: Address, waits_there: bool) -> wire.CatalogReply | None:
+        """Ask once; relays give up what waits, so only a direct word is waited for there."""
+        wait_s = self._times.interval_s if waits_there else 0.0
         request = wire.CatalogRequest(
             runners_at=self.runners_at,
             document_version=self.version,
@@ -214,7 +224,7 @@
             is_replica=self._is_replica,
         )
         # A word that is waited for says nothing of the way meanwhile, so it goes directly.
-        ways = self._transport if wait_s and not self._num_failed else self._requests
+        ways = self._transport if waits_there else self._requests
         try:
             content = await ways.request(
                 target, CATALOG_METHOD, request.SerializeToString(), wait_s + REPLY_MARGIN_S
--- a/src/bendshed/paths/relayed.py
+++ b/src/bendshed/paths/relayed.py
@@ -86,6 +86,8 @@
         self._silent_since_s: float | None = None
         self._relay_heard_s = float("-inf")
         self._num_open = 0
+        self._cut_since_s = float("-inf")
+        self._good_relay: Address | None = None
         transport.handlers[RELAY_METHOD] = self._pass_on
 
     @property
@@ -97,6 +99,11 @@
         is_heard_by_relays = now_s - self._relay_heard_s < RELAY_SILENT_S + ISOLATED_S
         return now_s - self._silent_since_s > ISOLATED_S and not is_heard_by_relays
 
+    def is_cut(self, peer: Address) -> bool:
+        """Whether only relays reach a peer: it must not be asked to wait before it answers."""
+        way = self._ways.get(peer)
+        return way is not None and way.is_cut
+
     async def request(self, peer: Address, method: str, payload: bytes, timeout_s: float) -> bytes:
         """Send a request; raise ``PeerUnreachable`` when no way gives an answer in time."""
         way = self._ways.setdefault(peer, _Way())
@@ -107,7 +114,7 @@
             way.probe_from_s = now_s + DIRECT_PROBE_S
             tasks.add(_spawn(self._directly(way, peer, method, payload, timeout_s)))
         try:
-            if not way.is_cut:
+            if not way.is_cut and not self._is_likely_cut(way):
                 done, _ = await asyncio.wait(tasks, timeout=min(PATIENCE_S, timeout_s))
                 if done and not _failed(done):
                     return done.pop().result()
@@ -119,6 +126,18 @@
             for task in tasks:
                 task.cancel()
 
+    def _is_likely_cut(self, way: _Way) -> bool:
+        """Another target was found behind a cut, and this one said nothing since."""
+        return self._is_behind_cut and way.heard_s < self._cut_since_s
+
+    @property
+    def _is_behind_cut(self) -> bool:
+        """Whether any target is reached only through others.
+
+        Then a target that relays do not reach may be well: the relays may be cut off too.
+        """
+        return any(way.is_cut for way in self._ways.values())
+
     def _may_relay(self, way: _Way) -> bool:
         if way.is_cut:
             return True
@@ -157,6 +176,7 @@
         self.num_relayed += 1
         if not way.is_cut:
             way.is_cut = True
+            self._cut_since_s = asyncio.get_running_loop().time()
             log.say("reaches a peer through others", peer=str(peer))
         return answer
 
@@ -177,11 +197,11 @@
             request.timeout_ms = max(1, int(RELAY_REPLY_SHARE * try_s * 1000))
             reply = await self._ask_relay(relay, request, try_s)
             if reply is not None and reply.is_reached:
-                way.relay = relay
+                way.relay = self._good_relay = relay
                 return reply.payload
             way.avoided_until_s[relay] = loop.time() + RELAY_SILENT_S
-            num_unreached += reply is not None
-        raise PeerUnreachable(f"no relay reaches {peer}")
+            num_unreached += reply is not None and not reply.is_cut_here
+        raise PeerUnreachable(f"no relay reaches {peer}", is_silent=not self._is_behind_cut)
 
     async def _ask_relay(
         self, relay: Address, request: wire.RelayRequest, timeout_s: float
@@ -209,7 +229,7 @@
             if node != peer and all(until_s.get(node, 0.0) <= now_s for until_s in waits)
         ]
         self._rng.shuffle(heard)
-        heard.sort(key=lambda node: node != way.relay)
+        heard.sort(key=lambda node: (node != way.relay, node != self._good_relay))
         return heard
 
     def _note_failure(self, error: PeerUnreachable) -> None:
@@ -224,6 +244,8 @@
         """Ask a target directly for another node."""
         request = wire.RelayRequest.FromString(payload)
         target = Address(request.target.host, request.target.port)
+        if self.is_cut(target):
+            return wire.RelayReply(is_cut_here=True).SerializeToString()
         is_known = request.method in self._relayed_methods
         if not is_known or self._num_open >= MAX_OPEN_RELAYS:
             return wire.RelayReply(is_reached=False).SerializeToString()
--- /dev/null
+++ b/tests/test_follower_ways.py
@@ -0,0 +1,86 @@
+"""An asker of the catalog behind a cut: relays give up what waits, so it does not wait there."""
+
+import asyncio
+import random
+import unittest
+
+from bendshed.catalog.follower import CatalogFollower
+from bendshed.catalog.server import MIN_SHARED_ASKERS
+from bendshed.catalog.state import Catalog, KnownRunner
+from bendshed.catalog.times import CatalogTimes
+from bendshed.consensus.directory import ReplicaDirectory
+from bendshed.ports.registry import ReplicaNode
+from bendshed.ports.transport import Address
+from bendshed.rehearsal.simulator.loop import SimProcess, VirtualTimeLoop
+from bendshed.rehearsal.simulator.network import Network, SimTransport
+from bendshed.services.document import ServiceDocument
+from bendshed.wire import catalog_pb2 as wire
+
+TIMES = CatalogTimes.within(3.0, 20.0)
+STORE = Address("store", 7000)
+PLAYED_S = 6.0
+
+
+class Taker:
+    """Takes what it is told."""
+
+    def __init__(self) -> None:
+        self.catalog = Catalog()
+
+    def take_document(self, document: ServiceDocument) -> bool:
+        return self.catalog.take_document(document)
+
+    def put_runner(self, known: KnownRunner) -> None:
+        self.catalog.put_runner(known)
+
+    def remove_runner(self, runner_id: str, at: int, is_trusted: bool) -> None:
+        self.catalog.remove_runner(runner_id, at, is_trusted)
+
+    def list_runners(self, runners: list[KnownRunner], at: int, is_trusted: bool) -> None:
+        self.catalog.list_runners(runners, at, is_trusted)
+
+    def confirm_all(self, age_s: float, runners_at: int) -> None:
+        pass
+
+
+class Relays:
+    """Requests that only others pass on; remembers how long each was to wait."""
+
+    def __init__(self) -> None:
+        self.waits_ms: list[int] = []
+
+    async def request(self, peer: Address, method: str, payload: bytes, timeout_s: float) -> bytes:
+        self.waits_ms.append(wire.CatalogRequest.FromString(payload).wait_ms)
+        reply = wire.CatalogReply(
+            has_runners=True, runners_at=5, num_askers=MIN_SHARED_ASKERS, document_version=0
+        )
+        return reply.SerializeToString()
+
+
+class BehindACutTest(unittest.TestCase):
+    def test_it_asks_without_waiting_there_and_no_more_often(self) -> None:
+        loop = VirtualTimeLoop()
+        asyncio.set_event_loop(loop)
+        self.addCleanup(loop.close)
+        network = Network(loop, random.Random(1))
+        transport = SimTransport(network, SimProcess("front"), Address("front", 7000))
+        directory = ReplicaDirectory()
+        directory.put(ReplicaNode("store", "n1", STORE, "a"))
+        relays = Relays()
+        follower = CatalogFollower(
+            transport,
+            relays,
+            directory,
+            Taker(),
+            Address("front", 7000),
+            TIMES,
+            random.Random(2),
+            is_cut=lambda _peer: True,
+        )
+        asking = loop.create_task(follower.run())
+        loop.run_until_complete(asyncio.sleep(PLAYED_S))
+        asking.cancel()
+        self.assertTrue(follower.is_fresh)
+        self.assertEqual(set(relays.waits_ms), {0})
+        self.assertLessEqual(len(relays.waits_ms), PLAYED_S / TIMES.interval_s + 2)
+        self.assertGreater(len(relays.waits_ms), PLAYED_S / TIMES.interval_s / 2)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -55,10 +55,10 @@
         for pair in pairs:
             self.network.cuts.update((pair, pair[::-1]))
 
-    def ask(self, method: str = METHOD) -> tuple[bytes | None, float]:
+    def ask(self, method: str = METHOD, target: str = "target") -> tuple[bytes | None, float]:
         """The answer, and how long it took."""
         began_s = self.loop.time()
-        asking = self.ways["node"].request(self.at["target"], method, b"x", TIMEOUT_S)
+        asking = self.ways["node"].request(self.at[target], method, b"x", TIMEOUT_S)
         try:
             answer: bytes | None = self.loop.run_until_complete(asking)
         except PeerUnreachable:
@@ -91,6 +91,43 @@
         self.assertEqual(answer, b"heard x")
         self.assertLess(took_s, 0.03)
 
+    def test_another_target_behind_the_same_cut_costs_no_patience(self) -> None:
+        self.at["second"] = Address("second", 7000)
+        self.transports["second"] = self.transport("second")
+        self.transports["second"].handlers[METHOD] = self.answer
+        self.cut(("node", "target"), ("node", "second"), ("relay-1", "second"))
+        self.wait_until(lambda: self.ask()[0] is not None)
+        found = self.ways["node"]._ways[self.at["target"]].relay
+        self.assertTrue(self.ways["node"].is_cut(self.at["target"]))
+        self.assertFalse(self.ways["node"].is_cut(self.at["second"]))
+        answer, took_s = self.ask(target="second")
+        self.assertEqual(answer, b"heard x")
+        self.assertLess(took_s, PATIENCE_S)
+        self.assertTrue(self.ways["node"].is_cut(self.at["second"]))
+        if found != self.at["relay-1"]:
+            self.assertEqual(self.ways["node"]._ways[self.at["second"]].relay, found)
+
+    def test_a_relay_that_knows_its_own_cut_says_so_at_once_and_proves_nothing(self) -> None:
+        cut_off = [f"relay-{number}" for number in (1, 2)]
+        self.cut(("node", "target"), *((name, "target") for name in cut_off))
+        for name in cut_off:
+            asking = self.ways[name].request(self.at["target"], METHOD, b"y", TIMEOUT_S)
+            self.loop.run_until_complete(asking)
+            self.assertTrue(self.ways[name].is_cut(self.at["target"]))
+        answer, took_s = self.ask()
+        self.assertEqual(answer, b"heard x")
+        self.assertLess(took_s, PATIENCE_S + 0.03)
+
+    def test_a_target_that_relays_do_not_reach_is_not_called_silent_behind_a_cut(self) -> None:
+        self.at["second"] = Address("second", 7000)
+        self.transports["second"] = self.transport("second")
+        self.cut(("node", "target"), *((name, "second") for name in self.at if name != "second"))
+        self.ask()
+        asking = self.ways["node"].request(self.at["second"], METHOD, b"x", TIMEOUT_S)
+        with self.assertRaises(PeerUnreachable) as caught:
+            self.loop.run_until_complete(asking)
+        self.assertFalse(caught.exception.is_silent)
+
     def test_the_direct_way_is_taken_again_once_it_answers(self) -> None:
         self.cut(("node", "target"))
         self.ask()
