Quotas hold across changes of leaders: calls asked for are committed, a new leader counts what others may have allowed

Ruled out: second runs (asked for), late arrivals. Change: a call that is asked for is committed before its node hears of it (one more commit, some 4 ms, for calls without an allowance); the log remembers which terms proposed commands, and a leader counts for each other term of the last window all allowances that it may have given. So they may be larger: a fifth of the tenant's own limit while less than 0.8 of it is used, instead of 0.07 of what lies beyond it.

--- a/src/bendshed/quotas/gate.py
+++ b/src/bendshed/quotas/gate.py
@@ -73,6 +73,11 @@
         account = self._accounts.get(tenant)
         return account.total if account is not None else 0
 
+    def reported(self, tenant: str) -> int:
+        """Of these, those known to be counted."""
+        account = self._accounts.get(tenant)
+        return account.reported if account is not None else 0
+
     def take_allowance(self, tenant: str, ceiling: int, now_s: float) -> None:
         """Requests up to this total may be let through from now on."""
         account = self._accounts.setdefault(tenant, _Account())
--- a/src/bendshed/quotas/ledger.py
+++ b/src/bendshed/quotas/ledger.py
@@ -6,8 +6,8 @@
 - turns that were promised and are not committed yet;
 - allowances: what nodes may let through without having asked for each request.
 
-The last two are this leader's own. A new leader starts without them; together they are bounded
-(``quotas/limits.py``), so a limit holds across a change of leaders too.
+The last two are this leader's own. A new leader takes all that a predecessor of the last window may
+have allowed for used, so a limit holds across changes of leaders too.
 """
 
 from collections import OrderedDict
@@ -203,8 +203,8 @@
     ) -> int:
         """Total up to which a node may let calls through that follow a turn; 0: ask for each."""
         held = self._num_allowed(tenant, usage, now_ms)
-        level = self._level(tenant, usage, now_ms)
-        room = min(limit.allowances - held, limit.own - level)
+        level = self._level(tenant, limit, usage, now_ms)
+        room = min(limit.allowances - held, limit.unhurried - level)
         total = usage.total_of(node, tenant)
         ceiling = max(total, self.ceiling(node, tenant))
         wanted = min(SPARE_PER_GRANT - (ceiling - total), int(room))
@@ -237,7 +237,7 @@
     ) -> Admission:
         tenant = request.tenant
         rank = request.rank if self.puts_programs_first else Rank.CALL
-        used = self._level(tenant, usage, now_ms)
+        used = self._level(tenant, limit, usage, now_ms)
         returning = self._returns.setdefault(tenant, ReturnTimes())
         num_returning = returning.num_others(request.program_id, now_ms)
         wanted = used + 1 + (num_returning if rank is Rank.NEW_PROGRAM else 0)
@@ -259,10 +259,12 @@
     def _judged_ms(self) -> int:
         return self.window_ms + GUARD_MS
 
-    def _level(self, tenant: str, usage: UsageWindows, now_ms: int) -> int:
+    def _level(self, tenant: str, limit: TenantLimit, usage: UsageWindows, now_ms: int) -> int:
         counted = usage.in_window(tenant, now_ms, self._judged_ms)
         promised = self._num_promised.get(tenant, 0)
-        return counted + promised + self._num_allowed(tenant, usage, now_ms)
+        since_ms = now_ms - self._judged_ms - ALLOWANCE_MS
+        unknown = limit.allowances * usage.num_other_terms(self._term, since_ms)
+        return counted + promised + unknown + self._num_allowed(tenant, usage, now_ms)
 
     def _num_allowed(self, tenant: str, usage: UsageWindows, now_ms: int) -> int:
         """Requests that nodes may let through or have not reported yet."""
--- a/src/bendshed/quotas/limits.py
+++ b/src/bendshed/quotas/limits.py
@@ -4,8 +4,7 @@
 tenant run in any window. What lies between that and the tenant's own limit is shared out: new
 programs may use four tenths of it; turns of programs under way seven, since a program that is not
 finished was for nothing; calls 0.85, since one that fails ends its program, while a turn is sent
-again. Of that nodes may hold 0.07 as allowances. The rest is for requests that arrive at their
-runner late, and for the allowances of a leader that its successor does not know.
+again. The rest is for requests that arrive at their runner late.
 """
 
 from dataclasses import dataclass
@@ -17,7 +16,11 @@
 NEW_SHARE = 0.4
 TURN_SHARE = 0.7
 CALL_SHARE = 0.85
-ALLOWANCE_SHARE = 0.07
+ALLOWANCE_SHARE = 0.2
+"""Of a tenant's own limit. A new leader does not know what its predecessor allowed, and counts all
+of it as used for a window: so much of the limit is out of use then, and no more."""
+UNHURRIED_SHARE = 0.8
+"""Nodes get allowances while less than this of a tenant's own limit is used."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,7 +52,8 @@
         new_programs: while fewer are counted, programs may begin.
         turns: while fewer are counted, programs that have begun may take another turn.
         calls: while fewer are counted, calls between their turns may go.
-        allowances: most that all nodes together may hold without having asked for each.
+        allowances: most that all nodes together may hold without having asked for each; while
+            fewer than ``unhurried`` are counted.
 
     """
 
@@ -57,7 +61,8 @@
     new_programs: float
     turns: float
     calls: float
-    allowances: float
+    allowances: int
+    unhurried: float
 
 
 def limit_of(tenant: Tenant, terms: QuotaTerms) -> TenantLimit:
@@ -69,5 +74,6 @@
         own + NEW_SHARE * extra,
         own + TURN_SHARE * extra,
         own + CALL_SHARE * extra,
-        ALLOWANCE_SHARE * extra,
+        int(ALLOWANCE_SHARE * own),
+        UNHURRIED_SHARE * own,
     )
--- a/src/bendshed/quotas/usage.py
+++ b/src/bendshed/quotas/usage.py
@@ -39,6 +39,16 @@
 
     _spans: dict[str, deque[_Span]] = field(default_factory=dict)
     _spent: dict[tuple[str, str], _Spent] = field(default_factory=dict)
+    _terms: dict[int, int] = field(default_factory=dict)
+
+    def note_term(self, term: int, at_ms: int) -> None:
+        """A leader of this term proposed a command: it may have given allowances."""
+        if term:
+            self._terms[term] = at_ms
+
+    def num_other_terms(self, term: int, since_ms: int) -> int:
+        """Terms of other leaders that proposed commands since."""
+        return sum(1 for other, at_ms in self._terms.items() if other != term and at_ms >= since_ms)
 
     def charge(self, tenant: str, at_ms: int, count: int) -> None:
         """Count requests of a tenant."""
@@ -91,6 +101,8 @@
                 spans.popleft()
             if not spans:
                 del self._spans[tenant]
+        for term in [term for term, at_ms in self._terms.items() if at_ms < oldest_ms]:
+            del self._terms[term]
         for key in [key for key, known in self._spent.items() if known.at_ms < oldest_ms]:
             del self._spent[key]
 
@@ -104,6 +116,8 @@
         for (node, tenant), known in self._spent.items():
             row = wire.NodeSpent(node=node, tenant=tenant, total=known.total, at_ms=known.at_ms)
             yield wire.TurnLogSnapshot(spent=[row])
+        terms = [wire.TermUse(term=term, at_ms=at_ms) for term, at_ms in self._terms.items()]
+        yield wire.TurnLogSnapshot(terms=terms)
 
     @classmethod
     def of_snapshot(cls, snapshot: wire.TurnLogSnapshot) -> "UsageWindows":
@@ -113,4 +127,4 @@
             for row in snapshot.usage
         }
         spent = {(row.node, row.tenant): _Spent(row.total, row.at_ms) for row in snapshot.spent}
-        return cls(spans, spent)
+        return cls(spans, spent, {row.term: row.at_ms for row in snapshot.terms})
--- a/src/bendshed/services/quotas.py
+++ b/src/bendshed/services/quotas.py
@@ -50,6 +50,7 @@
             tenant=asker.name,
             node=self._node,
             total=self._gate.total(asker.name),
+            reported=self._gate.reported(asker.name),
             request_id=request.request_id,
             program_id=request.program_id,
         )
--- a/src/bendshed/turns/client.py
+++ b/src/bendshed/turns/client.py
@@ -22,6 +22,10 @@
 RETRY_MAX_S = 0.05
 
 
+NO_WORD = (wire.TURN_ANSWER_NOT_LEADER, wire.TURN_ANSWER_UNAVAILABLE)
+"""Answers after which a command is sent again."""
+
+
 class TurnClient:
     """Sends commands to the leader; each may be sent again without harm.
 
@@ -81,7 +85,7 @@
         give_up_at_s = loop.time() + timeout_s
         while (left_s := give_up_at_s - loop.time()) > 0:
             reply = await self._ask(QUOTA_METHOD, payload, min(PREVIEW_TIMEOUT_S, left_s))
-            if reply is not None and reply.answer != wire.TURN_ANSWER_NOT_LEADER:
+            if reply is not None and reply.answer not in NO_WORD:
                 return reply
             await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
         return None
@@ -107,8 +111,7 @@
 
     async def _try_once(self, payload: bytes, timeout_s: float) -> wire.TurnReply | None:
         reply = await self._ask(TURN_METHOD, payload, timeout_s)
-        failed = (wire.TURN_ANSWER_NOT_LEADER, wire.TURN_ANSWER_UNAVAILABLE)
-        return None if reply is None or reply.answer in failed else reply
+        return None if reply is None or reply.answer in NO_WORD else reply
 
     async def _ask(self, method: str, payload: bytes, timeout_s: float) -> wire.TurnReply | None:
         """Ask the supposed leader; learn from what it says who leads."""
--- a/src/bendshed/turns/service.py
+++ b/src/bendshed/turns/service.py
@@ -99,6 +99,7 @@
         """Commit a command; a turn beyond its tenant's quota is refused without."""
         command.elapsed_ms = self._elapsed_ms()
         state, term = self._led()
+        command.term = term
         if command.HasField("begin"):
             refusal = self._quotas.admit_turn(command.begin, state, term, command.elapsed_ms)
             if refusal is not None:
@@ -122,14 +123,22 @@
         return group.state, group.replica.term
 
     async def admit_call(self, payload: bytes) -> bytes:
-        """Tell whether a request that is no turn may be let through."""
+        """Let a request through that is no turn, or not; it counts before its node hears of it."""
+        ask = wire.QuotaAsk.FromString(payload)
         try:
             state, term = self._led()
             now_ms = self._elapsed_ms()
+            reply = self._quotas.admit_call(ask, state, term, now_ms)
+            if reply.spend_ceiling:
+                spent = wire.TenantSpent(tenant=ask.tenant, total=reply.spend_ceiling)
+                spent.reported = ask.reported
+                report = wire.SpentReport(node=ask.node, spent=[spent])
+                await self._commit(wire.TurnCommand(spent=report))
         except NotLeader as error:
             reply = wire.TurnReply(answer=wire.TURN_ANSWER_NOT_LEADER, leader_id=error.leader_id)
-            return reply.SerializeToString()
-        reply = self._quotas.admit_call(wire.QuotaAsk.FromString(payload), state, term, now_ms)
+        except (CommitUnknown, NotCommitted) as error:
+            log.say("a command was not seen to commit", reason=repr(error))
+            reply = wire.TurnReply(answer=wire.TURN_ANSWER_UNAVAILABLE)
         return reply.SerializeToString()
 
     async def preview(self, payload: bytes) -> bytes:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from bendshed.quotas.gate import USABLE_S, SpendingGate
-from bendshed.quotas.ledger import GUARD_MS, QuotaLedger, QuotaRequest, Rank
+from bendshed.quotas.ledger import ALLOWANCE_MS, GUARD_MS, QuotaLedger, QuotaRequest, Rank
 from bendshed.quotas.limits import QuotaTerms, TenantLimit, limit_of
 from bendshed.quotas.usage import KEPT_MS, SPAN_MS, UsageWindows
 from bendshed.services.document import Tenant
@@ -16,7 +16,7 @@
 WINDOW_MS = 5_000
 TERMS = QuotaTerms(5.0, 0.1, 20)
 SMALL = Tenant("small", rate_per_s=3, burst=3)
-EXACT_LIMIT = TenantLimit(10, 10, 10, 10, 0)
+EXACT_LIMIT = TenantLimit(10, 10, 10, 10, 0, 0)
 
 
 def most_in_any_window(times_ms: list[int], window_ms: int = WINDOW_MS) -> int:
@@ -196,9 +196,9 @@
         back_ms = WINDOW_MS + GUARD_MS + SPAN_MS
         for number in range(8):
             self.assertTrue(
-                self.turn(f"new-{number}", back_ms + number, TenantLimit(10, 10, 99, 99, 0))
+                self.turn(f"new-{number}", back_ms + number, TenantLimit(10, 10, 99, 99, 0, 0))
             )
-        self.assertFalse(self.turn("new-8", back_ms + 9, TenantLimit(10, 10, 99, 99, 0)))
+        self.assertFalse(self.turn("new-8", back_ms + 9, TenantLimit(10, 10, 99, 99, 0, 0)))
         self.assertTrue(self.turn("a-2", back_ms + 9, limit, True, program="a"))
 
     def test_the_time_to_come_back_is_the_windows(self) -> None:
@@ -220,26 +220,43 @@
         self.assertGreater(held, 0)
 
     def test_an_allowance_counts_until_it_was_told_or_its_window_is_over(self) -> None:
-        limit = TenantLimit(4, 4, 4, 4, 4)
+        limit = TenantLimit(4, 4, 4, 4, 4, 4)
         self.assertEqual(self.ledger.spare("n", "t", limit, self.usage, 0), 2)
         self.assertEqual([self.call("m", 0, limit) for _ in range(3)], [True, True, False])
         self.assertFalse(self.call("m", 5_900, limit))
         self.assertTrue(self.call("m", 6_100, limit))
 
     def test_an_allowance_that_lapsed_is_given_to_others(self) -> None:
-        limit = TenantLimit(2, 2, 2, 2, 2)
+        limit = TenantLimit(2, 2, 2, 2, 2, 2)
         self.ledger.spare("n", "t", limit, self.usage, 0)
         self.assertFalse(self.call("m", 0, limit))
         self.ledger.take_report("n", "t", 0, lapsed_ceiling=2)
         self.assertTrue(self.call("m", 0, limit))
 
-    def test_a_new_leader_cannot_break_the_promise(self) -> None:
-        """Two leaders in one window: the second knows nothing of the first one's allowances."""
-        for tenant in (SMALL, Tenant("large", rate_per_s=200, burst=100)):
-            limit = limit_of(tenant, TERMS)
-            promised = limit.own * 1.1 + 20
-            worst = limit.calls + 1 + 2 * limit.allowances
-            self.assertLessEqual(worst, promised + 1)
+    def test_a_new_leader_takes_all_that_others_may_have_allowed_for_used(self) -> None:
+        limit = limit_of(SMALL, TERMS)
+        self.assertEqual(limit.allowances, 3)
+        self.usage.note_term(1, 0)
+        for number in range(6):
+            self.ledger.spare(f"n{number}", "t", limit, self.usage, 0)
+        self.ledger.begin_term(2)
+        self.usage.note_term(2, 0)
+        granted = 0
+        while self.call(f"m{granted}", 0, limit):
+            granted += 1
+        self.assertEqual(granted + limit.allowances, int(limit.calls))
+        self.ledger.begin_term(3)
+        number = 0
+        while self.call(f"k{number}", 0, limit):
+            number += 1
+        self.assertEqual(number + 2 * limit.allowances, int(limit.calls))
+        later_ms = WINDOW_MS + GUARD_MS + ALLOWANCE_MS + 1
+        self.assertTrue(self.call("later", later_ms, limit))
+
+    def test_a_tenant_that_hurries_gets_no_allowances(self) -> None:
+        limit = limit_of(SMALL, TERMS)
+        self.usage.charge("t", 0, 15)
+        self.assertEqual(self.ledger.spare("n", "t", limit, self.usage, 0), 0)
 
 
 class GateTest(unittest.TestCase):
