Allowances are committed with the turn's end, so a new leader knows them and takes nothing out of use

Change: the leader decides on an allowance before it proposes the turn's end, which carries it; the replicated count holds what each node may let through. What is granted and not committed yet is counted by the leader.

--- a/src/bendshed/quotas/ledger.py
+++ b/src/bendshed/quotas/ledger.py
@@ -2,15 +2,12 @@
 
 What is counted against a tenant's limit:
 
-- requests that were committed or reported (``UsageWindows``, replicated);
-- turns that were promised and are not committed yet;
-- allowances: what nodes may let through without having asked for each request.
-
-The last two are this leader's own. A new leader takes all that a predecessor of the last window may
-have allowed for used, so a limit holds across changes of leaders too.
+- requests that were committed or reported, and allowances: what nodes may let through without
+  having asked for each (``UsageWindows``, replicated, so that a new leader knows them);
+- what was granted and is not committed yet, turns, calls and allowances: this leader's own.
 """
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -29,6 +26,8 @@
 ALLOWANCE_MS = 1_000
 """A node may use an allowance for so long."""
 MIN_WAIT_MS = 100
+MAX_GRANTED = 50_000
+"""Pairs of node and tenant whose calls under way are remembered; some 10 MB."""
 
 
 class Rank(StrEnum):
@@ -83,14 +82,6 @@
     retry_after_ms: int = 0
 
 
-@dataclass(slots=True)
-class _Allowance:
-    """What one node may let through; counts until it was reported, or its window is over."""
-
-    ceiling: int
-    counts_until_ms: int
-
-
 @dataclass(slots=True)
 class _Decision:
     admission: Admission
@@ -117,7 +108,9 @@
     _term: int = -1
     _decided: "OrderedDict[str, _Decision]" = field(default_factory=OrderedDict)
     _num_promised: dict[str, int] = field(default_factory=dict)
-    _allowances: dict[str, dict[str, _Allowance]] = field(default_factory=dict)
+    _granted: dict[tuple[str, str], int] = field(default_factory=dict)
+    _num_calls: Counter[str] = field(default_factory=Counter)
+    _giving: dict[str, dict[str, int]] = field(default_factory=dict)
     _returns: dict[str, ReturnTimes] = field(default_factory=dict)
 
     def begin_term(self, term: int) -> None:
@@ -127,7 +120,9 @@
         self._term = term
         self._decided.clear()
         self._num_promised.clear()
-        self._allowances.clear()
+        self._granted.clear()
+        self._num_calls.clear()
+        self._giving.clear()
         self._returns.clear()
 
     # --- turns -----------------------------------------------------------------------------
@@ -194,41 +189,52 @@
         """
         admission = self._decide(request, limit, usage, now_ms)
         if admission.is_granted:
-            reached = max(node_total, self.ceiling(node, request.tenant))
-            self._allow(node, request.tenant, reached + 1, now_ms)
+            key = (node, request.tenant)
+            reached = max(node_total, usage.total_of(*key), usage.ceiling(*key))
+            if len(self._granted) >= MAX_GRANTED:
+                self._granted.clear()
+            self._granted[key] = max(reached, self._granted.get(key, 0)) + 1
+            self._num_calls[request.tenant] += 1
         return admission
 
+    def settle_call(self, tenant: str) -> None:
+        """A granted call was committed, so that it is counted there, or was not."""
+        if self._num_calls[tenant] > 1:
+            self._num_calls[tenant] -= 1
+        else:
+            del self._num_calls[tenant]
+
+    def granted_total(self, node: str, tenant: str) -> int:
+        """Total that a node has reached with the calls that it asked for; 0: none."""
+        return self._granted.get((node, tenant), 0)
+
     def spare(
-        self, node: str, tenant: str, limit: TenantLimit, usage: UsageWindows, now_ms: int
+        self,
+        node: str,
+        node_total: int,
+        tenant: str,
+        limit: TenantLimit,
+        usage: UsageWindows,
+        now_ms: int,
     ) -> int:
         """Total up to which a node may let calls through that follow a turn; 0: ask for each."""
         held = self._num_allowed(tenant, usage, now_ms)
-        level = self._level(tenant, limit, usage, now_ms)
+        level = self._level(tenant, usage, now_ms)
         room = min(limit.allowances - held, limit.unhurried - level)
-        total = usage.total_of(node, tenant)
-        ceiling = max(total, self.ceiling(node, tenant))
+        total = max(node_total, usage.total_of(node, tenant), self.granted_total(node, tenant))
+        ceiling = max(total, usage.ceiling(node, tenant))
         wanted = min(SPARE_PER_GRANT - (ceiling - total), int(room))
-        if wanted > 0:
-            ceiling += wanted
-            self._allow(node, tenant, ceiling, now_ms)
-        return ceiling if ceiling > total else 0
-
-    def ceiling(self, node: str, tenant: str) -> int:
-        """What a node was allowed; 0: nothing."""
-        allowance = self._allowances.get(tenant, {}).get(node)
-        return allowance.ceiling if allowance is not None else 0
-
-    def take_report(self, node: str, tenant: str, total: int, lapsed_ceiling: int) -> None:
-        """A node's report was committed: an allowance that it used up or let lapse is over."""
-        of_tenant = self._allowances.get(tenant, {})
-        allowance = of_tenant.get(node)
-        if allowance is not None and allowance.ceiling <= max(total, lapsed_ceiling):
-            del of_tenant[node]
-
-    def _allow(self, node: str, tenant: str, ceiling: int, now_ms: int) -> None:
-        counts_until_ms = now_ms + ALLOWANCE_MS + self.window_ms
-        of_tenant = self._allowances.setdefault(tenant, {})
-        of_tenant[node] = _Allowance(ceiling, counts_until_ms)
+        if wanted <= 0:
+            return 0
+        self._giving.setdefault(tenant, {})[node] = ceiling + wanted
+        return ceiling + wanted
+
+    def settle_spare(self, node: str, tenant: str) -> None:
+        """An allowance was committed, so that it is counted there, or was not given."""
+        giving = self._giving.get(tenant, {})
+        giving.pop(node, None)
+        if not giving:
+            self._giving.pop(tenant, None)
 
     # --- what is counted ---------------------------------------------------------------------
 
@@ -237,7 +243,7 @@
     ) -> Admission:
         tenant = request.tenant
         rank = request.rank if self.puts_programs_first else Rank.CALL
-        used = self._level(tenant, limit, usage, now_ms)
+        used = self._level(tenant, usage, now_ms)
         returning = self._returns.setdefault(tenant, ReturnTimes())
         num_returning = returning.num_others(request.program_id, now_ms)
         wanted = used + 1 + (num_returning if rank is Rank.NEW_PROGRAM else 0)
@@ -259,21 +265,15 @@
     def _judged_ms(self) -> int:
         return self.window_ms + GUARD_MS
 
-    def _level(self, tenant: str, limit: TenantLimit, usage: UsageWindows, now_ms: int) -> int:
+    def _level(self, tenant: str, usage: UsageWindows, now_ms: int) -> int:
         counted = usage.in_window(tenant, now_ms, self._judged_ms)
-        promised = self._num_promised.get(tenant, 0)
-        since_ms = now_ms - self._judged_ms - ALLOWANCE_MS
-        unknown = limit.allowances * usage.num_other_terms(self._term, since_ms)
-        return counted + promised + unknown + self._num_allowed(tenant, usage, now_ms)
+        promised = self._num_promised.get(tenant, 0) + self._num_calls.get(tenant, 0)
+        return counted + promised + self._num_allowed(tenant, usage, now_ms)
 
     def _num_allowed(self, tenant: str, usage: UsageWindows, now_ms: int) -> int:
         """Requests that nodes may let through or have not reported yet."""
-        of_tenant = self._allowances.get(tenant)
-        if not of_tenant:
-            return 0
-        for node in [n for n, row in of_tenant.items() if row.counts_until_ms < now_ms]:
-            del of_tenant[node]
-        return sum(
-            max(0, allowance.ceiling - usage.total_of(node, tenant))
-            for node, allowance in of_tenant.items()
-        )
+        allowed = usage.num_allowed(tenant, now_ms - self._judged_ms - ALLOWANCE_MS)
+        for node, ceiling in self._giving.get(tenant, {}).items():
+            counted = max(usage.total_of(node, tenant), usage.ceiling(node, tenant))
+            allowed += max(0, ceiling - counted)
+        return allowed
--- a/src/bendshed/quotas/limits.py
+++ b/src/bendshed/quotas/limits.py
@@ -17,8 +17,8 @@
 TURN_SHARE = 0.7
 CALL_SHARE = 0.85
 ALLOWANCE_SHARE = 0.2
-"""Of a tenant's own limit. A new leader does not know what its predecessor allowed, and counts all
-of it as used for a window: so much of the limit is out of use then, and no more."""
+"""Of a tenant's own limit: an allowance that its node does not tell of any more is out of use for a
+window, so they are bounded."""
 UNHURRIED_SHARE = 0.8
 """Nodes get allowances while less than this of a tenant's own limit is used."""
 
--- a/src/bendshed/quotas/usage.py
+++ b/src/bendshed/quotas/usage.py
@@ -21,6 +21,14 @@
     count: int
 
 
+@dataclass(slots=True)
+class _Allowance:
+    """What one node may let through in all, and since when."""
+
+    ceiling: int
+    at_ms: int
+
+
 @dataclass(slots=True)
 class _Spent:
     """What a node said of a tenant, and when."""
@@ -31,7 +39,7 @@
 
 @dataclass(slots=True)
 class UsageWindows:
-    """Requests of each tenant by span.
+    """Requests of each tenant by span, and what nodes may let through besides.
 
     Invariant: a node's report counts once however often and in whatever order it arrives, since
     it tells a total that only rises.
@@ -39,16 +47,26 @@
 
     _spans: dict[str, deque[_Span]] = field(default_factory=dict)
     _spent: dict[tuple[str, str], _Spent] = field(default_factory=dict)
-    _terms: dict[int, int] = field(default_factory=dict)
-
-    def note_term(self, term: int, at_ms: int) -> None:
-        """A leader of this term proposed a command: it may have given allowances."""
-        if term:
-            self._terms[term] = at_ms
-
-    def num_other_terms(self, term: int, since_ms: int) -> int:
-        """Terms of other leaders that proposed commands since."""
-        return sum(1 for other, at_ms in self._terms.items() if other != term and at_ms >= since_ms)
+    _allowances: dict[str, dict[str, _Allowance]] = field(default_factory=dict)
+
+    def allow(self, node: str, tenant: str, ceiling: int, at_ms: int) -> None:
+        """A node may let calls of a tenant through up to a total."""
+        held = self._allowances.setdefault(tenant, {}).get(node)
+        if held is None or ceiling >= held.ceiling:
+            self._allowances[tenant][node] = _Allowance(ceiling, at_ms)
+
+    def ceiling(self, node: str, tenant: str) -> int:
+        """What a node was allowed; 0: nothing."""
+        held = self._allowances.get(tenant, {}).get(node)
+        return held.ceiling if held is not None else 0
+
+    def num_allowed(self, tenant: str, since_ms: int) -> int:
+        """Requests that nodes may let through, or have and did not tell, by allowances since."""
+        return sum(
+            max(0, held.ceiling - self.total_of(node, tenant))
+            for node, held in self._allowances.get(tenant, {}).items()
+            if held.at_ms >= since_ms
+        )
 
     def charge(self, tenant: str, at_ms: int, count: int) -> None:
         """Count requests of a tenant."""
@@ -67,6 +85,16 @@
                 self.charge(row.tenant, at_ms, row.total - known.total)
                 known.total = row.total
             known.at_ms = at_ms
+            self._end_allowance(node, row.tenant, max(known.total, row.lapsed_ceiling))
+
+    def _end_allowance(self, node: str, tenant: str, reached: int) -> None:
+        """An allowance that was used up or has lapsed is over."""
+        of_tenant = self._allowances.get(tenant, {})
+        held = of_tenant.get(node)
+        if held is not None and held.ceiling <= reached:
+            del of_tenant[node]
+            if not of_tenant:
+                del self._allowances[tenant]
 
     def total_of(self, node: str, tenant: str) -> int:
         """What a node is known to have let through."""
@@ -101,8 +129,12 @@
                 spans.popleft()
             if not spans:
                 del self._spans[tenant]
-        for term in [term for term, at_ms in self._terms.items() if at_ms < oldest_ms]:
-            del self._terms[term]
+        for tenant in list(self._allowances):
+            held = self._allowances[tenant]
+            kept = {node: row for node, row in held.items() if row.at_ms >= oldest_ms}
+            self._allowances[tenant] = kept
+            if not kept:
+                del self._allowances[tenant]
         for key in [key for key, known in self._spent.items() if known.at_ms < oldest_ms]:
             del self._spent[key]
 
@@ -111,13 +143,17 @@
     def pieces(self) -> Iterator[wire.TurnLogSnapshot]:
         """Parts of a snapshot."""
         for tenant, spans in self._spans.items():
-            rows = [wire.UsageSpan(at_ms=span.at_ms, count=span.count) for span in spans]
-            yield wire.TurnLogSnapshot(usage=[wire.TenantUsage(tenant=tenant, spans=rows)])
+            rows_of_spans = [wire.UsageSpan(at_ms=span.at_ms, count=span.count) for span in spans]
+            yield wire.TurnLogSnapshot(usage=[wire.TenantUsage(tenant=tenant, spans=rows_of_spans)])
         for (node, tenant), known in self._spent.items():
             row = wire.NodeSpent(node=node, tenant=tenant, total=known.total, at_ms=known.at_ms)
             yield wire.TurnLogSnapshot(spent=[row])
-        terms = [wire.TermUse(term=term, at_ms=at_ms) for term, at_ms in self._terms.items()]
-        yield wire.TurnLogSnapshot(terms=terms)
+        for tenant, nodes in self._allowances.items():
+            rows = [
+                wire.Allowance(node=node, tenant=tenant, ceiling=row.ceiling, at_ms=row.at_ms)
+                for node, row in nodes.items()
+            ]
+            yield wire.TurnLogSnapshot(allowances=rows)
 
     @classmethod
     def of_snapshot(cls, snapshot: wire.TurnLogSnapshot) -> "UsageWindows":
@@ -127,4 +163,7 @@
             for row in snapshot.usage
         }
         spent = {(row.node, row.tenant): _Spent(row.total, row.at_ms) for row in snapshot.spent}
-        return cls(spans, spent, {row.term: row.at_ms for row in snapshot.terms})
+        windows = cls(spans, spent)
+        for row in snapshot.allowances:
+            windows.allow(row.node, row.tenant, row.ceiling, row.at_ms)
+        return windows
--- a/src/bendshed/services/quotas.py
+++ b/src/bendshed/services/quotas.py
@@ -67,8 +67,15 @@
         self._count(QuotaEnd.ASKED)
         self._gate.take_allowance(asker.name, reply.spend_ceiling, loop.time())
         self._gate.spend_granted(asker.name, loop.time())
+        self._note_counted(asker.name, reply.spend_ceiling)
         return None
 
+    def _note_counted(self, tenant: str, counted_total: int) -> None:
+        """What was granted by name was committed, with all that was let through up to it."""
+        total = min(counted_total, self._gate.total(tenant))
+        counted = Spending(tenant, total, 0, self._gate.reported(tenant))
+        self._gate.note_told([counted], asyncio.get_running_loop().time())
+
     def take_allowance(self, asker: Asker, ceiling: int) -> None:
         """The end of a turn brought an allowance for the calls that follow it."""
         if ceiling:
--- a/src/bendshed/turns/quotas.py
+++ b/src/bendshed/turns/quotas.py
@@ -59,22 +59,33 @@
         )
         if not admission.is_granted:
             return self._refuse(request, admission, limit)
-        reply.spend_ceiling = self._ledger.ceiling(ask.node, ask.tenant)
+        reply.spend_ceiling = self._ledger.granted_total(ask.node, ask.tenant)
         return reply
 
-    def take_report(self, report: wire.SpentReport, state: TurnLogState) -> None:
-        """A node's report was committed."""
-        for row in report.spent:
-            total = state.usage.total_of(report.node, row.tenant)
-            self._ledger.take_report(report.node, row.tenant, total, row.lapsed_ceiling)
+    def add_allowance(self, command: wire.TurnCommand, state: TurnLogState, term: int) -> None:
+        """Let the calls that follow a turn through, if the tenant is unhurried.
 
-    def spare_for(self, node: str, tenant: str, state: TurnLogState, term: int, now_ms: int) -> int:
-        """Total up to which a node may let calls through after a turn; 0: it asks for each."""
+        It is part of the command that ends the turn, so it is counted before its node hears of it.
+        """
+        node, tenant = command.spent.node, command.finish.tenant
         limit = self._limit(tenant)
         if limit is None or not node:
-            return 0
+            return
         self._ledger.begin_term(term)
-        return self._ledger.spare(node, tenant, limit, state.usage, now_ms)
+        told = next((row.total for row in command.spent.spent if row.tenant == tenant), 0)
+        ceiling = self._ledger.spare(node, told, tenant, limit, state.usage, command.elapsed_ms)
+        if ceiling:
+            given = wire.Allowance(node=node, tenant=tenant, ceiling=ceiling)
+            command.allowance.CopyFrom(given)
+
+    def settle_call(self, tenant: str) -> None:
+        """A call that was let through was committed, or was not."""
+        self._ledger.settle_call(tenant)
+
+    def settle_allowance(self, command: wire.TurnCommand) -> None:
+        """A command with an allowance was committed, or was not."""
+        if command.HasField("allowance"):
+            self._ledger.settle_spare(command.allowance.node, command.allowance.tenant)
 
     def _limit(self, tenant: str) -> TenantLimit | None:
         if not tenant:
--- a/src/bendshed/turns/service.py
+++ b/src/bendshed/turns/service.py
@@ -99,23 +99,28 @@
         """Commit a command; a turn beyond its tenant's quota is refused without."""
         command.elapsed_ms = self._elapsed_ms()
         state, term = self._led()
-        command.term = term
         if command.HasField("begin"):
             refusal = self._quotas.admit_turn(command.begin, state, term, command.elapsed_ms)
             if refusal is not None:
                 return refusal
-        applied = await self._host.propose(
-            TURN_GROUP, command.SerializeToString(), COMMIT_TIMEOUT_S
-        )
-        assert isinstance(applied, wire.TurnReply)
-        if command.HasField("spent"):
-            self._quotas.take_report(command.spent, state)
         if command.HasField("finish"):
-            applied.spend_ceiling = self._quotas.spare_for(
-                command.spent.node, command.finish.tenant, state, term, command.elapsed_ms
+            self._quotas.add_allowance(command, state, term)
+        try:
+            applied = await self._host.propose(
+                TURN_GROUP, command.SerializeToString(), COMMIT_TIMEOUT_S
             )
+        finally:
+            self._quotas.settle_allowance(command)
+        assert isinstance(applied, wire.TurnReply)
+        applied.spend_ceiling = command.allowance.ceiling
         return applied
 
+    async def _commit_call(self, command: wire.TurnCommand, tenant: str) -> None:
+        try:
+            await self._commit(command)
+        finally:
+            self._quotas.settle_call(tenant)
+
     def _led(self) -> tuple[TurnLogState, int]:
         """State and term of the group that this process leads; raise ``NotLeader``."""
         group = self._host.ready_group(TURN_GROUP)
@@ -133,7 +138,7 @@
                 spent = wire.TenantSpent(tenant=ask.tenant, total=reply.spend_ceiling)
                 spent.reported = ask.reported
                 report = wire.SpentReport(node=ask.node, spent=[spent])
-                await self._commit(wire.TurnCommand(spent=report))
+                await self._commit_call(wire.TurnCommand(spent=report), ask.tenant)
         except NotLeader as error:
             reply = wire.TurnReply(answer=wire.TURN_ANSWER_NOT_LEADER, leader_id=error.leader_id)
         except (CommitUnknown, NotCommitted) as error:
--- a/src/bendshed/turns/state.py
+++ b/src/bendshed/turns/state.py
@@ -88,9 +88,11 @@
         command = wire.TurnCommand.FromString(data)
         self.clock_ms = max(self.clock_ms, command.elapsed_ms)
         self._sweep()
-        self.usage.note_term(command.term, self.clock_ms)
         if command.HasField("spent"):
             self.usage.take_report(command.spent.node, command.spent.spent, self.clock_ms)
+        if command.HasField("allowance"):
+            given = command.allowance
+            self.usage.allow(given.node, given.tenant, given.ceiling, self.clock_ms)
         match command.WhichOneof("command"):
             case "begin":
                 return self._begin(command.begin)
