--- a/src/bendshed/placement/board.py
+++ b/src/bendshed/placement/board.py
@@ -34,7 +34,7 @@
 """A round trip between zones (0.9 to 1.4 ms a way on today's sites)."""
 NEW_CONNECTION_MS = 30.0
 """A round trip, and a handshake that occupies a slot; and operators pay for connections. At 60 ms
-bursts gathered on few runners (palletlink scale-2, docs/POLICY.md)."""
+bursts gathered on few runners (docs/POLICY.md)."""
 FAILED_TURN_MS = 1_000.0
 """What a failed turn costs its program: its client comes back after up to 0.4 s, from the start."""
 FIRST_TURN_MS = 250.0
