Interfaces for zones, cold runners, regions and groups of the turn log

Types, settings and messages that the parts build on; nothing uses them yet but the adapter, which reads regions, cold times and the bound on closing a zone.

--- /dev/null
+++ b/src/bendshed/placement/places.py
@@ -0,0 +1,49 @@
+"""Where machines and runners stand: zones, regions, and what lies between two places. Pure."""
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class Distance(StrEnum):
+    """What lies between two places."""
+
+    SAME_ZONE = "same_zone"
+    SAME_REGION = "same_region"
+    """Another zone of the same region."""
+    OTHER_REGION = "other_region"
+
+
+@dataclass(frozen=True, slots=True)
+class Places:
+    """Zones and their regions, as operators declare them.
+
+    A zone that is not declared stands in the region with the empty name.
+
+    Attributes:
+        region_of: region by zone.
+
+    """
+
+    region_of: Mapping[str, str] = field(default_factory=dict)
+
+    def region(self, zone: str) -> str:
+        """Region of a zone; empty: not declared."""
+        return self.region_of.get(zone, "")
+
+    @property
+    def regions(self) -> list[str]:
+        """All declared regions, in an order that all nodes share."""
+        return sorted(set(self.region_of.values()))
+
+    def distance(self, zone: str, other: str) -> Distance:
+        """What lies between two zones."""
+        if zone == other:
+            return Distance.SAME_ZONE
+        if self.region(zone) == self.region(other):
+            return Distance.SAME_REGION
+        return Distance.OTHER_REGION
+
+    def is_within(self, zone: str, regions: Collection[str] | None) -> bool:
+        """Whether a zone stands in one of some regions; ``None``: anywhere."""
+        return regions is None or self.region(zone) in regions
--- a/src/bendshed/platform/names.py
+++ b/src/bendshed/platform/names.py
@@ -51,8 +51,10 @@
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 RETIREMENT_KIND = "retirements"
+ZONE_CLOSURE_KIND = "evacuations"
 
 # Kinds of our own.
 REPLICA_KIND = "bendshed-replicas"
 GROUP_KIND = "bendshed-groups"
 TURN_GROUP_NAME = "turns"
+"""Founding record of the first group of the turn log; those of others have their number behind."""
--- a/src/bendshed/platform/settings.py
+++ b/src/bendshed/platform/settings.py
@@ -15,6 +15,8 @@
 import msgspec
 from msgspec import Meta
 
+from bendshed.placement.cold import ColdTerms
+from bendshed.placement.places import Places
 from bendshed.platform.names import SETTINGS_VARIABLE
 from bendshed.policy import EVERYTHING, SWITCHES_CURE, Policy, unknown_switches
 from bendshed.ports.transport import Address
@@ -69,6 +71,19 @@
     quotaWindowS: Window = 5.0  # noqa: N815
     quotaOver: Share = 0.0  # noqa: N815
     quotaSlack: Share = 0.0  # noqa: N815
+    coldOver: Share = 1.0  # noqa: N815
+    coldSlack: Share = 0.0  # noqa: N815
+    evacMs: Milliseconds | None = None  # noqa: N815
+
+    @property
+    def cold_terms(self) -> ColdTerms:
+        """How exact the rate of cold runners must be."""
+        return ColdTerms(self.coldOver, self.coldSlack)
+
+    @property
+    def zone_close_s(self) -> float | None:
+        """Time within which a closed zone gets nothing new; ``None``: operators close none."""
+        return self.evacMs / 1000 if self.evacMs is not None else None
 
     @property
     def quota_terms(self) -> QuotaTerms:
@@ -90,6 +105,7 @@
     ip: IpNumber
     zone: Text
     region: str = ""
+    zones: dict[str, str] = {}
     listen: Listen = Listen()
     portRange: tuple[Port, Port]  # noqa: N815
     seeds: list[HostAndPort] = []
@@ -100,6 +116,11 @@
     platform: MetadataStore
     policy: Policy = EVERYTHING
 
+    @property
+    def places(self) -> Places:
+        """Regions of all zones."""
+        return Places({**self.zones, self.zone: self.zones.get(self.zone, self.region)})
+
     @property
     def apply_s(self) -> float:
         """A change of the configuration or of a runner must be applied within this time."""
--- a/src/bendshed/platform/translate.py
+++ b/src/bendshed/platform/translate.py
@@ -52,6 +52,7 @@
         is_resumable=bool(row.get("resumable")),
         gap_target_ms=int(row.get("gapTargetMs") or 0),
         is_public=bool(row.get("public")),
+        allowed_regions=_read_regions(row),
     )
 
 
@@ -63,9 +64,14 @@
         priority=int(row.get("priority") or 0),
         rate_per_s=float(row.get("ratePerS") or 0),
         burst=float(row.get("burst") or 0),
+        allowed_regions=_read_regions(row),
     )
 
 
+def _read_regions(row: Any) -> tuple[str, ...]:
+    return tuple(sorted(str(region) for region in row.get("allowedRegions") or ()))
+
+
 def _read_service(row: Any) -> Service:
     engine = row.get("engine")
     return Service(
@@ -73,6 +79,8 @@
         health_path=str(row.get("healthPath") or ""),
         max_connections=int(row.get("maxConns") or 0),
         engine=_read_engine(engine) if engine else None,
+        cold_per_s=float(row.get("coldPerS") or 0),
+        cold_start_ms=int(float(row.get("coldStartS") or 0) * 1000),
     )
 
 
@@ -104,6 +112,7 @@
         zone=str(row.get("zone") or ""),
         slots=int(row.get("slots") or 1),
         state=RunnerState.READY if row.get("state") == "ready" else RunnerState.DRAINING,
+        cold_left_ms=int(row.get("coldLeftMs") or 0),
     )
 
 
--- a/src/bendshed/services/document.py
+++ b/src/bendshed/services/document.py
@@ -36,6 +36,7 @@
         is_sticky: requests share prompt prefixes, so a session stays at its runner.
         is_resumable: a broken stream may go on at another runner.
         is_public: requests need no credential.
+        allowed_regions: it is served, cached and kept only there; empty: anywhere.
 
     """
 
@@ -54,6 +55,7 @@
     is_resumable: bool = False
     gap_target_ms: int = 0
     is_public: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
     @property
     def may_repeat(self) -> bool:
@@ -79,12 +81,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """Runners of one kind."""
+    """Runners of one kind.
+
+    Attributes:
+        cold_per_s: requests a second that a cold runner bears; 0: no bound.
+        cold_start_ms: how long a runner stays cold after its start.
+
+    """
 
     name: str
     health_path: str = ""
     max_connections: int = 0
     engine: EngineFeatures | None = None
+    cold_per_s: float = 0.0
+    cold_start_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +116,7 @@
         priority: 0 is the most urgent; a route's priority decides between equals.
         rate_per_s: requests a second over all nodes; 0: without limit.
         burst: requests on top of the rate in one window.
+        allowed_regions: its requests are served, cached and kept only there; empty: anywhere.
 
     """
 
@@ -114,6 +125,7 @@
     priority: int = 0
     rate_per_s: float = 0.0
     burst: float = 0.0
+    allowed_regions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bendshed/services/runners.py
+++ b/src/bendshed/services/runners.py
@@ -38,7 +38,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceRunner:
-    """One incarnation of a runner, as listed."""
+    """One incarnation of a runner, as listed.
+
+    Attributes:
+        cold_left_ms: it stays cold for so long from the moment at which this was told; 0: warm.
+
+    """
 
     runner_id: str
     service: str
@@ -46,6 +51,7 @@
     zone: str
     slots: int
     state: RunnerState
+    cold_left_ms: int = 0
 
 
 @dataclass(slots=True)
