Voters bear the loss of a zone: spread evenly, replaced and moved so that none holds a majority

Cause: one voter went to each zone and the rest by rank, so five voters in three zones could stand 3-1-1. Now the founding, candidates, the surplus voter that goes and a rebalance all judge a set of voters alike (VoterPlaces.badness): zones beyond what may be lost, voters away from home, evenness. A learner that nobody needs any more goes.

--- a/src/bendshed/consensus/membership_plan.py
+++ b/src/bendshed/consensus/membership_plan.py
@@ -1,8 +1,9 @@
 """Which membership change a small group needs next: a pure decision, one replica at a time."""
 
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from bendshed.consensus.replica_choice import VoterPlaces
 from bendshed.wire.consensus_pb2 import GroupMembership
 
 
@@ -18,6 +19,7 @@
         caught_up: learners that hold nearly the whole log.
         candidates: live processes that hold no replica, best first.
         count: wanted voters.
+        places: where nodes stand, so that voters bear the loss of a zone.
 
     """
 
@@ -28,51 +30,83 @@
     caught_up: Collection[str]
     candidates: Sequence[str]
     count: int
+    places: VoterPlaces = field(default_factory=lambda: VoterPlaces({}))
+
+    def is_weak(self, node: str) -> bool:
+        """Whether a voter is to be replaced."""
+        return node in self.silent or node in self.retiring
 
 
 def plan_membership(present: GroupMembership, facts: ReplicaFacts) -> GroupMembership | None:
     """Return the next step towards ``count`` sound voters; ``None``: nothing to do now.
 
     A wiped voter is removed at once: it can neither vote nor come back. A silent or retiring one
-    stays until a successor has caught up. A leader never removes itself.
+    stays until a successor has caught up, and so does one that stands worse than a free machine
+    would. A leader never removes itself.
     """
     voters, learners = list(present.voters), list(present.learners)
-    useless = [
-        node
-        for node in learners
-        if node in facts.wiped or node in facts.silent or node in facts.retiring
-    ]
+    useless = [node for node in learners if node in facts.wiped or facts.is_weak(node)]
     if useless:
         return _membership(voters, [node for node in learners if node not in useless])
     for node in voters:
         if node in facts.wiped and node != facts.me:
             return _without(present, node)
-    weak = [n for n in voters if n in facts.silent or n in facts.retiring]
+    weak = [node for node in voters if facts.is_weak(node)]
     if len(voters) > facts.count:
         return _shrink(present, weak, facts)
     if len(voters) - len(weak) >= facts.count:
-        return None
-    ready = [node for node in learners if node in facts.caught_up]
-    if ready:
-        return _membership([*voters, ready[0]], [n for n in learners if n != ready[0]])
+        return _rebalance(present, facts)
     if learners:
-        return None
+        return _promote(present, [node for node in learners if node in facts.caught_up])
     if facts.candidates:
         return _membership(voters, [facts.candidates[0]])
     return _empty_without_successor(present, facts)
 
 
+def _promote(present: GroupMembership, ready: Sequence[str]) -> GroupMembership | None:
+    """A learner that has caught up becomes a voter."""
+    if not ready:
+        return None
+    learners = [node for node in present.learners if node != ready[0]]
+    return _membership([*present.voters, ready[0]], learners)
+
+
 def _shrink(
     present: GroupMembership, weak: Sequence[str], facts: ReplicaFacts
 ) -> GroupMembership | None:
-    """More voters than wanted: a weak one goes, else the one that joined last."""
+    """More voters than wanted: a weak one goes, else the one without which the rest stands best."""
     removable = [node for node in weak if node != facts.me]
-    if removable:
-        return _without(present, removable[0])
-    if weak:
+    if weak and not removable:
         return None  # the leader itself is to go; it hands over first
-    others = [node for node in present.voters if node != facts.me]
-    return _without(present, others[-1])
+    others = removable or [node for node in present.voters if node != facts.me]
+    return _without(present, facts.places.best_without(present.voters, others))
+
+
+def _rebalance(present: GroupMembership, facts: ReplicaFacts) -> GroupMembership | None:
+    """Enough sound voters: take a machine in that stands better than one of them.
+
+    Each exchange leaves the voters strictly better, so exchanges end.
+    """
+    for node in present.learners:
+        if not _improves(present, node, facts):
+            return _membership(list(present.voters), [n for n in present.learners if n != node])
+    if present.learners:
+        return _promote(present, [node for node in present.learners if node in facts.caught_up])
+    better = [node for node in facts.candidates if _improves(present, node, facts)]
+    return _membership(list(present.voters), better[:1]) if better else None
+
+
+def _improves(present: GroupMembership, node: str, facts: ReplicaFacts) -> bool:
+    """Whether the voters stand better with ``node`` in the place of one that is not the leader."""
+    voters = list(present.voters)
+    others = [voter for voter in voters if voter != facts.me]
+    if not others:
+        return False
+    leaving = facts.places.best_without([*voters, node], others)
+    exchanged = [node, *(voter for voter in voters if voter != leaving)]
+    badness = facts.places.badness
+    surplus_meanwhile = badness([*voters, node])[0]
+    return surplus_meanwhile <= badness(voters)[0] and badness(exchanged) < badness(voters)
 
 
 def _empty_without_successor(
@@ -80,7 +114,7 @@
 ) -> GroupMembership | None:
     """No machine is free to take over: a retiring voter still goes while two others stay."""
     leaving = [n for n in present.voters if n in facts.retiring and n != facts.me]
-    stay = [n for n in present.voters if n not in facts.retiring and n not in facts.silent]
+    stay = [n for n in present.voters if not facts.is_weak(n)]
     if leaving and len(stay) >= 2:
         return _without(present, leaving[0])
     return None
--- a/src/bendshed/consensus/placement.py
+++ b/src/bendshed/consensus/placement.py
@@ -6,7 +6,12 @@
 from bendshed.consensus.membership_plan import ReplicaFacts, plan_membership
 from bendshed.consensus.raft import RaftReplica
 from bendshed.consensus.raft_types import Role
-from bendshed.consensus.replica_choice import DiskNode, choose_replicas, rank_candidates
+from bendshed.consensus.replica_choice import (
+    DiskNode,
+    VoterPlaces,
+    choose_replicas,
+    rank_candidates,
+)
 from bendshed.identifiers import rendezvous_rank
 from bendshed.logs import PartLog
 from bendshed.membership.service import MembershipService
@@ -125,9 +130,9 @@
     ) -> ReplicaFacts:
         membership = replica.membership
         members = [*membership.voters, *membership.learners]
-        zone_of = {node_id: node.zone for node_id, node in live.items()}
+        places = VoterPlaces({node_id: node.zone for node_id, node in live.items()})
         free = [node for node in live if node not in members]
-        sound = [node for node in members if node not in gone]
+        voters = list(membership.voters)
         return ReplicaFacts(
             me=self._host.node_id,
             wiped=(),
@@ -136,8 +141,9 @@
             caught_up=replica.followers.caught_up(
                 membership.learners, replica.last_index, MAX_LEARNER_LAG
             ),
-            candidates=rank_candidates(group_id, zone_of, free, sound),
+            candidates=rank_candidates(group_id, places, free, voters, gone),
             count=self._settings.replicas,
+            places=places,
         )
 
     def _long_missing(self, live: dict[str, DiskNode]) -> set[str]:
--- a/src/bendshed/consensus/replica_choice.py
+++ b/src/bendshed/consensus/replica_choice.py
@@ -1,6 +1,7 @@
-"""Which nodes hold replicas: by rendezvous rank, in distinct zones. Pure."""
+"""Which nodes hold replicas: at home first, spread over zones, by rendezvous rank. Pure."""
 
-from collections.abc import Collection, Mapping
+from collections import Counter
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
 from bendshed.identifiers import rendezvous_rank
@@ -14,37 +15,106 @@
     zone: str
 
 
-def choose_replicas(group_id: int, nodes: Collection[DiskNode], count: int) -> list[str]:
-    """Replicas of a new group: by rendezvous rank, each in another zone while zones last."""
-    zone_of = {node.node_id: node.zone for node in nodes}
-    ranked = rendezvous_rank(f"group-{group_id}", zone_of)
+@dataclass(frozen=True, slots=True)
+class VoterPlaces:
+    """What makes one set of voters better than another.
+
+    A zone may be lost whole, so none should hold more voters than the group can lose. Beyond that
+    voters stand at home, where their leader waits for no distant disk, and evenly over zones.
+
+    Attributes:
+        zone_of: zone of each known node; an unknown one counts as a zone of its own, at home.
+        home_zones: zones of the group's region; ``None``: all are.
+
+    """
+
+    zone_of: Mapping[str, str]
+    home_zones: Collection[str] | None = None
+
+    def is_home(self, node: str) -> bool:
+        """Whether a node stands in the group's region."""
+        if self.home_zones is None or node not in self.zone_of:
+            return True
+        return self.zone_of[node] in self.home_zones
+
+    def badness(self, voters: Collection[str]) -> tuple[int, int, int]:
+        """How badly voters stand; less is better.
+
+        First the voters that a zone holds beyond those that may be lost, then those away from
+        home, then how unevenly zones are filled.
+        """
+        by_zone = Counter(self.zone_of.get(node, node) for node in voters)
+        num_losable = (len(voters) - 1) // 2
+        surplus = sum(max(0, count - num_losable) for count in by_zone.values())
+        num_away = sum(1 for node in voters if not self.is_home(node))
+        return surplus, num_away, sum(count * count for count in by_zone.values())
+
+    def best_without(self, voters: Sequence[str], removable: Sequence[str]) -> str:
+        """Voter whose removal leaves the best set; of equals the one that joined last."""
+        newest_first = reversed(removable)
+        return min(newest_first, key=lambda node: self.badness([v for v in voters if v != node]))
+
+
+def choose_replicas(
+    group_id: int,
+    nodes: Collection[DiskNode],
+    count: int,
+    home_zones: Collection[str] | None = None,
+) -> list[str]:
+    """Voters of a new group.
+
+    Args:
+        group_id: decides between equals.
+        nodes: that can hold replicas.
+        count: wanted voters.
+        home_zones: zones of the group's region; ``None``: all are.
+
+    """
+    places = VoterPlaces({node.node_id: node.zone for node in nodes}, home_zones)
+    ranked = rendezvous_rank(f"group-{group_id}", places.zone_of)
+    num_losable = (count - 1) // 2
     chosen: list[str] = []
-    for distinct_zones in (True, False):
-        for node in ranked:
-            used = {zone_of[other] for other in chosen}
-            if len(chosen) < count and node not in chosen:
-                if distinct_zones and zone_of[node] in used:
-                    continue
-                chosen.append(node)
+    while len(chosen) < min(count, len(ranked)):
+        by_zone = Counter(places.zone_of[node] for node in chosen)
+        left = [node for node in ranked if node not in chosen]
+        chosen.append(min(left, key=lambda node: _place_key(node, places, by_zone, num_losable)))
     return chosen
 
 
+def _place_key(
+    node: str, places: VoterPlaces, by_zone: "Counter[str]", num_losable: int
+) -> tuple[bool, bool, int]:
+    """The next voter has the least: its zone has room, it is at home, its zone holds few."""
+    num_there = by_zone[places.zone_of[node]]
+    return num_there >= max(1, num_losable), not places.is_home(node), num_there
+
+
 def rank_candidates(
     group_id: int,
-    zone_of: Mapping[str, str],
+    places: VoterPlaces,
     free: Collection[str],
-    members: Collection[str],
+    voters: Collection[str],
+    weak: Collection[str] = (),
 ) -> list[str]:
-    """Nodes that may take a replica, best first: those in zones without one, then by rank.
+    """Nodes that may take a replica, best first; of equals by rank.
+
+    Both moments count: while the newcomer votes beside all present voters, and when the weak ones
+    are gone.
 
     Args:
         group_id: decides the rank.
-        zone_of: zone of each known node.
+        places: zones of all nodes.
         free: nodes that hold no replica and may.
-        members: nodes that hold one and count.
+        voters: present voters, the weak ones too.
+        weak: voters that are to go.
 
     """
-    used_zones = {zone_of[node] for node in members if node in zone_of}
+    staying = [node for node in voters if node not in weak]
     ranked = rendezvous_rank(f"group-{group_id}", free)
-    ranked.sort(key=lambda node: zone_of[node] in used_zones)  # stable
-    return ranked
+    return sorted(
+        ranked,
+        key=lambda node: (
+            places.badness([*voters, node])[0],
+            places.badness([*staying, node]),
+        ),
+    )
--- a/src/bendshed/consensus/supervisor.py
+++ b/src/bendshed/consensus/supervisor.py
@@ -8,7 +8,12 @@
 from bendshed.consensus.membership_plan import ReplicaFacts, plan_membership
 from bendshed.consensus.raft import RaftReplica
 from bendshed.consensus.raft_types import Role
-from bendshed.consensus.replica_choice import DiskNode, choose_replicas, rank_candidates
+from bendshed.consensus.replica_choice import (
+    DiskNode,
+    VoterPlaces,
+    choose_replicas,
+    rank_candidates,
+)
 from bendshed.logs import PartLog
 from bendshed.ports.log_storage import LogStorage
 from bendshed.ports.registry import RegistryUnavailable, ReplicaNode, ReplicaRegistry
@@ -177,6 +182,8 @@
         members = [*replica.membership.voters, *replica.membership.learners]
         silent = replica.followers.silent(members, SILENT_S / self._tick_s)
         retiring = self._directory.retiring_ids()
+        zone_of = {node.node_id: node.zone for node in self._directory.by_name.values()}
+        places = VoterPlaces(zone_of)
         return ReplicaFacts(
             me=self.me.node_id,
             wiped=self._directory.wiped & set(members),
@@ -185,22 +192,30 @@
             caught_up=replica.followers.caught_up(
                 replica.membership.learners, replica.last_index, MAX_LEARNER_LAG
             ),
-            candidates=self._candidates(members, retiring),
+            candidates=self._candidates(replica.membership, places, silent, retiring),
             count=self._num_voters,
+            places=places,
         )
 
-    def _candidates(self, members: list[str], retiring: set[str]) -> list[str]:
-        """Free machines, those in zones without a voter first."""
+    def _candidates(
+        self,
+        membership: GroupMembership,
+        places: VoterPlaces,
+        silent: set[str],
+        retiring: set[str],
+    ) -> list[str]:
+        """Free machines, best first."""
         now_s = asyncio.get_running_loop().time()
-        zone_of = {node.node_id: node.zone for node in self._directory.by_name.values()}
+        members = {*membership.voters, *membership.learners}
         free = [
             node
-            for node in zone_of
+            for node in places.zone_of
             if node not in members
             and node not in retiring
             and self._rejected_until_s.get(node, 0.0) <= now_s
         ]
-        return rank_candidates(GROUP, zone_of, free, members)
+        weak = silent | retiring
+        return rank_candidates(GROUP, places, free, membership.voters, weak)
 
     def _can_hand_over(self, group: HostedGroup) -> bool:
         replica = group.replica
