--- a/src/bendshed/rehearsal/site/fuzz.py
+++ b/src/bendshed/rehearsal/site/fuzz.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
+from functools import partial
 
 from bendshed.rehearsal.search import Game, Step
 from bendshed.rehearsal.simulator.platform import SimDisk
@@ -48,6 +49,7 @@
     SPLIT_STORES = "split the stores in halves"
     SPLIT_REGIONS = "cut the regions off from each other"
     KILL_REGION_LEADER = "kill the leader of one of the groups"
+    START_HALVES = "start a program that loops in both regions"
     CUT_FRONT_FROM_STORES = "cut a front from the stores"
     SLOW_NETWORK = "slow network"
     LOSSY_NETWORK = "lossy network"
@@ -68,7 +70,7 @@
 
 
 CALM = (Action.ADVANCE, Action.START_PROGRAM, Action.HEAL, Action.RESTART, Action.RESUME)
-BETWEEN_REGIONS = (Action.SPLIT_REGIONS, Action.KILL_REGION_LEADER)
+BETWEEN_REGIONS = (Action.SPLIT_REGIONS, Action.KILL_REGION_LEADER, Action.START_HALVES)
 """What only a site of several regions knows."""
 WITHIN_A_REGION = tuple(action for action in Action if action not in BETWEEN_REGIONS)
 
@@ -109,6 +111,7 @@
             Action.SPLIT_STORES: lambda _s: self._split_stores(),
             Action.SPLIT_REGIONS: lambda _s: self._split_regions(),
             Action.KILL_REGION_LEADER: self._kill_region_leader,
+            Action.START_HALVES: self._start_halves,
             Action.CUT_FRONT_FROM_STORES: self._cut_front,
             Action.SLOW_NETWORK: self._slow_network,
             Action.LOSSY_NETWORK: self._lossy_network,
@@ -141,6 +144,17 @@
         if len(self.world.programs) < MAX_PROGRAMS:
             self.world.start_program(ProgramPlan(sub_agents=2 + step.which, loops=True))
 
+    def _start_halves(self, step: Step[Action]) -> None:
+        """Two chains of one program, which need not meet in one group."""
+        world = self.world
+        if len(world.programs) + 1 >= MAX_PROGRAMS:
+            return
+        plan = ProgramPlan(turns=2, tools=0, sub_agents=1 + step.which, loops=True)
+        halves = [world.start_program(plan, budget_tokens=500, tenant=WIDE) for _ in range(2)]
+        halves[1].program_id = halves[0].program_id
+        for half, fronts in zip(halves, world.fronts_by_region(), strict=False):
+            half.pick_node = partial(world.rng.choice, fronts)
+
     def _continue_turn(self, step: Step[Action]) -> None:
         turns = [program.last_turn for program in self.world.programs if program.last_turn]
         if turns and len(self.world.programs) < MAX_PROGRAMS:
--- a/src/bendshed/rehearsal/site/oracle.py
+++ b/src/bendshed/rehearsal/site/oracle.py
@@ -33,6 +33,7 @@
     CONFIGURATION = "a configuration comes into force and never goes back"
     TENANT = "a request runs on behalf of its own tenant, behind that tenant's turns"
     ACCESS = "a removed credential stops working"
+    ZONE = "the turn log is led again soon after a zone is lost"
     QUOTA = "no window holds more of a tenant's requests than it may have"
 
 
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -306,6 +306,15 @@
         """Whether each group of the turn log has a leader."""
         return all(self.leader(group) is not None for group in self.layout.groups.numbers)
 
+    def fronts_by_region(self) -> list[list[str]]:
+        """Names of the fronts of each region."""
+        places = self.layout.places
+        regions = sorted({places.region(front.zone) for front in self.fronts.values()})
+        return [
+            [front.name for front in self.fronts.values() if places.region(front.zone) == region]
+            for region in regions
+        ]
+
     def count(self, fault: str) -> None:
         """Note that a fault was done."""
         self.faults[fault] = self.faults.get(fault, 0) + 1
--- /dev/null
+++ b/tests/region_defects.py
@@ -0,0 +1,215 @@
+"""Planted defects of groups, shares and voters by zone, and scenarios that must catch them."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Collection, Iterator
+from unittest import mock
+
+from bendshed.consensus import founding
+from bendshed.consensus.replica_choice import DiskNode, VoterPlaces
+from bendshed.rehearsal.site.layout import THREE_ZONES, TWO_REGIONS, SiteLayout
+from bendshed.rehearsal.site.oracle import Rule, Violation
+from bendshed.rehearsal.site.programs import ProgramPlan
+from bendshed.rehearsal.site.sim_world import SimMachine, SiteWorld
+from bendshed.services.turn_record import TurnRecord
+from bendshed.turns import budget
+from bendshed.turns.budget import ProgramBudget
+from bendshed.turns.service import TurnService
+from bendshed.wire import turns_pb2 as wire
+
+LOOP = ProgramPlan(turns=1, tools=0, sub_agents=4, loops=True)
+ZONE_LOSS_S = 1.0
+"""The turn log is led again within this time while a zone is dark."""
+
+
+@contextlib.contextmanager
+def world(seed: int, layout: SiteLayout = TWO_REGIONS) -> Iterator[SiteWorld]:
+    started = SiteWorld.started(seed, layout)
+    try:
+        yield started
+    finally:
+        started.close()
+
+
+def region(site: SiteWorld, machine: SimMachine) -> str:
+    return site.layout.places.region(machine.zone)
+
+
+def cut_regions(site: SiteWorld) -> None:
+    hosts = sorted(site.network.regions.items())
+    for one, here in hosts:
+        site.network.cuts.update((one, other) for other, there in hosts if there != here)
+
+
+def start_half(site: SiteWorld, program_id: str, at: str, budget_tokens: int) -> None:
+    """One line of a program whose other line enters through the other region."""
+    half = site.start_program(LOOP, budget_tokens=budget_tokens)
+    half.program_id = program_id
+    fronts = [front.name for front in site.fronts.values() if region(site, front) == at]
+    half.pick_node = lambda: site.rng.choice(fronts)
+
+
+def loops_in_both_regions(seed: int) -> list[Violation]:
+    with world(seed) as site:
+        for number in range(3):
+            for at in ("near", "far"):
+                start_half(site, f"both-{number}", at, budget_tokens=500)
+        site.run_for(8.0)
+        return site.settle()
+
+
+def loops_while_regions_are_cut(seed: int) -> list[Violation]:
+    with world(seed) as site:
+        site.run_for(1.0)
+        cut_regions(site)
+        for number in range(3):
+            for at in ("near", "far"):
+                start_half(site, f"both-{number}", at, budget_tokens=500)
+        site.run_for(8.0)
+        return site.settle()
+
+
+def a_leader_is_lost_after_it_released(seed: int) -> list[Violation]:
+    """Its last entries reached nobody: it was cut from its peers a moment before."""
+    with world(seed) as site:
+        far, near = site.leader(0), site.leader(1)
+        assert far is not None
+        assert near is not None
+        peers = [machine for machine in site.stores.values() if machine not in (far, near)]
+        site.network.cuts.update((far.host, peer.host) for peer in peers)
+        start_half(site, "both", "near", budget_tokens=500)
+        site.run_for(0.3)
+        site.kill(far)
+        site.network.cuts.clear()
+        site.wait_for(site.is_led, 5.0)
+        start_half(site, "both", "far", budget_tokens=500)
+        site.run_for(8.0)
+        site.restart(far)
+        return site.settle()
+
+
+def turns_are_continued_while_regions_are_cut(seed: int) -> list[Violation]:
+    with world(seed) as site:
+        for _ in range(8):
+            site.start_program(ProgramPlan(turns=2, tools=0))
+        site.run_for(3.0)
+        cut_regions(site)
+        for program in list(site.programs):
+            site.start_program(ProgramPlan(turns=1, tools=0), continues=program.last_turn)
+        site.run_for(5.0)
+        return site.settle()
+
+
+def each_zone_is_lost_in_turn(seed: int) -> list[Violation]:
+    """Also while a machine is being emptied."""
+    found: list[Violation] = []
+    with world(seed, THREE_ZONES) as site:
+        for zone in sorted({machine.zone for machine in site.stores.values()}):
+            leader = site.leader()
+            leaving = next(m for m in site.stores.values() if m is not leader and m.zone == zone)
+            site.registry.retirements[leaving.name] = False
+            site.run_for(0.15)
+            dark = [m for m in site.stores.values() if m.zone == zone]
+            for machine in dark:
+                site.kill(machine)
+            try:
+                site.wait_for(site.is_led, ZONE_LOSS_S)
+            except TimeoutError:
+                found.append(Violation(Rule.ZONE, f"no leader without {zone}"))
+            for machine in dark:
+                site.restart(machine)
+            del site.registry.retirements[leaving.name]
+            site.run_for(6.0)
+        return [*found, *site.settle()]
+
+
+def _whole_budget(budget_tokens: int, _group_id: int, _num_groups: int) -> int:
+    return budget_tokens
+
+
+def _add(program: ProgramBudget, told: wire.TakeShare) -> None:
+    known = program.taken.get(told.from_group, 0)
+    program.taken[told.from_group] = known + told.released_tokens
+
+
+_REAL_COMMIT = TurnService._commit
+
+
+async def _answer_before_commit(service: TurnService, command: wire.TurnCommand) -> wire.TurnReply:
+    """A release is told from the state, and its entry goes on by itself."""
+    if not command.HasField("release"):
+        return await _REAL_COMMIT(service, command)
+    state, _term = service._group(command.group).led()
+    ask = command.release
+    program = state.programs.get((ask.tenant, ask.program_id), ProgramBudget())
+    spare = program.spare_tokens(ask.budget_tokens, command.group, ask.num_groups)
+    committing = asyncio.get_running_loop().create_task(_REAL_COMMIT(service, command))
+    committing.add_done_callback(lambda done: done.cancelled() or done.exception())
+    return wire.TurnReply(released_tokens=program.released.get(ask.to_group, 0) + max(0, spare))
+
+
+_REAL_ELSEWHERE = TurnRecord._begin_elsewhere
+
+
+async def _silence_is_no(
+    record: TurnRecord, begin: wire.BeginTurn, group: int
+) -> wire.TurnReply | None:
+    """A group that does not answer counts as one that does not know the turn."""
+    before = await record._committed()
+    reply = await _REAL_ELSEWHERE(record, begin, group)
+    if reply is None and before is not None:
+        settled: asyncio.Future[wire.TurnReply | None] = asyncio.get_running_loop().create_future()
+        settled.set_result(before)
+        record._committing = settled  # type: ignore[assignment]
+        return before
+    return reply
+
+
+def _by_name(
+    _group_id: int, nodes: Collection[DiskNode], count: int, _home: object = None
+) -> list[str]:
+    """All voters where the first zone is."""
+    ordered = sorted(nodes, key=lambda node: (node.zone, node.node_id))
+    return [node.node_id for node in ordered][:count]
+
+
+def majority_in_a_zone() -> object:
+    stack = contextlib.ExitStack()
+    stack.enter_context(mock.patch.object(founding, "choose_replicas", _by_name))
+    stack.enter_context(
+        mock.patch.object(VoterPlaces, "badness", lambda _places, _voters: (0, 0, 0))
+    )
+    return stack
+
+
+def patch(target: object, name: str, value: object) -> Callable[[], object]:
+    return lambda: mock.patch.object(target, name, value)
+
+
+REGION_DEFECTS: dict[str, tuple[Rule, Callable[[int], list[Violation]], Callable[[], object]]] = {
+    "each group spends the whole budget": (
+        Rule.BUDGET,
+        loops_while_regions_are_cut,
+        patch(budget, "first_share", _whole_budget),
+    ),
+    "a share told twice counts twice": (
+        Rule.BUDGET,
+        loops_in_both_regions,
+        patch(ProgramBudget, "take", _add),
+    ),
+    "a release is told before it is committed": (
+        Rule.BUDGET,
+        a_leader_is_lost_after_it_released,
+        patch(TurnService, "_commit", _answer_before_commit),
+    ),
+    "no such turn while a group is silent": (
+        Rule.FOUND,
+        turns_are_continued_while_regions_are_cut,
+        patch(TurnRecord, "_begin_elsewhere", _silence_is_no),
+    ),
+    "a majority of voters in one zone": (
+        Rule.ZONE,
+        each_zone_is_lost_in_turn,
+        majority_in_a_zone,
+    ),
+}
--- a/tests/site_defects.py
+++ b/tests/site_defects.py
@@ -26,6 +26,7 @@
 from bendshed.services.turn_record import TurnRecord
 from bendshed.turns.client import TranscriptCache
 from bendshed.turns.state import TurnLogState
+from tests.region_defects import REGION_DEFECTS
 
 Scenario = Callable[[int], list[Violation]]
 
@@ -361,3 +362,7 @@
         patch(TurnRecord, "_tenant", property(lambda _record: "")),
     ),
 }
+DEFECTS.update(
+    (name, Defect(rule, scenario, plant))  # type: ignore[arg-type]
+    for name, (rule, scenario, plant) in REGION_DEFECTS.items()
+)
