--- a/tests/site_defects.py
+++ b/tests/site_defects.py
@@ -26,6 +26,7 @@
 from bendshed.services.turn_record import TurnRecord
 from bendshed.turns.client import TranscriptCache
 from bendshed.turns.state import TurnLogState
+from tests.region_defects import REGION_DEFECTS
 
 Scenario = Callable[[int], list[Violation]]
 
@@ -314,7 +315,7 @@
     "the worst case is not reserved": Defect(
         Rule.BUDGET,
         programs_loop,
-        patch(TurnLogState, "_reserve", staticmethod(lambda _program, _begin: True)),
+        patch(TurnLogState, "_reserve", lambda _state, _program, _begin: True),
     ),
     "a turn's end is not kept": Defect(
         Rule.FOUND, calm, patch(TurnLogState, "_keep", lambda self, finish: None)
@@ -361,3 +362,7 @@
         patch(TurnRecord, "_tenant", property(lambda _record: "")),
     ),
 }
+DEFECTS.update(
+    (name, Defect(rule, scenario, plant))  # type: ignore[arg-type]
+    for name, (rule, scenario, plant) in REGION_DEFECTS.items()
+)
