Simulated site: zones are closed and opened, with an oracle rule and planted defects

Change: the registry of the simulated site closes and opens zones (sim_zones.py), also with a start of all in the dark; runners stand in two zones; arrival at a runner is recorded apart from its start there; the planted defect of leaving runners takes the new argument of usable().

--- a/src/bendshed/rehearsal/site/fuzz.py
+++ b/src/bendshed/rehearsal/site/fuzz.py
@@ -11,6 +11,7 @@
 from bendshed.rehearsal.site.programs import ProgramPlan
 from bendshed.rehearsal.site.runner import SiteRunner
 from bendshed.rehearsal.site.sim_world import CATCH_UP_S, SimMachine, SiteWorld
+from bendshed.rehearsal.site.sim_zones import RUNNER_ZONES, ZONE_CLOSE_S
 
 MAX_PROGRAMS = 25
 MIN_STORES, MAX_STORES = 2, 6
@@ -62,6 +63,9 @@
     RUNNER_LEAVES = "runner leaves"
     CONFIGURATION = "configuration changes"
     PLANNED_STOP = "planned stop of a front"
+    CLOSE_ZONE = "operators close a zone"
+    OPEN_ZONES = "operators open all zones"
+    CLOSE_ZONE_IN_THE_DARK = "all start with a closed zone while the metadata store is down"
 
 
 CALM = (Action.ADVANCE, Action.START_PROGRAM, Action.HEAL, Action.RESTART, Action.RESUME)
@@ -118,6 +122,9 @@
             Action.RUNNER_LEAVES: self._runner_leaves,
             Action.CONFIGURATION: lambda _s: self._configuration(),
             Action.PLANNED_STOP: lambda s: world.planned_stop(_pick(world.fronts, s.which)),
+            Action.CLOSE_ZONE: lambda s: world.close_zone(RUNNER_ZONES[s.which % 2]),
+            Action.OPEN_ZONES: lambda _s: world.open_zones(),
+            Action.CLOSE_ZONE_IN_THE_DARK: self._close_zone_in_the_dark,
         }
         handlers[step.action](step)
         world.run_for(0.05 + step.amount * 0.4)
@@ -372,6 +379,18 @@
         self.world.count("configuration")
         self.world.publish()
 
+    def _close_zone_in_the_dark(self, step: Step[Action]) -> None:
+        """All machines have heard of a closed zone; then all start without the metadata store."""
+        if not self._calm_stores():
+            return
+        self.world.close_zone(RUNNER_ZONES[step.which % 2])
+        self.world.run_for(ZONE_CLOSE_S)
+        if not self.world.stores_are_sound():
+            return
+        self.world.zones.mark_kept(self.world.loop.time())
+        self._registry(True)
+        self._power_off_all()
+
 
 def _pick(machines: dict[str, SimMachine], which: int) -> SimMachine:
     names = sorted(machines)
--- a/src/bendshed/rehearsal/site/oracle.py
+++ b/src/bendshed/rehearsal/site/oracle.py
@@ -9,6 +9,7 @@
 from bendshed.rehearsal.site.documents import NARROW, QUOTA_TERMS, narrow_most
 from bendshed.rehearsal.site.records import Kind, SiteRecords, SiteRequest
 from bendshed.rehearsal.site.runner import EVENT_TOKENS, event_bytes, plain_answer, stream_output
+from bendshed.rehearsal.site.sim_zones import runs_in_closed_zones
 
 PROMISES = (402, 404, 408, 421, 429, 503)
 """Statuses that promise that the request was not run and never will be."""
@@ -34,6 +35,7 @@
     TENANT = "a request runs on behalf of its own tenant, behind that tenant's turns"
     ACCESS = "a removed credential stops working"
     QUOTA = "no window holds more of a tenant's requests than it may have"
+    CLOSED = "a closed zone gets nothing new"
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,6 +218,12 @@
             return
 
 
+def check_closed_zones(seen: SiteRecords) -> Iterable[Violation]:
+    """No request reaches a runner of a closed zone later than the bound."""
+    for detail in runs_in_closed_zones(seen):
+        yield Violation(Rule.CLOSED, detail)
+
+
 CHECKS = (
     check_once,
     check_refusals,
@@ -230,6 +238,7 @@
     check_tenants,
     check_access,
     check_quotas,
+    check_closed_zones,
 )
 
 
--- a/src/bendshed/rehearsal/site/records.py
+++ b/src/bendshed/rehearsal/site/records.py
@@ -55,6 +55,21 @@
     acknowledged_s: float
 
 
+@dataclass(slots=True)
+class Closing:
+    """A zone that operators closed.
+
+    Attributes:
+        kept_s: by then all machines were well and had kept it; ``None``: not known.
+
+    """
+
+    zone: str
+    closed_s: float
+    opened_s: float = float("inf")
+    kept_s: float | None = None
+
+
 @dataclass(slots=True)
 class Blindness:
     """A time in which a front could not hear the metadata store, or did not run.
@@ -77,6 +92,7 @@
         cut_by_stop: requests open at a process that ended on a planned stop.
         versions: per process of a front, the versions in force in order of time.
         removed_s: tenant -> when the operator removed its key.
+        zones_of: zone by runner.
 
     """
 
@@ -90,6 +106,8 @@
     versions_after_quiet: dict[str, int] = field(default_factory=dict)
     retention_s: float = 60.0
     removed_s: dict[str, float] = field(default_factory=dict)
+    closings: list[Closing] = field(default_factory=list)
+    zones_of: dict[str, str] = field(default_factory=dict)
 
     def begin_blindness(self, front: str, now_s: float) -> None:
         """A front stops hearing; empty: all fronts."""
--- a/src/bendshed/rehearsal/site/runner.py
+++ b/src/bendshed/rehearsal/site/runner.py
@@ -38,6 +38,7 @@
     """A request that a runner began to work on.
 
     Attributes:
+        arrived_s: when it reached the runner, before it waited there for a slot.
         events: events made so far.
         ended_s: when it stopped working on it; ``None``: it still works.
 
@@ -49,6 +50,7 @@
     body: bytes
     started_s: float
     tenant: str = ""
+    arrived_s: float = 0.0
     events: int = 0
     ended_s: float | None = None
 
@@ -124,17 +126,24 @@
             yield Head(503, is_run=False)
             return
         self.num_present += 1
+        arrived_s = asyncio.get_running_loop().time()
         try:
             async with self._slots:
-                async for piece in self._run(call):
+                async for piece in self._run(call, arrived_s):
                     yield piece
         finally:
             self.num_present -= 1
 
-    async def _run(self, call: RunnerCall) -> AsyncIterator[Head | Chunk]:
+    async def _run(self, call: RunnerCall, arrived_s: float) -> AsyncIterator[Head | Chunk]:
         loop = asyncio.get_running_loop()
         record = RunRecord(
-            call.request_id, call.program_id, self.runner_id, call.body, loop.time(), call.tenant
+            call.request_id,
+            call.program_id,
+            self.runner_id,
+            call.body,
+            loop.time(),
+            call.tenant,
+            arrived_s,
         )
         self.runs.append(record)
         try:
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -10,6 +10,7 @@
 from bendshed.catalog.server import CatalogPart
 from bendshed.catalog.state import KnownRunner
 from bendshed.catalog.times import CatalogTimes
+from bendshed.placement.zones import ZoneWord
 from bendshed.ports.transport import Address
 from bendshed.rehearsal.search import Tally
 from bendshed.rehearsal.simulator.loop import SimProcess, VirtualTimeLoop
@@ -29,6 +30,7 @@
 from bendshed.rehearsal.site.sim_catalog import SimCatalogStorage
 from bendshed.rehearsal.site.sim_registry import SimRegistry
 from bendshed.rehearsal.site.sim_runners import SimConnections, SimRunnerNet, SimRunnerProtocol
+from bendshed.rehearsal.site.sim_zones import RUNNER_ZONES, ZONE_CLOSE_S, SimZones
 from bendshed.services.document import ServiceDocument
 from bendshed.services.metrics import ServiceMetrics
 from bendshed.services.node import NodePlace, ServiceNode
@@ -42,7 +44,7 @@
 FOLLOW_S = 0.1
 APPLY_S = 2.0
 HISTORY_S = 20.0
-TIMES = CatalogTimes.within(APPLY_S, HISTORY_S)
+TIMES = CatalogTimes.within(APPLY_S, HISTORY_S, ZONE_CLOSE_S)
 START_LIMIT_S = 20.0
 QUIET_S = 40.0
 CATCH_UP_S = 4.4
@@ -91,6 +93,7 @@
     faults: dict[str, int] = field(default_factory=dict)
     document: ServiceDocument = field(init=False)
     older_document: ServiceDocument = field(init=False)
+    zones: SimZones = field(init=False)
     store_trouble_s: float = 0.0
     _waiting: dict[str, asyncio.Event] = field(default_factory=dict)
     _served_by: dict[str, SimProcess] = field(default_factory=dict)
@@ -107,15 +110,16 @@
         self.net = SimRunnerNet(self.network, SimProcess("runners"))
         self.document = self.older_document = make_document(1)
         self.seen.newest_version = 1
+        self.zones = SimZones(self.seen, self._next_revision)
 
     @classmethod
     def started(cls, seed: int) -> "SiteWorld":
         """A site that serves."""
         world = cls(seed)
         for number in range(NUM_ENGINES):
-            world.add_runner(f"engine-{number + 1}", "engines", 8)
+            world.add_runner(f"engine-{number + 1}", "engines", 8, RUNNER_ZONES[number % 2])
         for number in range(NUM_TOOLS):
-            world.add_runner(f"tool-{number + 1}", "tools", 6)
+            world.add_runner(f"tool-{number + 1}", "tools", 6, RUNNER_ZONES[number % 2])
         for number in range(NUM_STORES):
             world.add_machine(f"store-{number + 1}", f"10.0.1.{number + 1}", number, has_disk=True)
         for number in range(NUM_FRONTS):
@@ -126,17 +130,16 @@
 
     # --- building ------------------------------------------------------------------------
 
-    def add_runner(self, name: str, service: str, slots: int) -> None:
+    def add_runner(self, name: str, service: str, slots: int, zone: str = RUNNER_ZONES[0]) -> None:
         """Add a runner and list it."""
         number = len(self.runners) + 1
         address = Address(f"10.0.3.{number}", 80)
         rng = random.Random(self.seed * 100 + number)
-        runner = SiteRunner(name, service, "zone-a", slots, rng, self.seen.runs)
+        runner = SiteRunner(name, service, zone, slots, rng, self.seen.runs)
         self.runners[name] = runner
+        self.seen.zones_of[name] = zone
         self.net.by_address[address] = runner
-        self.listed[name] = ServiceRunner(
-            name, service, address, "zone-a", slots, RunnerState.READY
-        )
+        self.listed[name] = ServiceRunner(name, service, address, zone, slots, RunnerState.READY)
 
     def add_machine(self, name: str, host: str, number: int, has_disk: bool) -> None:
         """Add a machine and start its process."""
@@ -229,12 +232,19 @@
         if self.registry.answer_loss:
             machine.front.take_document(self.older_document)
         machine.front.take_document(self.document)
+        machine.front.take_zones(self._told_zones(machine.front.zones.record.zones.at))
         machine.front.list_runners(list(self.listed.values()), trusted=True)
         self._note_runners()
         machine.front.catalog.note_registry(self._revision)
         for node in self.registry.announced.values():
             machine.front.directory.put(node)
 
+    def _told_zones(self, known_at: int) -> ZoneWord:
+        """What the registry tells of closed zones; while answers are lost, now and then older."""
+        if self.registry.rng.random() < self.registry.answer_loss:
+            return self.zones.older
+        return self.zones.word(known_at, self._revision)
+
     def _note_runners(self) -> None:
         """Give each change of the list a revision, as the platform's store does."""
         changed = [
@@ -244,12 +254,15 @@
         ]
         gone = [name for name in self._known if name not in self.listed]
         for runner in changed:
-            self._revision += 1
-            self._known[runner.runner_id] = KnownRunner(runner, self._revision)
+            self._known[runner.runner_id] = KnownRunner(runner, self._next_revision())
         for name in gone:
-            self._revision += 1
+            self._next_revision()
             del self._known[name]
 
+    def _next_revision(self) -> int:
+        self._revision += 1
+        return self._revision
+
     def _tell_store(self, machine: SimMachine) -> None:
         assert machine.replica is not None
         if machine.replica.follower.is_fresh:
@@ -260,6 +273,7 @@
         catalog.list_runners(list(self._known.values()), self._revision, is_trusted=True)
         catalog.confirm(CatalogPart.DOCUMENT, self._revision)
         catalog.confirm(CatalogPart.RUNNERS, self._revision)
+        machine.replica.take_zones(self.zones.word(catalog.zones.record.zones.at, self._revision))
         machine.replica.follower.note_known(self.document.version, self._revision)
         for node in self.registry.announced.values():
             machine.replica.directory.put(node)
@@ -450,7 +464,8 @@
         self.net.reset_runner(runner)
         self.listed.pop(name, None)
         base, _, life = name.partition("+")
-        self.add_runner(f"{base}+{int(life or 0) + 1}", runner.service, runner.slots)
+        name = f"{base}+{int(life or 0) + 1}"
+        self.add_runner(name, runner.service, runner.slots, runner.zone)
 
     def publish(self) -> None:
         """The operator writes a configuration."""
@@ -464,6 +479,18 @@
         self.seen.removed_s.setdefault(GUEST, self.loop.time())
         self.publish()
 
+    def close_zone(self, zone: str) -> None:
+        """The operator closes a zone, unless it is the last one or the registry is away."""
+        if not self.registry.is_down and {*RUNNER_ZONES} - self.zones.closed - {zone}:
+            self.count("close a zone")
+            self.zones.close(zone, self.loop.time())
+
+    def open_zones(self) -> None:
+        """The operator opens all zones, unless the registry is away."""
+        for zone in self.zones.closed if not self.registry.is_down else ():
+            self.count("open a zone")
+            self.zones.open(zone, self.loop.time())
+
     # --- the end -------------------------------------------------------------------------
 
     def heal(self) -> None:
@@ -475,6 +502,7 @@
         for row in self.seen.blindness:
             row.to_s = min(row.to_s, self.loop.time())
         self.registry.answer_loss = 0.0
+        self.open_zones()
         for runner in self.runners.values():
             runner.troubles.lose_answer = runner.troubles.cut = runner.troubles.shed = 0.0
             runner.troubles.slow = 1.0
--- a/src/bendshed/services/attempts.py
+++ b/src/bendshed/services/attempts.py
@@ -16,7 +16,7 @@
 from bendshed.services.homes import describe_regions
 from bendshed.services.metrics import AttemptEnd, ServiceMetrics
 from bendshed.services.placement import Choice, NodeView, choose_runner
-from bendshed.services.runners import RunnerRecord, RunnerTable
+from bendshed.services.runners import RunnerRecord, RunnerTable, ServiceRunner
 
 MAX_UNRUN_TRIES = 4
 """Runners that may turn one request away unrun, or be unreachable, before it is refused."""
@@ -219,6 +219,10 @@
             self.request.thing if self.sticky_key else "",
         )
 
+    def _may_still_get(self, runner: ServiceRunner) -> bool:
+        """Whether a request that waited for its connection may still go there."""
+        return self.ports.table.filter.may_get(runner, self.regions)
+
     def may_try_again(self) -> bool:
         """Whether a broken answer may be replaced by another attempt."""
         return self._may_repeat()
@@ -272,7 +276,7 @@
             record.note_unreachable(loop.time())
             self._say("could not be sent", choice, reason=str(error))
             return None
-        if not self.ports.table.filter.may_get(runner, self.regions):
+        if not self._may_still_get(runner):
             connection.finish()
             self.ports.pool.release(runner.address, connection)
             self._say("is not sent there any more", choice, reason="its zone was closed meanwhile")
--- a/tests/site_defects.py
+++ b/tests/site_defects.py
@@ -275,7 +275,9 @@
     return next(reversed(cache._entries.values()), None)
 
 
-def _all_of_service(table: RunnerTable, service: str, now_s: float) -> list[object]:
+def _all_of_service(
+    table: RunnerTable, service: str, now_s: float, regions: object = None
+) -> list[object]:
     return list(table.by_service.get(service, {}).values())
 
 
