--- a/tests/test_follower_ways.py
+++ b/tests/test_follower_ways.py
@@ -50,19 +50,25 @@
 class Relays:
     """Requests that only others pass on; remembers how long each was to wait."""
 
-    def __init__(self) -> None:
+    def __init__(self, zones_at: int = 0) -> None:
         self.waits_ms: list[int] = []
+        self.zones_at = zones_at
 
     async def request(self, peer: Address, method: str, payload: bytes, timeout_s: float) -> bytes:
         self.waits_ms.append(wire.CatalogRequest.FromString(payload).wait_ms)
         reply = wire.CatalogReply(
-            has_runners=True, runners_at=5, num_askers=MIN_SHARED_ASKERS, document_version=0
+            has_runners=True,
+            runners_at=5,
+            num_askers=MIN_SHARED_ASKERS,
+            document_version=0,
+            zones_at=self.zones_at,
         )
         return reply.SerializeToString()
 
 
 class BehindACutTest(unittest.TestCase):
-    def test_it_asks_without_waiting_there_and_no_more_often(self) -> None:
+    def follow(self, relays: Relays, times: CatalogTimes, knows_zones_at: int = 0) -> bool:
+        """Whether an asker counts as informed that is told this for some seconds."""
         loop = VirtualTimeLoop()
         asyncio.set_event_loop(loop)
         self.addCleanup(loop.close)
@@ -70,21 +76,32 @@
         transport = SimTransport(network, SimProcess("front"), Address("front", 7000))
         directory = ReplicaDirectory()
         directory.put(ReplicaNode("store", "n1", STORE, "a"))
-        relays = Relays()
         follower = CatalogFollower(
             transport,
             relays,
             directory,
             Taker(),
             Address("front", 7000),
-            TIMES,
+            times,
             random.Random(2),
             is_cut=lambda _peer: True,
         )
+        follower.note_zones(knows_zones_at)
         asking = loop.create_task(follower.run())
         loop.run_until_complete(asyncio.sleep(PLAYED_S))
         asking.cancel()
-        self.assertTrue(follower.is_fresh)
+        return follower.is_fresh
+
+    def test_it_asks_without_waiting_there_and_no_more_often(self) -> None:
+        relays = Relays()
+        self.assertTrue(self.follow(relays, TIMES))
         self.assertEqual(set(relays.waits_ms), {0})
         self.assertLessEqual(len(relays.waits_ms), PLAYED_S / TIMES.interval_s + 2)
         self.assertGreater(len(relays.waits_ms), PLAYED_S / TIMES.interval_s / 2)
+
+    def test_it_is_informed_only_by_who_knows_the_closed_zones_as_well(self) -> None:
+        times = CatalogTimes.within(3.0, 20.0, 5.0)
+        self.assertFalse(self.follow(Relays(zones_at=0), times))
+        self.assertFalse(self.follow(Relays(zones_at=8), times, knows_zones_at=9))
+        self.assertTrue(self.follow(Relays(zones_at=9), times, knows_zones_at=9))
+        self.assertTrue(self.follow(Relays(zones_at=0), TIMES))
--- a/tests/test_zone_worlds.py
+++ b/tests/test_zone_worlds.py
@@ -9,9 +9,10 @@
 from bendshed.identifiers import rendezvous_rank
 from bendshed.rehearsal.site.documents import WIDE
 from bendshed.rehearsal.site.programs import AgentProgram, ProgramPlan
-from bendshed.rehearsal.site.sim_world import TIMES, SimMachine, SiteWorld
+from bendshed.rehearsal.site.sim_world import PEER_PORT, TIMES, SimMachine, SiteWorld
 from bendshed.rehearsal.site.sim_zones import RUNNER_ZONES, ZONE_CLOSE_S
 from bendshed.turns.node import TurnLogNode
+from bendshed.wire import catalog_pb2 as wire
 
 ZONE, OTHER = RUNNER_ZONES[1], RUNNER_ZONES[0]
 TOLD_S = 0.5
@@ -163,6 +164,33 @@
         self.assertEqual(self.closed_at(self.front), {ZONE})
 
 
+class AnswerTest(ZoneWorldTest):
+    def answer(self, zones_at: int) -> tuple[wire.CatalogReply, float]:
+        """What the reader answers who knows all but closed zones, and after how long."""
+        reader = self.ranked_stores()[0].replica
+        assert reader is not None
+        request = wire.CatalogRequest(
+            runners_at=reader.catalog.catalog.runners_at,
+            document_version=reader.catalog.catalog.version,
+            directory_digest=reader.directory.digest(),
+            wait_ms=5000,
+            asker=wire.PeerAddress(host=self.front.host, port=PEER_PORT),
+            zones_at=zones_at,
+        )
+        began_s = self.world.loop.time()
+        answering = reader.catalog._answer(request.SerializeToString())
+        content = self.world.loop.run_until_complete(answering)
+        return wire.CatalogReply.FromString(content), self.world.loop.time() - began_s
+
+    def test_who_lacks_a_closing_is_answered_at_once_and_others_wait(self) -> None:
+        self.world.close_zone(ZONE)
+        self.world.run_for(TOLD_S)
+        reply, took_s = self.answer(zones_at=1)
+        self.assertEqual((list(reply.closed_zones), took_s), ([ZONE], 0.0))
+        _, took_s = self.answer(reply.zones_at)
+        self.assertGreater(took_s, 1.0)
+
+
 class OpeningTest(ZoneWorldTest):
     def slept_through(self) -> tuple[float, list[tuple[str, float]]]:
         """When a zone was opened, and what a front that slept meanwhile heard of it."""
