--- a/src/bendshed/platform/encode.py
+++ b/src/bendshed/platform/encode.py
@@ -102,6 +102,7 @@
     store: Address,
     host: str,
     data_folder: str | None,
+    zone_close_ms: int | None = None,
 ) -> str:
     """Write the settings file of one process; ``ports``: peers', clients', readiness."""
     peer_port, front_port, ready_port = ports
@@ -115,6 +116,7 @@
         "bootstrap": True,
         "dataDir": data_folder,
         "faultTolerance": {"machines": 1},
+        "bounds": {"evacMs": zone_close_ms},
         "platform": {"addr": str(store)},
     }
     return yaml.safe_dump(content)
--- a/src/bendshed/rehearsal/site/installation.py
+++ b/src/bendshed/rehearsal/site/installation.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import sys
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -81,11 +82,13 @@
     """All processes and stand-ins.
 
     Attributes:
+        zone_close_ms: bound on closing a zone; ``None``: operators close none.
         seen: what clients and runners saw.
 
     """
 
     folder: Path
+    zone_close_ms: int | None = None
     metadata: MetadataModel = field(default_factory=MetadataModel)
     seen: SiteRecords = field(default_factory=SiteRecords)
     fronts: dict[str, SiteProcess] = field(default_factory=dict)
@@ -136,6 +139,7 @@
         runner = SiteRunner(name, service, zone, 8, random.Random(name), self.seen.runs)
         server = await RunnerServer.start(runner, HOST)
         self.runners.append(server)
+        self.seen.zones_of[name] = zone
         listed = ServiceRunner(name, service, server.address, zone, 8, RunnerState.READY)
         self.metadata.put(names.RUNNER_KIND, name, write_runner(listed))
 
@@ -159,6 +163,7 @@
             self._store_address,
             HOST,
             str(data_folder) if data_folder is not None else None,
+            self.zone_close_ms,
         )
         settings.write_text(text)
         among[name] = SiteProcess(
@@ -177,6 +182,16 @@
                 raise SiteFailed(f"{front.name} ended; its log: {front.log.read_text()[-2000:]}")
             await asyncio.sleep(CHECK_S)
 
+    async def wait_for_line(self, process: SiteProcess, text: str, times: int = 1) -> None:
+        """Wait until a process has said a sentence so many times."""
+        await self.wait_until(lambda: process.log.read_text().count(f'"{text}"') >= times)
+
+    async def wait_until(self, holds: Callable[[], bool]) -> None:
+        """Wait for what processes show by their files."""
+        async with asyncio.timeout(START_LIMIT_S):
+            while not holds():  # noqa: ASYNC110 (files tell no event)
+                await asyncio.sleep(CHECK_S)
+
     async def send(self, request: SiteRequest) -> None:
         """Send a client's request to the front that it names."""
         self.seen.requests.append(request)
--- /dev/null
+++ b/tests/test_zone_processes.py
@@ -0,0 +1,84 @@
+"""Real fronts and stores while operators close a zone, waiting for what they say."""
+
+import signal
+import tempfile
+import unittest
+from pathlib import Path
+
+from bendshed.catalog.codec import decode_kept
+from bendshed.catalog.file import FileCatalogStorage
+from bendshed.platform import names
+from bendshed.rehearsal.site.demo import make_program
+from bendshed.rehearsal.site.installation import ZONES, SiteInstallation, SiteProcess
+from bendshed.rehearsal.site.programs import ProgramPlan
+
+CLOSED = ZONES[1]
+ZONE_CLOSE_MS = 3_000
+PLAN = ProgramPlan(turns=3, tools=2)
+
+
+class ZoneProcessesTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_zone_is_closed_and_stays_so_through_a_start_in_the_dark(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            site = SiteInstallation(Path(folder), ZONE_CLOSE_MS)
+            try:
+                await site.start(num_fronts=2)
+                await self.close(site)
+                await self.assert_served_elsewhere(site, "closed")
+                await self.restart_in_the_dark(site)
+                await self.assert_served_elsewhere(site, "dark")
+                await self.open(site)
+                await self.assert_served_there(site)
+            finally:
+                await site.stop()
+
+    def processes(self, site: SiteInstallation) -> list[SiteProcess]:
+        return [*site.fronts.values(), *site.stores.values()]
+
+    async def close(self, site: SiteInstallation) -> None:
+        site.metadata.put(names.ZONE_CLOSURE_KIND, CLOSED, {})
+        for process in self.processes(site):
+            await site.wait_for_line(process, "zones: a zone is closed")
+
+    async def restart_in_the_dark(self, site: SiteInstallation) -> None:
+        await site.wait_until(lambda: all(self.is_kept(site, name) for name in site.stores))
+        site.metadata.is_down = True
+        for process in self.processes(site):
+            await process.end(signal.SIGKILL)
+        for process in self.processes(site):
+            await process.start()
+        for front in site.fronts.values():
+            await site.wait_ready(front)
+
+    def is_kept(self, site: SiteInstallation, store: str) -> bool:
+        kept = decode_kept(FileCatalogStorage(site.folder / store).load())
+        return kept.zones.zones.closed == {CLOSED}
+
+    async def open(self, site: SiteInstallation) -> None:
+        site.metadata.is_down = False
+        site.metadata.delete(names.ZONE_CLOSURE_KIND, CLOSED)
+        for process in self.processes(site):
+            await site.wait_for_line(process, "zones: a zone is open again")
+
+    async def runs(self, site: SiteInstallation, name: str) -> set[str]:
+        """Zones of the runners that a program's requests ran at."""
+        program = make_program(site, name, PLAN)
+        await program.run()
+        self.assertTrue(program.finished, program.statuses)
+        runs = [run for run in site.seen.runs if run.program_id == name]
+        self.assertGreaterEqual(len(runs), PLAN.turns)
+        return {site.seen.zones_of[run.runner_id] for run in runs}
+
+    async def assert_served_elsewhere(self, site: SiteInstallation, name: str) -> None:
+        for number in range(3):
+            self.assertEqual(await self.runs(site, f"{name}-{number}"), {ZONES[0]})
+
+    async def assert_served_there(self, site: SiteInstallation) -> None:
+        site.metadata.put(names.ZONE_CLOSURE_KIND, ZONES[0], {})
+        for process in self.processes(site):
+            await site.wait_for_line(process, "zones: a zone is closed", times=3)
+        self.assertEqual(await self.runs(site, "open"), {CLOSED})
+
+
+if __name__ == "__main__":
+    unittest.main()
