--- a/src/bendshed/rehearsal/site/oracle.py
+++ b/src/bendshed/rehearsal/site/oracle.py
@@ -9,6 +9,7 @@
 from bendshed.rehearsal.site.documents import NARROW, QUOTA_TERMS, narrow_most
 from bendshed.rehearsal.site.records import Kind, SiteRecords, SiteRequest
 from bendshed.rehearsal.site.runner import EVENT_TOKENS, event_bytes, plain_answer, stream_output
+from bendshed.rehearsal.site.sim_zones import runs_in_closed_zones
 
 PROMISES = (402, 404, 408, 421, 429, 503)
 """Statuses that promise that the request was not run and never will be."""
@@ -35,6 +36,7 @@
     ACCESS = "a removed credential stops working"
     ZONE = "the turn log is led again soon after a zone is lost"
     QUOTA = "no window holds more of a tenant's requests than it may have"
+    CLOSED = "a closed zone gets nothing new"
 
 
 @dataclass(frozen=True, slots=True)
@@ -217,6 +219,12 @@
             return
 
 
+def check_closed_zones(seen: SiteRecords) -> Iterable[Violation]:
+    """No request reaches a runner of a closed zone later than the bound."""
+    for detail in runs_in_closed_zones(seen):
+        yield Violation(Rule.CLOSED, detail)
+
+
 CHECKS = (
     check_once,
     check_refusals,
@@ -231,6 +239,7 @@
     check_tenants,
     check_access,
     check_quotas,
+    check_closed_zones,
 )
 
 
