--- a/src/bendshed/quotas/gate.py
+++ b/src/bendshed/quotas/gate.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from bendshed.quotas.window import NO_LEAVE, TimedLeave
+
 USABLE_S = 0.9
 """An allowance is used for so long; whoever granted it counts it longer (``quotas/ledger.py``)."""
 
@@ -31,7 +33,7 @@
     reported: int = 0
     ceiling: int = 0
     lapsed_ceiling: int = 0
-    usable_until_s: float = 0.0
+    leave: TimedLeave = NO_LEAVE
     untold_since_s: float = 0.0
 
 
@@ -53,7 +55,7 @@
         account = self._accounts.get(tenant)
         if account is None or account.total >= account.ceiling:
             return False
-        if now_s >= account.usable_until_s:
+        if not account.leave.is_valid(now_s):
             return False
         self._count(tenant, account, now_s)
         return True
@@ -83,7 +85,7 @@
         account = self._accounts.setdefault(tenant, _Account())
         if ceiling > account.total:
             account.ceiling = max(account.ceiling, ceiling)
-            account.usable_until_s = now_s + USABLE_S
+            account.leave = TimedLeave(now_s + USABLE_S)
             self._allowed[tenant] = None
 
     def news(self, now_s: float) -> list[Spending]:
@@ -105,7 +107,7 @@
             account = self._accounts[tenant]
             if account.total >= account.ceiling:
                 del self._allowed[tenant]
-            elif now_s >= account.usable_until_s:
+            elif not account.leave.is_valid(now_s):
                 account.lapsed_ceiling = max(account.lapsed_ceiling, account.ceiling)
                 account.ceiling = account.total
                 self._untold[tenant] = None
--- a/src/bendshed/quotas/usage.py
+++ b/src/bendshed/quotas/usage.py
@@ -1,24 +1,13 @@
 """Requests of tenants that were let through, on the turn log's own clock. Replicated and pure."""
 
-from collections import deque
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
+from bendshed.quotas.window import SlidingCount, Span
 from bendshed.wire import turns_pb2 as wire
 
 KEPT_MS = 12_000
 """Spans are remembered for the longest window (``limits.MAX_WINDOW_S``) and its guard."""
-SPAN_MS = 50
-"""Requests of one such span are counted together, as if all had come at its end: a window is
-never judged too small, by at most this much too large."""
-
-
-@dataclass(slots=True)
-class _Span:
-    """Requests whose time lies in ``[at_ms, at_ms + SPAN_MS)``."""
-
-    at_ms: int
-    count: int
 
 
 @dataclass(slots=True)
@@ -45,7 +34,7 @@
     it tells a total that only rises.
     """
 
-    _spans: dict[str, deque[_Span]] = field(default_factory=dict)
+    _counts: dict[str, SlidingCount] = field(default_factory=dict)
     _spent: dict[tuple[str, str], _Spent] = field(default_factory=dict)
     _allowances: dict[str, dict[str, _Allowance]] = field(default_factory=dict)
 
@@ -70,12 +59,7 @@
 
     def charge(self, tenant: str, at_ms: int, count: int) -> None:
         """Count requests of a tenant."""
-        spans = self._spans.setdefault(tenant, deque())
-        begins_ms = at_ms - at_ms % SPAN_MS
-        if spans and spans[-1].at_ms == begins_ms:
-            spans[-1].count += count
-        else:
-            spans.append(_Span(begins_ms, count))
+        self._counts.setdefault(tenant, SlidingCount()).add(at_ms, count)
 
     def take_report(self, node: str, spent: Iterable[wire.TenantSpent], at_ms: int) -> None:
         """Count what a node let through since its last report."""
@@ -103,32 +87,19 @@
 
     def in_window(self, tenant: str, now_ms: int, window_ms: int) -> int:
         """Requests counted in the window that ends now."""
-        return sum(span.count for span in self._inside(tenant, now_ms, window_ms))
+        held = self._counts.get(tenant)
+        return held.in_window(now_ms, window_ms) if held is not None else 0
 
     def wait_ms(self, tenant: str, now_ms: int, window_ms: int, excess: float) -> int:
         """Time until so many of the counted requests have left the window."""
-        left = 0
-        for span in self._inside(tenant, now_ms, window_ms):
-            left += span.count
-            if left >= excess:
-                return span.at_ms + SPAN_MS + window_ms - now_ms
-        return window_ms + SPAN_MS
-
-    def _inside(self, tenant: str, now_ms: int, window_ms: int) -> Iterator[_Span]:
-        oldest_ms = now_ms - window_ms
-        for span in self._spans.get(tenant, ()):
-            if span.at_ms + SPAN_MS > oldest_ms:
-                yield span
+        held = self._counts.get(tenant, SlidingCount())
+        return held.wait_ms(now_ms, window_ms, excess)
 
     def sweep(self, now_ms: int) -> None:
         """Forget what no window holds any more."""
         oldest_ms = now_ms - KEPT_MS
-        for tenant in list(self._spans):
-            spans = self._spans[tenant]
-            while spans and spans[0].at_ms < oldest_ms:
-                spans.popleft()
-            if not spans:
-                del self._spans[tenant]
+        for tenant in [t for t, held in self._counts.items() if held.forget_before(oldest_ms)]:
+            del self._counts[tenant]
         for tenant in list(self._allowances):
             held = self._allowances[tenant]
             kept = {node: row for node, row in held.items() if row.at_ms >= oldest_ms}
@@ -142,9 +113,9 @@
 
     def pieces(self) -> Iterator[wire.TurnLogSnapshot]:
         """Parts of a snapshot."""
-        for tenant, spans in self._spans.items():
-            rows_of_spans = [wire.UsageSpan(at_ms=span.at_ms, count=span.count) for span in spans]
-            yield wire.TurnLogSnapshot(usage=[wire.TenantUsage(tenant=tenant, spans=rows_of_spans)])
+        for tenant, held in self._counts.items():
+            spans = [wire.UsageSpan(at_ms=span.at_ms, count=span.count) for span in held.spans]
+            yield wire.TurnLogSnapshot(usage=[wire.TenantUsage(tenant=tenant, spans=spans)])
         for (node, tenant), known in self._spent.items():
             row = wire.NodeSpent(node=node, tenant=tenant, total=known.total, at_ms=known.at_ms)
             yield wire.TurnLogSnapshot(spent=[row])
@@ -158,12 +129,12 @@
     @classmethod
     def of_snapshot(cls, snapshot: wire.TurnLogSnapshot) -> "UsageWindows":
         """Read them back."""
-        spans = {
-            row.tenant: deque(_Span(span.at_ms, span.count) for span in row.spans)
+        counts = {
+            row.tenant: SlidingCount.of_spans(Span(span.at_ms, span.count) for span in row.spans)
             for row in snapshot.usage
         }
         spent = {(row.node, row.tenant): _Spent(row.total, row.at_ms) for row in snapshot.spent}
-        windows = cls(spans, spent)
+        windows = cls(counts, spent)
         for row in snapshot.allowances:
             windows.allow(row.node, row.tenant, row.ceiling, row.at_ms)
         return windows
--- a/tests/site_defects.py
+++ b/tests/site_defects.py
@@ -11,6 +11,7 @@
 from bendshed.quotas.gate import SpendingGate
 from bendshed.quotas.ledger import QuotaLedger
 from bendshed.quotas.usage import UsageWindows
+from bendshed.quotas.window import SlidingCount
 from bendshed.rehearsal.simulator.platform import SimDisk
 from bendshed.rehearsal.site.documents import GUEST, NARROW, WIDE
 from bendshed.rehearsal.site.oracle import Rule, Violation
@@ -229,11 +230,9 @@
     return True
 
 
-def _inside_fixed_span(
-    usage: UsageWindows, tenant: str, now_ms: int, window_ms: int
-) -> Iterator[object]:
+def _inside_fixed_span(count: SlidingCount, now_ms: int, window_ms: int) -> Iterator[object]:
     begins_ms = now_ms - now_ms % window_ms
-    return (span for span in usage._spans.get(tenant, ()) if span.at_ms >= begins_ms)
+    return (span for span in count.spans if span.at_ms >= begins_ms)
 
 
 _REAL_INDEX = AccessIndex.__init__
@@ -350,7 +349,7 @@
         patch(SpendingGate, "try_spend", _spend_always),
     ),
     "windows are fixed spans": Defect(
-        Rule.QUOTA, a_tenant_floods_in_bursts, patch(UsageWindows, "_inside", _inside_fixed_span)
+        Rule.QUOTA, a_tenant_floods_in_bursts, patch(SlidingCount, "_inside", _inside_fixed_span)
     ),
     "keys of older configurations stay known": Defect(
         Rule.ACCESS, a_key_is_removed, patch(AccessIndex, "__init__", _index_of_all_versions)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -9,7 +9,8 @@
 from bendshed.quotas.gate import USABLE_S, SpendingGate
 from bendshed.quotas.ledger import GUARD_MS, QuotaLedger, QuotaRequest, Rank
 from bendshed.quotas.limits import QuotaTerms, TenantLimit, limit_of
-from bendshed.quotas.usage import KEPT_MS, SPAN_MS, UsageWindows
+from bendshed.quotas.usage import KEPT_MS, UsageWindows
+from bendshed.quotas.window import SPAN_MS
 from bendshed.services.document import Tenant
 from bendshed.wire import turns_pb2 as wire
 
