Cold runners get a rate that the turn log's leader bounds over all nodes

Cold state is aged on each reader's own clock; the leader grants sendings within a share of the bound, in previews and by turns.runner; without its leave nothing goes to a cold runner.

--- a/src/bendshed/catalog/codec.py
+++ b/src/bendshed/catalog/codec.py
@@ -56,7 +56,10 @@
         reply.has_runners = True
         reply.since = changes.since
         reply.runners_at = changes.at
-        reply.runners.extend(_write_runner(known) for known in changes.runners)
+        reply.runners.extend(
+            _write_runner(known, catalog.cold.left_ms(known.runner.runner_id))
+            for known in changes.runners
+        )
         reply.removed.extend(_write_removal(gone) for gone in changes.removed)
     return reply
 
@@ -103,7 +106,7 @@
     return catalog
 
 
-def _write_runner(known: KnownRunner) -> wire.CatalogRunner:
+def _write_runner(known: KnownRunner, cold_left_ms: int) -> wire.CatalogRunner:
     runner = known.runner
     return wire.CatalogRunner(
         runner_id=runner.runner_id,
@@ -113,6 +116,7 @@
         slots=runner.slots,
         is_draining=runner.state is RunnerState.DRAINING,
         revision=known.revision,
+        cold_left_ms=cold_left_ms,
     )
 
 
@@ -120,7 +124,13 @@
     """Translate a runner from the wire."""
     state = RunnerState.DRAINING if row.is_draining else RunnerState.READY
     runner = ServiceRunner(
-        row.runner_id, row.service, read_peer(row.address), row.zone, row.slots, state
+        row.runner_id,
+        row.service,
+        read_peer(row.address),
+        row.zone,
+        row.slots,
+        state,
+        row.cold_left_ms,
     )
     return KnownRunner(runner, row.revision)
 
--- a/src/bendshed/catalog/server.py
+++ b/src/bendshed/catalog/server.py
@@ -96,7 +96,9 @@
 
     def start(self) -> None:
         """Begin to answer, with what the disk held."""
-        self._forgets_kept_at_s = asyncio.get_running_loop().time() + KEPT_FRONTS_S
+        loop = asyncio.get_running_loop()
+        self._forgets_kept_at_s = loop.time() + KEPT_FRONTS_S
+        self.catalog.begin_life(loop.time)
         for node in self._kept.replicas:
             self._directory.put(node)
         self._directory.on_change.append(self._announce)
@@ -129,6 +131,10 @@
         if self.catalog.remove_runner(runner_id, at, is_trusted):
             self._announce()
 
+    def reopen(self, zone: str, at_s: float) -> None:
+        """A zone was opened again at a loop time: its runners may be cold."""
+        self.catalog.cold.reopen(zone, at_s)
+
     def confirm(self, part: CatalogPart, at: int) -> None:
         """The registry answered: this part is known up to a revision."""
         self.confirmed_at_s[part] = asyncio.get_running_loop().time()
--- a/src/bendshed/catalog/state.py
+++ b/src/bendshed/catalog/state.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
+from bendshed.services.cold_runners import ColdTracker
 from bendshed.services.document import ServiceDocument
 from bendshed.services.runners import RunnerState, ServiceRunner
 
@@ -61,11 +62,13 @@
     Attributes:
         document: ``None``: none is known.
         runners_at: revision up to which the runners are known; 0: no list was read.
+        cold: cold runners, from the moments at which that was heard here.
 
     """
 
     document: ServiceDocument | None = None
     runners_at: int = 0
+    cold: ColdTracker = field(default_factory=ColdTracker)
     _runners: dict[str, KnownRunner] = field(default_factory=dict)
     _ready: dict[str, dict[str, ServiceRunner]] = field(default_factory=dict)
     _removed: "OrderedDict[str, Removal]" = field(default_factory=OrderedDict)
@@ -100,6 +103,7 @@
         if document.version <= self.version:
             return False
         self.document = document
+        self.cold.take_document(document)
         return True
 
     def list_runners(self, runners: Collection[KnownRunner], at: int, is_trusted: bool) -> bool:
@@ -123,12 +127,15 @@
         runner_id = known.runner.runner_id
         held = self._runners.get(runner_id)
         if held is not None and held.revision >= known.revision:
+            if held.revision == known.revision:
+                self.cold.confirm(known.runner)
             return False
         if held is not None:
             self._set_ready(held.runner, False)
         self._runners[runner_id] = known
         self._set_ready(known.runner, known.runner.state is RunnerState.READY)
         self._removed.pop(runner_id, None)
+        self.cold.put(known.runner)
         return True
 
     def _set_ready(self, runner: ServiceRunner, is_ready: bool) -> None:
@@ -144,12 +151,19 @@
         if held is None:
             return False
         self._set_ready(held.runner, False)
+        self.cold.vanish(runner_id)
         self._removed[runner_id] = Removal(runner_id, at, is_trusted)
         while len(self._removed) > MAX_REMOVED:
             _, dropped = self._removed.popitem(last=False)
             self._told_from = max(self._told_from, dropped.revision)
         return True
 
+    def begin_life(self, clock: Callable[[], float]) -> None:
+        """What is known so far was kept by an earlier life; time passes from now on."""
+        self.cold.clock = clock
+        for known in self._runners.values():
+            self.cold.put_kept(known.runner)
+
     def advance(self, at: int) -> None:
         """All changes up to this revision have been taken."""
         self.runners_at = max(self.runners_at, at)
--- a/src/bendshed/consensus/raft.py
+++ b/src/bendshed/consensus/raft.py
@@ -99,6 +99,11 @@
         """Leader that knows all earlier terms' entries to be settled."""
         return self.role is Role.LEADER and self.has_committed_in_term
 
+    @property
+    def hears_majority(self) -> bool:
+        """Leader that as many replicas as an election needs replied to a moment ago."""
+        return self.role is Role.LEADER and self._hears_majority()
+
     @property
     def is_voter(self) -> bool:
         """Whether this node votes in the group."""
--- a/src/bendshed/errors.py
+++ b/src/bendshed/errors.py
@@ -28,6 +28,7 @@
     DRAINING = "draining"
     NOT_READY = "not_ready"
     NO_RUNNER = "no_runner"
+    NO_ROOM = "no_room"
     GROUP_UNAVAILABLE = "group_unavailable"
     TURN_LOG_UNAVAILABLE = "turn_log_unavailable"
     ENGINE_LOST = "engine_lost"
@@ -86,6 +87,7 @@
     ErrorKind.DRAINING: ErrorAnswer(503, True, _NO, 1),
     ErrorKind.NOT_READY: ErrorAnswer(503, True, _NO, 1),
     ErrorKind.NO_RUNNER: ErrorAnswer(503, True, _NO, 2),
+    ErrorKind.NO_ROOM: ErrorAnswer(503, True, _NO, 1),
     ErrorKind.GROUP_UNAVAILABLE: ErrorAnswer(503, True, _UNKNOWN, 2),
     ErrorKind.TURN_LOG_UNAVAILABLE: ErrorAnswer(503, True, _NO, 1),
     ErrorKind.ENGINE_LOST: ErrorAnswer(502, True, _YES, 1),
--- a/src/bendshed/placement/board.py
+++ b/src/bendshed/placement/board.py
@@ -35,6 +35,14 @@
 NEW_CONNECTION_MS = 30.0
 """A round trip, and a handshake that occupies a slot; and operators pay for connections. At 60 ms
 bursts gathered on few runners (docs/POLICY.md)."""
+COLD_MS = 120.0
+"""A cold runner takes a turn once the others cost so much more. Free warm runners differ by less:
+six running turns at 10 ms each, 30 ms for a connection, 24 ms for 650 tokens of history that are
+read anew. Three turns of 250 ms that wait for one of six slots cost 125 ms. How slow it is beyond
+that its measured pace tells."""
+COLD_FIRST_MS = 60.0
+"""The same for a program's first turn: it reads no history, only what it shares with others, and so
+a cold runner has read that by the time it is warm."""
 FAILED_TURN_MS = 1_000.0
 """What a failed turn costs its program: its client comes back after up to 0.4 s, from the start."""
 FIRST_TURN_MS = 250.0
@@ -197,6 +205,7 @@
         runners: Sequence[ServiceRunner],
         capacity_tokens: int,
         now_s: float,
+        cold: Collection[str] = (),
     ) -> Advice | None:
         """Choose the runner of a turn and count it there; ``None``: there is no runner.
 
@@ -205,6 +214,7 @@
             runners: those of its service that may get new work.
             capacity_tokens: memory of each; 0: not told.
             now_s: steady time.
+            cold: ids of runners that come last while others have room.
 
         """
         self._end_overdue(now_s)
@@ -220,6 +230,9 @@
             runner.runner_id: self._cost_ms(demand, runner, pool_gap, now_s)
             for runner in self._candidates(demand, runners)
         }
+        for runner_id in cold:
+            if runner_id in costs:
+                costs[runner_id] += COLD_MS if demand.ran_at else COLD_FIRST_MS
         least_ms = min(costs.values())
         near = [runner_id for runner_id, cost in costs.items() if cost <= least_ms + NEAR_MS]
         chosen = near[0] if len(near) == 1 else rendezvous_rank(demand.line, near)[0]
--- a/src/bendshed/services/attempts.py
+++ b/src/bendshed/services/attempts.py
@@ -11,10 +11,12 @@
 from bendshed.ports.http_messages import ConnectFailed, ResponseBroken, ResponseHead
 from bendshed.ports.runner import RunnerProtocol, Sending, ServiceRequest, Verdict
 from bendshed.ports.runner_connections import RunnerConnection, RunnerConnections
+from bendshed.quotas.window import NO_LEAVE, TimedLeave
 from bendshed.services.access import Asker
 from bendshed.services.document import Route
 from bendshed.services.metrics import AttemptEnd, ServiceMetrics
 from bendshed.services.placement import Choice, NodeView, choose_runner
+from bendshed.services.runner_asks import RunnerAsks, RunnerState, demand_of
 from bendshed.services.runners import RunnerRecord, RunnerTable
 
 MAX_UNRUN_TRIES = 4
@@ -31,6 +33,7 @@
 
     Attributes:
         zone, node: the node's zone and a name that other nodes do not have.
+        asks: asks for leave to send to cold runners; ``None``: nobody gives any.
 
     """
 
@@ -42,20 +45,7 @@
     rng: random.Random
     metrics: ServiceMetrics
     policy: Policy = EVERYTHING
-
-
-@dataclass(frozen=True, slots=True)
-class RunnerState:
-    """What this node can tell of a service's runners.
-
-    Attributes:
-        connected: ids of those to which a connection rests.
-        avoided: ids of those that failed a moment ago.
-
-    """
-
-    connected: list[str]
-    avoided: list[str]
+    asks: RunnerAsks | None = None
 
 
 @dataclass(slots=True)
@@ -100,7 +90,8 @@
     """The attempts of one request.
 
     Invariant: a request that may not be repeated is sent again only after proof that it was not
-    run; at most ``max_attempts`` runners may have run it.
+    run; at most ``max_attempts`` runners may have run it. Nothing is sent to a cold runner without
+    the leader's leave for that very sending.
 
     Attributes:
         service: where it goes.
@@ -110,6 +101,7 @@
         admit_again: asks whether the asker's quota holds another run of a request that may have
             run; ``None``: nobody counts.
         advised: id of the runner that the leader of the turn log advises; empty: no advice.
+        leave: the leader's to send there, if it is cold.
         answered_by: id of the runner whose answer was taken; empty: none yet.
         failed: ids of runners that were not reached or gave no answer.
         num_maybe_run: attempts after which the request may have run.
@@ -126,6 +118,7 @@
     asker: Asker
     admit_again: Callable[[], Awaitable[Refusal | None]] | None = None
     advised: str = ""
+    leave: TimedLeave = NO_LEAVE
     answered_by: str = ""
     failed: list[str] = field(default_factory=list)
     num_maybe_run: int = 0
@@ -146,16 +139,57 @@
                 return self._refusal(ErrorKind.DEADLINE_EXCEEDED, "no time is left")
             if self.num_maybe_run >= self._num_admitted and not await self._is_admitted_again():
                 return Refusal(ErrorKind.ENGINE_LOST, "the quota holds no second run")
-            choice = self._choose(loop.time())
-            if choice is None or self._num_unrun >= MAX_UNRUN_TRIES:
-                kind = ErrorKind.OVERLOADED if self._num_unrun else ErrorKind.NO_RUNNER
-                return self._refusal(kind, f"no runner of {self.service} takes the request now")
+            choice = await self._choose_or_ask()
+            if isinstance(choice, Refusal):
+                return choice
             outcome = await self._try(choice)
             if isinstance(outcome, OpenAnswer):
                 return outcome
             if self.may_have_run and not self._may_repeat():
                 return Refusal(ErrorKind.ENGINE_LOST, "the runner gave no whole answer")
 
+    async def _choose_or_ask(self) -> Choice | Refusal:
+        """A warm runner, else what the leader permits, else why there is none."""
+        now_s = asyncio.get_running_loop().time()
+        if self._num_unrun < MAX_UNRUN_TRIES:
+            choice = self._choose(now_s)
+            if choice is None and self._has_cold(now_s):
+                return await self._ask_leader()
+            if choice is not None:
+                return choice
+        kind = ErrorKind.OVERLOADED if self._num_unrun else ErrorKind.NO_RUNNER
+        return self._refusal(kind, f"no runner of {self.service} takes the request now")
+
+    def _has_cold(self, now_s: float) -> bool:
+        """Whether leave could open a runner that was not tried yet."""
+        usable = self.ports.table.usable(self.service, now_s)
+        return any(
+            self.ports.table.cold.is_cold(record.listed.runner_id)
+            for record in usable
+            if record.listed.runner_id not in self._tried
+        )
+
+    async def _ask_leader(self) -> Choice | Refusal:
+        """Ask for leave for one sending to a runner that was not tried yet."""
+        if self.ports.asks is None:
+            return self._refusal(ErrorKind.NO_RUNNER, f"all runners of {self.service} are cold")
+        loop = asyncio.get_running_loop()
+        demand = demand_of(
+            self.request,
+            self.service,
+            self.deadline_s - loop.time(),
+            self.runner_state(),
+            self.ports.zone,
+            self._tried,
+        )
+        permit = await self.ports.asks.ask(self.request, demand)
+        if isinstance(permit, Refusal):
+            return permit if not self.may_have_run else self._refusal(permit.kind, permit.detail)
+        for record in self.ports.table.usable(self.service, loop.time()):
+            if record.listed.runner_id == permit.runner_id:
+                return Choice(record, "permitted", permit.leave)
+        return self._refusal(ErrorKind.NO_RUNNER, "this node does not know the permitted runner")
+
     async def _is_admitted_again(self) -> bool:
         """Every run counts against the asker's quota, the second one of a request too."""
         if self.admit_again is not None and await self.admit_again() is not None:
@@ -181,14 +215,15 @@
         for record in usable:
             runner_id = record.listed.runner_id
             is_fit = runner_id not in self._tried and not record.is_avoided(now_s)
-            if runner_id == self.advised and is_fit:
-                return Choice(record, "advised")
+            if runner_id == self.advised and is_fit and self._may_get(record, self.leave, now_s):
+                return Choice(record, "advised", self.leave)
+        warm = self.ports.table.cold.only_warm(usable)
         connected: set[str] = set()
         if self.ports.policy.kept_connections:
             connected = {r.listed.runner_id for r in usable if self._is_connected(r)}
         view = NodeView(self.ports.node, self.ports.zone, connected, now_s)
         return choose_runner(
-            usable,
+            warm,
             self._tried,
             self.sticky_key,
             view,
@@ -197,6 +232,10 @@
             self.request.thing if self.sticky_key else "",
         )
 
+    def _may_get(self, record: RunnerRecord, leave: TimedLeave, now_s: float) -> bool:
+        """Whether a runner may be sent a request: it is warm, or there is leave for it."""
+        return leave.is_valid(now_s) or not self.ports.table.cold.is_cold(record.listed.runner_id)
+
     def may_try_again(self) -> bool:
         """Whether a broken answer may be replaced by another attempt."""
         return self._may_repeat()
@@ -250,6 +289,9 @@
             record.note_unreachable(loop.time())
             self._say("could not be sent", choice, reason=str(error))
             return None
+        if not self._may_get(record, choice.leave, loop.time()):
+            self._give_back(choice, connection)
+            return None
         left_ms = max(1, int((self.deadline_s - loop.time()) * 1000))
         asker = self.asker
         sending = Sending(self.route, runner, asker.name, asker.is_unasked, asker.urgency, left_ms)
@@ -265,6 +307,7 @@
             was_connected=was_connected,
             left_ms=left_ms,
             attempt=self.num_maybe_run,
+            is_cold=self.ports.table.cold.is_cold(runner.runner_id),
         )
         sent_s = loop.time()
         try:
@@ -281,6 +324,15 @@
             raise
         return OpenAnswer(head, record, connection, self.ports.pool, sent_s)
 
+    def _give_back(self, choice: Choice, connection: RunnerConnection) -> None:
+        """The way to a cold runner took longer than the leave lasts, or it has just turned cold."""
+        runner = choice.record.listed
+        self._num_unrun += 1
+        self._tried.discard(runner.runner_id)
+        connection.abort()
+        self.ports.pool.release(runner.address, connection)
+        self._say("was not sent", choice, reason="there is no leave for a cold runner any more")
+
     def note_work_time(self, answer: OpenAnswer) -> None:
         """A plain request was answered whole: what that tells of its runner's speed."""
         now_s = asyncio.get_running_loop().time()
--- a/src/bendshed/services/metrics.py
+++ b/src/bendshed/services/metrics.py
@@ -32,6 +32,14 @@
     UNANSWERED = "unanswered"
 
 
+class ColdAskEnd(StrEnum):
+    """What became of a question for leave to send to a cold runner."""
+
+    PERMITTED = "permitted"
+    REFUSED = "refused"
+    UNANSWERED = "unanswered"
+
+
 CALLER_LEFT = "caller_left"
 NO_ROUTE = "none"
 """Label of requests that no route takes."""
@@ -47,6 +55,7 @@
         request_s: from arrival to the end, in seconds.
         attempts: sendings to runners by how they ended.
         quota_calls: requests of limited tenants that are no turns, by how they were let through.
+        cold_asks: requests without a warm runner, by what the leader of the turn log said.
         turn_begin_s, turn_end_s: time that a turn waited for the turn log, in seconds.
         first_event_s: from a turn's arrival to its first event, in seconds.
 
@@ -72,6 +81,12 @@
             ["end"],
             registry=registry,
         )
+        self.cold_asks = Counter(
+            "bendshed_cold_asks",
+            "Requests without a warm runner by decision",
+            ["end"],
+            registry=registry,
+        )
         self.turn_begin_s = self._histogram(
             "bendshed_turn_begin_seconds", "Time until a turn may be sent", ["previewed"]
         )
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -19,22 +19,26 @@
 from bendshed.ports.transport import Address, Transport
 from bendshed.programs.client import GroupClient
 from bendshed.services.attempts import RunnerPorts
+from bendshed.services.cold_runners import ColdTracker
 from bendshed.services.document import ServiceDocument
 from bendshed.services.forwarder import Forwarder
 from bendshed.services.metrics import ServiceMetrics
 from bendshed.services.quotas import NodeQuotas
 from bendshed.services.routing import RouteIndex
+from bendshed.services.runner_asks import RunnerAsks
 from bendshed.services.runners import RunnerTable, RunnerView, ServiceRunner
 from bendshed.services.turn_record import TurnPorts
 from bendshed.turns.client import TranscriptCache, TurnClient
-from bendshed.turns.service import PREVIEW_METHOD, QUOTA_METHOD, TURN_METHOD
+from bendshed.turns.service import PREVIEW_METHOD, QUOTA_METHOD, RUNNER_METHOD, TURN_METHOD
 
 TRANSCRIPT_BYTES = 16 * 1024 * 1024
 TURN_GROUPS = 1
 TURNS_LOST_S = 1.5
 """A node that no replica of the turn log answered for this long sends its clients elsewhere."""
 PROBE_INTERVAL_S = 0.4
-RELAYED_METHODS = frozenset({TURN_METHOD, PREVIEW_METHOD, QUOTA_METHOD, CATALOG_METHOD})
+RELAYED_METHODS = frozenset(
+    {TURN_METHOD, PREVIEW_METHOD, QUOTA_METHOD, RUNNER_METHOD, CATALOG_METHOD}
+)
 """Requests that may be repeated without harm, so that they may go through another node."""
 
 log = PartLog("node")
@@ -78,7 +82,7 @@
         self.on_document: Callable[[ServiceDocument], None] = lambda _document: None
         self.is_draining = False
         self._policy = policy
-        self._table = RunnerTable()
+        self._table = RunnerTable(cold=ColdTracker(clock=_loop_time))
         self._pool = connections
         self._requests = RelayedRequests(transport, rng, self._other_nodes, RELAYED_METHODS)
         self.catalog = CatalogFollower(
@@ -109,6 +113,7 @@
             rng,
             metrics,
             policy,
+            RunnerAsks(client, metrics),
         )
         self.forwarder = Forwarder(runners, self._turns)
         self._add_gauges(metrics)
@@ -136,6 +141,8 @@
         runners = metrics.labelled_gauge("bendshed_runners", "Runners by state", "state")
         for state in RunnerView:
             runners.labels(state.value).set_function(partial(self._table.count, state))
+        cold = metrics.gauge("bendshed_cold_runners", "Listed runners that are cold")
+        cold.set_function(lambda: float(self._table.cold.num_cold))
 
     def _version(self) -> float:
         index = self.forwarder.index
@@ -169,6 +176,7 @@
         if before is not None and document.version <= before:
             return False
         self.forwarder.index = RouteIndex(document)
+        self._table.cold.take_document(document)
         self.catalog.version = document.version
         log.say(
             "puts a configuration in force",
@@ -203,6 +211,10 @@
         if record is not None and trusted:
             self._pool.forget(record.listed.address)
 
+    def reopen(self, zone: str, at_s: float) -> None:
+        """A zone was opened again at a loop time: its runners may be cold."""
+        self._table.cold.reopen(zone, at_s)
+
     def start_drain(self) -> None:
         """Be not ready from now on; what comes is still served."""
         self.is_draining = True
@@ -241,3 +253,8 @@
 
     def confirm_all(self, _age_s: float, _runners_at: int) -> None:
         """A node tells nobody else."""
+
+
+def _loop_time() -> float:
+    """Steady time of the running loop."""
+    return asyncio.get_running_loop().time()
--- a/src/bendshed/services/placement.py
+++ b/src/bendshed/services/placement.py
@@ -12,6 +12,7 @@
 from bendshed.identifiers import rendezvous_rank
 from bendshed.placement.runner_health import median_pace
 from bendshed.policy import EVERYTHING, Policy
+from bendshed.quotas.window import NO_LEAVE, TimedLeave
 from bendshed.services.runners import RunnerRecord
 
 SESSION_MAX_EXTRA = 3
@@ -53,12 +54,15 @@
         reason: ``advised``: by the leader of the turn log; ``session``: holds the session's cache;
             ``thing``: may have seen what the request names, and a connection rests there;
             ``step_aside``: that one is loaded; ``connected``: a connection rests there;
-            ``least_loaded``: none does; ``only_avoided``: all failed or were full lately.
+            ``least_loaded``: none does; ``only_avoided``: all failed or were full lately;
+            ``permitted``: no warm runner was left, and the leader chose.
+        leave: the leader's for this very sending, if the runner is cold.
 
     """
 
     record: RunnerRecord
     reason: str
+    leave: TimedLeave = NO_LEAVE
 
 
 def choose_runner(
--- a/src/bendshed/services/runners.py
+++ b/src/bendshed/services/runners.py
@@ -7,6 +7,7 @@
 from bendshed.logs import PartLog
 from bendshed.placement.runner_health import RunnerHealth
 from bendshed.ports.transport import Address
+from bendshed.services.cold_runners import ColdTracker
 
 FAILURES_TO_AVOID = 2
 AVOID_S = 2.0
@@ -131,6 +132,7 @@
     Attributes:
         has_any: set once a runner has been listed.
         work_times: of each route, over all runners.
+        cold: those that get nothing from this node without leave.
 
     """
 
@@ -138,6 +140,7 @@
     has_any: asyncio.Event = field(default_factory=asyncio.Event)
     by_service: dict[str, dict[str, RunnerRecord]] = field(default_factory=dict)
     work_times: WorkTimes = field(default_factory=WorkTimes)
+    cold: ColdTracker = field(default_factory=ColdTracker)
 
     def put(self, runner: ServiceRunner) -> None:
         """Take a line of the list."""
@@ -152,6 +155,7 @@
             self._by_service(record.listed.service).pop(runner.runner_id, None)
         record.listed = runner
         record.unlisted_at_s = None
+        self.cold.put(runner)
         self._by_service(runner.service)[runner.runner_id] = record
         log.say(
             "is listed",
@@ -175,6 +179,7 @@
         if record is None:
             return
         log.say("is not listed any more", runner=runner_id, trusted=trusted)
+        self.cold.vanish(runner_id)
         if trusted:
             self._drop(record)
         elif record.unlisted_at_s is None:
--- a/src/bendshed/services/turn_record.py
+++ b/src/bendshed/services/turn_record.py
@@ -10,11 +10,13 @@
 from bendshed.policy import EVERYTHING, Policy
 from bendshed.ports.runner import ServiceRequest
 from bendshed.programs.client import GroupUnavailable
+from bendshed.quotas.window import TimedLeave
 from bendshed.services.attempts import Attempts
 from bendshed.services.document import EngineFeatures, Route
 from bendshed.services.events import StreamEvent
 from bendshed.services.metrics import ServiceMetrics
 from bendshed.services.quotas import NodeQuotas, refusal_of
+from bendshed.services.runner_asks import demand_of, no_room
 from bendshed.turns.client import TranscriptCache, TurnClient
 from bendshed.wire import turns_pb2 as wire
 
@@ -23,6 +25,8 @@
 FINISH_TIMEOUT_S = 3.0
 LATE_FINISH_TIMEOUT_S = 20.0
 """How long the end of a turn that the caller does not wait for is tried."""
+UNCOMMITTED = (wire.TURN_ANSWER_QUOTA_EXCEEDED, wire.TURN_ANSWER_NO_ROOM)
+"""Refusals of a command that nothing was written for."""
 
 log = PartLog("turns")
 
@@ -127,8 +131,6 @@
         self._committing = self._commit_begin(begin)
         preview = await previewing
         is_previewed = preview is not None and preview.answer == wire.TURN_ANSWER_GRANTED
-        if preview is not None:
-            self.attempts.advised = preview.runner_id
         refusal = None
         if is_previewed and preview is not None:
             self._take_chain(preview, held)
@@ -154,23 +156,19 @@
         asked = wire.TurnPreview(begin=begin)
         if self.ports.policy.shared_load:
             asked.demand.CopyFrom(self._demand())
-        return await self.ports.client.preview(asked)
+        asked_s = asyncio.get_running_loop().time()
+        reply = await self.ports.client.preview(asked)
+        if reply is not None:
+            self.attempts.advised = reply.runner_id
+            self.attempts.leave = TimedLeave(asked_s + reply.permit_ms / 1000)
+        return reply
 
     def _demand(self) -> wire.TurnDemand:
         """What the leader needs to know to advise a runner."""
-        turn = self.request.turn
-        assert turn is not None
         left_s = self.deadline_s - asyncio.get_running_loop().time()
         state = self.attempts.runner_state()
-        return wire.TurnDemand(
-            service=self.attempts.service,
-            parts=[wire.PromptPart(part_id=p.part_id, tokens=p.tokens) for p in turn.parts],
-            left_ms=max(1, int(left_s * 1000)),
-            connected=state.connected,
-            avoided=state.avoided,
-            zone=self.attempts.ports.zone,
-            line=turn.line or self.request.session,
-        )
+        zone = self.attempts.ports.zone
+        return demand_of(self.request, self.attempts.service, left_s, state, zone)
 
     def _report(self) -> wire.TurnReport:
         """What this turn saw of runners."""
@@ -263,6 +261,8 @@
         self._is_finished = True  # nothing is reserved
         if reply.answer == wire.TURN_ANSWER_QUOTA_EXCEEDED:
             return refusal_of(reply)
+        if reply.answer == wire.TURN_ANSWER_NO_ROOM:
+            return no_room(reply)
         if reply.answer == wire.TURN_ANSWER_UNKNOWN_TURN:
             return Refusal(ErrorKind.NOT_FOUND, "no such turn is kept")
         if reply.answer == wire.TURN_ANSWER_BUDGET_SPENT:
@@ -343,11 +343,11 @@
 
 
 def _is_committed(done: "asyncio.Task[wire.TurnReply | None]") -> bool:
-    """Whether a command was applied; a refusal beyond the quota is not committed."""
+    """Whether a command was applied."""
     if done.cancelled() or done.exception() is not None:
         return False
     reply = done.result()
-    return reply is not None and reply.answer != wire.TURN_ANSWER_QUOTA_EXCEEDED
+    return reply is not None and reply.answer not in UNCOMMITTED
 
 
 def _nothing() -> None:
--- a/src/bendshed/turns/advice.py
+++ b/src/bendshed/turns/advice.py
@@ -1,11 +1,14 @@
 """The leader's advice on where turns run: the load board between its messages and the catalog."""
 
 import random
+from collections.abc import Sequence
 
 from bendshed.catalog.state import Catalog
 from bendshed.logs import PartLog
 from bendshed.placement.board import Demand, Ended, LoadBoard
 from bendshed.placement.prompt_cache import PromptPart
+from bendshed.services.runners import ServiceRunner
+from bendshed.turns.cold import ColdAsk, ColdPermits, Openings, Placement
 from bendshed.wire import turns_pb2 as wire
 
 log = PartLog("placement")
@@ -14,26 +17,67 @@
 class TurnAdvice:
     """Advises nodes, and learns from what they report."""
 
-    def __init__(self, catalog: Catalog, rng: random.Random) -> None:
+    def __init__(self, catalog: Catalog, cold: ColdPermits, rng: random.Random) -> None:
         self.board = LoadBoard(rng)
+        self.cold = cold
         self._catalog = catalog
         self._listed_at = 0
 
-    def advise(self, preview: wire.TurnPreview, ran_at: str, now_s: float) -> str:
-        """Id of the runner where a turn had best run; empty: none is known here.
+    def advise(
+        self, preview: wire.TurnPreview, ran_at: str, is_new_program: bool, now_s: float
+    ) -> Placement:
+        """Where a turn had best run, or that no runner may take it.
 
         Args:
             preview: the turn.
             ran_at: where the program's latest turn ran; empty: nowhere.
+            is_new_program: nothing of its program is known.
             now_s: steady time.
 
         """
         self._follow_list()
-        demand = _read_demand(preview, ran_at)
-        service = preview.demand.service
-        advice = self.board.advise(
-            demand, self._catalog.ready_runners(service), self._memory_tokens(service), now_s
-        )
+        runners = self._catalog.ready_runners(preview.demand.service)
+        ask = ColdAsk(preview.begin.turn_id, preview.begin.program_id, is_new_program)
+        openings = self.cold.openings(runners, ask, now_s)
+        if runners and not openings.runners:
+            return self.cold.refuse(runners, ask, now_s)
+        demand = _read_demand(preview.begin, preview.demand, ran_at)
+        runner_id = self._choose(demand, preview.demand.service, openings, now_s)
+        if runner_id in openings.cold:
+            return self.cold.grant(runner_id, ask, now_s)
+        return Placement(runner_id)
+
+    def place(self, asked: wire.RunnerAsk, now_s: float) -> Placement:
+        """Permit one sending of a request that has no preview; whose runner may be warm here."""
+        self._follow_list()
+        demand = asked.demand
+        runners = [
+            runner
+            for runner in self._catalog.ready_runners(demand.service)
+            if runner.runner_id not in demand.tried
+        ]
+        if not runners:
+            return Placement()
+        ask = ColdAsk(asked.request_id, asked.request_id, asked.is_new_program)
+        openings = self.cold.counted_openings(runners, ask, now_s)
+        if not openings.runners:
+            return self.cold.refuse(runners, ask, now_s)
+        return self.cold.grant(self._place(asked, openings.runners, now_s), ask, now_s)
+
+    def _place(self, asked: wire.RunnerAsk, runners: Sequence[ServiceRunner], now_s: float) -> str:
+        """A turn by the load of all turns; of other requests nobody tells the end."""
+        demand = asked.demand
+        if not demand.parts:
+            avoided = frozenset(demand.avoided)
+            return self.cold.least_loaded(runners, asked.request_id, demand.zone, avoided, now_s)
+        turn = _read_demand(wire.BeginTurn(turn_id=asked.request_id), demand, "")
+        cold = {r.runner_id for r in runners if self.cold.tracker.is_cold(r.runner_id)}
+        return self._choose(turn, demand.service, Openings(runners, cold), now_s)
+
+    def _choose(self, demand: Demand, service: str, openings: Openings, now_s: float) -> str:
+        """Id of the runner with the least cost; empty: there is none."""
+        memory_tokens = self._memory_tokens(service)
+        advice = self.board.advise(demand, openings.runners, memory_tokens, now_s, openings.cold)
         if advice is None:
             return ""
         log.say(
@@ -46,6 +90,7 @@
             cached_tokens=advice.cached_tokens,
             prompt_tokens=demand.prompt_tokens,
             is_connected=advice.runner_id in demand.connected,
+            is_cold=advice.runner_id in openings.cold,
             runners_at=self._catalog.runners_at,
         )
         return advice.runner_id
@@ -70,13 +115,12 @@
             self.board.keep_only(self._catalog.runner_ids)
 
 
-def _read_demand(preview: wire.TurnPreview, ran_at: str) -> Demand:
-    wanted = preview.demand
+def _read_demand(begin: wire.BeginTurn, wanted: wire.TurnDemand, ran_at: str) -> Demand:
     return Demand(
-        turn_id=preview.begin.turn_id,
+        turn_id=begin.turn_id,
         line=wanted.line,
         parts=[PromptPart(part.part_id, part.tokens) for part in wanted.parts],
-        most_tokens=preview.begin.most_tokens,
+        most_tokens=begin.most_tokens,
         left_s=wanted.left_ms / 1000,
         connected=frozenset(wanted.connected),
         avoided=frozenset(wanted.avoided),
--- a/src/bendshed/turns/client.py
+++ b/src/bendshed/turns/client.py
@@ -7,7 +7,13 @@
 
 from bendshed.logs import PartLog
 from bendshed.programs.client import GroupClient, GroupUnavailable
-from bendshed.turns.service import PREVIEW_METHOD, QUOTA_METHOD, TURN_GROUP, TURN_METHOD
+from bendshed.turns.service import (
+    PREVIEW_METHOD,
+    QUOTA_METHOD,
+    RUNNER_METHOD,
+    TURN_GROUP,
+    TURN_METHOD,
+)
 from bendshed.turns.state import Owned
 from bendshed.wire import turns_pb2 as wire
 
@@ -80,11 +86,23 @@
 
         An ask may be repeated without harm: at worst it counts twice for some seconds.
         """
-        payload = ask.SerializeToString()
+        return await self._ask_again(QUOTA_METHOD, ask.SerializeToString(), timeout_s)
+
+    async def place(self, ask: wire.RunnerAsk, timeout_s: float) -> wire.TurnReply | None:
+        """Ask for leave to send one request to a runner that may be cold; ``None``: no answer.
+
+        An ask may be repeated without harm: at worst it counts twice for a second.
+        """
+        return await self._ask_again(RUNNER_METHOD, ask.SerializeToString(), timeout_s)
+
+    async def _ask_again(
+        self, method: str, payload: bytes, timeout_s: float
+    ) -> wire.TurnReply | None:
+        """Ask until a leader answers."""
         loop = asyncio.get_running_loop()
         give_up_at_s = loop.time() + timeout_s
         while (left_s := give_up_at_s - loop.time()) > 0:
-            reply = await self._ask(QUOTA_METHOD, payload, min(PREVIEW_TIMEOUT_S, left_s))
+            reply = await self._ask(method, payload, min(PREVIEW_TIMEOUT_S, left_s))
             if reply is not None and reply.answer not in NO_WORD:
                 return reply
             await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
--- a/src/bendshed/turns/metrics.py
+++ b/src/bendshed/turns/metrics.py
@@ -16,11 +16,19 @@
     """Not seen to commit in time."""
 
 
+class ColdEnd(StrEnum):
+    """What became of a question for a cold runner."""
+
+    GRANTED = "granted"
+    REFUSED = "refused"
+
+
 class TurnLogMetrics:
     """Counters and histograms of one replica.
 
     Attributes:
         commands: commands by how they ended.
+        cold_permits: sendings to cold runners that were asked for here, by decision.
         commit_s: from a command's arrival at the leader to its being applied, in seconds.
 
     """
@@ -30,6 +38,12 @@
         self.commands = Counter(
             "bendshed_turn_commands", "Commands by end", ["end"], registry=registry
         )
+        self.cold_permits = Counter(
+            "bendshed_cold_permits",
+            "Sendings to cold runners by decision",
+            ["end"],
+            registry=registry,
+        )
         self.commit_s = Histogram(
             "bendshed_turn_commit_seconds",
             "Time to commit and apply a command",
--- a/src/bendshed/turns/node.py
+++ b/src/bendshed/turns/node.py
@@ -13,6 +13,7 @@
 from bendshed.consensus.raft_types import Role
 from bendshed.consensus.supervisor import ReplicaSupervisor
 from bendshed.logs import PartLog
+from bendshed.placement.cold import ColdTerms
 from bendshed.policy import EVERYTHING, Policy
 from bendshed.ports.catalog_storage import CatalogStorage
 from bendshed.ports.log_storage import LogStorage
@@ -21,6 +22,7 @@
 from bendshed.quotas.limits import EXACT, QuotaTerms
 from bendshed.tasks import start_loop
 from bendshed.turns.advice import TurnAdvice
+from bendshed.turns.cold import ColdPermits
 from bendshed.turns.metrics import TurnLogMetrics
 from bendshed.turns.quotas import TurnQuotas
 from bendshed.turns.service import TURN_GROUP, TurnService
@@ -61,6 +63,7 @@
         times: CatalogTimes,
         policy: Policy = EVERYTHING,
         quota_terms: QuotaTerms = EXACT,
+        cold_terms: ColdTerms | None = None,
     ) -> None:
         self.directory = ReplicaDirectory()
         self.host = GroupHost(
@@ -91,8 +94,10 @@
             policy.shared_reading and policy.replicas_follow,
             is_replica=True,
         )
-        self._advice = TurnAdvice(self.catalog.catalog, rng)
-        quotas = TurnQuotas(self.catalog.catalog, quota_terms, policy.programs_first)
+        known = self.catalog.catalog
+        cold = ColdPermits(known.cold, cold_terms or ColdTerms(), metrics)
+        self._advice = TurnAdvice(known, cold, rng)
+        quotas = TurnQuotas(known, quota_terms, policy.programs_first)
         self._service = TurnService(self.host, transport, metrics, self._advice, quotas)
         self._catalog_tasks: list[asyncio.Task[None]] = []
         self._add_gauges(metrics)
@@ -118,6 +123,8 @@
             metrics.gauge(name, text).set_function(partial(self._read_group, read))
         running = metrics.gauge("bendshed_turns_placed", "Turns under way that were advised here")
         running.set_function(lambda: float(self._advice.board.num_running))
+        cold = metrics.gauge("bendshed_cold_runners", "Listed runners that are cold")
+        cold.set_function(lambda: float(self.catalog.catalog.cold.num_cold))
 
     def _read_group(self, read: Callable[[HostedGroup], float]) -> float:
         """Read the turn log's group; 0 where this process holds no replica."""
@@ -141,6 +148,7 @@
             start_loop(self.catalog.share_fronts(), "catalog"),
             start_loop(self.catalog.keep(), "catalog"),
             start_loop(self.follower.run(), "catalog"),
+            start_loop(self._service.follow_lead(), "turns"),
         ]
         log.say("started", node=self.host.node_id)
 
--- a/src/bendshed/turns/service.py
+++ b/src/bendshed/turns/service.py
@@ -16,6 +16,7 @@
 TURN_METHOD = "turns.command"
 PREVIEW_METHOD = "turns.preview"
 QUOTA_METHOD = "turns.quota"
+RUNNER_METHOD = "turns.runner"
 TURN_GROUP = 0
 """The turn log is one group today; docs/design/0003 says what more groups need."""
 COMMIT_TIMEOUT_S = 1.0
@@ -24,8 +25,11 @@
     wire.TURN_ANSWER_BUDGET_SPENT,
     wire.TURN_ANSWER_CLOSED,
     wire.TURN_ANSWER_QUOTA_EXCEEDED,
+    wire.TURN_ANSWER_NO_ROOM,
 )
 """Answers to a begin after which the turn is sent to no runner, and no end is told."""
+LOOK_S = 0.1
+"""A leader looks so often whether it leads without a doubt (``placement/cold_grants.py``)."""
 
 log = PartLog("turns")
 
@@ -70,6 +74,7 @@
         self._transport.handlers[TURN_METHOD] = self.answer
         self._transport.handlers[PREVIEW_METHOD] = self.preview
         self._transport.handlers[QUOTA_METHOD] = self.admit_call
+        self._transport.handlers[RUNNER_METHOD] = self.place
 
     async def answer(self, payload: bytes) -> bytes:
         """Commit one command and return the reply of applying it."""
@@ -103,6 +108,9 @@
             refusal = self._quotas.admit_turn(command.begin, state, term, command.elapsed_ms)
             if refusal is not None:
                 return refusal
+            refusal = self._refused_by_preview(command.begin, state)
+            if refusal is not None:
+                return refusal
         if command.HasField("finish"):
             self._quotas.add_allowance(command, state, term)
         try:
@@ -166,10 +174,54 @@
             return refusal.SerializeToString()
         if may_run and preview.demand.service:
             ran_at = state.runner_of(begin.tenant, begin.program_id)
-            now_s = asyncio.get_running_loop().time()
-            reply.runner_id = self._advice.advise(preview, ran_at, now_s)
+            is_new = not state.is_under_way(begin)
+            now_s = self._look()
+            placement = self._advice.advise(preview, ran_at, is_new, now_s)
+            if placement.retry_after_ms:
+                return _no_room(placement.retry_after_ms).SerializeToString()
+            reply.runner_id, reply.permit_ms = placement.runner_id, placement.permit_ms
+        return reply.SerializeToString()
+
+    async def place(self, payload: bytes) -> bytes:
+        """Permit one sending that has no preview, or tell when there is room."""
+        asked = wire.RunnerAsk.FromString(payload)
+        try:
+            self._led()
+            placement = self._advice.place(asked, self._look())
+            reply = wire.TurnReply(answer=wire.TURN_ANSWER_GRANTED)
+            reply.runner_id, reply.permit_ms = placement.runner_id, placement.permit_ms
+            if placement.retry_after_ms:
+                reply = _no_room(placement.retry_after_ms)
+        except NotLeader as error:
+            reply = wire.TurnReply(answer=wire.TURN_ANSWER_NOT_LEADER, leader_id=error.leader_id)
         return reply.SerializeToString()
 
+    def _refused_by_preview(
+        self, begin: wire.BeginTurn, state: TurnLogState
+    ) -> wire.TurnReply | None:
+        """A preview's refusal holds for the begin beside it: its program stays a new one."""
+        now_s = asyncio.get_running_loop().time()
+        retry_ms = self._advice.cold.refused_for_ms(begin.turn_id, now_s)
+        if not retry_ms or state.is_reserved(begin):
+            return None
+        return _no_room(retry_ms)
+
+    async def follow_lead(self) -> None:
+        """Look again and again whether this process leads without a doubt."""
+        while True:
+            self._look()
+            await asyncio.sleep(LOOK_S)
+
+    def _look(self) -> float:
+        """Look whether this process leads without a doubt; return the loop's time."""
+        now_s = asyncio.get_running_loop().time()
+        group = self._host.groups.get(TURN_GROUP)
+        replica = group.replica if group is not None else None
+        leads = replica is not None and replica.is_ready_leader and replica.hears_majority
+        term = replica.term if replica is not None else 0
+        self._advice.cold.grants.touch.look(term, leads, now_s)
+        return now_s
+
     def _take_report(self, command: wire.TurnCommand) -> None:
         """What a turn's end tells of runners is this process's alone: take it off the command."""
         if not command.HasField("report"):
@@ -189,3 +241,8 @@
         if self._clock is None or self._clock.term != term:
             self._clock = _LeaderClock(term, state.clock_ms, self._leads_since_s)
         return self._clock.base_ms + int((now_s - self._clock.base_s) * 1000)
+
+
+def _no_room(retry_after_ms: int) -> wire.TurnReply:
+    """No runner may take it now."""
+    return wire.TurnReply(answer=wire.TURN_ANSWER_NO_ROOM, retry_after_ms=retry_after_ms)
