The simulated site has cold runners; its oracle counts what they get in any second

Planted defects: each leader grants the whole bound (22 of 11 in a second), a front without a word goes on, time left counted from another clock, a runner that has just started counts as warm; all four caught, the product passes the same scenarios.

--- a/src/bendshed/rehearsal/site/documents.py
+++ b/src/bendshed/rehearsal/site/documents.py
@@ -2,6 +2,7 @@
 
 from bendshed.identifiers import credential_digest
 from bendshed.quotas.limits import QuotaTerms
+from bendshed.rehearsal.site.cold import COLD_PER_S, COLD_START_S
 from bendshed.rehearsal.site.runner import EVENT_TOKENS
 from bendshed.services.document import (
     EngineFeatures,
@@ -58,8 +59,8 @@
         _plain("unrepeatable", RouteKind.NON_IDEMPOTENT, 1),
     )
     services = {
-        "engines": Service("engines", engine=EngineFeatures(8, EVENT_TOKENS)),
-        "tools": Service("tools"),
+        "engines": _service("engines", EngineFeatures(8, EVENT_TOKENS)),
+        "tools": _service("tools"),
     }
     tenants = [
         Tenant(
@@ -75,6 +76,11 @@
     return ServiceDocument(version, routes, services, tenants=tuple(tenants))
 
 
+def _service(name: str, engine: EngineFeatures | None = None) -> Service:
+    cold_ms = int(1000 * COLD_START_S)
+    return Service(name, engine=engine, cold_per_s=COLD_PER_S, cold_start_ms=cold_ms)
+
+
 def _plain(name: str, kind: RouteKind, attempts: int) -> Route:
     return Route(
         name=name,
--- a/src/bendshed/rehearsal/site/fuzz.py
+++ b/src/bendshed/rehearsal/site/fuzz.py
@@ -17,6 +17,8 @@
 """Two voters outlive the loss of one disk, but not one's going for good without a word: the other
 cannot tell that from a cut. So the last two are neither emptied nor replaced."""
 
+MAX_COLD_S = 6.0
+
 
 class Action(StrEnum):
     """Kinds of steps."""
@@ -60,6 +62,8 @@
     SLOW_RUNNER = "slow runner"
     REPLACE_RUNNER = "runner dies and is replaced"
     RUNNER_LEAVES = "runner leaves"
+    COOL_RUNNER = "runner turns cold again"
+    COOL_SERVICE = "all runners turn cold"
     CONFIGURATION = "configuration changes"
     PLANNED_STOP = "planned stop of a front"
 
@@ -116,6 +120,8 @@
             Action.SLOW_RUNNER: self._slow_runner,
             Action.REPLACE_RUNNER: self._replace_runner,
             Action.RUNNER_LEAVES: self._runner_leaves,
+            Action.COOL_RUNNER: lambda s: self._cool([self._runner(s).runner_id], s.amount),
+            Action.COOL_SERVICE: lambda s: self._cool(list(world.listed), s.amount),
             Action.CONFIGURATION: lambda _s: self._configuration(),
             Action.PLANNED_STOP: lambda s: world.planned_stop(_pick(world.fronts, s.which)),
         }
@@ -368,6 +374,10 @@
         if len(others) > 1:
             self.world.drain_runner(runner.runner_id)
 
+    def _cool(self, names: list[str], amount: float) -> None:
+        for name in names:
+            self.world.cool_runner(name, MAX_COLD_S * amount)
+
     def _configuration(self) -> None:
         self.world.count("configuration")
         self.world.publish()
--- a/src/bendshed/rehearsal/site/oracle.py
+++ b/src/bendshed/rehearsal/site/oracle.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 from itertools import pairwise
 
+from bendshed.rehearsal.site.cold import overfull_seconds
 from bendshed.rehearsal.site.documents import NARROW, QUOTA_TERMS, narrow_most
 from bendshed.rehearsal.site.records import Kind, SiteRecords, SiteRequest
 from bendshed.rehearsal.site.runner import EVENT_TOKENS, event_bytes, plain_answer, stream_output
@@ -34,6 +35,7 @@
     TENANT = "a request runs on behalf of its own tenant, behind that tenant's turns"
     ACCESS = "a removed credential stops working"
     QUOTA = "no window holds more of a tenant's requests than it may have"
+    COLD = "a cold runner gets no more in a second than it bears"
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,6 +218,12 @@
             return
 
 
+def check_cold(seen: SiteRecords) -> Iterable[Violation]:
+    """Over all fronts, in every sliding second that lies within a cold time."""
+    for runner_id, begin_s, count in overfull_seconds(seen.cold_spells, seen.sendings):
+        yield Violation(Rule.COLD, f"{runner_id} got {count} in the second from {begin_s:.2f} s")
+
+
 CHECKS = (
     check_once,
     check_refusals,
@@ -230,6 +238,7 @@
     check_tenants,
     check_access,
     check_quotas,
+    check_cold,
 )
 
 
--- a/src/bendshed/rehearsal/site/records.py
+++ b/src/bendshed/rehearsal/site/records.py
@@ -1,8 +1,9 @@
 """What clients, runners and the operator saw: all that the oracle may look at."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
+from bendshed.rehearsal.site.cold import ColdSpell, RunnerSending
 from bendshed.rehearsal.site.runner import RunRecord
 
 
@@ -77,6 +78,8 @@
         cut_by_stop: requests open at a process that ended on a planned stop.
         versions: per process of a front, the versions in force in order of time.
         removed_s: tenant -> when the operator removed its key.
+        cold_spells: when runners were cold.
+        sendings: what runners were sent by all fronts.
 
     """
 
@@ -90,6 +93,15 @@
     versions_after_quiet: dict[str, int] = field(default_factory=dict)
     retention_s: float = 60.0
     removed_s: dict[str, float] = field(default_factory=dict)
+    cold_spells: list[ColdSpell] = field(default_factory=list)
+    sendings: list[RunnerSending] = field(default_factory=list)
+
+    def end_cold(self, runner_id: str, now_s: float) -> None:
+        """A runner's newer word takes the place of what it said before."""
+        self.cold_spells = [
+            replace(row, until_s=min(row.until_s, now_s)) if row.runner_id == runner_id else row
+            for row in self.cold_spells
+        ]
 
     def begin_blindness(self, front: str, now_s: float) -> None:
         """A front stops hearing; empty: all fronts."""
--- a/src/bendshed/rehearsal/site/sim_runners.py
+++ b/src/bendshed/rehearsal/site/sim_runners.py
@@ -15,6 +15,7 @@
 from bendshed.ports.transport import Address
 from bendshed.rehearsal.simulator.loop import SimProcess
 from bendshed.rehearsal.simulator.network import MIN_GAP_S, Network
+from bendshed.rehearsal.site.cold import RunnerSending
 from bendshed.rehearsal.site.runner import (
     Chunk,
     Head,
@@ -54,6 +55,7 @@
 
     Attributes:
         open: connections in use, by the process that opened them.
+        sendings: what runners were sent.
 
     """
 
@@ -61,6 +63,7 @@
     runner_process: SimProcess
     by_address: dict[Address, SiteRunner] = field(default_factory=dict)
     open: dict[str, set["SimConnection"]] = field(default_factory=dict)
+    sendings: list[RunnerSending] = field(default_factory=list)
 
     def drop_process(self, name: str) -> None:
         """A process died: runners see its connections close."""
@@ -107,10 +110,15 @@
 
     async def _serve(self, call: RunnerCall) -> None:
         """At the runner: work and send pieces back."""
+        sent_s = self._loop.time()
         await asyncio.sleep(self._net.network.latency_s())
         if self.runner.is_dead or self._net.network.is_cut(self._host, self.runner.runner_id):
             self._later(HANG_S, self.break_now)
             return
+        runner_id = self.runner.runner_id
+        if call.wanted_runner == runner_id:
+            sending = RunnerSending(runner_id, sent_s, self._loop.time())
+            self._net.sendings.append(sending)
         try:
             async for piece in self.runner.serve(call):
                 self._send_back(piece)
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from prometheus_client import CollectorRegistry
 
@@ -15,6 +15,7 @@
 from bendshed.rehearsal.simulator.loop import SimProcess, VirtualTimeLoop
 from bendshed.rehearsal.simulator.network import Network, SimTransport
 from bendshed.rehearsal.simulator.platform import SimDisk, SimLogStorage
+from bendshed.rehearsal.site.cold import COLD_START_S, COLD_TERMS, ColdSpell
 from bendshed.rehearsal.site.documents import GUEST, NARROW, QUOTA_TERMS, WIDE, make_document
 from bendshed.rehearsal.site.oracle import Violation, check_all
 from bendshed.rehearsal.site.programs import AgentProgram, ProgramPlan
@@ -104,7 +105,7 @@
         self.network = Network(self.loop, random.Random(self.seed + 1))
         self.registry = SimRegistry(random.Random(self.seed + 2))
         self.clients = SimProcess("clients")
-        self.net = SimRunnerNet(self.network, SimProcess("runners"))
+        self.net = SimRunnerNet(self.network, SimProcess("runners"), sendings=self.seen.sendings)
         self.document = self.older_document = make_document(1)
         self.seen.newest_version = 1
 
@@ -126,7 +127,7 @@
 
     # --- building ------------------------------------------------------------------------
 
-    def add_runner(self, name: str, service: str, slots: int) -> None:
+    def add_runner(self, name: str, service: str, slots: int, cold_s: float = 0.0) -> None:
         """Add a runner and list it."""
         number = len(self.runners) + 1
         address = Address(f"10.0.3.{number}", 80)
@@ -135,8 +136,26 @@
         self.runners[name] = runner
         self.net.by_address[address] = runner
         self.listed[name] = ServiceRunner(
-            name, service, address, "zone-a", slots, RunnerState.READY
+            name, service, address, "zone-a", slots, RunnerState.READY, int(1000 * cold_s)
         )
+        self._note_cold(name, 0.0, cold_s)
+
+    def _note_cold(self, name: str, known_after_s: float, for_s: float) -> None:
+        now_s = self.loop.time()
+        self.seen.cold_spells.append(ColdSpell(name, now_s + known_after_s, now_s + for_s))
+
+    def cool_runner(self, name: str, for_s: float) -> None:
+        """A runner turns cold again, and says so in its entry."""
+        listed = self.listed.get(name)
+        if listed is None or self.registry.is_down:
+            return
+        self.count("runner turns cold")
+        left_ms = int(1000 * for_s)
+        if left_ms == listed.cold_left_ms:
+            left_ms += 1  # an entry that is the same as before is no news
+        self.listed[name] = replace(listed, cold_left_ms=left_ms)
+        self.seen.end_cold(name, self.loop.time())
+        self._note_cold(name, APPLY_S, for_s)
 
     def add_machine(self, name: str, host: str, number: int, has_disk: bool) -> None:
         """Add a machine and start its process."""
@@ -206,6 +225,7 @@
             SimCatalogStorage(disk),
             TIMES,
             quota_terms=QUOTA_TERMS,
+            cold_terms=COLD_TERMS,
         )
         machine.replica.start()
         machine.process.spawn(self.loop, self._follow(machine, self._tell_store))
@@ -436,9 +456,7 @@
         if listed is None or listed.state is RunnerState.DRAINING or self.registry.is_down:
             return
         self.count("runner leaves")
-        self.listed[name] = ServiceRunner(
-            name, listed.service, listed.address, listed.zone, listed.slots, RunnerState.DRAINING
-        )
+        self.listed[name] = replace(listed, state=RunnerState.DRAINING)
         self.seen.departures.append(Departure(name, self.loop.time()))
 
     def replace_runner(self, name: str) -> None:
@@ -450,7 +468,8 @@
         self.net.reset_runner(runner)
         self.listed.pop(name, None)
         base, _, life = name.partition("+")
-        self.add_runner(f"{base}+{int(life or 0) + 1}", runner.service, runner.slots)
+        name = f"{base}+{int(life or 0) + 1}"
+        self.add_runner(name, runner.service, runner.slots, COLD_START_S)
 
     def publish(self) -> None:
         """The operator writes a configuration."""
--- /dev/null
+++ b/tests/site_cold_defects.py
@@ -0,0 +1,117 @@
+"""Planted defects around cold runners, and scenarios that must catch them."""
+
+from bendshed.placement.cold import ColdRunners
+from bendshed.placement.cold_grants import LeaderTouch
+from bendshed.quotas.window import TimedLeave
+from bendshed.rehearsal.site.documents import WIDE
+from bendshed.rehearsal.site.oracle import Rule, Violation
+from bendshed.rehearsal.site.programs import ProgramPlan
+from bendshed.rehearsal.site.sim_world import SiteWorld
+from bendshed.services.cold_runners import ColdTracker
+from bendshed.services.runner_asks import Permit, RunnerAsks
+from bendshed.services.runners import ServiceRunner
+from tests.site_defects import Defect, patch, world
+
+LONG_S = 60.0
+
+
+def cool_all(site: SiteWorld, for_s: float = LONG_S) -> None:
+    for name in list(site.listed):
+        site.cool_runner(name, for_s)
+
+
+def flood(site: SiteWorld, count: int, tools: int = 0, turns: int = 2) -> None:
+    for _ in range(count):
+        site.start_program(ProgramPlan(turns=turns, tools=tools), tenant=WIDE)
+
+
+def all_cold_while_leaders_change(seed: int) -> list[Violation]:
+    """Each leader is killed in the midst of a flood, and the next one serves within the second."""
+    with world(seed) as site:
+        cool_all(site)
+        site.run_for(2.5)
+        for _ in range(4):
+            flood(site, 60)
+            site.run_for(0.15)
+            leader = site.leader()
+            if leader is not None:
+                site.kill(leader)
+                site.run_for(1.0)
+                site.restart(leader)
+            site.run_for(2.0)
+        return site.settle()
+
+
+def all_cold_while_fronts_are_cut(seed: int) -> list[Violation]:
+    """Calls flood the cold tools through fronts that reach no replica machine."""
+    with world(seed) as site:
+        flood(site, 40, tools=8, turns=4)
+        site.run_for(0.6)
+        cool_all(site)
+        site.run_for(2.2)
+        for front in site.fronts.values():
+            site.network.cuts.update((front.host, store.host) for store in site.stores.values())
+        site.run_for(3.0)
+        site.network.cuts.clear()
+        flood(site, 20, tools=8)
+        site.run_for(4.0)
+        return site.settle()
+
+
+def all_cold_after_a_while(seed: int) -> list[Violation]:
+    """Runners turn cold again long after all processes began."""
+    with world(seed) as site:
+        site.run_for(10.0)
+        cool_all(site, for_s=9.0)
+        site.run_for(2.2)
+        flood(site, 80, tools=2)
+        site.run_for(6.0)
+        return site.settle()
+
+
+def one_cold_runner_is_left(seed: int) -> list[Violation]:
+    """The others leave, so every turn wants the one that has just started."""
+    with world(seed) as site:
+        site.replace_runner("engine-1")
+        site.drain_runner("engine-2")
+        site.drain_runner("engine-3")
+        flood(site, 40)
+        site.run_for(3.0)
+        return site.settle()
+
+
+def _whole_share(_touch: LeaderTouch, _now_s: float) -> float:
+    return 1.0
+
+
+async def _ask_nobody(asks: RunnerAsks, request: object, demand: object) -> Permit:
+    return Permit("tool-1", TimedLeave(float("inf")))
+
+
+def _note_by_another_clock(
+    cold: ColdRunners, runner: ServiceRunner, left_s: float, now_s: float
+) -> float:
+    """Counts the time left from the teller's zero and not from the moment it was heard."""
+    _REAL_NOTE(cold, runner, left_s, now_s)
+    if left_s > 0:
+        cold.cold[runner.runner_id] = left_s
+    return left_s
+
+
+_REAL_NOTE = ColdRunners._note
+
+
+COLD_DEFECTS: dict[str, Defect] = {
+    "each leader grants the whole bound": Defect(
+        Rule.COLD, all_cold_while_leaders_change, patch(LeaderTouch, "share", _whole_share)
+    ),
+    "a front without a word goes on": Defect(
+        Rule.COLD, all_cold_while_fronts_are_cut, patch(RunnerAsks, "ask", _ask_nobody)
+    ),
+    "the time left is counted from another clock": Defect(
+        Rule.COLD, all_cold_after_a_while, patch(ColdRunners, "_note", _note_by_another_clock)
+    ),
+    "a runner that has just started counts as warm": Defect(
+        Rule.COLD, one_cold_runner_is_left, patch(ColdTracker, "is_cold", lambda _s, _r: False)
+    ),
+}
--- a/tests/test_site_rules.py
+++ b/tests/test_site_rules.py
@@ -4,8 +4,11 @@
 import unittest
 
 from bendshed.rehearsal.site.oracle import Rule, Violation
+from tests.site_cold_defects import COLD_DEFECTS
 from tests.site_defects import DEFECTS, Defect
 
+ALL_DEFECTS = {**DEFECTS, **COLD_DEFECTS}
+
 
 def play(defect: Defect) -> list[Violation]:
     return defect.scenario(defect.seed)
@@ -18,10 +21,10 @@
         cls.addClassCleanup(logging.disable, logging.NOTSET)
 
     def test_every_rule_has_a_defect(self) -> None:
-        self.assertEqual({defect.rule for defect in DEFECTS.values()}, set(Rule))
+        self.assertEqual({defect.rule for defect in ALL_DEFECTS.values()}, set(Rule))
 
     def test_defects_are_caught(self) -> None:
-        for name, defect in DEFECTS.items():
+        for name, defect in ALL_DEFECTS.items():
             with self.subTest(defect=name):
                 with defect.plant():
                     try:
@@ -31,6 +34,6 @@
                 self.assertIn(defect.rule, broken)
 
     def test_the_product_passes_the_same_scenarios(self) -> None:
-        for scenario, seed in sorted({(d.scenario, d.seed) for d in DEFECTS.values()}, key=str):
+        for scenario, seed in sorted({(d.scenario, d.seed) for d in ALL_DEFECTS.values()}, key=str):
             with self.subTest(scenario=scenario.__name__):
                 self.assertEqual(scenario(seed), [])
