--- a/src/bendshed/placement/cold_grants.py
+++ b/src/bendshed/placement/cold_grants.py
@@ -34,7 +34,7 @@
 """Longest time for which a leader that was replaced may still grant."""
 ESTABLISHED_S = 2.0
 ESTABLISHED_SHARE = 0.5
-NEW_SHARE = 0.25
+NEW_LEADER_SHARE = 0.25
 LOOK_GAP_S = 0.25
 """A process that has not run for so long may have been replaced meanwhile: an election begins
 after 0.25 s without a word of the leader."""
@@ -71,7 +71,7 @@
         """Part of the bound that may be granted now."""
         if self.since_s is None or now_s - self._looked_s > LOOK_GAP_S:
             return 0.0
-        return ESTABLISHED_SHARE if now_s - self.since_s >= ESTABLISHED_S else NEW_SHARE
+        return ESTABLISHED_SHARE if now_s - self.since_s >= ESTABLISHED_S else NEW_LEADER_SHARE
 
 
 @dataclass(slots=True)
@@ -109,7 +109,9 @@
 
     def grant(self, runner_id: str, now_s: float) -> None:
         """Count one sending."""
-        self._granted.setdefault(runner_id, SlidingCount()).add(_ms(now_s))
+        held = self._granted.setdefault(runner_id, SlidingCount())
+        held.forget_before(_oldest_ms(now_s))
+        held.add(_ms(now_s))
 
     def wait_ms(self, runner_id: str, cold_per_s: float, is_new_program: bool, now_s: float) -> int:
         """Time until there is room at a runner for one sending more."""
@@ -124,10 +126,15 @@
 
     def sweep(self, now_s: float) -> None:
         """Forget what no window holds any more."""
-        oldest_ms = _ms(now_s) - WINDOW_MS - SPAN_MS
+        oldest_ms = _oldest_ms(now_s)
         for runner_id in [r for r, held in self._granted.items() if held.forget_before(oldest_ms)]:
             del self._granted[runner_id]
 
 
 def _ms(now_s: float) -> int:
     return int(1000 * now_s)
+
+
+def _oldest_ms(now_s: float) -> int:
+    """Begin of the oldest span that a window may still hold."""
+    return _ms(now_s) - WINDOW_MS - SPAN_MS
--- a/src/bendshed/services/cold_runners.py
+++ b/src/bendshed/services/cold_runners.py
@@ -77,9 +77,14 @@
 
     # --- what is asked ---------------------------------------------------------------------
 
+    @property
+    def has_cold(self) -> bool:
+        """Whether any runner may be cold: the first question, since mostly none is."""
+        return bool(self._state.cold)
+
     def is_cold(self, runner_id: str) -> bool:
         """Whether a runner gets a bounded rate now."""
-        if not self._state.cold:
+        if not self.has_cold:
             return False
         now_s = self.clock()
         for warm in self._state.take_warm(now_s):
@@ -89,7 +94,7 @@
 
     def only_warm(self, records: "Sequence[RunnerRecord]") -> "Sequence[RunnerRecord]":
         """Those of some runners that get work without leave."""
-        if not self._state.cold:
+        if not self.has_cold:
             return records
         return [record for record in records if not self.is_cold(record.listed.runner_id)]
 
@@ -104,4 +109,4 @@
     @property
     def num_cold(self) -> int:
         """Cold runners that are listed, of services with a bound."""
-        return self._state.num_cold(self.clock()) if self._state.cold else 0
+        return self._state.num_cold(self.clock()) if self.has_cold else 0
--- a/src/bendshed/services/runner_asks.py
+++ b/src/bendshed/services/runner_asks.py
@@ -18,6 +18,9 @@
 ASK_TIMEOUT_S = 0.25
 """A request that only a cold runner can take waits this long for the leader. A change of leaders
 takes longer; the request is refused at once then, since its client can come back."""
+LOST_ASK_TIMEOUT_S = 0.1
+"""The same while the turn log did not answer this node last: an answer takes some ms, through
+another node up to 0.08 s, and somebody must find out that the leader is back."""
 
 log = PartLog("cold")
 
@@ -104,7 +107,9 @@
             demand=demand,
             is_new_program=request.turn is None and not request.program_id,
         )
-        timeout_s = min(ASK_TIMEOUT_S, demand.left_ms / 1000)
+        is_lost = self._client.lost_since_s is not None
+        timeout_s = LOST_ASK_TIMEOUT_S if is_lost else ASK_TIMEOUT_S
+        timeout_s = min(timeout_s, demand.left_ms / 1000)
         reply = await self._client.place(ask, timeout_s)
         log.say(
             "asked for a runner",
--- a/src/bendshed/turns/cold.py
+++ b/src/bendshed/turns/cold.py
@@ -88,7 +88,13 @@
         self._returns = {is_new: ReturnTimes() for is_new in (True, False)}
 
     def openings(self, runners: Sequence[ServiceRunner], ask: ColdAsk, now_s: float) -> Openings:
-        """Leave out the cold runners that have got what they bear."""
+        """Leave out the cold runners that have got what they bear.
+
+        Whoever asks again for the same request is judged anew.
+        """
+        self._refused.pop(ask.request_id, None)
+        if not self.tracker.has_cold:
+            return Openings(runners)
         cold = [runner for runner in runners if self.tracker.is_cold(runner.runner_id)]
         if not cold:
             return Openings(runners)
--- a/src/bendshed/turns/service.py
+++ b/src/bendshed/turns/service.py
@@ -175,7 +175,8 @@
         if may_run and preview.demand.service:
             ran_at = state.runner_of(begin.tenant, begin.program_id)
             is_new = not state.is_under_way(begin)
-            now_s = self._look()
+            has_cold = self._advice.cold.tracker.has_cold
+            now_s = self._look() if has_cold else asyncio.get_running_loop().time()
             placement = self._advice.advise(preview, ran_at, is_new, now_s)
             if placement.retry_after_ms:
                 return _no_room(placement.retry_after_ms).SerializeToString()
--- a/tests/test_cold_runners.py
+++ b/tests/test_cold_runners.py
@@ -204,6 +204,12 @@
         self.assertEqual(reign.grants.num_granted("r", 3.0), before)
         self.assertLessEqual(reign.grants.room("r", COLD_PER_S, False, 3.05), 0)
 
+    def test_grants_take_bounded_memory(self) -> None:
+        grants = ColdGrants(TERMS)
+        for number in range(10_000):
+            grants.grant("r", number / 100)
+        self.assertLess(len(grants._granted["r"].spans), 30)
+
     def test_what_no_window_holds_is_forgotten(self) -> None:
         grants = ColdGrants(TERMS)
         grants.grant("r", 1.0)
--- a/tests/test_cold_sendings.py
+++ b/tests/test_cold_sendings.py
@@ -15,7 +15,7 @@
     write_reply,
 )
 from bendshed.catalog.state import Catalog, KnownRunner
-from bendshed.errors import ErrorKind, Refusal
+from bendshed.errors import ErrorKind, Refusal, WasRun
 from bendshed.placement.cold import ColdTerms
 from bendshed.ports.http_messages import ClientRequest, ConnectFailed, ResponseHead
 from bendshed.ports.runner import RunnerProtocol, Sending, ServiceRequest, Verdict
@@ -33,8 +33,10 @@
 from bendshed.services.runner_asks import Permit, RunnerAsks
 from bendshed.services.runners import RunnerState, RunnerTable, ServiceRunner
 from bendshed.turns.advice import TurnAdvice
+from bendshed.turns.client import TurnClient
 from bendshed.turns.cold import ColdPermits
 from bendshed.turns.metrics import TurnLogMetrics
+from bendshed.turns.state import TurnLogState
 from bendshed.wire import turns_pb2 as wire
 from tests.site_cold_defects import LONG_S, cool_all, flood
 from tests.site_defects import world
@@ -226,6 +228,15 @@
         self.pass_time(3.0)
         self.assertEqual(cold.refused_for_ms(refused, self.clock.now_s), 0)
 
+    def test_a_turn_that_comes_again_is_judged_anew(self) -> None:
+        while not self.preview(is_new=False).retry_after_ms:
+            pass
+        self.num_turns -= 1
+        self.catalog.put_runner(KnownRunner(runner("a"), 2))
+        self.assertEqual(self.preview(is_new=False).runner_id, "a")
+        refused = self.advice.cold.refused_for_ms(f"t{self.num_turns}", self.clock.now_s)
+        self.assertEqual(refused, 0)
+
     def test_a_leader_that_hears_no_majority_permits_nothing(self) -> None:
         self.advice.cold.grants.touch.look(1, False, self.clock.now_s)
         self.assertFalse(self.preview(is_new=False).permit_ms)
@@ -295,6 +306,65 @@
 VALID = TimedLeave(float("inf"))
 
 
+class FakeClient(TurnClient):
+    """Answers each question alike, after it took note."""
+
+    def __init__(self, reply: wire.TurnReply | None) -> None:
+        self.lost_since_s = None
+        self.reply = reply
+        self.asks: list[wire.RunnerAsk] = []
+
+    @property
+    def is_isolated(self) -> bool:
+        return False
+
+    async def place(self, ask: wire.RunnerAsk, timeout_s: float) -> wire.TurnReply | None:
+        self.asks.append(ask)
+        return self.reply
+
+
+def call(program_id: str = "") -> ServiceRequest:
+    return ServiceRequest("r1", b"POST", b"/", "h", "/", [], b"", None, program_id, "", "", None, 0)
+
+
+class AsksTest(unittest.IsolatedAsyncioTestCase):
+    async def ask(self, reply: wire.TurnReply | None, program_id: str = "") -> Permit | Refusal:
+        self.client = FakeClient(reply)
+        asks = RunnerAsks(self.client, ServiceMetrics(CollectorRegistry()))
+        return await asks.ask(call(program_id), wire.TurnDemand(service="s", left_ms=2_000))
+
+    async def test_leave_runs_from_the_question(self) -> None:
+        asked_s = asyncio.get_running_loop().time()
+        permit = await self.ask(wire.TurnReply(runner_id="a", permit_ms=250))
+        assert isinstance(permit, Permit)
+        self.assertEqual(permit.runner_id, "a")
+        answered_s = asyncio.get_running_loop().time()
+        self.assertTrue(asked_s + 0.25 <= permit.leave.until_s <= answered_s + 0.25)
+
+    async def test_no_room_tells_when_to_come_back(self) -> None:
+        no_room = wire.TurnReply(answer=wire.TURN_ANSWER_NO_ROOM, retry_after_ms=400)
+        refusal = await self.ask(no_room)
+        assert isinstance(refusal, Refusal)
+        self.assertEqual((refusal.kind, refusal.retry_after_s), (ErrorKind.NO_ROOM, 0.4))
+        self.assertEqual(refusal.answer.ran, WasRun.NO)
+
+    async def test_nobody_answers(self) -> None:
+        refusal = await self.ask(None)
+        assert isinstance(refusal, Refusal)
+        self.assertIs(refusal.kind, ErrorKind.TURN_LOG_UNAVAILABLE)
+
+    async def test_the_leader_knows_no_runner(self) -> None:
+        refusal = await self.ask(wire.TurnReply())
+        assert isinstance(refusal, Refusal)
+        self.assertIs(refusal.kind, ErrorKind.NO_RUNNER)
+
+    async def test_only_a_request_of_no_program_is_a_new_one(self) -> None:
+        await self.ask(None)
+        self.assertTrue(self.client.asks[0].is_new_program)
+        await self.ask(None, "p1")
+        self.assertFalse(self.client.asks[0].is_new_program)
+
+
 class SendingTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         loop = asyncio.get_running_loop()
@@ -444,6 +514,27 @@
                 self.assertLess(shares[True], 0.35)
                 self.assertEqual(site.settle(), [])
 
+    def test_a_program_that_was_refused_stays_a_new_one(self) -> None:
+        with world(4) as site:
+            flood(site, 10)  # every front learns who leads
+            site.run_for(6.0)
+            cool_all(site, LONG_S)
+            site.run_for(0.5)
+            flood(site, 60)
+            site.run_for(1.0)
+            leader = site.leader()
+            assert leader is not None and leader.replica is not None
+            state = leader.replica.host.groups[0].state
+            assert isinstance(state, TurnLogState)
+            begun = {program_id for _, program_id in state.programs}
+            refused = {
+                program.program_id
+                for program in site.programs[10:]
+                if program.statuses and set(program.statuses) == {503}
+            }
+            self.assertGreater(len(refused), 20)
+            self.assertEqual(begun & refused, set())
+
     def test_all_runners_are_replaced_at_once(self) -> None:
         with world(5) as site:
             flood(site, 10, tools=2)
--- a/tests/test_load_board.py
+++ b/tests/test_load_board.py
@@ -26,6 +26,33 @@
     return ServiceRunner(name, "s", Address("10.0.0.1", 80), zone, SLOTS, RunnerState.READY)
 
 
+class ColdCostTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.board = LoadBoard(random.Random(1))
+        self.num_turns = 0
+
+    def place(self, ran_at: str = "") -> str:
+        self.num_turns += 1
+        name = f"turn-{self.num_turns}"
+        parts = (PromptPart("shared", 500), PromptPart(name, 300))
+        demand = Demand(name, name, parts, 80, LONG_S, zone="z", ran_at=ran_at)
+        pool = [runner("warm"), runner("cold")]
+        advice = self.board.advise(demand, pool, CAPACITY, 0.0, cold={"cold"})
+        assert advice is not None
+        return advice.runner_id
+
+    def test_a_cold_runner_is_filled_when_the_warm_one_is_loaded(self) -> None:
+        chosen = [self.place() for _ in range(20)]
+        self.assertEqual(chosen[:5], ["warm"] * 5)
+        self.assertIn("cold", chosen)
+        self.assertGreater(chosen.count("warm"), chosen.count("cold"))
+
+    def test_first_turns_come_to_it_sooner_than_those_with_a_history(self) -> None:
+        before = [self.place(ran_at="warm") for _ in range(12)].count("warm")
+        self.board = LoadBoard(random.Random(1))
+        self.assertLess([self.place() for _ in range(12)].count("warm"), before)
+
+
 class LoadBoardTest(unittest.TestCase):
     def setUp(self) -> None:
         self.board = LoadBoard(random.Random(1))
