Cold runners: a bounded rate over all nodes

Joined with closed zones and the turn log in groups: each group's leader has its part of the bound, a zone that is opened again makes its runners cold, and leave for a cold runner holds only where zones and regions let the request go.

--- a/src/bendshed/catalog/codec.py
+++ b/src/bendshed/catalog/codec.py
@@ -57,7 +57,10 @@
         reply.has_runners = True
         reply.since = changes.since
         reply.runners_at = changes.at
-        reply.runners.extend(_write_runner(known) for known in changes.runners)
+        reply.runners.extend(
+            _write_runner(known, catalog.cold.left_ms(known.runner.runner_id))
+            for known in changes.runners
+        )
         reply.removed.extend(_write_removal(gone) for gone in changes.removed)
     return reply
 
@@ -123,7 +126,7 @@
     return ZoneWord(zones, {row.zone: row.ago_ms / 1000 for row in reply.reopened})
 
 
-def _write_runner(known: KnownRunner) -> wire.CatalogRunner:
+def _write_runner(known: KnownRunner, cold_left_ms: int) -> wire.CatalogRunner:
     runner = known.runner
     return wire.CatalogRunner(
         runner_id=runner.runner_id,
@@ -133,6 +136,7 @@
         slots=runner.slots,
         is_draining=runner.state is RunnerState.DRAINING,
         revision=known.revision,
+        cold_left_ms=cold_left_ms,
     )
 
 
@@ -140,7 +144,13 @@
     """Translate a runner from the wire."""
     state = RunnerState.DRAINING if row.is_draining else RunnerState.READY
     runner = ServiceRunner(
-        row.runner_id, row.service, read_peer(row.address), row.zone, row.slots, state
+        row.runner_id,
+        row.service,
+        read_peer(row.address),
+        row.zone,
+        row.slots,
+        state,
+        row.cold_left_ms,
     )
     return KnownRunner(runner, row.revision)
 
--- a/src/bendshed/catalog/server.py
+++ b/src/bendshed/catalog/server.py
@@ -105,7 +105,10 @@
 
     def start(self) -> None:
         """Begin to answer, with what the disk held."""
-        self._forgets_kept_at_s = asyncio.get_running_loop().time() + KEPT_FRONTS_S
+        loop = asyncio.get_running_loop()
+        self._forgets_kept_at_s = loop.time() + KEPT_FRONTS_S
+        self.catalog.begin_life(loop.time)
+        self.zones.on_zone_opened.append(self.catalog.cold.reopen)
         self.take_zones(self._kept.zones)
         for node in self._kept.replicas:
             self._directory.put(node)
--- a/src/bendshed/platform/replica.py
+++ b/src/bendshed/platform/replica.py
@@ -64,6 +64,7 @@
             settings.bounds.quota_terms,
             settings.turn_groups,
             settings.places,
+            settings.bounds.cold_terms,
         )
         confirm = self._node.catalog.confirm
         self._runners = self._watcher(
--- a/src/bendshed/rehearsal/site/fuzz.py
+++ b/src/bendshed/rehearsal/site/fuzz.py
@@ -20,6 +20,8 @@
 """Two voters outlive the loss of one disk, but not one's going for good without a word: the other
 cannot tell that from a cut. So the last two are neither emptied nor replaced."""
 
+MAX_COLD_S = 6.0
+
 
 class Action(StrEnum):
     """Kinds of steps."""
@@ -66,6 +68,8 @@
     SLOW_RUNNER = "slow runner"
     REPLACE_RUNNER = "runner dies and is replaced"
     RUNNER_LEAVES = "runner leaves"
+    COOL_RUNNER = "runner turns cold again"
+    COOL_SERVICE = "all runners turn cold"
     CONFIGURATION = "configuration changes"
     PLANNED_STOP = "planned stop of a front"
     CLOSE_ZONE = "operators close a zone"
@@ -131,6 +135,8 @@
             Action.SLOW_RUNNER: self._slow_runner,
             Action.REPLACE_RUNNER: self._replace_runner,
             Action.RUNNER_LEAVES: self._runner_leaves,
+            Action.COOL_RUNNER: lambda s: self._cool([self._runner(s).runner_id], s.amount),
+            Action.COOL_SERVICE: lambda s: self._cool(list(world.listed), s.amount),
             Action.CONFIGURATION: lambda _s: self._configuration(),
             Action.PLANNED_STOP: lambda s: world.planned_stop(_pick(world.fronts, s.which)),
             Action.CLOSE_ZONE: lambda s: world.close_zone(RUNNER_ZONES[s.which % 2]),
@@ -411,6 +417,10 @@
         if len(others) > 1:
             self.world.drain_runner(runner.runner_id)
 
+    def _cool(self, names: list[str], amount: float) -> None:
+        for name in names:
+            self.world.cool_runner(name, MAX_COLD_S * amount)
+
     def _configuration(self) -> None:
         self.world.count("configuration")
         self.world.publish()
--- a/src/bendshed/rehearsal/site/oracle.py
+++ b/src/bendshed/rehearsal/site/oracle.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 from itertools import pairwise
 
+from bendshed.rehearsal.site.cold import overfull_seconds
 from bendshed.rehearsal.site.documents import NARROW, QUOTA_TERMS, narrow_most
 from bendshed.rehearsal.site.records import Kind, SiteRecords, SiteRequest
 from bendshed.rehearsal.site.runner import EVENT_TOKENS, event_bytes, plain_answer, stream_output
@@ -37,6 +38,7 @@
     ZONE = "the turn log is led again soon after a zone is lost"
     QUOTA = "no window holds more of a tenant's requests than it may have"
     CLOSED = "a closed zone gets nothing new"
+    COLD = "a cold runner gets no more in a second than it bears"
 
 
 @dataclass(frozen=True, slots=True)
@@ -225,6 +227,12 @@
         yield Violation(Rule.CLOSED, detail)
 
 
+def check_cold(seen: SiteRecords) -> Iterable[Violation]:
+    """Over all fronts, in every sliding second that lies within a cold time."""
+    for runner_id, begin_s, count in overfull_seconds(seen.cold_spells, seen.sendings):
+        yield Violation(Rule.COLD, f"{runner_id} got {count} in the second from {begin_s:.2f} s")
+
+
 CHECKS = (
     check_once,
     check_refusals,
@@ -240,6 +248,7 @@
     check_access,
     check_quotas,
     check_closed_zones,
+    check_cold,
 )
 
 
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -23,23 +23,27 @@
 from bendshed.ports.transport import Address, Transport
 from bendshed.programs.client import GroupClient
 from bendshed.services.attempts import RunnerPorts
+from bendshed.services.cold_runners import ColdTracker
 from bendshed.services.document import ServiceDocument
 from bendshed.services.forwarder import Forwarder
 from bendshed.services.homes import unknown_regions
 from bendshed.services.metrics import ServiceMetrics
 from bendshed.services.quotas import NodeQuotas
 from bendshed.services.routing import RouteIndex
+from bendshed.services.runner_asks import RunnerAsks
 from bendshed.services.runners import RunnerTable, RunnerView, ServiceRunner
 from bendshed.services.turn_record import TurnPorts
 from bendshed.turns.client import TranscriptCache, TurnClient
-from bendshed.turns.service import PREVIEW_METHOD, QUOTA_METHOD, TURN_METHOD
+from bendshed.turns.service import PREVIEW_METHOD, QUOTA_METHOD, RUNNER_METHOD, TURN_METHOD
 from bendshed.turns.whereabouts import TurnWhereabouts
 
 TRANSCRIPT_BYTES = 16 * 1024 * 1024
 TURNS_LOST_S = 1.5
 """A node that no replica of the turn log answered for this long sends its clients elsewhere."""
 PROBE_INTERVAL_S = 0.4
-RELAYED_METHODS = frozenset({TURN_METHOD, PREVIEW_METHOD, QUOTA_METHOD, CATALOG_METHOD})
+RELAYED_METHODS = frozenset(
+    {TURN_METHOD, PREVIEW_METHOD, QUOTA_METHOD, RUNNER_METHOD, CATALOG_METHOD}
+)
 """Requests that may be repeated without harm, so that they may go through another node."""
 
 log = PartLog("node")
@@ -93,7 +97,8 @@
         self._policy = policy
         self.zones = ZoneKeeper(place.places)
         self._places = place.places
-        self._table = RunnerTable(filter=self.zones.filter)
+        self._table = RunnerTable(filter=self.zones.filter, cold=ColdTracker(clock=_loop_time))
+        self.zones.on_zone_opened.append(self._table.cold.reopen)
         self._pool = connections
         self._requests = RelayedRequests(transport, rng, self._other_nodes, RELAYED_METHODS)
         self.catalog = CatalogFollower(
@@ -131,6 +136,7 @@
             rng,
             metrics,
             policy,
+            RunnerAsks(client, metrics),
         )
         self.forwarder = Forwarder(runners, self._turns)
         self._add_gauges(metrics)
@@ -159,6 +165,8 @@
         runners = metrics.labelled_gauge("bendshed_runners", "Runners by state", "state")
         for state in RunnerView:
             runners.labels(state.value).set_function(partial(self._table.count, state))
+        cold = metrics.gauge("bendshed_cold_runners", "Listed runners that are cold")
+        cold.set_function(lambda: float(self._table.cold.num_cold))
 
     def _version(self) -> float:
         index = self.forwarder.index
@@ -192,6 +200,7 @@
         if before is not None and document.version <= before:
             return False
         self.forwarder.index = RouteIndex(document)
+        self._table.cold.take_document(document)
         self.catalog.version = document.version
         log.say(
             "puts a configuration in force",
@@ -280,3 +289,8 @@
     def confirm_all(self, age_s: float, _runners_at: int) -> None:
         """A node tells nobody else, but its metrics."""
         self._node.zones.confirm(age_s)
+
+
+def _loop_time() -> float:
+    """Steady time of the running loop."""
+    return asyncio.get_running_loop().time()
--- a/src/bendshed/turns/node.py
+++ b/src/bendshed/turns/node.py
@@ -15,6 +15,7 @@
 from bendshed.consensus.raft_types import Role
 from bendshed.consensus.supervisor import ReplicaSupervisor
 from bendshed.logs import PartLog
+from bendshed.placement.cold import ColdTerms
 from bendshed.placement.groups import ONE_GROUP, TurnGroups
 from bendshed.placement.places import Places
 from bendshed.placement.zones import ZoneWord
@@ -26,6 +27,7 @@
 from bendshed.quotas.limits import EXACT, QuotaTerms
 from bendshed.tasks import start_loop
 from bendshed.turns.advice import TurnAdvice
+from bendshed.turns.cold import ColdPermits
 from bendshed.turns.group_peers import GroupPeers
 from bendshed.turns.load_exchange import LoadExchange
 from bendshed.turns.metrics import TurnLogMetrics
@@ -70,6 +72,7 @@
         quota_terms: QuotaTerms = EXACT,
         groups: TurnGroups = ONE_GROUP,
         places: Places | None = None,
+        cold_terms: ColdTerms | None = None,
     ) -> None:
         self.directory = ReplicaDirectory()
         self._groups = groups
@@ -119,13 +122,15 @@
             policy.shared_reading and policy.replicas_follow,
             is_replica=True,
         )
-        self._advice = TurnAdvice(self.catalog.catalog, rng)
+        known = self.catalog.catalog
+        cold = ColdPermits(known.cold, cold_terms or ColdTerms(), metrics, groups.count)
+        self._advice = TurnAdvice(known, cold, rng)
         self._service = TurnService(
             self.host,
             transport,
             metrics,
             self._advice,
-            lambda: TurnQuotas(self.catalog.catalog, quota_terms, policy.programs_first),
+            lambda: TurnQuotas(known, quota_terms, policy.programs_first),
             groups,
             peers.command,
         )
@@ -163,6 +168,8 @@
         shares.set_function(lambda: float(self._service.shares.num_taken))
         running = metrics.gauge("bendshed_turns_placed", "Turns under way that were advised here")
         running.set_function(lambda: float(self._advice.board.num_running))
+        cold = metrics.gauge("bendshed_cold_runners", "Listed runners that are cold")
+        cold.set_function(lambda: float(self.catalog.catalog.cold.num_cold))
 
     def _read_group(self, read: Callable[[HostedGroup], float], number: int) -> float:
         """Read a group of the turn log; 0 where this process holds no replica of it."""
@@ -210,6 +217,7 @@
             start_loop(self.catalog.keep(), "catalog"),
             start_loop(self.follower.run(), "catalog"),
             start_loop(self._loads.run(), "loads"),
+            start_loop(self._service.follow_lead(), "turns"),
         ]
         log.say("started", node=self.host.node_id)
 
--- a/src/bendshed/turns/service.py
+++ b/src/bendshed/turns/service.py
@@ -13,11 +13,13 @@
 from bendshed.turns.metrics import CommandEnd, TurnLogMetrics
 from bendshed.turns.quotas import TurnQuotas
 from bendshed.turns.shares import ShareGatherer
+from bendshed.turns.state import TurnLogState
 from bendshed.wire import turns_pb2 as wire
 
 TURN_METHOD = "turns.command"
 PREVIEW_METHOD = "turns.preview"
 QUOTA_METHOD = "turns.quota"
+RUNNER_METHOD = "turns.runner"
 TURN_GROUP = 0
 """The first group of the turn log: the only one where operators declare no regions."""
 SHARE_TIMEOUT_S = 0.25
@@ -28,8 +30,13 @@
     wire.TURN_ANSWER_CLOSED,
     wire.TURN_ANSWER_QUOTA_EXCEEDED,
     wire.TURN_ANSWER_OTHER_GROUP,
+    wire.TURN_ANSWER_NO_ROOM,
 )
 """Answers to a begin after which the turn is sent to no runner, and no end is told."""
+TERMS_OF_A_GROUP = 1 << 48
+"""More than any group has: tells a term of one group from that of another."""
+LOOK_S = 0.1
+"""A leader looks so often whether it leads without a doubt (``placement/cold_grants.py``)."""
 
 AskGroup = Callable[[wire.TurnCommand, float], Awaitable[wire.TurnReply | None]]
 """Commits a command in its group at another process; ``None``: no leader answered in time."""
@@ -73,6 +80,7 @@
         self._transport.handlers[TURN_METHOD] = self.answer
         self._transport.handlers[PREVIEW_METHOD] = self.preview
         self._transport.handlers[QUOTA_METHOD] = self.admit_call
+        self._transport.handlers[RUNNER_METHOD] = self.place
 
     def _group(self, number: int) -> LedGroup:
         """A group; raise ``NotLeader`` for one that this process does not know."""
@@ -111,9 +119,12 @@
         ``BUDGET_SPENT`` is told only when no other group holds anything more.
         """
         group = self._group(command.group)
-        reply = await group.commit(command)
         if not command.HasField("begin"):
-            return reply
+            return await group.commit(command)
+        refusal = self._refused_by_preview(command.begin, group.led()[0])
+        if refusal is not None:
+            return refusal
+        reply = await group.commit(command)
         if _must_gather(command, reply):
             has_all = await self.shares.gather(command.group, command.begin)
             reply = await group.commit(command)
@@ -178,10 +189,60 @@
             return refusal.SerializeToString()
         if may_run and preview.demand.service:
             ran_at = state.runner_of(begin.tenant, begin.program_id)
-            now_s = asyncio.get_running_loop().time()
-            reply.runner_id = self._advice.advise(preview, ran_at, now_s)
+            is_new = not state.is_under_way(begin)
+            has_cold = self._advice.cold.tracker.has_cold
+            now_s = self._look() if has_cold else asyncio.get_running_loop().time()
+            placement = self._advice.advise(preview, ran_at, is_new, now_s)
+            if placement.retry_after_ms:
+                return _no_room(placement.retry_after_ms).SerializeToString()
+            reply.runner_id, reply.permit_ms = placement.runner_id, placement.permit_ms
         return reply.SerializeToString()
 
+    async def place(self, payload: bytes) -> bytes:
+        """Permit one sending that has no preview, or tell when there is room."""
+        asked = wire.RunnerAsk.FromString(payload)
+        try:
+            self._group(asked.group).led()
+            placement = self._advice.place(asked, self._look())
+            reply = wire.TurnReply(answer=wire.TURN_ANSWER_GRANTED)
+            reply.runner_id, reply.permit_ms = placement.runner_id, placement.permit_ms
+            if placement.retry_after_ms:
+                reply = _no_room(placement.retry_after_ms)
+        except NotLeader as error:
+            reply = wire.TurnReply(answer=wire.TURN_ANSWER_NOT_LEADER, leader_id=error.leader_id)
+        return reply.SerializeToString()
+
+    def _refused_by_preview(
+        self, begin: wire.BeginTurn, state: TurnLogState
+    ) -> wire.TurnReply | None:
+        """A preview's refusal holds for the begin beside it: its program stays a new one."""
+        now_s = asyncio.get_running_loop().time()
+        retry_ms = self._advice.cold.refused_for_ms(begin.turn_id, now_s)
+        if not retry_ms or state.is_reserved(begin):
+            return None
+        return _no_room(retry_ms)
+
+    async def follow_lead(self) -> None:
+        """Look again and again whether this process leads without a doubt."""
+        while True:
+            self._look()
+            await asyncio.sleep(LOOK_S)
+
+    def _look(self) -> float:
+        """Look whether this process leads without a doubt; return the loop's time.
+
+        One that leads several groups counts all that it grants in one window, so the term of the
+        first of them tells enough: another one counts as a new leader's, which grants less.
+        """
+        now_s = asyncio.get_running_loop().time()
+        terms = [
+            number * TERMS_OF_A_GROUP + group.replica.term
+            for number, group in self._host.groups.items()
+            if group.replica.is_ready_leader and group.replica.hears_majority
+        ]
+        self._advice.cold.grants.touch.look(min(terms, default=0), bool(terms), now_s)
+        return now_s
+
     def _take_report(self, command: wire.TurnCommand) -> None:
         """What a turn's end tells of runners is this process's alone: take it off the command."""
         if not command.HasField("report"):
@@ -200,3 +261,8 @@
     """Whether a begin was answered that this very group must take the others' shares."""
     is_elsewhere = reply.answer == wire.TURN_ANSWER_OTHER_GROUP
     return is_elsewhere and reply.owner_group == command.group
+
+
+def _no_room(retry_after_ms: int) -> wire.TurnReply:
+    """No runner may take it now."""
+    return wire.TurnReply(answer=wire.TURN_ANSWER_NO_ROOM, retry_after_ms=retry_after_ms)
--- a/tests/test_site_rules.py
+++ b/tests/test_site_rules.py
@@ -4,11 +4,14 @@
 import unittest
 
 from bendshed.rehearsal.site.oracle import Rule, Violation
+from tests.site_cold_defects import COLD_DEFECTS
 from tests.site_defects import DEFECTS, Defect
 from tests.site_zone_defects import ZONE_DEFECTS
 
 ALL_DEFECTS = {**DEFECTS, **ZONE_DEFECTS}
 
+ALL_DEFECTS = {**DEFECTS, **COLD_DEFECTS}
+
 
 def play(defect: Defect) -> list[Violation]:
     return defect.scenario(defect.seed)
