--- a/src/bendshed/consensus/host.py
+++ b/src/bendshed/consensus/host.py
@@ -16,6 +16,7 @@
 from bendshed.consensus import raft_types as raft
 from bendshed.consensus.election_timer import WITHIN_A_REGION, StandingOrder
 from bendshed.consensus.raft import RaftReplica
+from bendshed.consensus.stall import StallWatch
 from bendshed.logs import PartLog
 from bendshed.ports.log_storage import GroupWrite, LogStorage, StorageFailed, StoredGroup
 from bendshed.ports.transport import Address, Transport
@@ -98,6 +99,7 @@
         self.on_role_changed: Callable[[int, raft.RoleChanged], None] = lambda _group, _change: None
         self.on_foreign_message: Callable[[str], None] = lambda _sender: None
         self.commits = 0
+        self.stalls = StallWatch()
         self._storage = storage
         self._transport = transport
         self._rng = rng
@@ -217,8 +219,11 @@
     # --- events --------------------------------------------------------------------------
 
     async def _tick_forever(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
+            due_s = loop.time() + self._tick_s
             await asyncio.sleep(self._tick_s)
+            self.stalls.note_tick(loop.time() - due_s)
             for group in list(self.groups.values()):
                 self._perform(group, group.replica.tick())
                 self._compact_if_long(group)
@@ -320,7 +325,9 @@
             messages, self._after_writes = self._after_writes, []
             if writes:
                 self._writing = True
+                self.stalls.begin_sync(asyncio.get_running_loop().time())
                 await self._commit_until_done(writes)
+                self.stalls.end_sync()
                 self._writing = False
                 self.commits += 1
                 self._durable.set()
--- a/src/bendshed/consensus/supervisor.py
+++ b/src/bendshed/consensus/supervisor.py
@@ -24,8 +24,11 @@
 long each further time."""
 MAX_REJECTED_S = 60.0
 MAX_LEARNER_LAG = 100
-HOME_RETRY_S = 2.0
-"""A leader away from home asks a voter there to take over this often."""
+HOME_WATCH_S = 0.5
+"""A voter at home must hold what was committed this long ago to be handed the lead."""
+
+HAND_ON_AGAIN_S = 5.0
+"""A machine that stalls gives its groups away at most this often: others may be no better."""
 
 log = PartLog("supervisor")
 
@@ -66,7 +69,8 @@
         self._reporter = RetirementReporter(host, registry, directory, groups, ask_emptied)
         self._rejected_until_s: dict[str, float] = {}
         self._num_rejected: dict[str, int] = {}
-        self._home_asked_s: dict[int, float] = {}
+        self._away_since: dict[int, tuple[float, int, int]] = {}
+        self._handed_on_s = float("-inf")
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -105,11 +109,23 @@
     async def _supervise(self) -> None:
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
+            self._hand_on_when_stalled()
             for group_id, group in list(self._host.groups.items()):
                 group.replica.lost = frozenset(self._directory.wiped)
                 if group.replica.is_ready_leader:
                     self._supervise_group(group_id, group)
 
+    def _hand_on_when_stalled(self) -> None:
+        """While this machine's disk or loop stalls, others lead."""
+        now_s = asyncio.get_running_loop().time()
+        stall = self._host.stalls.stall(now_s)
+        led = self._host.led_groups()
+        if stall is None or not led or now_s < self._handed_on_s + HAND_ON_AGAIN_S:
+            return
+        self._handed_on_s = now_s
+        log.say("stalls and lets others lead", reason=stall.value, groups=led)
+        self._host.hand_over_all()
+
     def _supervise_group(self, group_id: int, group: HostedGroup) -> None:
         """Hand over where another should lead, else change the members if need be."""
         voters = group.replica.membership.voters
@@ -123,19 +139,20 @@
             self._change_membership(group_id, group)
 
     def _lead_from_home(self, group_id: int, group: HostedGroup, staying: list[str]) -> None:
-        """A leader away from home lets a caught-up voter there lead."""
+        """A leader away from home lets a voter there lead that has kept up with it for a moment."""
         places = self._places(group_id)
         if places.is_home(self.me.node_id):
+            self._away_since.pop(group_id, None)
             return
-        now_s = asyncio.get_running_loop().time()
-        if now_s < self._home_asked_s.get(group_id, float("-inf")) + HOME_RETRY_S:
+        now_s, replica = asyncio.get_running_loop().time(), group.replica
+        here = (now_s, replica.term, replica.commit_index)
+        since_s, term, index = self._away_since.setdefault(group_id, here)
+        if term == replica.term and now_s < since_s + HOME_WATCH_S:
             return
-        replica = group.replica
-        silent = replica.followers.silent(staying, SILENT_S / self._tick_s)
-        home = [node for node in staying if places.is_home(node) and node not in silent]
-        ready = replica.followers.caught_up(home, replica.last_index, MAX_LEARNER_LAG)
-        if ready:
-            self._home_asked_s[group_id] = now_s
+        self._away_since[group_id] = here
+        home = [node for node in staying if places.is_home(node)]
+        ready = [node for node in home if replica.followers[node].match_index >= index]
+        if term == replica.term and ready:
             log.say("lets a voter at home lead", group=group_id, voters=ready)
             self._host.hand_over(group_id, ready)
 
--- a/src/bendshed/operators/explanation.py
+++ b/src/bendshed/operators/explanation.py
@@ -34,6 +34,7 @@
         "consensus: the disk does not take a commit; it is tried again",
         "supervisor: changes the replicas",
         "supervisor: lets a voter at home lead",
+        "supervisor: stalls and lets others lead",
         "replicas: lost its disk",
         "logs: lines were dropped",
     }
--- a/tests/test_disk_stall.py
+++ b/tests/test_disk_stall.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from bendshed.consensus.stall import LATE_TICK_S, WATCHED_TICKS, Stall, StallWatch
 from bendshed.rehearsal.site.programs import ProgramPlan
 from bendshed.rehearsal.site.sim_world import SimMachine, SiteWorld
 
@@ -46,6 +47,23 @@
         self.stall(self.leader())
         self.assert_serves()
 
+    def test_a_stalled_leader_lets_another_lead(self) -> None:
+        before = self.leader()
+        self.stall(before)
+        self.world.start_program(ProgramPlan(turns=20, tools=0), budget_tokens=100_000)
+        self.world.run_for(1.5)
+        self.assertIsNot(self.leader(), before)
+        self.assert_serves()
+
+    def test_a_late_loop_is_told_from_a_single_late_tick(self) -> None:
+        watch = StallWatch()
+        for late_s in (0.0,) * 39 + (2.0,):
+            watch.note_tick(late_s)
+        self.assertIsNone(watch.stall(0.0))
+        for _ in range(WATCHED_TICKS):
+            watch.note_tick(LATE_TICK_S)
+        self.assertIs(watch.stall(0.0), Stall.LOOP)
+
     def test_a_stalled_follower_costs_nothing(self) -> None:
         self.stall(next(store for store in self.voters() if store is not self.leader()))
         self.assert_serves()
