--- a/src/bendshed/consensus/supervisor.py
+++ b/src/bendshed/consensus/supervisor.py
@@ -1,6 +1,7 @@
 """Replaces lost replicas, moves those that stand badly, empties retiring machines."""
 
 import asyncio
+from dataclasses import replace
 
 from bendshed.consensus.directory import HELLO_METHOD, ReplicaDirectory, from_wire, to_wire
 from bendshed.consensus.founding import GroupFounder
@@ -71,6 +72,7 @@
         self._num_rejected: dict[str, int] = {}
         self._away_since: dict[int, tuple[float, int, int]] = {}
         self._handed_on_s = float("-inf")
+        self._rested: dict[int, object] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -161,10 +163,18 @@
         return VoterPlaces(zone_of, self._groups.home_zones(group_id))
 
     def _change_membership(self, group_id: int, group: HostedGroup) -> None:
+        """Take the next step, if any; the plan is made anew only when what it rests on changed."""
         replica = group.replica
         facts = self._facts(group_id, group)
-        wanted = plan_membership(replica.membership, facts)
+        seen = (tuple(replica.membership.voters), tuple(replica.membership.learners), facts)
+        if self._rested.get(group_id) == seen:
+            return
+        places, weak = facts.places, {*facts.silent, *facts.retiring}
+        free, voters = facts.candidates, replica.membership.voters
+        ranked = rank_candidates(group_id, places, free, voters, weak)
+        wanted = plan_membership(replica.membership, replace(facts, candidates=ranked))
         if wanted is None:
+            self._rested[group_id] = seen
             return
         for node in set(replica.membership.learners) & set(facts.silent):
             self._reject(node)
@@ -189,6 +199,7 @@
         self._rejected_until_s[node] = asyncio.get_running_loop().time() + wait_s
 
     def _facts(self, group_id: int, group: HostedGroup) -> ReplicaFacts:
+        """What the plan rests on; candidates are not ranked yet."""
         replica = group.replica
         membership = replica.membership
         members = [*membership.voters, *membership.learners]
@@ -196,7 +207,6 @@
         retiring = self._directory.retiring_ids()
         places = self._places(group_id)
         free = self._free(places, members, retiring)
-        weak = silent | retiring
         caught_up = replica.followers.caught_up(
             membership.learners, replica.last_index, MAX_LEARNER_LAG
         )
@@ -208,7 +218,7 @@
             silent=silent,
             retiring=retiring,
             caught_up=caught_up,
-            candidates=rank_candidates(group_id, places, free, membership.voters, weak),
+            candidates=free,
             count=self._num_voters,
             places=places,
         )
--- a/src/bendshed/platform/settings.py
+++ b/src/bendshed/platform/settings.py
@@ -52,10 +52,11 @@
 
 
 class FaultTolerance(_Section, frozen=True):
-    """How many machines or zones may be lost at once."""
+    """How many machines, zones or regions may be lost at once."""
 
     machines: Tolerated = 1
     zones: Tolerated = 0
+    regions: Tolerated = 0
 
     @property
     def most(self) -> int:
@@ -124,8 +125,12 @@
 
     @property
     def turn_groups(self) -> TurnGroups:
-        """Groups of the turn log, the same at all nodes: only what all are told decides."""
-        return TurnGroups.of(Places(self.zones), self.policy.regional_groups)
+        """Groups of the turn log, the same at all nodes: only what all are told decides.
+
+        Where a region may be lost no group is at home in one: most of its voters would go too.
+        """
+        is_regional = self.policy.regional_groups and not self.faultTolerance.regions
+        return TurnGroups.of(Places(self.zones), is_regional)
 
     @property
     def apply_s(self) -> float:
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -72,6 +72,19 @@
         filled = template.read_text().replace("{{.|json}}", orjson.dumps(SETTINGS).decode())
         self.assertEqual(self.load(filled), self.load(yaml.safe_dump(SETTINGS)))
 
+    def test_a_group_of_the_turn_log_for_each_region(self) -> None:
+        zones = {"zones": {"a": "east", "b": "west"}}
+        for changes, homes in (
+            (zones, ("east", "west")),
+            ({"zones": {"a": "east", "b": "east"}}, ("",)),
+            ({}, ("",)),
+            ({**zones, "faultTolerance": {"regions": 1}}, ("",)),
+            ({**zones, "policy": {"regional_groups": False}}, ("",)),
+        ):
+            with self.subTest(changes=changes):
+                settings = self.load(yaml.safe_dump({**SETTINGS, **changes}))
+                self.assertEqual(settings.turn_groups.homes, homes)  # type: ignore[attr-defined]
+
     def test_mechanisms_are_switched_off_beside_the_platforms_fields(self) -> None:
         content = {"site": SETTINGS, "policy": {"relays": False}}
         settings = self.load(orjson.dumps(content).decode())
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -132,6 +132,9 @@
         self.assertEqual(await registry.founding_voters(), [])
         self.assertEqual(await registry.found(["a", "b"]), ["a", "b"])
         self.assertEqual(await registry.found(["c"]), ["a", "b"])
+        self.assertEqual(await registry.founding_voters(1), [])
+        self.assertEqual(await registry.found(["c"], 1), ["c"])
+        self.assertEqual(sorted(self.model.kinds[names.GROUP_KIND]), ["turns", "turns-1"])
         self.model.put(names.RETIREMENT_KIND, "store-1", {})
         await registry.report_retirement("store-1", True)
         row = self.model.kinds[names.RETIREMENT_KIND]["store-1"]
