--- /dev/null
+++ b/tests/test_other_loads.py
@@ -0,0 +1,68 @@
+"""What leaders of different groups tell each other of runners."""
+
+import random
+import unittest
+
+from bendshed.placement.board import Demand, LoadBoard
+from bendshed.placement.other_loads import KEPT_S, MAX_COUNTED, NO_LOAD, OtherLoad, OtherLoads
+from bendshed.ports.transport import Address
+from bendshed.rehearsal.site.layout import TWO_REGIONS
+from bendshed.rehearsal.site.programs import ProgramPlan
+from bendshed.rehearsal.site.sim_world import SiteWorld
+from bendshed.services.runners import RunnerState, ServiceRunner
+
+RUNNERS = [
+    ServiceRunner(name, "s", Address("h", number), "z", 4, RunnerState.READY)
+    for number, name in enumerate("ab")
+]
+
+
+class LoadsTest(unittest.TestCase):
+    def test_the_newest_word_of_each_leader_counts(self) -> None:
+        loads = OtherLoads()
+        loads.take("x", 5, [("a", OtherLoad(2, 20))], 0.0)
+        loads.take("y", 1, [("a", OtherLoad(3, 30))], 0.0)
+        self.assertEqual(loads.at("a", 0.1), OtherLoad(5, 50))
+        loads.take("x", 4, [("a", OtherLoad(9, 90))], 0.2)
+        self.assertEqual(loads.at("a", 0.2), OtherLoad(5, 50))
+        loads.take("x", 6, [], 0.3)
+        self.assertEqual(loads.at("a", 0.3), OtherLoad(3, 30))
+
+    def test_an_old_word_counts_no_more(self) -> None:
+        loads = OtherLoads()
+        loads.take("x", 5, [("a", OtherLoad(2, 20))], 0.0)
+        self.assertEqual(loads.at("a", KEPT_S), NO_LOAD)
+
+    def test_a_word_is_bounded(self) -> None:
+        loads = OtherLoads()
+        loads.take("x", 5, [("a", OtherLoad(10_000, 20))], 0.0)
+        self.assertEqual(loads.at("a", 0.0).num_running, MAX_COUNTED)
+
+    def test_a_board_avoids_what_others_have_filled(self) -> None:
+        for full, free in (("a", "b"), ("b", "a")):
+            board = LoadBoard(random.Random(1))
+            board.others.take("x", 1, [(full, OtherLoad(4, 0))], 0.0)
+            demand = Demand("t", "line", (), most_tokens=10, left_s=3.0, zone="z")
+            advice = board.advise(demand, RUNNERS, 50_000, 0.0)
+            assert advice is not None
+            self.assertEqual(advice.runner_id, free)
+
+    def test_leaders_of_two_regions_know_each_others_turns(self) -> None:
+        world = SiteWorld.started(1, TWO_REGIONS)
+        self.addCleanup(world.close)
+        for runner in world.runners.values():
+            runner.troubles.slow = 8.0
+        for _ in range(12):
+            world.start_program(ProgramPlan(turns=4, tools=0), budget_tokens=100_000)
+        world.run_for(0.8)
+        leaders = [world.leader(group) for group in range(2)]
+        boards = [leader.replica._advice.board for leader in leaders]  # type: ignore[union-attr]
+        now_s = world.loop.time()
+        for board, other in (boards, reversed(boards)):
+            known = sum(board.others.at(name, now_s).num_running for name in world.runners)
+            self.assertGreater(known, 0)
+            self.assertLessEqual(known, other.num_running + 12)
+
+
+if __name__ == "__main__":
+    unittest.main()
