--- a/src/bendshed/turns/state.py
+++ b/src/bendshed/turns/state.py
@@ -5,15 +5,12 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 
 from bendshed.quotas.usage import UsageWindows
 from bendshed.turns.budget import ProgramBudget
+from bendshed.turns.kept_turn import KeptTurn, Owned
 from bendshed.wire import turns_pb2 as wire
 
-Owned = tuple[str, str]
-"""A tenant's name (empty: nobody's) and an id that is its own: two tenants never share one."""
-
 PROGRAM_KEPT_FACTOR = 2
 """A program's budget outlives its last turn by this many retentions."""
 MIN_PROGRAM_KEPT_MS = 120_000
@@ -28,22 +25,6 @@
 end, and never for a program that is short."""
 
 
-@dataclass(slots=True)
-class KeptTurn:
-    """One turn that may be continued.
-
-    Attributes:
-        previous_turn: the turn it continues; empty at the start of a chain.
-        transcript: its input and output.
-        expires_ms: time of the log's clock until which it is kept, with its whole chain.
-
-    """
-
-    previous_turn: str
-    transcript: bytes
-    expires_ms: int
-
-
 class TurnLogState:
     """Everything that one group of the turn log replicates.
 
@@ -93,13 +74,7 @@
         """
         yield wire.TurnLogSnapshot(clock_ms=self.clock_ms).SerializeToString()
         for (tenant, turn_id), turn in self.turns.items():
-            kept = wire.KeptTurn(
-                tenant=tenant,
-                turn_id=turn_id,
-                previous_turn=turn.previous_turn,
-                transcript=turn.transcript,
-                expires_ms=turn.expires_ms,
-            )
+            kept = turn.to_wire(tenant, turn_id)
             yield wire.TurnLogSnapshot(turns=[kept]).SerializeToString()
         for (tenant, program_id), program in self.programs.items():
             budget = program.to_wire(tenant, program_id)
@@ -111,10 +86,7 @@
         """Replace the state."""
         snapshot = wire.TurnLogSnapshot.FromString(state)
         self.clock_ms = snapshot.clock_ms
-        self.turns = {
-            (row.tenant, row.turn_id): KeptTurn(row.previous_turn, row.transcript, row.expires_ms)
-            for row in snapshot.turns
-        }
+        self.turns = {(row.tenant, row.turn_id): KeptTurn.of_wire(row) for row in snapshot.turns}
         self.programs = {
             (row.tenant, row.program_id): ProgramBudget.of_wire(row) for row in snapshot.programs
         }
@@ -146,12 +118,24 @@
         if self._is_unknown(begin):
             return wire.TurnReply(answer=wire.TURN_ANSWER_UNKNOWN_TURN)
         program = self.programs.get((begin.tenant, begin.program_id), ProgramBudget())
-        if not program.holds(begin, self.group_id, PREVIEW_TURNS):
+        if not self._surely_holds(program, begin):
             return self._reply(wire.TURN_ANSWER_BUDGET_SPENT, program)
         reply = self._reply(wire.TURN_ANSWER_GRANTED, program)
         self._add_chain(reply, begin)
         return reply
 
+    def _surely_holds(self, program: ProgramBudget, begin: wire.BeginTurn) -> bool:
+        """Whether a begin will very likely be granted.
+
+        Until the other groups were asked the share need not hold more than the turn itself: if it
+        is short by then, theirs are taken.
+        """
+        if program.holds(begin, self.group_id, PREVIEW_TURNS):
+            return True
+        used = program.used_tokens + PREVIEW_TURNS * begin.most_tokens
+        may_take = begin.num_groups > 1 and not program.asked_ms
+        return may_take and used <= begin.budget_tokens and program.holds(begin, self.group_id)
+
     def _is_unknown(self, begin: wire.BeginTurn) -> bool:
         """Whether the turn wants to continue one that its tenant does not have."""
         previous = begin.previous_turn
--- a/src/bendshed/turns/whereabouts.py
+++ b/src/bendshed/turns/whereabouts.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from bendshed.placement.groups import ONE_GROUP, TurnGroups
-from bendshed.turns.state import Owned
+from bendshed.turns.kept_turn import Owned
 
 MAX_KNOWN = 4096
 """Programs and turns remembered away from home; some 300 bytes each."""
--- a/tests/test_budget_shares.py
+++ b/tests/test_budget_shares.py
@@ -174,6 +174,17 @@
         groups.now_ms += (RELEASED_KEPT_FACTOR - 1) * MIN_PROGRAM_KEPT_MS
         self.assertEqual(groups.begin(1, "b").answer, wire.TURN_ANSWER_OTHER_GROUP)
 
+    def test_a_first_turn_is_previewed_if_its_share_holds_it(self) -> None:
+        groups = Groups()
+        state = groups.states[1]
+        granted, spent = wire.TURN_ANSWER_GRANTED, wire.TURN_ANSWER_BUDGET_SPENT
+        self.assertEqual(state.preview(groups.wanted("a", most=150)).answer, granted)
+        self.assertEqual(state.preview(groups.wanted("a", most=151)).answer, spent)
+        self.assertEqual(state.preview(groups.wanted("a", most=300, num_groups=1)).answer, spent)
+        groups.begin(1, "a", most=150)
+        groups.take(1, 0)
+        self.assertEqual(state.preview(groups.wanted("b", most=150)).answer, spent)
+
     def test_shares_survive_a_snapshot(self) -> None:
         groups = Groups()
         groups.begin(1, "a")
