Fronts take shares between groups whose leaders do not reach each other

Cause: while the stores are cut in halves, fronts reach both, yet a turn beyond its region's share was refused. The front commits the same two commands now; 402 only when every group has released.

--- a/src/bendshed/services/turn_record.py
+++ b/src/bendshed/services/turn_record.py
@@ -16,12 +16,15 @@
 from bendshed.services.metrics import ServiceMetrics
 from bendshed.services.quotas import NodeQuotas, refusal_of
 from bendshed.turns.client import TranscriptCache, TurnClient
+from bendshed.turns.shares import ShareGatherer
 from bendshed.turns.whereabouts import TurnWhereabouts
 from bendshed.wire import turns_pb2 as wire
 
 BEGIN_TIMEOUT_S = 1.5
 """A turn waits this long for the turn log, across a change of its leader."""
 FINISH_TIMEOUT_S = 3.0
+SHARE_TIMEOUT_S = 0.6
+"""How long another group is asked for its share of a budget, across a change of its leader."""
 LATE_FINISH_TIMEOUT_S = 20.0
 """How long the end of a turn that the caller does not wait for is tried."""
 
@@ -33,7 +36,9 @@
     """What turns need of a node.
 
     Attributes:
+        whereabouts: which group of the turn log is asked first.
         late: commands under way that no caller may wait for.
+        shares: takes shares between groups whose leaders do not reach each other.
 
     """
 
@@ -44,6 +49,17 @@
     policy: Policy = EVERYTHING
     whereabouts: TurnWhereabouts = field(default_factory=TurnWhereabouts)
     late: "set[asyncio.Task[Any]]" = field(default_factory=set)
+    shares: ShareGatherer = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.shares = ShareGatherer(self.whereabouts.groups, self._send)
+
+    async def _send(self, _group: int, command: wire.TurnCommand) -> wire.TurnReply | None:
+        """Commit a command in its group; ``None``: no leader answered in time."""
+        try:
+            return await self.client.command(command, SHARE_TIMEOUT_S)
+        except GroupUnavailable:
+            return None  # told with the shares that were taken
 
 
 @dataclass(slots=True)
@@ -77,6 +93,7 @@
     _begin: wire.BeginTurn = field(default_factory=wire.BeginTurn)
     _is_begun: bool = False
     _is_placed: bool = False
+    _has_all_shares: bool = False
     _is_finished: bool = False
 
     @property
@@ -253,29 +270,35 @@
         """Once: go to the group that holds the program's budget, or keeps the turn before.
 
         A group that answers so has reserved nothing. "No such turn" stands when each group has
-        said so; one that is silent leaves it unknown.
+        said so; one that is silent leaves it unknown. Where a group's leader cannot reach another
+        group this node takes the shares between them.
         """
         if self._is_placed:
             return
         self._is_placed = True
         begin = self._begin
         reply = await self._committed()
-        if reply is not None and reply.answer == wire.TURN_ANSWER_OTHER_GROUP:
+        if _is_elsewhere(reply) and reply is not None and reply.owner_group != self.group:
             begin.is_sent_on = True
             reply = await self._begin_elsewhere(begin, reply.owner_group)
+        if _is_elsewhere(reply):
+            self._has_all_shares = await self.ports.shares.gather(self.group, begin)
+            reply = await self._begin_elsewhere(begin, self.group)
         for other in self.ports.whereabouts.others(self._tenant, self.group):
             if reply is None or reply.answer != wire.TURN_ANSWER_UNKNOWN_TURN:
                 return
             reply = await self._begin_elsewhere(begin, other)
 
     async def _begin_elsewhere(self, begin: wire.BeginTurn, group: int) -> wire.TurnReply | None:
-        log.say(
-            "asks another group",
-            request=self.request.request_id,
-            program=self.request.program_id,
-            group=group,
-            asked_before=self.group,
-        )
+        """Commit the begin again, mostly in another group."""
+        if group != self.group:
+            log.say(
+                "asks another group",
+                request=self.request.request_id,
+                program=self.request.program_id,
+                group=group,
+                asked_before=self.group,
+            )
         self.group = group
         self._committing = self._commit_begin(begin)
         return await self._committed()
@@ -308,10 +331,13 @@
             return refusal_of(reply)
         if reply.answer == wire.TURN_ANSWER_UNKNOWN_TURN:
             return Refusal(ErrorKind.NOT_FOUND, "no such turn is kept")
-        if reply.answer == wire.TURN_ANSWER_BUDGET_SPENT:
+        is_spent = _is_elsewhere(reply) and self._has_all_shares
+        if is_spent or reply.answer == wire.TURN_ANSWER_BUDGET_SPENT:
             return Refusal(ErrorKind.BUDGET_EXHAUSTED, "the program's budget is spent")
         if reply.answer == wire.TURN_ANSWER_OTHER_GROUP:
-            return Refusal(ErrorKind.TURN_LOG_UNAVAILABLE, "the program's budget moves to a group")
+            return Refusal(
+                ErrorKind.TURN_LOG_UNAVAILABLE, "a group that holds a part of the budget is silent"
+            )
         return Refusal(ErrorKind.TURN_LOG_UNAVAILABLE, "this turn id was finished before")
 
     def _take_chain(self, reply: wire.TurnReply, held: bytes | None) -> None:
@@ -396,5 +422,10 @@
     return reply is not None and reply.answer != wire.TURN_ANSWER_QUOTA_EXCEEDED
 
 
+def _is_elsewhere(reply: wire.TurnReply | None) -> bool:
+    """Whether a group's share of the budget was too small, and others may hold more."""
+    return reply is not None and reply.answer == wire.TURN_ANSWER_OTHER_GROUP
+
+
 def _nothing() -> None:
     """There is nothing to confirm."""
--- a/src/bendshed/turns/service.py
+++ b/src/bendshed/turns/service.py
@@ -108,7 +108,8 @@
     async def _commit(self, command: wire.TurnCommand) -> wire.TurnReply:
         """Commit a command; a begin that its group's share does not hold takes the others' first.
 
-        ``BUDGET_SPENT`` is told only when no other group holds anything more.
+        ``BUDGET_SPENT`` is told only when no other group holds anything more; where one does not
+        answer, the asker is told to try, which may reach it.
         """
         group = self._group(command.group)
         reply = await group.commit(command)
@@ -117,9 +118,8 @@
         if _must_gather(command, reply):
             has_all = await self.shares.gather(command.group, command.begin)
             reply = await group.commit(command)
-            if _must_gather(command, reply):
-                spent, silent = wire.TURN_ANSWER_BUDGET_SPENT, wire.TURN_ANSWER_UNAVAILABLE
-                reply.answer = spent if has_all else silent
+            if has_all and _must_gather(command, reply):
+                reply.answer = wire.TURN_ANSWER_BUDGET_SPENT
         if reply.answer == wire.TURN_ANSWER_GRANTED and group.led()[0].wants_shares(command.begin):
             self.shares.gather_later(command.group, command.begin)
         return reply
--- a/tests/test_turn_groups.py
+++ b/tests/test_turn_groups.py
@@ -187,6 +187,19 @@
         self.assertLessEqual(8 * self.handed(program), 200)
         self.assert_rules_hold()
 
+    def test_fronts_take_shares_between_leaders_that_do_not_reach_each_other(self) -> None:
+        for one in self.world.stores.values():
+            for other in self.world.stores.values():
+                if self.region(one) != self.region(other):
+                    self.cut(one, other)
+        self.world.run_for(1.0)
+        plan = ProgramPlan(turns=1, tools=0, sub_agents=2, loops=True)
+        program = self.start("near", plan, budget_tokens=400)
+        self.world.run_for(12.0)
+        self.assertIn(402, program.statuses)
+        self.assertGreater(8 * self.handed(program), 400 - 2 * 8 * 8)
+        self.assert_rules_hold()
+
     def test_releases_that_are_lost_or_late_or_doubled(self) -> None:
         """Every second answer to a release is lost, every third question is asked twice."""
         command = TurnClient.command
