--- /dev/null
+++ b/src/bendshed/services/group_search.py
@@ -0,0 +1,74 @@
+"""Finds the group of the turn log that commits a turn's begin, if the first one asked does not."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from bendshed.logs import PartLog
+from bendshed.turns.shares import ShareGatherer
+from bendshed.turns.whereabouts import TurnWhereabouts
+from bendshed.wire import turns_pb2 as wire
+
+Reply = wire.TurnReply | None
+"""``None``: the group did not answer, so nothing is known of it."""
+
+log = PartLog("turns")
+
+
+@dataclass(slots=True)
+class GroupSearch:
+    """One begin and the groups that it is sent to.
+
+    Invariant: the begin goes on to another group only when one has answered that it reserved
+    nothing, so at most one group holds a reservation.
+
+    Attributes:
+        begin: what is to be committed.
+        group: asked last; the turn's end is told there.
+        commit: commits the begin in a group.
+        is_spent: every group has released its share, and the whole did not hold the turn.
+
+    """
+
+    whereabouts: TurnWhereabouts
+    shares: ShareGatherer
+    begin: wire.BeginTurn
+    group: int
+    commit: Callable[[int], Awaitable[Reply]]
+    is_spent: bool = False
+
+    async def settle(self, reply: Reply) -> Reply:
+        """Go from the first group's reply to the last word; ask further groups if need be."""
+        reply = await self._find_chain(reply)
+        if _is_short(reply) and reply is not None and reply.owner_group != self.group:
+            self.begin.is_sent_on = True
+            reply = await self._ask(reply.owner_group)
+        if _is_short(reply):
+            has_all = await self.shares.gather(self.group, self.begin)
+            reply = await self._ask(self.group)
+            self.is_spent = has_all and _is_short(reply)
+        return reply
+
+    async def _find_chain(self, reply: Reply) -> Reply:
+        """Ask for the turn before; "no such turn" stands when each group has said so."""
+        for other in self.whereabouts.others(self.begin.tenant, self.group):
+            if reply is None or reply.answer != wire.TURN_ANSWER_UNKNOWN_TURN:
+                return reply
+            reply = await self._ask(other)
+        return reply
+
+    async def _ask(self, group: int) -> Reply:
+        if group != self.group:
+            log.say(
+                "asks another group",
+                request=self.begin.turn_id,
+                program=self.begin.program_id,
+                group=group,
+                asked_before=self.group,
+            )
+        self.group = group
+        return await self.commit(group)
+
+
+def _is_short(reply: Reply) -> bool:
+    """Whether a group's share of the budget was too small, and others may hold more."""
+    return reply is not None and reply.answer == wire.TURN_ANSWER_OTHER_GROUP
--- a/src/bendshed/services/turn_record.py
+++ b/src/bendshed/services/turn_record.py
@@ -13,6 +13,7 @@
 from bendshed.services.attempts import Attempts
 from bendshed.services.document import EngineFeatures, Route
 from bendshed.services.events import StreamEvent
+from bendshed.services.group_search import GroupSearch
 from bendshed.services.metrics import ServiceMetrics
 from bendshed.services.quotas import NodeQuotas, refusal_of
 from bendshed.turns.client import TranscriptCache, TurnClient
@@ -92,14 +93,23 @@
     _last_event_s: float = 0.0
     _begin: wire.BeginTurn = field(default_factory=wire.BeginTurn)
     _is_begun: bool = False
+    _searching: GroupSearch | None = None
     _is_placed: bool = False
-    _has_all_shares: bool = False
     _is_finished: bool = False
 
     @property
     def _tenant(self) -> str:
         return self.attempts.asker.name
 
+    @property
+    def _search(self) -> GroupSearch:
+        """The search for the group that commits the begin."""
+        if self._searching is None:
+            whereabouts, shares = self.ports.whereabouts, self.ports.shares
+            begin, group = self._begin, self.group
+            self._searching = GroupSearch(whereabouts, shares, begin, group, self._commit_in)
+        return self._searching
+
     @property
     def body(self) -> bytes:
         """What a runner gets: the chain's transcript, then the new input."""
@@ -266,41 +276,10 @@
             self._take_chain(reply, held)
         return refusal
 
-    async def _settle_group(self) -> None:
-        """Once: go to the group that holds the program's budget, or keeps the turn before.
-
-        A group that answers so has reserved nothing. "No such turn" stands when each group has
-        said so; one that is silent leaves it unknown. Where a group's leader cannot reach another
-        group this node takes the shares between them.
-        """
-        if self._is_placed:
-            return
-        self._is_placed = True
-        begin = self._begin
-        reply = await self._committed()
-        if _is_elsewhere(reply) and reply is not None and reply.owner_group != self.group:
-            begin.is_sent_on = True
-            reply = await self._begin_elsewhere(begin, reply.owner_group)
-        if _is_elsewhere(reply):
-            self._has_all_shares = await self.ports.shares.gather(self.group, begin)
-            reply = await self._begin_elsewhere(begin, self.group)
-        for other in self.ports.whereabouts.others(self._tenant, self.group):
-            if reply is None or reply.answer != wire.TURN_ANSWER_UNKNOWN_TURN:
-                return
-            reply = await self._begin_elsewhere(begin, other)
-
-    async def _begin_elsewhere(self, begin: wire.BeginTurn, group: int) -> wire.TurnReply | None:
-        """Commit the begin again, mostly in another group."""
-        if group != self.group:
-            log.say(
-                "asks another group",
-                request=self.request.request_id,
-                program=self.request.program_id,
-                group=group,
-                asked_before=self.group,
-            )
+    async def _commit_in(self, group: int) -> wire.TurnReply | None:
+        """Commit the begin in a further group."""
         self.group = group
-        self._committing = self._commit_begin(begin)
+        self._committing = self._commit_begin(self._begin)
         return await self._committed()
 
     def _ask_chain(self, begin: wire.BeginTurn) -> "asyncio.Task[wire.TurnReply | None]":
@@ -318,8 +297,10 @@
 
     async def confirm(self) -> Refusal | None:
         """Wait until the reservation is committed; return why it is not."""
-        await self._settle_group()
         reply = await self._committed()
+        if not self._is_placed:
+            self._is_placed = True
+            reply = await self._search.settle(reply)
         if reply is None:
             return Refusal(ErrorKind.TURN_LOG_UNAVAILABLE, "the turn log does not answer")
         if reply.answer == wire.TURN_ANSWER_GRANTED:
@@ -331,8 +312,7 @@
             return refusal_of(reply)
         if reply.answer == wire.TURN_ANSWER_UNKNOWN_TURN:
             return Refusal(ErrorKind.NOT_FOUND, "no such turn is kept")
-        is_spent = _is_elsewhere(reply) and self._has_all_shares
-        if is_spent or reply.answer == wire.TURN_ANSWER_BUDGET_SPENT:
+        if self._search.is_spent or reply.answer == wire.TURN_ANSWER_BUDGET_SPENT:
             return Refusal(ErrorKind.BUDGET_EXHAUSTED, "the program's budget is spent")
         if reply.answer == wire.TURN_ANSWER_OTHER_GROUP:
             return Refusal(
@@ -422,10 +402,5 @@
     return reply is not None and reply.answer != wire.TURN_ANSWER_QUOTA_EXCEEDED
 
 
-def _is_elsewhere(reply: wire.TurnReply | None) -> bool:
-    """Whether a group's share of the budget was too small, and others may hold more."""
-    return reply is not None and reply.answer == wire.TURN_ANSWER_OTHER_GROUP
-
-
 def _nothing() -> None:
     """There is nothing to confirm."""
--- a/tests/region_defects.py
+++ b/tests/region_defects.py
@@ -11,7 +11,7 @@
 from bendshed.rehearsal.site.oracle import Rule, Violation
 from bendshed.rehearsal.site.programs import ProgramPlan
 from bendshed.rehearsal.site.sim_world import SimMachine, SiteWorld
-from bendshed.services.turn_record import TurnRecord
+from bendshed.services.group_search import GroupSearch
 from bendshed.turns import budget
 from bendshed.turns.budget import ProgramBudget
 from bendshed.turns.service import TurnService
@@ -148,21 +148,13 @@
     return wire.TurnReply(released_tokens=program.released.get(ask.to_group, 0) + max(0, spare))
 
 
-_REAL_ELSEWHERE = TurnRecord._begin_elsewhere
+_REAL_ASK = GroupSearch._ask
 
 
-async def _silence_is_no(
-    record: TurnRecord, begin: wire.BeginTurn, group: int
-) -> wire.TurnReply | None:
+async def _silence_is_no(search: GroupSearch, group: int) -> wire.TurnReply | None:
     """A group that does not answer counts as one that does not know the turn."""
-    before = await record._committed()
-    reply = await _REAL_ELSEWHERE(record, begin, group)
-    if reply is None and before is not None:
-        settled: asyncio.Future[wire.TurnReply | None] = asyncio.get_running_loop().create_future()
-        settled.set_result(before)
-        record._committing = settled  # type: ignore[assignment]
-        return before
-    return reply
+    reply = await _REAL_ASK(search, group)
+    return reply or wire.TurnReply(answer=wire.TURN_ANSWER_UNKNOWN_TURN)
 
 
 def _by_name(
@@ -205,7 +197,7 @@
     "no such turn while a group is silent": (
         Rule.FOUND,
         turns_are_continued_while_regions_are_cut,
-        patch(TurnRecord, "_begin_elsewhere", _silence_is_no),
+        patch(GroupSearch, "_ask", _silence_is_no),
     ),
     "a majority of voters in one zone": (
         Rule.ZONE,
--- a/tests/test_turn_groups.py
+++ b/tests/test_turn_groups.py
@@ -187,12 +187,26 @@
         self.assertLessEqual(8 * self.handed(program), 200)
         self.assert_rules_hold()
 
-    def test_fronts_take_shares_between_leaders_that_do_not_reach_each_other(self) -> None:
+    def cut_stores(self) -> None:
+        """Stores of two regions do not reach each other; fronts reach both."""
         for one in self.world.stores.values():
             for other in self.world.stores.values():
                 if self.region(one) != self.region(other):
                     self.cut(one, other)
         self.world.run_for(1.0)
+
+    def test_a_chain_of_the_other_region_gets_the_whole_budget_by_way_of_fronts(self) -> None:
+        kept = self.start("near", ProgramPlan(turns=1, tools=0))
+        self.world.run_for(2.0)
+        self.cut_stores()
+        plan = ProgramPlan(turns=4, tools=0)
+        program = self.start("far", plan, continues=kept.last_turn, budget_tokens=4 * 8 * 9)
+        self.world.run_for(6.0)
+        self.assertTrue(program.finished, program.statuses)
+        self.assert_rules_hold()
+
+    def test_fronts_take_shares_between_leaders_that_do_not_reach_each_other(self) -> None:
+        self.cut_stores()
         plan = ProgramPlan(turns=1, tools=0, sub_agents=2, loops=True)
         program = self.start("near", plan, budget_tokens=400)
         self.world.run_for(12.0)
