--- a/src/bendshed/services/turn_record.py
+++ b/src/bendshed/services/turn_record.py
@@ -14,16 +14,20 @@
 from bendshed.services.attempts import Attempts
 from bendshed.services.document import EngineFeatures, Route
 from bendshed.services.events import StreamEvent
+from bendshed.services.group_search import GroupSearch
 from bendshed.services.metrics import ServiceMetrics
 from bendshed.services.quotas import NodeQuotas, refusal_of
 from bendshed.services.runner_asks import demand_of, no_room
 from bendshed.turns.client import TranscriptCache, TurnClient
+from bendshed.turns.shares import ShareGatherer
 from bendshed.turns.whereabouts import TurnWhereabouts
 from bendshed.wire import turns_pb2 as wire
 
 BEGIN_TIMEOUT_S = 1.5
 """A turn waits this long for the turn log, across a change of its leader."""
 FINISH_TIMEOUT_S = 3.0
+SHARE_TIMEOUT_S = 0.6
+"""How long another group is asked for its share of a budget, across a change of its leader."""
 LATE_FINISH_TIMEOUT_S = 20.0
 """How long the end of a turn that the caller does not wait for is tried."""
 UNCOMMITTED = (wire.TURN_ANSWER_QUOTA_EXCEEDED, wire.TURN_ANSWER_NO_ROOM)
@@ -37,7 +41,9 @@
     """What turns need of a node.
 
     Attributes:
+        whereabouts: which group of the turn log is asked first.
         late: commands under way that no caller may wait for.
+        shares: takes shares between groups whose leaders do not reach each other.
 
     """
 
@@ -48,6 +54,17 @@
     policy: Policy = EVERYTHING
     whereabouts: TurnWhereabouts = field(default_factory=TurnWhereabouts)
     late: "set[asyncio.Task[Any]]" = field(default_factory=set)
+    shares: ShareGatherer = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.shares = ShareGatherer(self.whereabouts.groups, self._send)
+
+    async def _send(self, _group: int, command: wire.TurnCommand) -> wire.TurnReply | None:
+        """Commit a command in its group; ``None``: no leader answered in time."""
+        try:
+            return await self.client.command(command, SHARE_TIMEOUT_S)
+        except GroupUnavailable:
+            return None  # told with the shares that were taken
 
 
 @dataclass(slots=True)
@@ -80,6 +97,7 @@
     _last_event_s: float = 0.0
     _begin: wire.BeginTurn = field(default_factory=wire.BeginTurn)
     _is_begun: bool = False
+    _searching: GroupSearch | None = None
     _is_placed: bool = False
     _is_finished: bool = False
 
@@ -87,6 +105,15 @@
     def _tenant(self) -> str:
         return self.attempts.asker.name
 
+    @property
+    def _search(self) -> GroupSearch:
+        """The search for the group that commits the begin."""
+        if self._searching is None:
+            whereabouts, shares = self.ports.whereabouts, self.ports.shares
+            begin, group = self._begin, self.group
+            self._searching = GroupSearch(whereabouts, shares, begin, group, self._commit_in)
+        return self._searching
+
     @property
     def body(self) -> bytes:
         """What a runner gets: the chain's transcript, then the new input."""
@@ -249,35 +276,10 @@
             self._take_chain(reply, held)
         return refusal
 
-    async def _settle_group(self) -> None:
-        """Once: go to the group that holds the program's budget, or keeps the turn before.
-
-        A group that answers so has reserved nothing. "No such turn" stands when each group has
-        said so; one that is silent leaves it unknown.
-        """
-        if self._is_placed:
-            return
-        self._is_placed = True
-        begin = self._begin
-        reply = await self._committed()
-        if reply is not None and reply.answer == wire.TURN_ANSWER_OTHER_GROUP:
-            begin.is_sent_on = True
-            reply = await self._begin_elsewhere(begin, reply.owner_group)
-        for other in self.ports.whereabouts.others(self._tenant, self.group):
-            if reply is None or reply.answer != wire.TURN_ANSWER_UNKNOWN_TURN:
-                return
-            reply = await self._begin_elsewhere(begin, other)
-
-    async def _begin_elsewhere(self, begin: wire.BeginTurn, group: int) -> wire.TurnReply | None:
-        log.say(
-            "asks another group",
-            request=self.request.request_id,
-            program=self.request.program_id,
-            group=group,
-            asked_before=self.group,
-        )
+    async def _commit_in(self, group: int) -> wire.TurnReply | None:
+        """Commit the begin in a further group."""
         self.group = group
-        self._committing = self._commit_begin(begin)
+        self._committing = self._commit_begin(self._begin)
         return await self._committed()
 
     def _ask_chain(self, begin: wire.BeginTurn) -> "asyncio.Task[wire.TurnReply | None]":
@@ -295,8 +297,10 @@
 
     async def confirm(self) -> Refusal | None:
         """Wait until the reservation is committed; return why it is not."""
-        await self._settle_group()
         reply = await self._committed()
+        if not self._is_placed:
+            self._is_placed = True
+            reply = await self._search.settle(reply)
         if reply is None:
             return Refusal(ErrorKind.TURN_LOG_UNAVAILABLE, "the turn log does not answer")
         if reply.answer == wire.TURN_ANSWER_GRANTED:
@@ -310,10 +314,12 @@
             return no_room(reply)
         if reply.answer == wire.TURN_ANSWER_UNKNOWN_TURN:
             return Refusal(ErrorKind.NOT_FOUND, "no such turn is kept")
-        if reply.answer == wire.TURN_ANSWER_BUDGET_SPENT:
+        if self._search.is_spent or reply.answer == wire.TURN_ANSWER_BUDGET_SPENT:
             return Refusal(ErrorKind.BUDGET_EXHAUSTED, "the program's budget is spent")
         if reply.answer == wire.TURN_ANSWER_OTHER_GROUP:
-            return Refusal(ErrorKind.TURN_LOG_UNAVAILABLE, "the program's budget moves to a group")
+            return Refusal(
+                ErrorKind.TURN_LOG_UNAVAILABLE, "a group that holds a part of the budget is silent"
+            )
         return Refusal(ErrorKind.TURN_LOG_UNAVAILABLE, "this turn id was finished before")
 
     def _take_chain(self, reply: wire.TurnReply, held: bytes | None) -> None:
