--- a/src/bendshed/platform/encode.py
+++ b/src/bendshed/platform/encode.py
@@ -73,6 +73,8 @@
         "name": service.name,
         "healthPath": service.health_path,
         "maxConns": service.max_connections,
+        "coldPerS": service.cold_per_s,
+        "coldStartS": service.cold_start_ms / 1000,
     }
     if service.engine is not None:
         row["engine"] = {
@@ -90,7 +92,7 @@
         "zone": runner.zone,
         "slots": runner.slots,
         "state": runner.state.value,
-        "coldLeftMs": 0,
+        "coldLeftMs": runner.cold_left_ms,
         "seq": 1,
     }
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -145,6 +145,7 @@
     def test_what_is_written_reads_back(self) -> None:
         document = make_document(7)
         self.assertEqual(read_document(write_document(document, all_keys())), document)
-        runner = ServiceRunner("i", "s", Address("10.0.0.1", 80), "z", 6, RunnerState.DRAINING)
+        address = Address("10.0.0.1", 80)
+        runner = ServiceRunner("i", "s", address, "z", 6, RunnerState.DRAINING, 2_500)
         item = StoredObject("i", 1, write_runner(runner), None)
         self.assertEqual(read_runner(item), runner)
