Round trips are measured, and ways around a cut fit the distance

Cause: a target was called silent after 60 ms without a word and a relay after 100 ms (80 for what it passes on), while the link alone takes 60 ms: calm far requests went twice, and behind a cut no relay could answer a far front in time. Bounds are what neighbours have, or more by the quickest answer of that peer to that method. Relays of the own region come first, a second one is asked beside a late one, none when its way takes longer than is left. The simulated network has delays by pair.

--- a/src/bendshed/adapters/tcp_transport.py
+++ b/src/bendshed/adapters/tcp_transport.py
@@ -21,6 +21,8 @@
 MAX_FRAME_BYTES = 256 * 1024 * 1024
 CONNECT_TIMEOUT_S = 0.5
 """A machine that was dark a moment ago is asked anew, and not when a lost packet is sent again."""
+CONNECT_TRIPS = 4.0
+"""A far machine has at least so many of its round trips."""
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 """One-way messages to a peer that does not read are dropped beyond this."""
 HANDLER_FAILED = "handler_failed"
@@ -35,7 +37,7 @@
         self._owner = owner
         self._buffer = bytearray()
         self.transport: asyncio.Transport | None = None
-        self.waiting: dict[int, asyncio.Future[bytes]] = {}
+        self.waiting: dict[int, asyncio.Future[Frame]] = {}
         self._next_request_id = 1
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -93,10 +95,10 @@
             and self.transport.get_write_buffer_size() > MAX_BUFFERED_BYTES
         )
 
-    def begin_request(self) -> tuple[int, "asyncio.Future[bytes]"]:
+    def begin_request(self) -> tuple[int, "asyncio.Future[Frame]"]:
         request_id = self._next_request_id
         self._next_request_id += 1
-        future: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        future: asyncio.Future[Frame] = asyncio.get_running_loop().create_future()
         self.waiting[request_id] = future
         return request_id, future
 
@@ -167,10 +169,14 @@
                 connection = await self._connect(peer)
                 request_id, future = connection.begin_request()
                 connection.write(Frame(request_id=request_id, method=method, payload=payload))
+                sent_s = asyncio.get_running_loop().time()
                 try:
-                    return await future
+                    reply = await future
                 finally:
                     connection.waiting.pop(request_id, None)
+                took_s = asyncio.get_running_loop().time() - sent_s
+                self.note_round_trip(peer, took_s - reply.served_us / 1_000_000)
+                return reply.payload
         except TimeoutError as error:
             raise PeerUnreachable(f"{peer} did not answer {method} in time") from error
 
@@ -226,10 +232,13 @@
 
     async def _open(self, peer: Address) -> _Connection:
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        began_s = loop.time()
+        far_s = CONNECT_TRIPS * (self.round_trip_s(peer) or 0.0)
+        async with asyncio.timeout(max(CONNECT_TIMEOUT_S, far_s)):
             _, connection = await loop.create_connection(
                 lambda: _Connection(self), peer.host, peer.port
             )
+        self.note_round_trip(peer, loop.time() - began_s)
         return connection
 
     def on_frame(self, connection: _Connection, frame: Frame) -> None:
@@ -241,7 +250,7 @@
             if frame.error_kind:
                 future.set_exception(PeerUnreachable(frame.error_detail, is_silent=False))
             else:
-                future.set_result(frame.payload)
+                future.set_result(frame)
         elif frame.request_id == 0:
             self._call_one_way(self.one_way_handlers.get(frame.method), frame.payload)
         else:
@@ -253,6 +262,7 @@
             handler(payload)
 
     async def _answer(self, connection: _Connection, frame: Frame) -> None:
+        began_s = asyncio.get_running_loop().time()
         reply = Frame(request_id=frame.request_id, is_reply=True)
         handler = self.handlers.get(frame.method)
         try:
@@ -263,6 +273,7 @@
             log.say("a request failed", method=frame.method, error=repr(error))
             reply.error_kind = HANDLER_FAILED
             reply.error_detail = repr(error)
+        reply.served_us = int((asyncio.get_running_loop().time() - began_s) * 1_000_000)
         connection.write(reply)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- /dev/null
+++ b/src/bendshed/paths/neighbours.py
@@ -0,0 +1,72 @@
+"""Where other nodes stand, as far as this process was told, and how far each kind is. Pure."""
+
+import statistics
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from bendshed.placement.places import Distance, Places
+from bendshed.ports.transport import Address
+
+UNMEASURED_S: Mapping[Distance | None, float] = {
+    None: 0.001,
+    Distance.SAME_ZONE: 0.001,
+    Distance.SAME_REGION: 0.002,
+    Distance.OTHER_REGION: 0.1,
+}
+"""A round trip until one of its kind was measured: between regions rather too long, since a request
+that is given up too early goes twice; regions of one continent are 10 to 80 ms apart."""
+MAX_KEPT = 2_000
+"""Hosts that are remembered, the longest untold given up first; some 150 bytes each."""
+
+
+@dataclass(slots=True)
+class Neighbours:
+    """Zones of other nodes by host.
+
+    Attributes:
+        zone: this process's.
+        places: regions of all zones.
+
+    """
+
+    zone: str = ""
+    places: Places = field(default_factory=Places)
+    _zone_of: dict[str, str] = field(default_factory=dict)
+
+    def put(self, host: str, zone: str) -> None:
+        """A node told its zone; empty: it did not."""
+        if not zone:
+            return
+        self._zone_of.pop(host, None)
+        self._zone_of[host] = zone
+        if len(self._zone_of) > MAX_KEPT:
+            del self._zone_of[next(iter(self._zone_of))]
+
+    def zone_of(self, host: str) -> str:
+        """Zone of a host; empty: not told."""
+        return self._zone_of.get(host, "")
+
+    def distance(self, host: str) -> Distance | None:
+        """What lies between this process and a host; ``None``: nobody told where it stands."""
+        zone = self._zone_of.get(host)
+        return self.places.distance(self.zone, zone) if zone is not None else None
+
+    def is_far(self, host: str) -> bool:
+        """Whether a host is known to stand in another region."""
+        return self.distance(host) is Distance.OTHER_REGION
+
+    def are_together(self, host: str, other: str) -> bool:
+        """Whether two hosts are known to stand in one region."""
+        zone, other_zone = self._zone_of.get(host), self._zone_of.get(other)
+        if zone is None or other_zone is None:
+            return False
+        return self.places.region(zone) == self.places.region(other_zone)
+
+    def medians_s(self, round_trips_s: Mapping[Address, float]) -> dict[Distance, float]:
+        """The median round trip of each kind of distance that was measured."""
+        by_kind: dict[Distance, list[float]] = {}
+        for peer, took_s in round_trips_s.items():
+            kind = self.distance(peer.host)
+            if kind is not None:
+                by_kind.setdefault(kind, []).append(took_s)
+        return {kind: statistics.median(found) for kind, found in by_kind.items()}
--- a/src/bendshed/paths/relayed.py
+++ b/src/bendshed/paths/relayed.py
@@ -12,18 +12,18 @@
 from typing import Any
 
 from bendshed.logs import PartLog
+from bendshed.paths.neighbours import Neighbours
+from bendshed.paths.patience import Patience
 from bendshed.ports.transport import Address, PeerUnreachable, Transport
 from bendshed.wire import catalog_pb2 as wire
 
 RELAY_METHOD = "paths.relay"
-PATIENCE_S = 0.06
-"""A target that said nothing at all for this long may be cut off: another way is tried."""
 DIRECT_PROBE_S = 0.5
 """While a target is reached through others, one request this often also goes directly."""
-RELAY_PATIENCE_S = 0.1
-"""A relay that is silent for this long may be cut off or dark itself: the next one is asked."""
-RELAY_REPLY_SHARE = 0.8
-"""A relay says that a target is silent before its asker gives the relay itself up."""
+MAX_RELAYS_AT_ONCE = 2
+LATE_TIMES, LATE_SLACK_S = 1.25, 0.03
+"""A relay is late after so many times the least that its way can take, and this. Then a second one
+is asked, and the first still waited for: a third of all nodes may be cut off together."""
 RELAY_SILENT_S = 1.0
 """A node that did not answer as a relay, or did not reach a target, is not asked for this long."""
 MAX_UNREACHED = 2
@@ -32,6 +32,8 @@
 """A target that relays do not reach either is not looked for through others for this long."""
 ISOLATED_S = 0.3
 """A node that hears nobody for this long, neither targets nor relays, is cut off from all."""
+ISOLATED_TRIPS = 3.0
+"""And longer than so many round trips to the farthest node that it asked in vain."""
 MAX_OPEN_RELAYS = 64
 """Requests that a node passes on for others at the same time."""
 
@@ -60,6 +62,28 @@
     avoided_until_s: dict[Address, float] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class _Search:
+    """One request that looks for a relay.
+
+    Attributes:
+        until_s: loop time after which no answer helps.
+        num_unreached: relays that do not reach the target, and know of no cut of their own.
+
+    """
+
+    peer: Address
+    method: str
+    payload: bytes
+    until_s: float
+    num_unreached: int = 0
+
+    @property
+    def may_ask_more(self) -> bool:
+        """Whether the target may be well although some relays do not reach it."""
+        return self.num_unreached < MAX_UNREACHED
+
+
 class RelayedRequests:
     """Sends requests on the way that works, and passes others' requests on.
 
@@ -75,15 +99,19 @@
         rng: random.Random,
         relays: Callable[[], list[Address]],
         relayed_methods: frozenset[str],
+        neighbours: Neighbours | None = None,
     ) -> None:
         self.relays = relays
         self.num_relayed = 0
         self._transport = transport
+        self._neighbours = neighbours if neighbours is not None else Neighbours()
+        self._patience = Patience(transport.round_trip_s, self._neighbours)
         self._rng = rng
         self._relayed_methods = relayed_methods
         self._ways: dict[Address, _Way] = {}
         self._relay_silent_until_s: dict[Address, float] = {}
         self._silent_since_s: float | None = None
+        self._silent_way_s = 0.0
         self._relay_heard_s = float("-inf")
         self._num_open = 0
         self._cut_since_s = float("-inf")
@@ -96,8 +124,13 @@
         if self._silent_since_s is None:
             return False
         now_s = asyncio.get_running_loop().time()
-        is_heard_by_relays = now_s - self._relay_heard_s < RELAY_SILENT_S + ISOLATED_S
-        return now_s - self._silent_since_s > ISOLATED_S and not is_heard_by_relays
+        isolated_s = max(ISOLATED_S, ISOLATED_TRIPS * self._silent_way_s)
+        is_heard_by_relays = now_s - self._relay_heard_s < RELAY_SILENT_S + isolated_s
+        return now_s - self._silent_since_s > isolated_s and not is_heard_by_relays
+
+    def way_s(self, peer: Address) -> float:
+        """The round trip to a peer as measured, or what one of its kind takes."""
+        return self._patience.way_s(peer)
 
     def is_cut(self, peer: Address) -> bool:
         """Whether only relays reach a peer: it must not be asked to wait before it answers."""
@@ -109,17 +142,18 @@
         way = self._ways.setdefault(peer, _Way())
         now_s = asyncio.get_running_loop().time()
         until_s = now_s + timeout_s
+        patience_s = self._patience.direct_s(peer, method, now_s)
         tasks: set[asyncio.Task[bytes]] = set()
         if not way.is_cut or now_s >= way.probe_from_s:
             way.probe_from_s = now_s + DIRECT_PROBE_S
             tasks.add(_spawn(self._directly(way, peer, method, payload, timeout_s)))
         try:
             if not way.is_cut and not self._is_likely_cut(way):
-                done, _ = await asyncio.wait(tasks, timeout=min(PATIENCE_S, timeout_s))
+                done, _ = await asyncio.wait(tasks, timeout=min(patience_s, timeout_s))
                 if done and not _failed(done):
                     return done.pop().result()
             left_s = until_s - asyncio.get_running_loop().time()
-            if left_s > 0 and self._may_relay(way):
+            if left_s > 0 and self._may_relay(way, patience_s):
                 tasks.add(_spawn(self._indirectly(way, peer, method, payload, left_s)))
             return await _first_answer(tasks)
         finally:
@@ -138,22 +172,24 @@
         """
         return any(way.is_cut for way in self._ways.values())
 
-    def _may_relay(self, way: _Way) -> bool:
+    def _may_relay(self, way: _Way, patience_s: float) -> bool:
         if way.is_cut:
             return True
         now_s = asyncio.get_running_loop().time()
-        was_heard = now_s - way.heard_s < PATIENCE_S
+        was_heard = now_s - way.heard_s < patience_s
         return not was_heard and not way.is_scouting and now_s >= way.no_relay_until_s
 
     async def _directly(
         self, way: _Way, peer: Address, method: str, payload: bytes, timeout_s: float
     ) -> bytes:
+        began_s = asyncio.get_running_loop().time()
         try:
             answer = await self._transport.request(peer, method, payload, timeout_s)
         except PeerUnreachable as error:
-            self._note_failure(error)
+            self._note_failure(error, peer)
             raise
         way.heard_s = asyncio.get_running_loop().time()
+        self._patience.note(peer, method, way.heard_s - began_s, way.heard_s)
         self._silent_since_s = None
         if way.is_cut:
             way.is_cut = False
@@ -183,25 +219,63 @@
     async def _through_relays(
         self, way: _Way, peer: Address, method: str, payload: bytes, timeout_s: float
     ) -> bytes:
-        """Ask one relay after the other, first the one that reached the target last."""
+        """Ask one relay after the other, and a second one beside it when that takes too long."""
+        search = _Search(peer, method, payload, asyncio.get_running_loop().time() + timeout_s)
+        candidates = self._candidates(way, peer)
+        asking: set[asyncio.Task[bytes]] = set()
+        num_at_once, late_s = 1, 0.0
+        try:
+            while True:
+                while candidates and len(asking) < num_at_once and search.may_ask_more:
+                    relay = candidates.pop(0)
+                    late_s = self._late_s(relay, search)
+                    asking.add(_spawn(self._through(way, relay, search)))
+                if not asking:
+                    break
+                may_add = candidates and len(asking) < MAX_RELAYS_AT_ONCE
+                done, asking = await asyncio.wait(
+                    asking,
+                    timeout=late_s if may_add else None,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for task in done:
+                    if task.exception() is None:
+                        return task.result()
+                num_at_once = 1 if done else MAX_RELAYS_AT_ONCE
+        finally:
+            for task in asking:
+                task.cancel()
+        raise PeerUnreachable(f"no relay reaches {peer}", is_silent=not self._is_behind_cut)
+
+    def _late_s(self, relay: Address, search: "_Search") -> float:
+        """After this long without an answer another relay is asked beside this one."""
+        now_s = asyncio.get_running_loop().time()
+        least_s = self._patience.least_relay_s(relay, search.peer, search.method, now_s)
+        return LATE_TIMES * least_s + LATE_SLACK_S
+
+    async def _through(self, way: _Way, relay: Address, search: "_Search") -> bytes:
+        """Ask one relay; raise ``PeerUnreachable`` unless it reaches the target in time."""
         loop = asyncio.get_running_loop()
-        until_s = loop.time() + timeout_s
+        now_s, peer, method = loop.time(), search.peer, search.method
+        left_s = search.until_s - now_s
+        least_s = self._patience.least_relay_s(relay, peer, method, now_s)
+        if left_s <= least_s:
+            raise PeerUnreachable(f"no time is left to reach {peer} through {relay}")
+        passed_on_s = self._patience.passed_on_s(relay, peer, method, now_s)
         request = wire.RelayRequest(
-            target=wire.PeerAddress(host=peer.host, port=peer.port), method=method, payload=payload
+            target=wire.PeerAddress(host=peer.host, port=peer.port),
+            method=method,
+            payload=search.payload,
+            timeout_ms=max(1, int(min(passed_on_s, left_s) * 1000)),
         )
-        num_unreached = 0
-        for relay in self._candidates(way, peer):
-            try_s = min(RELAY_PATIENCE_S, until_s - loop.time())
-            if try_s <= 0 or num_unreached >= MAX_UNREACHED:
-                break
-            request.timeout_ms = max(1, int(RELAY_REPLY_SHARE * try_s * 1000))
-            reply = await self._ask_relay(relay, request, try_s)
-            if reply is not None and reply.is_reached:
-                way.relay = self._good_relay = relay
-                return reply.payload
-            way.avoided_until_s[relay] = loop.time() + RELAY_SILENT_S
-            num_unreached += reply is not None and not reply.is_cut_here
-        raise PeerUnreachable(f"no relay reaches {peer}", is_silent=not self._is_behind_cut)
+        try_s = min(self._patience.relay_s(relay, peer, method, now_s), left_s)
+        reply = await self._ask_relay(relay, request, try_s)
+        if reply is not None and reply.is_reached:
+            way.relay = self._good_relay = relay
+            return reply.payload
+        way.avoided_until_s[relay] = loop.time() + RELAY_SILENT_S
+        search.num_unreached += reply is not None and not reply.is_cut_here
+        raise PeerUnreachable(f"{relay} does not reach {peer}")
 
     async def _ask_relay(
         self, relay: Address, request: wire.RelayRequest, timeout_s: float
@@ -212,7 +286,7 @@
                 relay, RELAY_METHOD, request.SerializeToString(), timeout_s
             )
         except PeerUnreachable as error:
-            self._note_failure(error)
+            self._note_failure(error, relay)
             silent_until_s = asyncio.get_running_loop().time() + RELAY_SILENT_S
             self._relay_silent_until_s[relay] = silent_until_s
             return None
@@ -221,6 +295,11 @@
         return wire.RelayReply.FromString(content)
 
     def _candidates(self, way: _Way, peer: Address) -> list[Address]:
+        """Who may be asked: the last that reached the target, then those of this region.
+
+        The way through a relay beside the target is as long; but for a target in this region it
+        crosses the link twice.
+        """
         now_s = asyncio.get_running_loop().time()
         waits = (self._relay_silent_until_s, way.avoided_until_s)
         heard = [
@@ -229,14 +308,23 @@
             if node != peer and all(until_s.get(node, 0.0) <= now_s for until_s in waits)
         ]
         self._rng.shuffle(heard)
-        heard.sort(key=lambda node: (node != way.relay, node != self._good_relay))
+        heard.sort(
+            key=lambda node: (
+                node != way.relay,
+                node != self._good_relay,
+                self._neighbours.is_far(node.host),
+            )
+        )
         return heard
 
-    def _note_failure(self, error: PeerUnreachable) -> None:
+    def _note_failure(self, error: PeerUnreachable, peer: Address) -> None:
         if not error.is_silent:
             self._silent_since_s = None
-        elif self._silent_since_s is None:
+            return
+        if self._silent_since_s is None:
             self._silent_since_s = asyncio.get_running_loop().time()
+            self._silent_way_s = 0.0
+        self._silent_way_s = max(self._silent_way_s, self._patience.way_s(peer))
 
     # --- for others ------------------------------------------------------------------------
 
--- a/src/bendshed/ports/transport.py
+++ b/src/bendshed/ports/transport.py
@@ -1,10 +1,13 @@
 """Port to the other nodes: requests, one-way messages and datagrams."""
 
+import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Protocol
 
+from bendshed.ports.round_trips import RoundTrips
+
 Handler = Callable[[bytes], Awaitable[bytes]]
 OneWayHandler = Callable[[bytes], None]
 
@@ -41,13 +44,28 @@
 
 
 class Transport(ABC):
-    """Messages between nodes. Delivery is at most once and may be late or lost."""
+    """Messages between nodes. Delivery is at most once and may be late or lost.
+
+    Attributes:
+        round_trips: to peers, as requests and new connections measured them without the time that
+            the peer took for its answer.
+
+    """
 
     def __init__(self) -> None:
+        self.round_trips: RoundTrips[Address] = RoundTrips()
         self.handlers: dict[str, Handler] = {}
         self.one_way_handlers: dict[str, OneWayHandler] = {}
         self.datagram_handler: OneWayHandler | None = None
 
+    def round_trip_s(self, peer: Address) -> float | None:
+        """Seconds to a peer and back, the least that was measured lately; ``None``: never."""
+        return self.round_trips.least_s(peer, asyncio.get_running_loop().time())
+
+    def note_round_trip(self, peer: Address, took_s: float) -> None:
+        """Take one measure."""
+        self.round_trips.note(peer, took_s, asyncio.get_running_loop().time())
+
     @abstractmethod
     async def start(self) -> Address:
         """Listen; return the address in use."""
--- a/src/bendshed/rehearsal/simulator/network.py
+++ b/src/bendshed/rehearsal/simulator/network.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 
 from bendshed.ports.transport import Address, PeerUnreachable, Transport
@@ -25,6 +26,8 @@
         datagram_loss: share of datagrams that are lost.
         datagram_copies: share of datagrams that arrive twice.
         slow_s: extra latency.
+        between_s: one-way latency by pair of hosts, either way; other pairs have ``LATENCY_S``.
+        num_sent: requests and one-way messages by source, target and method.
         resend_share: share of messages on connections whose packet is lost and sent again.
 
     """
@@ -36,6 +39,8 @@
     datagram_loss: float = 0.0
     datagram_copies: float = 0.0
     slow_s: float = 0.0
+    between_s: dict[tuple[str, str], float] = field(default_factory=dict)
+    num_sent: Counter[tuple[str, str, str]] = field(default_factory=Counter)
     resend_share: float = 0.0
     _last_delivery_s: dict[tuple[Address, Address], float] = field(default_factory=dict)
 
@@ -43,14 +48,15 @@
         """Whether messages from one host to the other are lost."""
         return (source, target) in self.cuts
 
-    def latency_s(self) -> float:
-        """Draw a one-way latency."""
-        return LATENCY_S + self.slow_s + self.rng.uniform(0, JITTER_S)
+    def latency_s(self, source: str = "", target: str = "") -> float:
+        """Draw a one-way latency between two hosts, or any two."""
+        pair = (source, target) if (source, target) in self.between_s else (target, source)
+        return self.between_s.get(pair, LATENCY_S) + self.slow_s + self.rng.uniform(0, JITTER_S)
 
     def in_order_at(self, source: Address, target: Address) -> float:
         """Arrival time on a connection: never before an earlier message."""
         earliest = self._last_delivery_s.get((source, target), 0.0) + MIN_GAP_S
-        latency_s = self.latency_s()
+        latency_s = self.latency_s(source.host, target.host)
         if self.resend_share and self.rng.random() < self.resend_share:
             latency_s += RESEND_S
         arrival = max(self.loop.time() + latency_s, earliest)
@@ -58,6 +64,14 @@
         return arrival
 
 
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    """What came back, and how long the other side took for it."""
+
+    payload: bytes
+    served_s: float
+
+
 class SimTransport(Transport):
     """A node's transport in the simulated network."""
 
@@ -80,22 +94,27 @@
     async def request(self, peer: Address, method: str, payload: bytes, timeout_s: float) -> bytes:
         """Send a request; lost messages show as a timeout, a closed port at once."""
         loop = asyncio.get_running_loop()
-        answer: asyncio.Future[bytes] = loop.create_future()
+        answer: asyncio.Future[_Reply] = loop.create_future()
+        sent_s = loop.time()
+        self._network.num_sent[self.address.host, peer.host, method] += 1
         self._deliver(peer, lambda target: target.serve(self, method, payload, answer), answer)
         try:
-            return await asyncio.wait_for(answer, timeout_s)
+            reply = await asyncio.wait_for(answer, timeout_s)
         except TimeoutError as error:
             raise PeerUnreachable(f"{peer} did not answer {method}") from error
+        self.note_round_trip(peer, loop.time() - sent_s - reply.served_s)
+        return reply.payload
 
     def serve(
-        self, asker: "SimTransport", method: str, payload: bytes, answer: "asyncio.Future[bytes]"
+        self, asker: "SimTransport", method: str, payload: bytes, answer: "asyncio.Future[_Reply]"
     ) -> None:
         """Run a handler in this process and send its result back."""
         asyncio.get_running_loop().create_task(self._serve(asker, method, payload, answer))
 
     async def _serve(
-        self, asker: "SimTransport", method: str, payload: bytes, answer: "asyncio.Future[bytes]"
+        self, asker: "SimTransport", method: str, payload: bytes, answer: "asyncio.Future[_Reply]"
     ) -> None:
+        began_s = self._network.loop.time()
         try:
             handler = self.handlers[method]
             reply = await handler(payload)
@@ -103,10 +122,12 @@
             failure = PeerUnreachable(repr(error), is_silent=False)
             self._deliver(asker.address, lambda _t: _fail(answer, failure), None)
             return
-        self._deliver(asker.address, lambda _target: _succeed(answer, reply), None)
+        served = _Reply(reply, self._network.loop.time() - began_s)
+        self._deliver(asker.address, lambda _target: _succeed(answer, served), None)
 
     def send(self, peer: Address, method: str, payload: bytes) -> None:
         """Send a one-way message."""
+        self._network.num_sent[self.address.host, peer.host, method] += 1
 
         def arrive(target: "SimTransport") -> None:
             handler = target.one_way_handlers.get(method)
@@ -129,14 +150,14 @@
             target = network.transports.get(peer)
             if target is not None and target.datagram_handler is not None:
                 network.loop.call_later(
-                    network.latency_s(),
+                    network.latency_s(self.address.host, peer.host),
                     target.datagram_handler,
                     payload,
                     context=target.process.context.copy(),
                 )
 
     def _deliver(
-        self, peer: Address, arrive: object, refused: "asyncio.Future[bytes] | None"
+        self, peer: Address, arrive: object, refused: "asyncio.Future[_Reply] | None"
     ) -> None:
         network = self._network
         if network.is_cut(self.address.host, peer.host):
@@ -151,11 +172,11 @@
         network.loop.call_at(arrival, arrive, target, context=target.process.context.copy())  # type: ignore[arg-type]
 
 
-def _succeed(answer: "asyncio.Future[bytes]", reply: bytes) -> None:
+def _succeed(answer: "asyncio.Future[_Reply]", reply: "_Reply") -> None:
     if not answer.done():
         answer.set_result(reply)
 
 
-def _fail(answer: "asyncio.Future[bytes]", failure: Exception) -> None:
+def _fail(answer: "asyncio.Future[_Reply]", failure: Exception) -> None:
     if not answer.done():
         answer.set_exception(failure)
--- /dev/null
+++ b/tests/test_distance_relays.py
@@ -0,0 +1,176 @@
+"""Ways around a cut when one region is 60 ms of round trip away: calm, at the cut, afterwards."""
+
+import asyncio
+import random
+import unittest
+
+from bendshed.paths.neighbours import Neighbours
+from bendshed.paths.relayed import RelayedRequests
+from bendshed.placement.places import Places
+from bendshed.ports.transport import Address, PeerUnreachable
+from bendshed.rehearsal.simulator.loop import SimProcess, VirtualTimeLoop
+from bendshed.rehearsal.simulator.network import JITTER_S, LATENCY_S, Network, SimTransport
+
+METHOD = "say"
+LINK_S = 0.03
+"""One way between the regions."""
+THIN_LINK_S = 10 * LINK_S
+ROUND_TRIP_S = 2 * (LINK_S + JITTER_S)
+NEAR_TRIP_S = 2 * (LATENCY_S + JITTER_S)
+COMMIT_S = 0.02
+TIMEOUT_S = 0.5
+NEAR = ("front", "near-store", "near-1", "near-2", "near-3")
+FAR = ("far-store", "far-1", "far-2", "far-3")
+PLACES = Places({"near-zone": "near-region", "far-zone": "far-region"})
+
+
+class DistanceTest(unittest.TestCase):
+    """A front, a store in each region, three other fronts in each."""
+
+    def setUp(self) -> None:
+        self.loop = VirtualTimeLoop()
+        asyncio.set_event_loop(self.loop)
+        self.addCleanup(self.loop.abandon)
+        self.network = Network(self.loop, random.Random(1))
+        self.set_link(LINK_S)
+        self.zone_of = {name: "near-zone" for name in NEAR} | {name: "far-zone" for name in FAR}
+        self.at = {name: Address(name, 7000) for name in self.zone_of}
+        self.ways = {name: self.ways_of(name) for name in self.at}
+        self.num_answers = 0
+        for store in ("near-store", "far-store"):
+            self.transports[store].handlers[METHOD] = self.answer
+
+    def set_link(self, one_way_s: float) -> None:
+        self.network.between_s = {(near, far): one_way_s for near in NEAR for far in FAR}
+
+    def ways_of(self, name: str) -> RelayedRequests:
+        transport = SimTransport(self.network, SimProcess(name), self.at[name])
+        self.loop.run_until_complete(transport.start())
+        if not hasattr(self, "transports"):
+            self.transports: dict[str, SimTransport] = {}
+        self.transports[name] = transport
+        neighbours = Neighbours(self.zone_of[name], PLACES)
+        for other, zone in self.zone_of.items():
+            neighbours.put(other, zone)
+        relays = [self.at[other] for other in self.at if "store" not in other and other != name]
+        methods = frozenset({METHOD})
+        return RelayedRequests(transport, random.Random(2), lambda: relays, methods, neighbours)
+
+    async def answer(self, payload: bytes) -> bytes:
+        self.num_answers += 1
+        await asyncio.sleep(COMMIT_S)
+        return payload
+
+    def ask(self, target: str, timeout_s: float = TIMEOUT_S) -> float | None:
+        """How long an answer took; ``None``: there was none."""
+        began_s = self.loop.time()
+        asking = self.ways["front"].request(self.at[target], METHOD, b"x", timeout_s)
+        try:
+            self.loop.run_until_complete(asking)
+        except PeerUnreachable:
+            return None
+        return self.loop.time() - began_s
+
+    def cut_from_stores(self, *names: str) -> None:
+        for name in names:
+            for store in ("near-store", "far-store"):
+                self.network.cuts.update(((name, store), (store, name)))
+
+    def asked_relays(self) -> set[str]:
+        counted = self.network.num_sent.items()
+        return {to for (of, to, method), num in counted if method == "paths.relay" and num}
+
+    def num_asked_relays(self) -> int:
+        counted = self.network.num_sent.items()
+        return sum(num for (_, _, method), num in counted if method == "paths.relay")
+
+    def assert_answered_within(self, took_s: float | None, most_s: float) -> None:
+        self.assertIsNotNone(took_s)
+        assert took_s is not None
+        self.assertLess(took_s, most_s)
+
+    # --- calm ------------------------------------------------------------------------------
+
+    def test_a_calm_far_request_is_sent_once_from_the_first_on(self) -> None:
+        for number in range(1, 6):
+            took_s = self.ask("far-store")
+            self.assert_answered_within(took_s, ROUND_TRIP_S + COMMIT_S + 0.001)
+            self.assertEqual(self.num_answers, number)
+        self.assertEqual(self.asked_relays(), set())
+
+    def test_a_commit_that_crosses_the_link_too_is_waited_for(self) -> None:
+        async def slow_answer(payload: bytes) -> bytes:
+            self.num_answers += 1
+            await asyncio.sleep(2 * LINK_S)
+            return payload
+
+        for store in ("near-store", "far-store"):
+            self.transports[store].handlers[METHOD] = slow_answer
+            self.ask(store)
+            self.loop.run_until_complete(asyncio.sleep(TIMEOUT_S))
+            before = self.num_answers
+            for _ in range(3):
+                self.ask(store)
+            self.assertEqual(self.num_answers, before + 3)
+
+    def test_a_link_that_becomes_ten_times_as_long_is_known_after_a_while(self) -> None:
+        for _ in range(3):
+            self.ask("far-store")
+        self.set_link(THIN_LINK_S)
+        for _ in range(60):
+            self.ask("far-store", 3.0)
+        self.network.num_sent.clear()
+        before = self.num_answers
+        for _ in range(5):
+            self.assertIsNotNone(self.ask("far-store", 3.0))
+        self.assertEqual((self.num_answers - before, self.asked_relays()), (5, set()))
+
+    # --- a cut -----------------------------------------------------------------------------
+
+    def test_a_cut_from_a_near_store_is_found_as_fast_as_ever(self) -> None:
+        self.ask("near-store")
+        self.cut_from_stores("front")
+        self.assert_answered_within(self.ask("near-store"), 0.13)
+        for _ in range(5):
+            self.assert_answered_within(self.ask("near-store"), 2 * NEAR_TRIP_S + COMMIT_S + 0.001)
+        self.assertTrue(all(name.startswith("near") for name in self.asked_relays()))
+
+    def test_a_cut_from_a_far_store_costs_one_patience_and_then_a_near_relay(self) -> None:
+        self.ask("far-store")
+        self.cut_from_stores("front")
+        first_s = 2 * (ROUND_TRIP_S + COMMIT_S) + 0.03 + NEAR_TRIP_S + ROUND_TRIP_S + COMMIT_S
+        self.assert_answered_within(self.ask("far-store"), first_s + 0.01)
+        self.network.num_sent.clear()
+        for _ in range(10):
+            took_s = self.ask("far-store")
+            self.assert_answered_within(took_s, NEAR_TRIP_S + ROUND_TRIP_S + COMMIT_S + 0.001)
+        self.assertEqual(self.num_asked_relays(), 10)
+        self.assertTrue(all(name.startswith("near") for name in self.asked_relays()))
+
+    def test_a_near_store_is_reached_through_the_other_region_if_need_be(self) -> None:
+        self.ask("near-store")
+        self.cut_from_stores("front", "near-1", "near-2", "near-3")
+        answered = [self.ask("near-store", TIMEOUT_S) for _ in range(12)]
+        self.assertTrue(any(took_s is not None for took_s in answered[:4]))
+        for took_s in answered[4:]:
+            self.assert_answered_within(took_s, 2 * ROUND_TRIP_S + COMMIT_S + 0.001)
+
+    def test_a_far_store_is_reached_through_a_relay_beside_it(self) -> None:
+        self.ask("far-store")
+        self.cut_from_stores("front", "near-1", "near-2", "near-3")
+        answered = [self.ask("far-store") for _ in range(12)]
+        for took_s in answered[6:]:
+            self.assert_answered_within(took_s, NEAR_TRIP_S + ROUND_TRIP_S + COMMIT_S + 0.001)
+        self.assertTrue(any(name.startswith("far") for name in self.asked_relays()))
+
+    def test_a_request_that_cannot_end_in_time_is_not_passed_on(self) -> None:
+        self.ask("far-store")
+        self.cut_from_stores("front")
+        self.ask("far-store")
+        self.network.num_sent.clear()
+        self.assertIsNone(self.ask("far-store", LINK_S))
+        self.assertEqual(self.asked_relays(), set())
+
+
+if __name__ == "__main__":
+    unittest.main()
