The catalog crosses the link between regions once; own region first

Cause: every front and replica machine asked the one reader, wherever it stood: 60 fronts' questions crossed the link, each for itself; relays were named without a word on where they stand, and fronts that were cut off themselves for up to 7 s after. Change: the first replica machine by rank in each region asks the reader for its region, four times as often as others ask, so that a word handed on twice is young enough. A head that lost the registry and is told serves its fronts; to other replica machines it stays lost. Fronts tell their zone and whether they reach the machine only through others: those are no relays. Time-outs of the turn log and the catalog have three round trips of the way more. Requests without advice prefer runners of the own region while one has a place there.

--- a/src/bendshed/catalog/codec.py
+++ b/src/bendshed/catalog/codec.py
@@ -22,9 +22,9 @@
     """The bytes are no document of this version of the program."""
 
 
-def write_address(address: Address) -> wire.PeerAddress:
+def write_address(address: Address, zone: str = "") -> wire.PeerAddress:
     """Translate an address for the wire."""
-    return wire.PeerAddress(host=address.host, port=address.port)
+    return wire.PeerAddress(host=address.host, port=address.port, zone=zone)
 
 
 def read_peer(address: wire.PeerAddress) -> Address:
--- a/src/bendshed/catalog/follower.py
+++ b/src/bendshed/catalog/follower.py
@@ -13,18 +13,25 @@
 from typing import Protocol
 
 from bendshed.catalog.codec import DocumentUnreadable, read_document, read_peer, read_runner
+from bendshed.catalog.reader_choice import Asker, choose_teller
 from bendshed.catalog.server import CATALOG_METHOD, MIN_SHARED_ASKERS, NEVER_CONFIRMED_MS
 from bendshed.catalog.state import KnownRunner
 from bendshed.catalog.times import CatalogTimes
 from bendshed.consensus.directory import HELLO_METHOD, ReplicaDirectory, from_wire
 from bendshed.identifiers import rendezvous_rank
 from bendshed.logs import PartLog
+from bendshed.paths.neighbours import Neighbours
 from bendshed.ports.transport import Address, PeerUnreachable, Requests, Transport
 from bendshed.services.document import ServiceDocument
 from bendshed.wire import catalog_pb2 as wire
 from bendshed.wire import turns_pb2 as wire_turns
 
 REPLY_MARGIN_S = 0.2
+MARGIN_TRIPS = 3.0
+"""A far machine has so many of its round trips more: one may open a connection, one may be lost."""
+HEAD_SHARE = 0.25
+"""The head of another region asks the reader after this share of the time after which others ask:
+its word is handed on twice, and must be as young as others' then."""
 IDLE_INTERVAL_S = 1.0
 """Who asks the registry itself asks for the catalog this often, to know other nodes."""
 RETRY_MIN_S, RETRY_MAX_S = 0.05, 0.2
@@ -80,6 +87,8 @@
         told: set once any machine has answered.
         is_fresh: the node may do without the registry.
         on_freshness: called when ``is_fresh`` has changed.
+        num_behind: tells how many others ask this machine.
+        num_askers_told: how many ask the machine that answered last, with those behind them.
 
     """
 
@@ -95,6 +104,7 @@
         may_share: bool = True,
         is_replica: bool = False,
         is_cut: Callable[[Address], bool] = lambda _peer: False,
+        neighbours: Neighbours | None = None,
     ) -> None:
         self.runners_at = 0
         self.version = 0
@@ -111,6 +121,10 @@
         self._may_share = may_share
         self._is_replica = is_replica
         self._is_cut = is_cut
+        self._neighbours = neighbours if neighbours is not None else Neighbours()
+        self._asker = Asker(me, self._neighbours.zone, self._neighbours.places, is_replica)
+        self.num_behind: Callable[[], int] = lambda: 0
+        self.num_askers_told = 0
         self.told = asyncio.Event()
         self._avoided: dict[Address, _Avoidance] = {}
         self._is_lost_here = False
@@ -175,18 +189,15 @@
     # --- asking ----------------------------------------------------------------------------
 
     def _target(self) -> Address | None:
-        """The first replica machine by a rank that all share, but for avoided ones.
-
-        ``None``: nobody is known, or this machine is the first itself.
-        """
+        """Whom to ask by a rank that all share; ``None``: nobody, this machine reads itself."""
         now_s = asyncio.get_running_loop().time()
         by_name = self._directory.by_name
-        ranked = [by_name[name].address for name in rendezvous_rank(CATALOG_METHOD, by_name)]
-        for address in ranked:
-            avoidance = self._avoided.get(address)
-            if avoidance is None or avoidance.until_s <= now_s:
-                return address if address != self._me else None
-        soonest = min(ranked, key=lambda address: self._avoided[address].until_s, default=None)
+        ranked = [by_name[name] for name in rendezvous_rank(CATALOG_METHOD, by_name)]
+        avoided = {peer for peer, avoidance in self._avoided.items() if avoidance.until_s > now_s}
+        if any(node.address not in avoided for node in ranked):
+            return choose_teller(self._asker, ranked, avoided)
+        addresses = [node.address for node in ranked]
+        soonest = min(addresses, key=lambda address: self._avoided[address].until_s, default=None)
         return soonest if soonest != self._me else None
 
     def _lead(self) -> None:
@@ -214,25 +225,45 @@
 
     async def _ask(self, target: Address, waits_there: bool) -> wire.CatalogReply | None:
         """Ask once; relays give up what waits, so only a direct word is waited for there."""
-        wait_s = self._times.interval_s if waits_there else 0.0
+        wait_s = self._wait_s(target) if waits_there else 0.0
         request = wire.CatalogRequest(
             runners_at=self.runners_at,
             document_version=self.version,
             wait_ms=int(wait_s * 1000),
-            asker=wire.PeerAddress(host=self._me.host, port=self._me.port),
+            asker=self._told_of_me(),
             directory_digest=self._told_digest if target == self._told_by else 0,
             is_replica=self._is_replica,
+            is_cut_off=self._is_relayed(target),
+            num_behind=self.num_behind(),
         )
         # A word that is waited for says nothing of the way meanwhile, so it goes directly.
         ways = self._transport if waits_there else self._requests
+        way_s = self._neighbours.way_s(target.host, self._transport.round_trip_s(target))
+        timeout_s = wait_s + REPLY_MARGIN_S + MARGIN_TRIPS * way_s
         try:
             content = await ways.request(
-                target, CATALOG_METHOD, request.SerializeToString(), wait_s + REPLY_MARGIN_S
+                target, CATALOG_METHOD, request.SerializeToString(), timeout_s
             )
         except PeerUnreachable:
             return None
         return wire.CatalogReply.FromString(content)
 
+    @property
+    def is_head(self) -> bool:
+        """Whether this replica machine is told across the link, for its whole region."""
+        teller = self._told_by
+        return self._is_replica and teller is not None and self._neighbours.is_far(teller.host)
+
+    def _wait_s(self, target: Address) -> float:
+        """How long a machine may wait for a change before it answers."""
+        asks_as_head = self._is_replica and self._neighbours.is_far(target.host)
+        return self._times.interval_s * (HEAD_SHARE if asks_as_head else 1.0)
+
+    def _told_of_me(self) -> wire.PeerAddress:
+        """Where this node is; a replica machine's zone is known from its announcement."""
+        zone = "" if self._is_replica else self._neighbours.zone
+        return wire.PeerAddress(host=self._me.host, port=self._me.port, zone=zone)
+
     # --- what is told ----------------------------------------------------------------------
 
     def _take(self, target: Address, reply: wire.CatalogReply) -> None:
@@ -244,7 +275,10 @@
         self._take_directory(reply)
         self._told_by, self._told_digest = target, reply.directory_digest
         self.told.set()
+        for front in reply.fronts:
+            self._neighbours.put(front.host, front.zone)
         self._take_fronts([read_peer(front) for front in reply.fronts])
+        self.num_askers_told = reply.num_askers
         self._is_shared = self._may_share and reply.num_askers >= MIN_SHARED_ASKERS
         age_s = reply.age_ms / 1000
         is_current = is_level and reply.document_version >= self.version
--- a/src/bendshed/catalog/server.py
+++ b/src/bendshed/catalog/server.py
@@ -10,13 +10,14 @@
     decode_kept,
     encode_kept,
     read_peer,
-    write_address,
     write_reply,
 )
+from bendshed.catalog.relay_list import RelayList
 from bendshed.catalog.state import KnownRunner
 from bendshed.catalog.times import CatalogTimes, ReadingPace
 from bendshed.consensus.directory import HELLO_METHOD, ReplicaDirectory, to_wire
 from bendshed.logs import PartLog
+from bendshed.paths.neighbours import Neighbours
 from bendshed.ports.catalog_storage import CatalogStorage
 from bendshed.ports.transport import Address, Transport
 from bendshed.services.document import ServiceDocument
@@ -25,11 +26,8 @@
 CATALOG_METHOD = "catalog.read"
 FRONTS_METHOD = "catalog.fronts"
 ASKER_KEPT_S = 3.0
-"""A front that did not ask for this long is not named to others."""
-MAX_FRONTS_TOLD = 6
+"""Who did not ask for this long does not count among the askers."""
 SHARE_INTERVAL_S = 1.0
-MAX_FRONTS_SHARED = 12
-"""Fronts that a machine names to the other replica machines: enough for others to relay through."""
 SAVE_PACE_S = 1.0
 KEPT_FRONTS_S = 10.0
 """Fronts of the last life that have not asked by then are forgotten."""
@@ -62,6 +60,8 @@
         pace: how it reads the registry now.
         on_pace: called when that has changed.
         confirmed_at_s: loop time at which the registry last confirmed each part in this life.
+        is_told: whether a machine of another region tells this one, its region's head, a fresh word.
+        num_askers_elsewhere: nodes that rely on that machine; 0: this one is no head.
 
     """
 
@@ -74,7 +74,10 @@
         storage: CatalogStorage,
         times: CatalogTimes,
         reads_kept: bool = True,
+        neighbours: Neighbours | None = None,
     ) -> None:
+        self.is_told: Callable[[], bool] = lambda: False
+        self.num_askers_elsewhere: Callable[[], int] = lambda: 0
         self._kept = decode_kept(storage.load() if reads_kept else None)
         self.catalog = self._kept.catalog
         self.confirmed_at_s: dict[CatalogPart, float] = {}
@@ -88,8 +91,10 @@
         self._storage = storage
         self._asked_at_s: dict[Address, float] = {}
         self._replicas_asked_at_s: dict[Address, float] = {}
+        self._neighbours = neighbours if neighbours is not None else Neighbours()
+        self._num_behind: dict[Address, int] = {}
+        self._relay_list = RelayList(self._neighbours, rng, times.interval_s)
         self._is_lost = False
-        self._elsewhere: dict[Address, float] = {}
         self._forgets_kept_at_s = 0.0
         self._changed = asyncio.Event()
         self._unsaved = asyncio.Event()
@@ -157,8 +162,15 @@
 
     @property
     def num_askers(self) -> int:
-        """Fronts and replica machines that asked lately."""
-        return len(self._askers()) + len(self._lately(self._replicas_asked_at_s))
+        """Fronts and replica machines that asked lately, with those that ask these."""
+        replicas = self._lately(self._replicas_asked_at_s)
+        num_behind = sum(self._num_behind.get(replica, 0) for replica in replicas)
+        return len(self._askers()) + len(replicas) + num_behind
+
+    @property
+    def num_fronts(self) -> int:
+        """Fronts that asked this machine lately."""
+        return len(self._askers())
 
     @property
     def is_in_demand(self) -> bool:
@@ -174,18 +186,35 @@
         if asker not in asked_at_s:
             self._unsaved.set()
         asked_at_s[asker] = loop.time()
+        self._note_asker(asker, request)
         self._follow_demand()
         if not self._has_news(request):
             await self._wait_for_change(request.wait_ms / 1000)
         reply = write_reply(self.catalog, request.runners_at, request.document_version)
         reply.age_ms = self._age_ms()
-        reply.num_askers = self.num_askers
-        reply.is_lost = self._is_lost
+        reply.num_askers = max(self.num_askers, self.num_askers_elsewhere())
+        reply.is_lost = self._is_lost_for(request)
         self._add_directory(reply, request)
         if not request.is_replica:
-            reply.fronts.extend(write_address(front) for front in self._some_fronts(asker))
+            reply.fronts.extend(self._relay_list.some_for(asker, self._asked_at_s))
         return reply.SerializeToString()
 
+    def _note_asker(self, asker: Address, request: wire.CatalogRequest) -> None:
+        """Remember where an asker stands, who asks it, and whether it is cut off."""
+        self._neighbours.put(asker.host, request.asker.zone)
+        if request.is_replica:
+            self._num_behind[asker] = request.num_behind
+        else:
+            self._relay_list.note_asker(asker, request.is_cut_off)
+
+    def _is_lost_for(self, request: wire.CatalogRequest) -> bool:
+        """Whether an asker must go elsewhere.
+
+        A machine that lost the registry and is told by another may serve fronts, which nobody
+        relies on. Replica machines must not rely on it: it may be they who tell it.
+        """
+        return self._is_lost and (request.is_replica or not self.is_told())
+
     def _add_directory(self, reply: wire.CatalogReply, request: wire.CatalogRequest) -> None:
         """Add the replica machines, unless the asker was told the same before."""
         reply.directory_digest = self._directory.digest()
@@ -198,7 +227,8 @@
 
     def _has_news(self, request: wire.CatalogRequest) -> bool:
         is_newer = self.catalog.version > request.document_version
-        if is_newer or self._is_lost or self._directory.digest() != request.directory_digest:
+        is_lost = self._is_lost_for(request)
+        if is_newer or is_lost or self._directory.digest() != request.directory_digest:
             return True
         if request.runners_at > self.catalog.runners_at:
             return False
@@ -233,25 +263,17 @@
         for known, kept_s in (
             (self._asked_at_s, GREETED_S),
             (self._replicas_asked_at_s, ASKER_KEPT_S),
-            (self._elsewhere, ASKER_KEPT_S),
+            (self._relay_list.elsewhere, ASKER_KEPT_S),
         ):
             for front in [front for front, at_s in known.items() if now_s - at_s > kept_s]:
                 del known[front]
-
-    def _some_fronts(self, asker: Address) -> list[Address]:
-        """Fronts that were heard lately, half of them by others' word, so of several zones."""
-        near = [front for front in self._askers() if front != asker]
-        far = [front for front in self._elsewhere if front not in self._asked_at_s]
-        half = MAX_FRONTS_TOLD // 2
-        chosen = self._rng.sample(far, min(half, len(far)))
-        chosen += self._rng.sample(near, min(MAX_FRONTS_TOLD - len(chosen), len(near)))
-        return chosen
+        self._relay_list.keep_only(self._asked_at_s)
+        for replica in [name for name in self._num_behind if name not in self._replicas_asked_at_s]:
+            del self._num_behind[replica]
 
     def _take_fronts(self, payload: bytes) -> None:
         """Another replica machine names fronts that it hears."""
-        now_s = asyncio.get_running_loop().time()
-        for front in wire.CatalogReply.FromString(payload).fronts:
-            self._elsewhere[read_peer(front)] = now_s
+        self._relay_list.take_told(wire.CatalogReply.FromString(payload).fronts)
 
     def _follow_demand(self) -> None:
         """While fronts rely on this machine, it reads the registry often."""
@@ -297,11 +319,10 @@
             await asyncio.sleep(SHARE_INTERVAL_S)
             self._forget_silent()
             self._follow_demand()
-            fronts = self._askers()
+            fronts = self._relay_list.to_share(self._asked_at_s)
             if not fronts:
                 continue
-            chosen = self._rng.sample(fronts, min(MAX_FRONTS_SHARED, len(fronts)))
-            told = wire.CatalogReply(fronts=[write_address(front) for front in chosen])
+            told = wire.CatalogReply(fronts=fronts)
             for node in self._directory.by_name.values():
                 if node.address != self._me:
                     self._transport.send(node.address, FRONTS_METHOD, told.SerializeToString())
@@ -311,7 +332,7 @@
         while True:
             await self._unsaved.wait()
             self._unsaved.clear()
-            fronts = {*self._asked_at_s, *self._elsewhere}
+            fronts = {*self._asked_at_s, *self._relay_list.elsewhere}
             if asyncio.get_running_loop().time() < self._forgets_kept_at_s:
                 fronts.update(self._kept.fronts)
             kept = KeptCatalog(
--- a/src/bendshed/paths/neighbours.py
+++ b/src/bendshed/paths/neighbours.py
@@ -55,6 +55,10 @@
         """Whether a host is known to stand in another region."""
         return self.distance(host) is Distance.OTHER_REGION
 
+    def way_s(self, host: str, measured_s: float | None) -> float:
+        """The round trip to a host as measured, or what one of its kind very likely takes."""
+        return measured_s if measured_s is not None else UNMEASURED_S[self.distance(host)]
+
     def are_together(self, host: str, other: str) -> bool:
         """Whether two hosts are known to stand in one region."""
         zone, other_zone = self._zone_of.get(host), self._zone_of.get(other)
--- a/src/bendshed/paths/patience.py
+++ b/src/bendshed/paths/patience.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from bendshed.paths.neighbours import UNMEASURED_S, Neighbours
+from bendshed.paths.neighbours import Neighbours
 from bendshed.ports.round_trips import RoundTrips
 from bendshed.ports.transport import Address
 
@@ -47,8 +47,7 @@
 
     def way_s(self, peer: Address) -> float:
         """The round trip to a peer, or what one of its kind takes."""
-        known = self.round_trip_s(peer)
-        return known if known is not None else UNMEASURED_S[self.neighbours.distance(peer.host)]
+        return self.neighbours.way_s(peer.host, self.round_trip_s(peer))
 
     def answer_s(self, peer: Address, method: str, now_s: float) -> float:
         """The quickest answer of a peer to a method: the way and what it does meanwhile."""
--- a/src/bendshed/platform/front.py
+++ b/src/bendshed/platform/front.py
@@ -62,7 +62,7 @@
             self._transport,
             self._connections,
             PlatformRunnerProtocol(),
-            NodePlace(settings.zone, settings.peer_address),
+            NodePlace(settings.zone, settings.peer_address, settings.places),
             times,
             self._rng,
             self._make_metrics(registry),
--- a/src/bendshed/platform/replica.py
+++ b/src/bendshed/platform/replica.py
@@ -61,6 +61,7 @@
             CatalogTimes.within(settings.apply_s, settings.platform.historyS),
             settings.policy,
             settings.bounds.quota_terms,
+            settings.places,
         )
         confirm = self._node.catalog.confirm
         self._runners = self._watcher(
--- a/src/bendshed/programs/client.py
+++ b/src/bendshed/programs/client.py
@@ -1,6 +1,7 @@
 """Reaches the leader of a group from any node, across leader changes."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -15,6 +16,9 @@
 SILENT_S = 1.0
 """A node that gave no answer is not tried for this long while others can be. One whose machine
 refuses the connection costs nothing to ask, and may be about to start."""
+FAR_TRIPS = 3.0
+"""Where the leader is far, its bound has so many round trips more: one for the way, two for a
+second way when the direct one is silent (`paths/`)."""
 RETRY_MIN_S = 0.02
 RETRY_MAX_S = 0.2
 
@@ -39,6 +43,7 @@
 
     Attributes:
         leaders: group -> node id of the leader last heard of (a hint).
+        way_s: tells the round trip to a node.
 
     """
 
@@ -51,6 +56,7 @@
         disk_nodes: Callable[[], list[str]],
     ) -> None:
         self.leaders: dict[int, str] = {}
+        self.way_s: Callable[[Address], float] = lambda _peer: 0.0
         self.group_count = group_count
         self._transport = transport
         self._rng = rng
@@ -85,9 +91,9 @@
     async def _try_once(
         self, request: wire.GroupRequest, left_s: float, wait_s: float
     ) -> wire.GroupReply | None:
-        timeout_s = min(left_s, wait_s + REPLY_MARGIN_S)
+        timeout_s = wait_s + REPLY_MARGIN_S
         answer = await self.ask_leader(
-            request.group_id, COMMAND_METHOD, request.SerializeToString(), timeout_s
+            request.group_id, COMMAND_METHOD, request.SerializeToString(), timeout_s, left_s
         )
         if answer is None:
             return None
@@ -99,16 +105,31 @@
         return reply
 
     async def ask_leader(
-        self, group_id: int, method: str, payload: bytes, timeout_s: float
+        self,
+        group_id: int,
+        method: str,
+        payload: bytes,
+        timeout_s: float,
+        most_s: float = math.inf,
     ) -> LeaderAnswer | None:
-        """Ask the supposed leader of a group once; ``None``: no answer, forget the supposition."""
+        """Ask the supposed leader of a group once; ``None``: no answer, forget the supposition.
+
+        Args:
+            group_id: which group.
+            method: of the request.
+            payload: of the request.
+            timeout_s: for an answer of a neighbour; a far leader has more.
+            most_s: no answer helps after this long.
+
+        """
         target = self._target(group_id)
         address = self._resolve(target) if target else None
         if address is None:
             self._forget(group_id, target)
             return None
+        far_s = timeout_s + FAR_TRIPS * self.way_s(address)
         try:
-            content = await self._transport.request(address, method, payload, timeout_s)
+            content = await self._transport.request(address, method, payload, min(far_s, most_s))
         except PeerUnreachable as error:
             self._forget(group_id, target)
             if error.is_silent:
@@ -117,6 +138,11 @@
         self._silent_until_s.pop(target, None)
         return LeaderAnswer(target, content)
 
+    def way_to_leader_s(self, group_id: int) -> float:
+        """The round trip to the supposed leader: sooner no answer comes; 0: nobody is known."""
+        address = self._resolve(self.leaders.get(group_id, ""))
+        return self.way_s(address) if address is not None else 0.0
+
     def follow_hint(self, group_id: int, hint: str, said_by: str) -> None:
         """A node that does not lead the group named who may; empty: nobody known.
 
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -10,6 +10,7 @@
 from bendshed.catalog.server import CatalogPart
 from bendshed.catalog.state import KnownRunner
 from bendshed.catalog.times import CatalogTimes
+from bendshed.placement.places import Distance, Places
 from bendshed.ports.transport import Address
 from bendshed.rehearsal.search import Tally
 from bendshed.rehearsal.simulator.loop import SimProcess, VirtualTimeLoop
@@ -37,6 +38,8 @@
 from bendshed.turns.node import TurnLogNode
 
 PEER_PORT = 7000
+LINK_S = 0.03
+"""One way between two regions."""
 NUM_FRONTS, NUM_STORES, NUM_ENGINES, NUM_TOOLS = 3, 4, 3, 2
 NUM_VOTERS = 3
 FOLLOW_S = 0.1
@@ -75,6 +78,7 @@
     """The whole site under virtual time."""
 
     seed: int
+    places: Places = field(default_factory=Places)
     loop: VirtualTimeLoop = field(default_factory=VirtualTimeLoop)
     rng: random.Random = field(init=False)
     network: Network = field(init=False)
@@ -109,16 +113,18 @@
         self.seen.newest_version = 1
 
     @classmethod
-    def started(cls, seed: int) -> "SiteWorld":
-        """A site that serves."""
-        world = cls(seed)
+    def started(
+        cls, seed: int, places: Places | None = None, num_fronts: int = NUM_FRONTS
+    ) -> "SiteWorld":
+        """A site that serves; with ``places`` a round trip between regions takes 60 ms."""
+        world = cls(seed, places or Places())
         for number in range(NUM_ENGINES):
             world.add_runner(f"engine-{number + 1}", "engines", 8)
         for number in range(NUM_TOOLS):
             world.add_runner(f"tool-{number + 1}", "tools", 6)
         for number in range(NUM_STORES):
             world.add_machine(f"store-{number + 1}", f"10.0.1.{number + 1}", number, has_disk=True)
-        for number in range(NUM_FRONTS):
+        for number in range(num_fronts):
             world.add_machine(f"front-{number + 1}", f"10.0.2.{number + 1}", number, has_disk=False)
         world.wait_for(world.is_led, START_LIMIT_S)
         world.run_for(1.0)
@@ -144,8 +150,14 @@
         disk = SimDisk(identity=f"{name}-disk-1") if has_disk else None
         machine = SimMachine(name, host, zone, SimProcess(name), disk)
         (self.stores if has_disk else self.fronts)[name] = machine
+        self._set_link(machine)
         self.start(machine)
 
+    def _set_link(self, machine: SimMachine) -> None:
+        for other in [*self.fronts.values(), *self.stores.values()]:
+            if self.places.distance(machine.zone, other.zone) is Distance.OTHER_REGION:
+                self.network.between_s[machine.host, other.host] = LINK_S
+
     def start(self, machine: SimMachine) -> None:
         """Start a process of a machine."""
         machine.lives += 1
@@ -173,7 +185,7 @@
         connections = SimConnections(self.net, machine.process, machine.host)
         metrics = ServiceMetrics(CollectorRegistry())
         self.metrics[machine.process.name] = metrics
-        place = NodePlace(machine.zone, transport.address)
+        place = NodePlace(machine.zone, transport.address, self.places)
         front = ServiceNode(transport, connections, SimRunnerProtocol(), place, TIMES, rng, metrics)
         versions = self.seen.versions.setdefault(machine.process.name, [])
         front.on_document = lambda document: versions.append(document.version)
@@ -206,6 +218,7 @@
             SimCatalogStorage(disk),
             TIMES,
             quota_terms=QUOTA_TERMS,
+            places=self.places,
         )
         machine.replica.start()
         machine.process.spawn(self.loop, self._follow(machine, self._tell_store))
--- a/src/bendshed/services/attempts.py
+++ b/src/bendshed/services/attempts.py
@@ -7,6 +7,7 @@
 
 from bendshed.errors import ErrorKind, Refusal
 from bendshed.logs import PartLog
+from bendshed.placement.places import Places
 from bendshed.policy import EVERYTHING, Policy
 from bendshed.ports.http_messages import ConnectFailed, ResponseBroken, ResponseHead
 from bendshed.ports.runner import RunnerProtocol, Sending, ServiceRequest, Verdict
@@ -42,6 +43,7 @@
     rng: random.Random
     metrics: ServiceMetrics
     policy: Policy = EVERYTHING
+    places: Places = field(default_factory=Places)
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,7 +188,8 @@
         connected: set[str] = set()
         if self.ports.policy.kept_connections:
             connected = {r.listed.runner_id for r in usable if self._is_connected(r)}
-        view = NodeView(self.ports.node, self.ports.zone, connected, now_s)
+        ports = self.ports
+        view = NodeView(ports.node, ports.zone, connected, now_s, ports.places)
         return choose_runner(
             usable,
             self._tried,
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 
 from bendshed.catalog.follower import CatalogFollower
@@ -12,7 +12,9 @@
 from bendshed.catalog.times import CatalogTimes
 from bendshed.consensus.directory import ReplicaDirectory
 from bendshed.logs import PartLog
+from bendshed.paths.neighbours import Neighbours
 from bendshed.paths.relayed import RelayedRequests
+from bendshed.placement.places import Places
 from bendshed.policy import EVERYTHING, Policy
 from bendshed.ports.runner import RunnerProtocol
 from bendshed.ports.runner_connections import RunnerConnections
@@ -42,10 +44,16 @@
 
 @dataclass(frozen=True, slots=True)
 class NodePlace:
-    """Where a node is, and where other nodes reach it."""
+    """Where a node is, and where other nodes reach it.
+
+    Attributes:
+        places: regions of all zones.
+
+    """
 
     zone: str
     address: Address
+    places: Places = field(default_factory=Places)
 
 
 class ServiceNode:
@@ -56,6 +64,7 @@
 
     Attributes:
         directory: where the turn log's replicas are.
+        neighbours: where other nodes stand.
         catalog: what replica machines tell of configuration and runners.
         forwarder: serves requests.
         quotas: what the node may let through of each tenant.
@@ -75,12 +84,16 @@
         policy: Policy = EVERYTHING,
     ) -> None:
         self.directory = ReplicaDirectory()
+        self.neighbours = Neighbours(place.zone, place.places)
+        self.directory.on_change.append(self._note_replicas)
         self.on_document: Callable[[ServiceDocument], None] = lambda _document: None
         self.is_draining = False
         self._policy = policy
         self._table = RunnerTable()
         self._pool = connections
-        self._requests = RelayedRequests(transport, rng, self._other_nodes, RELAYED_METHODS)
+        self._requests = RelayedRequests(
+            transport, rng, self._other_nodes, RELAYED_METHODS, self.neighbours
+        )
         self.catalog = CatalogFollower(
             transport,
             self._requests,
@@ -91,10 +104,12 @@
             rng,
             policy.shared_reading,
             is_cut=self._requests.is_cut,
+            neighbours=self.neighbours,
         )
         groups = GroupClient(
             self._requests, rng, TURN_GROUPS, self.directory.resolve, self.directory.node_ids
         )
+        groups.way_s = self._requests.way_s
         client = TurnClient(rng, groups, self._refuses_alone)
         life = f"{place.address}/{rng.getrandbits(48):012x}"
         self.quotas = NodeQuotas(life, client, metrics)
@@ -109,10 +124,16 @@
             rng,
             metrics,
             policy,
+            place.places,
         )
         self.forwarder = Forwarder(runners, self._turns)
         self._add_gauges(metrics)
 
+    def _note_replicas(self) -> None:
+        """Remember where replica machines stand."""
+        for replica in self.directory.by_name.values():
+            self.neighbours.put(replica.address.host, replica.zone)
+
     def _other_nodes(self) -> list[Address]:
         return self.catalog.fronts if self._policy.relays else []
 
--- a/src/bendshed/services/placement.py
+++ b/src/bendshed/services/placement.py
@@ -7,9 +7,10 @@
 import math
 import random
 from collections.abc import Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from bendshed.identifiers import rendezvous_rank
+from bendshed.placement.places import Places
 from bendshed.placement.runner_health import median_pace
 from bendshed.policy import EVERYTHING, Policy
 from bendshed.services.runners import RunnerRecord
@@ -36,6 +37,7 @@
         zone: this node's; decides between equals.
         connected: ids of runners to which a connection rests.
         now_s: loop time.
+        places: regions of all zones; runners of the node's own region come first.
 
     """
 
@@ -43,6 +45,11 @@
     zone: str
     connected: Collection[str]
     now_s: float
+    places: Places = field(default_factory=Places)
+
+    def is_near(self, record: RunnerRecord) -> bool:
+        """Whether a runner stands in this node's region."""
+        return self.places.region(record.listed.zone) == self.places.region(self.zone)
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,7 +93,7 @@
     if not untried:
         return None
     sound = [r for r in untried if not (policy.avoidance and r.is_avoided(view.now_s))]
-    pool = sound or untried
+    pool = _near_first(sound or untried, view)
     if thing and policy.thing_affinity:
         choice = _by_thing(pool, thing, view)
     elif session and policy.session_affinity:
@@ -98,6 +105,16 @@
     return choice if sound else Choice(choice.record, "only_avoided")
 
 
+def _near_first(pool: list[RunnerRecord], view: NodeView) -> list[RunnerRecord]:
+    """The runners of the node's own region while any of them has a place by this node's own count.
+
+    What runs elsewhere costs a round trip between regions before its first byte, and the link.
+    """
+    near = [record for record in pool if view.is_near(record)]
+    has_room = any(record.in_flight < max(1, record.listed.slots) for record in near)
+    return near if has_room else pool
+
+
 def _by_session(pool: list[RunnerRecord], session: str, max_extra: float) -> Choice:
     by_id = {record.listed.runner_id: record for record in pool}
     ranked = rendezvous_rank(session, by_id)
--- a/src/bendshed/turns/client.py
+++ b/src/bendshed/turns/client.py
@@ -1,6 +1,7 @@
 """The executors' side of the turn log: reaches its leader and keeps transcripts at hand."""
 
 import asyncio
+import math
 import random
 from collections import OrderedDict
 from collections.abc import Callable
@@ -14,7 +15,7 @@
 log = PartLog("turns")
 
 TRY_TIMEOUT_S = 0.3
-"""Longest wait for one replica's reply; a commit takes some ms."""
+"""Longest wait for a neighbour's reply, as is the next; a commit takes some ms."""
 PREVIEW_TIMEOUT_S = 0.2
 LOSS_TOLD_S = 0.3
 """After this long without any answer a line tells it."""
@@ -60,8 +61,8 @@
         payload = command.SerializeToString()
         loop = asyncio.get_running_loop()
         give_up_at_s = loop.time() + timeout_s
-        while (left_s := give_up_at_s - loop.time()) > 0:
-            reply = await self._try_once(payload, min(TRY_TIMEOUT_S, left_s))
+        while (left_s := give_up_at_s - loop.time()) > self._groups.way_to_leader_s(TURN_GROUP):
+            reply = await self._try_once(payload, left_s)
             if reply is not None:
                 return reply
             await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
@@ -84,7 +85,7 @@
         loop = asyncio.get_running_loop()
         give_up_at_s = loop.time() + timeout_s
         while (left_s := give_up_at_s - loop.time()) > 0:
-            reply = await self._ask(QUOTA_METHOD, payload, min(PREVIEW_TIMEOUT_S, left_s))
+            reply = await self._ask(QUOTA_METHOD, payload, PREVIEW_TIMEOUT_S, left_s)
             if reply is not None and reply.answer not in NO_WORD:
                 return reply
             await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
@@ -109,13 +110,15 @@
             log.say("no replica of the turn log answers")
             self._is_loss_told = True
 
-    async def _try_once(self, payload: bytes, timeout_s: float) -> wire.TurnReply | None:
-        reply = await self._ask(TURN_METHOD, payload, timeout_s)
+    async def _try_once(self, payload: bytes, left_s: float) -> wire.TurnReply | None:
+        reply = await self._ask(TURN_METHOD, payload, TRY_TIMEOUT_S, left_s)
         return None if reply is None or reply.answer in NO_WORD else reply
 
-    async def _ask(self, method: str, payload: bytes, timeout_s: float) -> wire.TurnReply | None:
+    async def _ask(
+        self, method: str, payload: bytes, timeout_s: float, left_s: float = math.inf
+    ) -> wire.TurnReply | None:
         """Ask the supposed leader; learn from what it says who leads."""
-        answer = await self._groups.ask_leader(TURN_GROUP, method, payload, timeout_s)
+        answer = await self._groups.ask_leader(TURN_GROUP, method, payload, timeout_s, left_s)
         self._note(answer is not None)
         if answer is None:
             return None
--- a/src/bendshed/turns/node.py
+++ b/src/bendshed/turns/node.py
@@ -13,6 +13,9 @@
 from bendshed.consensus.raft_types import Role
 from bendshed.consensus.supervisor import ReplicaSupervisor
 from bendshed.logs import PartLog
+from bendshed.paths.echo import Echo
+from bendshed.paths.neighbours import Neighbours
+from bendshed.placement.places import Places
 from bendshed.policy import EVERYTHING, Policy
 from bendshed.ports.catalog_storage import CatalogStorage
 from bendshed.ports.log_storage import LogStorage
@@ -42,6 +45,7 @@
     Attributes:
         directory: the replica machines it knows.
         catalog: what it tells others of configuration and runners.
+        neighbours: where other nodes stand.
         follower: what it is told itself, so that one machine reads the registry for all.
 
     """
@@ -61,8 +65,11 @@
         times: CatalogTimes,
         policy: Policy = EVERYTHING,
         quota_terms: QuotaTerms = EXACT,
+        places: Places | None = None,
     ) -> None:
         self.directory = ReplicaDirectory()
+        self.neighbours = Neighbours(zone, places or Places())
+        self.directory.on_change.append(self._note_replicas)
         self.host = GroupHost(
             storage,
             transport,
@@ -78,7 +85,14 @@
             self.host, storage, transport, registry, self.directory, me, TICK_S, num_voters
         )
         self.catalog = CatalogServer(
-            transport, self.directory, address, rng, catalog_storage, times, policy.kept_catalog
+            transport,
+            self.directory,
+            address,
+            rng,
+            catalog_storage,
+            times,
+            policy.kept_catalog,
+            self.neighbours,
         )
         self.follower = CatalogFollower(
             transport,
@@ -90,7 +104,12 @@
             rng,
             policy.shared_reading and policy.replicas_follow,
             is_replica=True,
+            neighbours=self.neighbours,
         )
+        self.catalog.is_told = lambda: self.follower.is_head and self.follower.is_fresh
+        self.catalog.num_askers_elsewhere = self._num_askers_of_teller
+        self.follower.num_behind = lambda: self.catalog.num_fronts
+        self._echo = Echo(transport, self._other_replicas, self.neighbours)
         self._advice = TurnAdvice(self.catalog.catalog, rng)
         quotas = TurnQuotas(self.catalog.catalog, quota_terms, policy.programs_first)
         self._service = TurnService(self.host, transport, metrics, self._advice, quotas)
@@ -119,6 +138,18 @@
         running = metrics.gauge("bendshed_turns_placed", "Turns under way that were advised here")
         running.set_function(lambda: float(self._advice.board.num_running))
 
+    def _note_replicas(self) -> None:
+        """Remember where replica machines stand."""
+        for replica in self.directory.by_name.values():
+            self.neighbours.put(replica.address.host, replica.zone)
+
+    def _num_askers_of_teller(self) -> int:
+        return self.follower.num_askers_told if self.follower.is_head else 0
+
+    def _other_replicas(self) -> list[Address]:
+        nodes = self.directory.by_name.values()
+        return [node.address for node in nodes if node != self.directory.own]
+
     def _read_group(self, read: Callable[[HostedGroup], float]) -> float:
         """Read the turn log's group; 0 where this process holds no replica."""
         group = self.host.groups.get(TURN_GROUP)
@@ -141,6 +172,7 @@
             start_loop(self.catalog.share_fronts(), "catalog"),
             start_loop(self.catalog.keep(), "catalog"),
             start_loop(self.follower.run(), "catalog"),
+            start_loop(self._echo.run(), "regions"),
         ]
         log.say("started", node=self.host.node_id)
 
--- /dev/null
+++ b/tests/test_regions_catalog.py
@@ -0,0 +1,216 @@
+"""The catalog crosses the link between regions once: through one replica machine of each region."""
+
+import unittest
+from collections import Counter
+from unittest import mock
+
+from bendshed.catalog import follower, server
+from bendshed.catalog.reader_choice import Asker, choose_teller
+from bendshed.catalog.server import CATALOG_METHOD
+from bendshed.identifiers import rendezvous_rank
+from bendshed.placement.places import Distance, Places
+from bendshed.ports.registry import ReplicaNode
+from bendshed.ports.transport import Address
+from bendshed.rehearsal.site.documents import make_document
+from bendshed.rehearsal.site.sim_world import APPLY_S, TIMES, SimMachine, SiteWorld
+
+PLACES = Places({"zone-a": "east", "zone-b": "east", "zone-c": "west", "zone-d": "west"})
+NUM_FRONTS = 8
+PLAYED_S = 8.0
+
+
+def replica(name: str, zone: str) -> ReplicaNode:
+    return ReplicaNode(name, name, Address(name, 7000), zone)
+
+
+class ChoiceTest(unittest.TestCase):
+    """Four replica machines by rank: two in the east, then two in the west."""
+
+    def setUp(self) -> None:
+        self.ranked = [
+            replica("e1", "zone-a"),
+            replica("w1", "zone-c"),
+            replica("e2", "zone-b"),
+            replica("w2", "zone-d"),
+        ]
+
+    def asked_by(self, name: str, zone: str, avoided: str = "", places: Places = PLACES) -> str:
+        is_replica = any(node.name == name for node in self.ranked)
+        asker = Asker(Address(name, 7000), zone, places, is_replica)
+        out = {Address(host, 7000) for host in avoided.split()}
+        found = choose_teller(asker, self.ranked, out)
+        return found.host if found is not None else ""
+
+    def test_the_first_reads_and_the_other_regions_first_asks_it(self) -> None:
+        self.assertEqual(self.asked_by("e1", "zone-a"), "")
+        self.assertEqual(self.asked_by("e2", "zone-b"), "e1")
+        self.assertEqual(self.asked_by("w1", "zone-c"), "e1")
+        self.assertEqual(self.asked_by("w2", "zone-d"), "w1")
+
+    def test_fronts_ask_the_first_of_their_region(self) -> None:
+        self.assertEqual(self.asked_by("front", "zone-b"), "e1")
+        self.assertEqual(self.asked_by("front", "zone-d"), "w1")
+        self.assertEqual(self.asked_by("front", "zone-d", "w1"), "w2")
+        self.assertEqual(self.asked_by("front", "zone-d", "w1 w2"), "e1")
+
+    def test_when_the_reader_is_lost_the_next_by_rank_reads_for_both_regions(self) -> None:
+        self.assertEqual(self.asked_by("w1", "zone-c", "e1"), "")
+        self.assertEqual(self.asked_by("e1", "zone-a", "e1"), "e2")
+        self.assertEqual(self.asked_by("e2", "zone-b", "e1"), "w1")
+        self.assertEqual(self.asked_by("w2", "zone-d", "e1"), "w1")
+
+    def test_without_regions_all_ask_the_first(self) -> None:
+        for name, zone in (("e2", "zone-b"), ("w1", "zone-c"), ("w2", "zone-d"), ("f", "zone-d")):
+            self.assertEqual(self.asked_by(name, zone, places=Places()), "e1")
+        self.assertEqual(self.asked_by("e1", "zone-a", places=Places()), "")
+
+    def test_nobody_is_asked_by_two_that_ask_each_other(self) -> None:
+        """Whoever is lost, following the askers ends at one that asks nobody."""
+        zones = {node.name: node.zone for node in self.ranked}
+        for lost in ("", "e1", "w1", "e1 w1", "e1 e2", "e1 w1 e2"):
+            for start in zones:
+                if start in lost.split():
+                    continue
+                name, num_hops = start, 0
+                while name and num_hops < 5:
+                    name = self.asked_by(name, zones[name], lost)
+                    num_hops += 1
+                self.assertLess(num_hops, 5, f"{start} with {lost} lost")
+
+
+class RegionsTest(unittest.TestCase):
+    """Eight fronts and four replica machines in two regions, 30 ms apart one way."""
+
+    def setUp(self) -> None:
+        for module in (follower, server):
+            patch = mock.patch.object(module, "MIN_SHARED_ASKERS", 1)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.world = SiteWorld.started(3, PLACES, NUM_FRONTS)
+        self.addCleanup(self.world.close)
+        self.world.run_for(3.0)
+
+    def machines(self) -> dict[str, SimMachine]:
+        everything = [*self.world.fronts.values(), *self.world.stores.values()]
+        return {machine.host: machine for machine in everything}
+
+    def ranked(self) -> list[SimMachine]:
+        names = rendezvous_rank(CATALOG_METHOD, self.world.stores)
+        return [self.world.stores[name] for name in names]
+
+    def far_head(self) -> SimMachine:
+        reader = self.ranked()[0]
+        return next(m for m in self.ranked() if self.is_far(m, reader))
+
+    @staticmethod
+    def is_far(machine: SimMachine, other: SimMachine) -> bool:
+        return PLACES.distance(machine.zone, other.zone) is Distance.OTHER_REGION
+
+    def askers_over_the_link(self) -> Counter[str]:
+        """How many questions each machine sent to the other region."""
+        machines = self.machines()
+        found: Counter[str] = Counter()
+        for (source, target, method), num in self.world.network.num_sent.items():
+            is_far = self.is_far(machines[source], machines[target])
+            if method == CATALOG_METHOD and is_far:
+                found[source] += num
+        return found
+
+    def versions(self) -> set[int]:
+        found = set()
+        for front in self.world.fronts.values():
+            assert front.front is not None and front.front.forwarder.index is not None
+            found.add(front.front.forwarder.index.document.version)
+        return found
+
+    def are_fresh(self) -> bool:
+        fronts = [machine.front for machine in self.world.fronts.values()]
+        return all(front is not None and front.catalog.is_fresh for front in fronts)
+
+    def change(self) -> int:
+        version = self.world.document.version + 1
+        self.world.document = make_document(version)
+        return version
+
+    def test_on_a_calm_day_one_machine_asks_across_the_link(self) -> None:
+        self.world.network.num_sent.clear()
+        self.world.run_for(PLAYED_S)
+        askers = self.askers_over_the_link()
+        self.assertEqual(set(askers), {self.far_head().host})
+        most = PLAYED_S / (follower.HEAD_SHARE * TIMES.interval_s)
+        self.assertLessEqual(askers[self.far_head().host], most + 2)
+
+    def test_all_stay_fresh_all_day(self) -> None:
+        for _ in range(100):
+            self.world.run_for(0.1)
+            self.assertTrue(self.are_fresh())
+
+    def test_a_change_is_in_force_everywhere_soon(self) -> None:
+        version = self.change()
+        self.world.run_for(0.6)
+        self.assertEqual(self.versions(), {version})
+
+    def test_a_head_that_loses_the_registry_still_serves_its_fronts(self) -> None:
+        head = self.far_head()
+        self.world.network.cuts.add(("registry", head.host))
+        self.world.run_for(1.0)
+        for front in self.world.fronts.values():
+            self.world.network.cuts.add(("registry", front.host))
+        version = self.change()
+        self.world.network.num_sent.clear()
+        self.world.run_for(0.3 * APPLY_S)
+        self.assertEqual(self.versions(), {version})
+        fronts = {machine.host for machine in self.world.fronts.values()}
+        self.assertEqual(fronts & set(self.askers_over_the_link()), set())
+        asked = sum(self.world.network.num_sent.values())
+        self.assertLess(asked, 3_000)
+
+    def test_when_the_head_dies_the_next_of_the_region_asks(self) -> None:
+        head = self.far_head()
+        self.world.kill(head)
+        self.world.run_for(3.0)
+        version = self.change()
+        self.world.network.num_sent.clear()
+        self.world.run_for(4.0)
+        self.assertEqual(self.versions(), {version})
+        self.assertTrue(self.are_fresh())
+        stores = {machine.host for machine in self.world.stores.values()}
+        self.assertLessEqual(set(self.askers_over_the_link()), stores)
+
+    def test_when_the_reader_loses_the_registry_a_change_is_in_force_in_time(self) -> None:
+        self.world.network.cuts.add(("registry", self.ranked()[0].host))
+        version = self.change()
+        self.world.run_for(0.75 * APPLY_S)
+        self.assertEqual(self.versions(), {version})
+        self.world.run_for(3.0)
+        self.assertTrue(self.are_fresh())
+
+    def test_when_the_link_is_cut_each_front_reads_for_itself_in_time(self) -> None:
+        machines = self.machines()
+        for host, machine in machines.items():
+            for other_host, other in machines.items():
+                if self.is_far(machine, other):
+                    self.world.network.cuts.add((host, other_host))
+        version = self.change()
+        self.world.run_for(0.75 * APPLY_S)
+        self.assertEqual(self.versions(), {version})
+        self.world.network.cuts.clear()
+        self.world.run_for(10.0)
+        self.assertTrue(self.are_fresh())
+
+    def test_a_front_that_is_cut_off_is_not_named_as_a_relay(self) -> None:
+        front = self.world.fronts["front-1"]
+        for store in self.world.stores.values():
+            pairs = ((store.host, front.host), (front.host, store.host))
+            self.world.network.cuts.update(pairs)
+        self.world.run_for(6.0)
+        for other in self.world.fronts.values():
+            assert other.front is not None
+            if other is not front:
+                self.assertNotIn(front.host, [peer.host for peer in other.front.catalog.fronts])
+        assert front.front is not None
+        self.assertTrue(front.front.catalog.fronts)
+
+
+if __name__ == "__main__":
+    unittest.main()
