What a far runner costs is measured, and work leaves its region only for a gain

Cause: every other zone cost a turn 3 ms, also across a link of 60 ms; a front's own choice looked at zones between equals alone. Of 24 turns of one region on eight runners of two, half ran across the link. Change: the cost is the round trip of the kind of distance, the median of what the leader measured, once more for a new connection, and bytes by prices that operators may set (settings section placement, nothing by default). A gate bounds what leaves: a clear gain first, half of the other region's places, half of the link's rate if it is told. The own zone comes first among equals.

--- a/src/bendshed/catalog/server.py
+++ b/src/bendshed/catalog/server.py
@@ -60,7 +60,7 @@
         pace: how it reads the registry now.
         on_pace: called when that has changed.
         confirmed_at_s: loop time at which the registry last confirmed each part in this life.
-        is_told: whether a machine of another region tells this one, its region's head, a fresh word.
+        is_told: whether a machine of another region tells this one, the head of its own, freshly.
         num_askers_elsewhere: nodes that rely on that machine; 0: this one is no head.
 
     """
--- a/src/bendshed/paths/echo.py
+++ b/src/bendshed/paths/echo.py
@@ -9,6 +9,7 @@
 
 from bendshed.logs import PartLog
 from bendshed.paths.neighbours import Neighbours
+from bendshed.placement.places import Distance
 from bendshed.ports.transport import Address, PeerUnreachable, Transport
 
 ECHO_METHOD = "paths.echo"
@@ -51,6 +52,7 @@
 
     Attributes:
         watch: which regions are heard.
+        on_measured: told the median round trip of each kind of distance after each round, in ms.
 
     """
 
@@ -58,6 +60,7 @@
         self, transport: Transport, peers: Callable[[], list[Address]], neighbours: Neighbours
     ) -> None:
         self.watch = RegionWatch()
+        self.on_measured: Callable[[dict[Distance, float]], None] = lambda _found: None
         self._transport = transport
         self._peers = peers
         self._neighbours = neighbours
@@ -75,6 +78,7 @@
             answered = await asyncio.gather(*(self._is_heard(peer) for peer in peers))
             heard = [peer for peer, is_heard in zip(peers, answered, strict=True) if is_heard]
             self._tell(self._regions(peers), self._regions(heard))
+            self.on_measured(self._medians_ms())
 
     async def _is_heard(self, peer: Address) -> bool:
         try:
@@ -83,6 +87,11 @@
             return False
         return True
 
+    def _medians_ms(self) -> dict[Distance, float]:
+        known_s = self._transport.round_trips.all_s(asyncio.get_running_loop().time())
+        found_s = self._neighbours.medians_s(known_s)
+        return {kind: 1000 * median_s for kind, median_s in found_s.items()}
+
     def _regions(self, peers: Collection[Address]) -> set[str]:
         """Other regions where some of these stand."""
         zones = {self._neighbours.zone_of(peer.host) for peer in peers}
--- a/src/bendshed/placement/board.py
+++ b/src/bendshed/placement/board.py
@@ -7,17 +7,20 @@
 time and never truth.
 
 The choice is the least of costs that have one unit, milliseconds of the turn: waiting for a slot,
-reading what the runner does not keep, slowness, failures, a new connection.
+reading what the runner does not keep, slowness, failures, distance, a new connection.
 """
 
 import heapq
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from bendshed.identifiers import rendezvous_rank
+from bendshed.placement.distance import ANSWER_TOKEN_BYTES, DistanceCosts
+from bendshed.placement.places import Distance
 from bendshed.placement.prompt_cache import PromptCache, PromptPart
 from bendshed.placement.runner_health import RunnerHealth, median_pace
+from bendshed.placement.spill import SpillGate
 from bendshed.services.runners import ServiceRunner
 
 READ_TOKENS_PER_MS = 80.0
@@ -30,11 +33,6 @@
 """Least that one more running turn costs the others at its runner. While a turn runs, about as many
 others begin there as run beside it, and each stops it for the time in which its prompt is read; so
 the mean reading time of a turn is what one running turn costs."""
-OTHER_ZONE_MS = 3.0
-"""A round trip between zones (0.9 to 1.4 ms a way on today's sites)."""
-NEW_CONNECTION_MS = 30.0
-"""A round trip, and a handshake that occupies a slot; and operators pay for connections. At 60 ms
-bursts gathered on few runners (docs/POLICY.md)."""
 FAILED_TURN_MS = 1_000.0
 """What a failed turn costs its program: its client comes back after up to 0.4 s, from the start."""
 FIRST_TURN_MS = 250.0
@@ -69,6 +67,7 @@
         connected: runners to which the asker has an idle connection.
         avoided: runners that failed the asker a moment ago.
         zone: the asker's.
+        body_bytes: of what goes to the runner.
         ran_at: where the program's latest turn ran, which a new leader knows too.
         prompt_tokens: length of the whole prompt; counted once, since each runner is asked for it.
         own_tokens: of it, the program's own: all but the first of several parts.
@@ -84,6 +83,7 @@
     avoided: Collection[str] = ()
     zone: str = ""
     ran_at: str = ""
+    body_bytes: int = 0
     prompt_tokens: int = field(init=False)
     own_tokens: int = field(init=False)
 
@@ -93,6 +93,11 @@
         object.__setattr__(self, "prompt_tokens", prompt_tokens)
         object.__setattr__(self, "own_tokens", prompt_tokens - shared_tokens)
 
+    @property
+    def moved_bytes(self) -> int:
+        """Of the turn's body and its longest answer."""
+        return self.body_bytes + ANSWER_TOKEN_BYTES * self.most_tokens
+
 
 @dataclass(frozen=True, slots=True)
 class Advice:
@@ -102,6 +107,7 @@
         cost_ms: what was the least.
         num_running: turns of all nodes that the board knows there, without this one.
         cached_tokens: of the prompt, very likely kept there.
+        distance: between the asker and the runner.
 
     """
 
@@ -109,6 +115,7 @@
     cost_ms: float
     num_running: int
     cached_tokens: int
+    distance: Distance = Distance.SAME_ZONE
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,12 +176,15 @@
     Attributes:
         turn_ms: mean length of a turn.
         reading_ms: mean time in which a turn's prompt is read.
+        distance: what runners far from the asker cost.
 
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, distance: DistanceCosts | None = None) -> None:
         self.turn_ms = FIRST_TURN_MS
         self.reading_ms = MIN_RUNNING_MS
+        self.distance = distance if distance is not None else DistanceCosts()
+        self._spill = SpillGate(self.distance.terms.region_mbit_per_s)
         self._rng = rng
         self._loads: dict[str, _RunnerLoad] = {}
         self._turns: dict[str, str] = {}
@@ -220,16 +230,46 @@
             runner.runner_id: self._cost_ms(demand, runner, pool_gap, now_s)
             for runner in self._candidates(demand, runners)
         }
+        by_id = {runner.runner_id: runner for runner in runners if runner.runner_id in costs}
+        costs = self._within_region(demand, by_id, costs, now_s)
         least_ms = min(costs.values())
-        near = [runner_id for runner_id, cost in costs.items() if cost <= least_ms + NEAR_MS]
-        chosen = near[0] if len(near) == 1 else rendezvous_rank(demand.line, near)[0]
+        equal = [name for name, cost in costs.items() if cost <= least_ms + NEAR_MS]
+        equal = [name for name in equal if by_id[name].zone == demand.zone] or equal
+        chosen = equal[0] if len(equal) == 1 else rendezvous_rank(demand.line, equal)[0]
         load = self._loads[chosen]
-        advice = Advice(
-            chosen, costs[chosen], len(load.turns), load.cache.cached_tokens(demand.parts)
-        )
+        kind = self._distance_to(demand, by_id[chosen])
+        cached_tokens = load.cache.cached_tokens(demand.parts)
+        advice = Advice(chosen, costs[chosen], len(load.turns), cached_tokens, kind)
         self._begin(demand, chosen, now_s)
+        if kind is Distance.OTHER_REGION:
+            self._spill.begin(demand.turn_id, demand.moved_bytes, now_s)
         return advice
 
+    def _distance_to(self, demand: Demand, runner: ServiceRunner) -> Distance:
+        return self.distance.places.distance(demand.zone, runner.zone)
+
+    def _within_region(
+        self,
+        demand: Demand,
+        runners: Mapping[str, ServiceRunner],
+        costs: dict[str, float],
+        now_s: float,
+    ) -> dict[str, float]:
+        """Costs of the runners that come into question: the asker's region's, or all."""
+        far = {
+            name
+            for name, runner in runners.items()
+            if self._distance_to(demand, runner) is Distance.OTHER_REGION
+        }
+        near = {name: cost for name, cost in costs.items() if name not in far}
+        if not far or not near:
+            return costs
+        gain_ms = min(near.values()) - min(costs[name] for name in far)
+        num_slots = sum(runners[name].slots for name in far)
+        if self._spill.may_leave(gain_ms, num_slots, demand.moved_bytes, now_s):
+            return costs
+        return near
+
     def _learn_cache(self, demand: Demand) -> None:
         """A new leader knows of no kept prompt: a program's are where its latest turn ran."""
         load = self._loads.get(demand.ran_at)
@@ -270,11 +310,9 @@
             cost_ms += self.turn_ms
         if runner.runner_id in demand.avoided:
             cost_ms += FAILED_TURN_MS
-        if runner.runner_id not in demand.connected:
-            cost_ms += NEW_CONNECTION_MS
-        if runner.zone != demand.zone:
-            cost_ms += OTHER_ZONE_MS
-        return cost_ms
+        kind = self._distance_to(demand, runner)
+        is_connected = runner.runner_id in demand.connected
+        return cost_ms + self.distance.cost_ms(kind, is_connected, demand.moved_bytes)
 
     @staticmethod
     def _reading_cost_ms(demand: Demand, cache: PromptCache) -> float:
@@ -318,6 +356,7 @@
                 failing.health.note_try(True, now_s)
 
     def _remove(self, turn_id: str) -> _Running | None:
+        self._spill.end(turn_id)
         runner_id = self._turns.pop(turn_id, None)
         if runner_id is None:
             return None
@@ -337,3 +376,4 @@
         for runner_id in [name for name in self._loads if name not in listed]:
             for turn_id in self._loads.pop(runner_id).turns:
                 del self._turns[turn_id]
+                self._spill.end(turn_id)
--- /dev/null
+++ b/src/bendshed/placement/distance.py
@@ -0,0 +1,92 @@
+"""What it costs a turn that its runner stands far from the node that asks. Pure.
+
+One unit as everywhere in `placement/`: milliseconds of the turn. A way costs its round trip, since
+the first event comes that much later; a new connection costs one more; bytes cost what operators
+say they do.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, fields
+from typing import Annotated
+
+from msgspec import Meta
+
+from bendshed.placement.places import Distance, Places
+
+UNMEASURED_MS: Mapping[Distance, float] = {
+    Distance.SAME_ZONE: 0.0,
+    Distance.SAME_REGION: 2.0,
+    Distance.OTHER_REGION: 60.0,
+}
+"""Round trips until any of the kind was measured, some seconds after a leader's start: zones of a
+region are 1 to 3 ms apart on today's sites, their regions 60 ms."""
+NEW_CONNECTION_MS = 30.0
+"""A handshake that occupies a slot; and operators pay for connections. At 60 ms bursts gathered on
+few runners (docs/POLICY.md). The round trip of the handshake comes on top."""
+ANSWER_TOKEN_BYTES = 8
+"""Of an answer, for each token: four of text and as many of the events' frames. Assumed; only
+prices of bytes and the link's rate use it, and both are unset unless operators tell them."""
+KILOBYTE = 1000.0
+
+Price = Annotated[float, Meta(ge=0)]
+
+
+@dataclass(frozen=True, slots=True)
+class LinkTerms:
+    """What no node can measure, told by operators in the settings' section ``placement``.
+
+    Attributes:
+        zone_ms_per_kb: a kilobyte that leaves its zone is worth this much of a turn's time; 0:
+            bytes cost nothing there.
+        region_ms_per_kb: the same, on top, for a kilobyte that leaves its region.
+        region_mbit_per_s: what the link between two regions carries; 0: not known.
+
+    """
+
+    zone_ms_per_kb: Price = 0.0
+    region_ms_per_kb: Price = 0.0
+    region_mbit_per_s: Price = 0.0
+
+
+LINK_TERMS = frozenset(field.name for field in fields(LinkTerms))
+LINK_TERMS_CURE = f"use one of {', '.join(sorted(LINK_TERMS))}"
+
+
+@dataclass(slots=True)
+class DistanceCosts:
+    """Costs by what lies between a node and a runner.
+
+    Attributes:
+        measured_ms: round trips by kind; kinds that were not measured are assumed.
+
+    """
+
+    places: Places = field(default_factory=Places)
+    terms: LinkTerms = field(default_factory=LinkTerms)
+    measured_ms: Mapping[Distance, float] = field(default_factory=dict)
+
+    def cost_ms(self, kind: Distance, is_connected: bool, num_bytes: int) -> float:
+        """What a turn loses over such a distance, in milliseconds.
+
+        Args:
+            kind: what lies between the node and the runner.
+            is_connected: an idle connection leads there; else one is opened first.
+            num_bytes: that the turn moves, there and back.
+
+        """
+        trip_ms = self._trip_ms(kind)
+        cost_ms = trip_ms + self._price_ms(kind) * num_bytes / KILOBYTE
+        return cost_ms if is_connected else cost_ms + NEW_CONNECTION_MS + trip_ms
+
+    def _trip_ms(self, kind: Distance) -> float:
+        """Within a zone nothing: it is what every choice has in common."""
+        if kind is Distance.SAME_ZONE:
+            return 0.0
+        return self.measured_ms.get(kind, UNMEASURED_MS[kind])
+
+    def _price_ms(self, kind: Distance) -> float:
+        """Of a kilobyte."""
+        if kind is Distance.SAME_ZONE:
+            return 0.0
+        is_far = kind is Distance.OTHER_REGION
+        return self.terms.zone_ms_per_kb + (self.terms.region_ms_per_kb if is_far else 0.0)
--- a/src/bendshed/platform/replica.py
+++ b/src/bendshed/platform/replica.py
@@ -62,6 +62,7 @@
             settings.policy,
             settings.bounds.quota_terms,
             settings.places,
+            settings.placement,
         )
         confirm = self._node.catalog.confirm
         self._runners = self._watcher(
--- a/src/bendshed/platform/settings.py
+++ b/src/bendshed/platform/settings.py
@@ -16,6 +16,7 @@
 from msgspec import Meta
 
 from bendshed.placement.cold import ColdTerms
+from bendshed.placement.distance import LINK_TERMS, LINK_TERMS_CURE, LinkTerms
 from bendshed.placement.places import Places
 from bendshed.platform.names import SETTINGS_VARIABLE
 from bendshed.policy import EVERYTHING, SWITCHES_CURE, Policy, unknown_switches
@@ -115,6 +116,7 @@
     bounds: Bounds = Bounds()
     platform: MetadataStore
     policy: Policy = EVERYTHING
+    placement: LinkTerms = LinkTerms()
 
     @property
     def places(self) -> Places:
@@ -150,21 +152,24 @@
     except OSError as error:
         raise SiteSettingsInvalid(f"{path}: {error}: name a file that can be read") from error
     content = _parse_json(path, text) if text.startswith("{") else _parse_yaml(path, text)
-    content = _merge_policy(path, content)
+    content = _merge_own(path, content)
     try:
         return msgspec.convert(content, SiteSettings)
     except msgspec.ValidationError as error:
         raise SiteSettingsInvalid(f"{path}: {error}: correct this field") from error
 
 
-def _merge_policy(path: str, content: Any) -> Any:
-    """The template lays the platform's fields beside the policy; without it, they stand alone."""
+def _merge_own(path: str, content: Any) -> Any:
+    """The template lays the platform's fields beside our own; without it, they stand alone."""
     if not isinstance(content, dict) or "site" not in content:
         return content
     policy = content.get("policy") or {}
     for name in unknown_switches(policy):
         raise SiteSettingsInvalid(f"{path}: policy.{name}: unknown: {SWITCHES_CURE}")
-    return {**content["site"], "policy": policy}
+    placement = content.get("placement") or {}
+    for name in set(placement) - LINK_TERMS:
+        raise SiteSettingsInvalid(f"{path}: placement.{name}: unknown: {LINK_TERMS_CURE}")
+    return {**content["site"], "policy": policy, "placement": placement}
 
 
 def _parse_json(path: str, text: str) -> Any:
--- a/src/bendshed/services/turn_record.py
+++ b/src/bendshed/services/turn_record.py
@@ -170,8 +170,16 @@
             avoided=state.avoided,
             zone=self.attempts.ports.zone,
             line=turn.line or self.request.session,
+            body_bytes=len(self.request.body) + self._held_bytes(),
         )
 
+    def _held_bytes(self) -> int:
+        """Of the chain that goes before the body, as far as it is at hand."""
+        turn = self.request.turn
+        if turn is None or not (self.route.keeps_turns and turn.previous_turn):
+            return 0
+        return len(self.ports.transcripts.get((self._tenant, turn.previous_turn)) or b"")
+
     def _report(self) -> wire.TurnReport:
         """What this turn saw of runners."""
         num_gaps = self.num_events - 1
--- a/src/bendshed/turns/advice.py
+++ b/src/bendshed/turns/advice.py
@@ -5,6 +5,7 @@
 from bendshed.catalog.state import Catalog
 from bendshed.logs import PartLog
 from bendshed.placement.board import Demand, Ended, LoadBoard
+from bendshed.placement.distance import DistanceCosts
 from bendshed.placement.prompt_cache import PromptPart
 from bendshed.wire import turns_pb2 as wire
 
@@ -14,8 +15,10 @@
 class TurnAdvice:
     """Advises nodes, and learns from what they report."""
 
-    def __init__(self, catalog: Catalog, rng: random.Random) -> None:
-        self.board = LoadBoard(rng)
+    def __init__(
+        self, catalog: Catalog, rng: random.Random, distance: DistanceCosts | None = None
+    ) -> None:
+        self.board = LoadBoard(rng, distance)
         self._catalog = catalog
         self._listed_at = 0
 
@@ -41,6 +44,7 @@
             request=demand.turn_id,
             runner=advice.runner_id,
             cost_ms=round(advice.cost_ms, 1),
+            distance=advice.distance.value,
             running_there=advice.num_running,
             running=self.board.num_running,
             cached_tokens=advice.cached_tokens,
@@ -82,4 +86,5 @@
         avoided=frozenset(wanted.avoided),
         zone=wanted.zone,
         ran_at=ran_at,
+        body_bytes=wanted.body_bytes,
     )
--- a/src/bendshed/turns/node.py
+++ b/src/bendshed/turns/node.py
@@ -15,7 +15,8 @@
 from bendshed.logs import PartLog
 from bendshed.paths.echo import Echo
 from bendshed.paths.neighbours import Neighbours
-from bendshed.placement.places import Places
+from bendshed.placement.distance import DistanceCosts, LinkTerms
+from bendshed.placement.places import Distance, Places
 from bendshed.policy import EVERYTHING, Policy
 from bendshed.ports.catalog_storage import CatalogStorage
 from bendshed.ports.log_storage import LogStorage
@@ -66,6 +67,7 @@
         policy: Policy = EVERYTHING,
         quota_terms: QuotaTerms = EXACT,
         places: Places | None = None,
+        link_terms: LinkTerms | None = None,
     ) -> None:
         self.directory = ReplicaDirectory()
         self.neighbours = Neighbours(zone, places or Places())
@@ -110,7 +112,9 @@
         self.catalog.num_askers_elsewhere = self._num_askers_of_teller
         self.follower.num_behind = lambda: self.catalog.num_fronts
         self._echo = Echo(transport, self._other_replicas, self.neighbours)
-        self._advice = TurnAdvice(self.catalog.catalog, rng)
+        self._echo.on_measured = self._take_distances
+        self._distance = DistanceCosts(self.neighbours.places, link_terms or LinkTerms())
+        self._advice = TurnAdvice(self.catalog.catalog, rng, self._distance)
         quotas = TurnQuotas(self.catalog.catalog, quota_terms, policy.programs_first)
         self._service = TurnService(self.host, transport, metrics, self._advice, quotas)
         self._catalog_tasks: list[asyncio.Task[None]] = []
@@ -146,6 +150,9 @@
     def _num_askers_of_teller(self) -> int:
         return self.follower.num_askers_told if self.follower.is_head else 0
 
+    def _take_distances(self, measured_ms: dict[Distance, float]) -> None:
+        self._distance.measured_ms = measured_ms
+
     def _other_replicas(self) -> list[Address]:
         nodes = self.directory.by_name.values()
         return [node.address for node in nodes if node != self.directory.own]
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -9,6 +9,7 @@
 import yaml
 
 from bendshed.errors import ANSWERS, ErrorKind, Refusal, WasRun
+from bendshed.placement.distance import LinkTerms
 from bendshed.platform import names
 from bendshed.platform.caller_protocol import PlatformCallerProtocol, status_of
 from bendshed.platform.main import main
@@ -81,6 +82,21 @@
                 self.load(orjson.dumps({"site": SETTINGS, "policy": policy}).decode())
             self.assertIn(named, str(caught.exception))
 
+    def test_what_no_node_can_measure_is_told_beside_the_platforms_fields(self) -> None:
+        content = {"site": SETTINGS, "placement": {"region_ms_per_kb": 0.5}}
+        settings = self.load(orjson.dumps(content).decode())
+        self.assertEqual(settings.placement, LinkTerms(region_ms_per_kb=0.5))  # type: ignore[attr-defined]
+        cases: dict[str, object] = {
+            "placement.region_price": {"region_price": 1},
+            "placement.zone_ms_per_kb": {"zone_ms_per_kb": -1},
+            "placement.region_mbit_per_s": {"region_mbit_per_s": "30 Mbit"},
+            "placement": [1],
+        }
+        for field, placement in cases.items():
+            with self.subTest(field=field), self.assertRaises(SiteSettingsInvalid) as caught:
+                self.load(orjson.dumps({"site": SETTINGS, "placement": placement}).decode())
+            self.assertIn(field, str(caught.exception))
+
     def test_each_problem_names_its_field(self) -> None:
         cases = {
             "platform": {name: value for name, value in SETTINGS.items() if name != "platform"},
