--- a/src/bendshed/programs/client.py
+++ b/src/bendshed/programs/client.py
@@ -19,6 +19,8 @@
 FAR_TRIPS = 3.0
 """Where the leader is far, its bound has so many round trips more: one for the way, two for a
 second way when the direct one is silent (`paths/`)."""
+LEAST_TRIPS = 2.0
+"""A node that had less time than so many round trips may be well though it gave no answer."""
 RETRY_MIN_S = 0.02
 RETRY_MAX_S = 0.2
 
@@ -127,10 +129,13 @@
         if address is None:
             self._forget(group_id, target)
             return None
-        far_s = timeout_s + FAR_TRIPS * self.way_s(address)
+        way_s = self.way_s(address)
+        given_s = min(timeout_s + FAR_TRIPS * way_s, most_s)
         try:
-            content = await self._transport.request(address, method, payload, min(far_s, most_s))
+            content = await self._transport.request(address, method, payload, given_s)
         except PeerUnreachable as error:
+            if given_s < LEAST_TRIPS * way_s:
+                return None
             self._forget(group_id, target)
             if error.is_silent:
                 self._silent_until_s[target] = asyncio.get_running_loop().time() + SILENT_S
--- /dev/null
+++ b/tests/test_group_client.py
@@ -0,0 +1,66 @@
+"""Reaching a group's leader that stands far: its bound, and what its silence proves."""
+
+import asyncio
+import random
+import unittest
+
+from bendshed.ports.transport import Address, PeerUnreachable
+from bendshed.programs.client import FAR_TRIPS, GroupClient
+from bendshed.rehearsal.simulator.loop import VirtualTimeLoop
+
+WAY_S = 0.06
+GROUP = 0
+
+
+class Silent:
+    """Nobody answers; remembers how long each request was given."""
+
+    def __init__(self) -> None:
+        self.given_s: list[float] = []
+
+    async def request(self, peer: Address, method: str, payload: bytes, timeout_s: float) -> bytes:
+        self.given_s.append(timeout_s)
+        await asyncio.sleep(timeout_s)
+        raise PeerUnreachable("silent")
+
+
+class FarLeaderTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.loop = VirtualTimeLoop()
+        asyncio.set_event_loop(self.loop)
+        self.addCleanup(self.loop.close)
+        self.silent = Silent()
+        self.client = GroupClient(
+            self.silent, random.Random(1), 1, lambda name: Address(name, 1), lambda: ["far"]
+        )
+        self.client.leaders[GROUP] = "far"
+
+    def ask(self, timeout_s: float, most_s: float) -> float:
+        """How long the request was given."""
+        asking = self.client.ask_leader(GROUP, "m", b"", timeout_s, most_s)
+        self.assertIsNone(self.loop.run_until_complete(asking))
+        return self.silent.given_s[-1]
+
+    def test_a_far_leader_has_more_time_and_never_more_than_is_left(self) -> None:
+        self.assertEqual(self.ask(0.2, 9.0), 0.2)
+        self.client.way_s = lambda _peer: WAY_S
+        self.assertAlmostEqual(self.ask(0.2, 9.0), 0.2 + FAR_TRIPS * WAY_S)
+        self.assertEqual(self.ask(0.2, 0.25), 0.25)
+
+    def test_a_leader_that_had_no_time_to_answer_is_not_forgotten(self) -> None:
+        self.client.way_s = lambda _peer: WAY_S
+        self.ask(0.2, 1.5 * WAY_S)
+        self.assertEqual(self.client.leaders, {GROUP: "far"})
+        self.ask(0.2, 9.0)
+        self.assertEqual(self.client.leaders, {})
+
+    def test_the_way_to_a_leader_that_is_not_known_counts_nothing(self) -> None:
+        self.client.way_s = lambda _peer: WAY_S
+        self.assertEqual(self.client.way_to_leader_s(GROUP), WAY_S)
+        del self.client.leaders[GROUP]
+        self.client._resolve = lambda name: Address(name, 1) if name else None
+        self.assertEqual(self.client.way_to_leader_s(GROUP), 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
