--- a/src/bendshed/adapters/tcp_transport.py
+++ b/src/bendshed/adapters/tcp_transport.py
@@ -171,6 +171,10 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def round_trip_s(self, peer: Address) -> float | None:
+        """Seconds to a peer and back, the least that was measured lately; ``None``: never."""
+        return self.round_trips.least_s(peer, asyncio.get_running_loop().time())
+
     async def request(self, peer: Address, method: str, payload: bytes, timeout_s: float) -> bytes:
         """Send a request and wait for its reply."""
         try:
@@ -184,8 +188,9 @@
                     reply = await future
                 finally:
                     connection.waiting.pop(request_id, None)
-                took_s = asyncio.get_running_loop().time() - sent_s
-                self.note_round_trip(peer, took_s - reply.served_us / 1_000_000)
+                now_s = asyncio.get_running_loop().time()
+                way_s = now_s - sent_s - reply.served_us / 1_000_000
+                self.round_trips.note(peer, way_s, now_s)
                 return reply.payload
         except TimeoutError as error:
             raise PeerUnreachable(f"{peer} did not answer {method} in time") from error
@@ -248,7 +253,7 @@
             _, connection = await loop.create_connection(
                 lambda: _Connection(self), peer.host, peer.port
             )
-        self.note_round_trip(peer, loop.time() - began_s)
+        self.round_trips.note(peer, loop.time() - began_s, loop.time())
         return connection
 
     def on_frame(self, connection: _Connection, frame: Frame) -> None:
--- a/src/bendshed/ports/transport.py
+++ b/src/bendshed/ports/transport.py
@@ -1,6 +1,5 @@
 """Port to the other nodes: requests, one-way messages and datagrams."""
 
-import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -58,13 +57,9 @@
         self.one_way_handlers: dict[str, OneWayHandler] = {}
         self.datagram_handler: OneWayHandler | None = None
 
+    @abstractmethod
     def round_trip_s(self, peer: Address) -> float | None:
         """Seconds to a peer and back, the least that was measured lately; ``None``: never."""
-        return self.round_trips.least_s(peer, asyncio.get_running_loop().time())
-
-    def note_round_trip(self, peer: Address, took_s: float) -> None:
-        """Take one measure."""
-        self.round_trips.note(peer, took_s, asyncio.get_running_loop().time())
 
     @abstractmethod
     async def start(self) -> Address:
--- a/src/bendshed/rehearsal/simulator/network.py
+++ b/src/bendshed/rehearsal/simulator/network.py
@@ -91,6 +91,10 @@
         if self._network.transports.get(self.address) is self:
             del self._network.transports[self.address]
 
+    def round_trip_s(self, peer: Address) -> float | None:
+        """Seconds to a peer and back, the least that was measured lately; ``None``: never."""
+        return self.round_trips.least_s(peer, self._network.loop.time())
+
     async def request(self, peer: Address, method: str, payload: bytes, timeout_s: float) -> bytes:
         """Send a request; lost messages show as a timeout, a closed port at once."""
         loop = asyncio.get_running_loop()
@@ -102,7 +106,7 @@
             reply = await asyncio.wait_for(answer, timeout_s)
         except TimeoutError as error:
             raise PeerUnreachable(f"{peer} did not answer {method}") from error
-        self.note_round_trip(peer, loop.time() - sent_s - reply.served_s)
+        self.round_trips.note(peer, loop.time() - sent_s - reply.served_s, loop.time())
         return reply.payload
 
     def serve(
