--- a/src/bendshed/rehearsal/site/sim_runners.py
+++ b/src/bendshed/rehearsal/site/sim_runners.py
@@ -107,7 +107,7 @@
 
     async def _serve(self, call: RunnerCall) -> None:
         """At the runner: work and send pieces back."""
-        await asyncio.sleep(self._net.network.latency_s())
+        await asyncio.sleep(self._latency_s())
         if self.runner.is_dead or self._net.network.is_cut(self._host, self.runner.runner_id):
             self._later(HANG_S, self.break_now)
             return
@@ -115,14 +115,17 @@
             async for piece in self.runner.serve(call):
                 self._send_back(piece)
         except RunnerReset:
-            self._later(self._net.network.latency_s(), self.break_now)
+            self._later(self._latency_s(), self.break_now)
             return
         self._send_back(None)
 
+    def _latency_s(self) -> float:
+        return self._net.network.latency_s(self._host, self.runner.runner_id)
+
     def _send_back(self, piece: Head | Chunk | None) -> None:
         if self._net.network.is_cut(self.runner.runner_id, self._host):
             return
-        self._later(self._net.network.latency_s(), lambda: self._arrive(piece))
+        self._later(self._latency_s(), lambda: self._arrive(piece))
 
     def _later(self, delay_s: float, act: Callable[[], None]) -> None:
         """In the owner's process, never before an earlier piece."""
@@ -184,7 +187,8 @@
         if runner is not None and self._net.network.is_cut(self._host, runner.runner_id):
             await asyncio.sleep(CONNECT_TIMEOUT_S)
             raise ConnectFailed("cut off")
-        await asyncio.sleep(self._net.network.latency_s())
+        name = runner.runner_id if runner is not None else ""
+        await asyncio.sleep(self._net.network.latency_s(self._host, name))
         if runner is None or runner.is_dead:
             raise ConnectFailed("refused")
         return SimConnection(self._net, self._owner, self._host, runner)
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -38,6 +38,7 @@
 from bendshed.turns.node import TurnLogNode
 
 PEER_PORT = 7000
+ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
 LINK_S = 0.03
 """One way between two regions."""
 NUM_FRONTS, NUM_STORES, NUM_ENGINES, NUM_TOOLS = 3, 4, 3, 2
@@ -116,12 +117,17 @@
     def started(
         cls, seed: int, places: Places | None = None, num_fronts: int = NUM_FRONTS
     ) -> "SiteWorld":
-        """A site that serves; with ``places`` a round trip between regions takes 60 ms."""
+        """A site that serves.
+
+        With ``places`` a round trip between regions takes 60 ms, and each zone has its runners.
+        """
         world = cls(seed, places or Places())
-        for number in range(NUM_ENGINES):
-            world.add_runner(f"engine-{number + 1}", "engines", 8)
-        for number in range(NUM_TOOLS):
-            world.add_runner(f"tool-{number + 1}", "tools", 6)
+        zones = ZONES if places is not None else ZONES[:1]
+        for number in range(NUM_ENGINES if places is None else len(ZONES)):
+            zone = zones[number % len(zones)]
+            world.add_runner(f"engine-{number + 1}", "engines", 8, zone)
+        for number in range(NUM_TOOLS if places is None else len(ZONES)):
+            world.add_runner(f"tool-{number + 1}", "tools", 6, zones[number % len(zones)])
         for number in range(NUM_STORES):
             world.add_machine(f"store-{number + 1}", f"10.0.1.{number + 1}", number, has_disk=True)
         for number in range(num_fronts):
@@ -132,21 +138,19 @@
 
     # --- building ------------------------------------------------------------------------
 
-    def add_runner(self, name: str, service: str, slots: int) -> None:
+    def add_runner(self, name: str, service: str, slots: int, zone: str = ZONES[0]) -> None:
         """Add a runner and list it."""
         number = len(self.runners) + 1
         address = Address(f"10.0.3.{number}", 80)
         rng = random.Random(self.seed * 100 + number)
-        runner = SiteRunner(name, service, "zone-a", slots, rng, self.seen.runs)
+        runner = SiteRunner(name, service, zone, slots, rng, self.seen.runs)
         self.runners[name] = runner
         self.net.by_address[address] = runner
-        self.listed[name] = ServiceRunner(
-            name, service, address, "zone-a", slots, RunnerState.READY
-        )
+        self.listed[name] = ServiceRunner(name, service, address, zone, slots, RunnerState.READY)
 
     def add_machine(self, name: str, host: str, number: int, has_disk: bool) -> None:
         """Add a machine and start its process."""
-        zone = f"zone-{'abcd'[number % 4]}"
+        zone = ZONES[number % len(ZONES)]
         disk = SimDisk(identity=f"{name}-disk-1") if has_disk else None
         machine = SimMachine(name, host, zone, SimProcess(name), disk)
         (self.stores if has_disk else self.fronts)[name] = machine
@@ -157,6 +161,9 @@
         for other in [*self.fronts.values(), *self.stores.values()]:
             if self.places.distance(machine.zone, other.zone) is Distance.OTHER_REGION:
                 self.network.between_s[machine.host, other.host] = LINK_S
+        for runner in self.listed.values():
+            if self.places.distance(machine.zone, runner.zone) is Distance.OTHER_REGION:
+                self.network.between_s[machine.host, runner.runner_id] = LINK_S
 
     def start(self, machine: SimMachine) -> None:
         """Start a process of a machine."""
--- a/tests/test_regions_site.py
+++ b/tests/test_regions_site.py
@@ -9,11 +9,14 @@
 from unittest import mock
 
 from bendshed.catalog import follower, server
-from bendshed.placement.places import Places
+from bendshed.paths import echo
+from bendshed.paths.echo import ECHO_INTERVAL_S, ECHO_TIMEOUT_S, ROUNDS_UNHEARD
+from bendshed.placement.places import Distance, Places
+from bendshed.rehearsal.simulator.network import LATENCY_S
 from bendshed.rehearsal.site.documents import WIDE
 from bendshed.rehearsal.site.programs import ProgramPlan
 from bendshed.rehearsal.site.records import Kind, SiteRequest
-from bendshed.rehearsal.site.sim_world import SimMachine, SiteWorld
+from bendshed.rehearsal.site.sim_world import LINK_S, SimMachine, SiteWorld
 
 PLACES = Places({"zone-a": "east", "zone-b": "east", "zone-c": "west", "zone-d": "west"})
 NUM_FRONTS, NUM_PROGRAMS = 12, 60
@@ -82,6 +85,64 @@
                     most_s = FOUND_S if is_first else TURN_S
                     self.assertLess(turn.ended_s - turn.sent_s, most_s, turn.request_id)
 
+    def test_replica_machines_measure_the_way_and_tell_when_a_region_is_cut_off(self) -> None:
+        world = self.start(1)
+        world.run_for(2 * ECHO_INTERVAL_S)
+        stores = [store.replica for store in world.stores.values() if store.replica is not None]
+        for replica in stores:
+            measured_ms = replica._distance.measured_ms
+            self.assertAlmostEqual(measured_ms[Distance.OTHER_REGION], 2000 * LINK_S, delta=2.0)
+            self.assertAlmostEqual(measured_ms[Distance.SAME_REGION], 2000 * LATENCY_S, delta=2.0)
+        self.cut_the_link(world)
+        with mock.patch.object(echo, "log") as log:
+            world.run_for((ROUNDS_UNHEARD + 1) * (ECHO_INTERVAL_S + ECHO_TIMEOUT_S))
+            self.assertEqual([replica._echo.watch.num_unheard for replica in stores], [1] * 4)
+            world.network.cuts.clear()
+            world.run_for(2 * (ECHO_INTERVAL_S + ECHO_TIMEOUT_S))
+        told = [(call.args[0], call.kwargs["region"]) for call in log.say.call_args_list]
+        lost, back = "hears nobody of a region", "hears a region again"
+        regions = ["east", "east", "west", "west"]
+        expected = [(sentence, region) for sentence in (back, lost) for region in regions]
+        self.assertEqual(sorted(told), expected)
+
+    def test_work_leaves_a_region_without_runners_and_stays_when_they_are_back(self) -> None:
+        world = self.start(1)
+        self.assertEqual(self.play_and_count_away(world), {"engines": 0, "tools": 0})
+        west = [r for r in world.listed.values() if PLACES.region(r.zone) == "west"]
+        for runner in west:
+            del world.listed[runner.runner_id]
+        world.run_for(1.0)
+        away = self.play_and_count_away(world)
+        self.assertGreater(away["engines"], 0)
+        self.assertGreater(away["tools"], 0)
+        for runner in west:
+            world.listed[runner.runner_id] = runner
+        world.run_for(1.0)
+        self.assertEqual(self.play_and_count_away(world), {"engines": 0, "tools": 0})
+
+    def play_and_count_away(self, world: SiteWorld) -> dict[str, int]:
+        """Run programs; count requests that ran outside their front's region, by service."""
+        num_before = len(world.seen.requests)
+        self.run_programs(world)
+        nodes = {row.request_id: row.node for row in world.seen.requests[num_before:]}
+        away = {"engines": 0, "tools": 0}
+        for run in world.seen.runs:
+            node = nodes.get(run.request_id)
+            if node is None:
+                continue
+            runner = world.runners[run.runner_id]
+            if PLACES.distance(world.fronts[node].zone, runner.zone) is Distance.OTHER_REGION:
+                away[runner.service] += 1
+        return away
+
+    @staticmethod
+    def cut_the_link(world: SiteWorld) -> None:
+        machines = [*world.fronts.values(), *world.stores.values()]
+        for machine in machines:
+            for other in machines:
+                if PLACES.distance(machine.zone, other.zone) is Distance.OTHER_REGION:
+                    world.network.cuts.add((machine.host, other.host))
+
 
 if __name__ == "__main__":
     unittest.main()
