--- a/src/bendshed/paths/relayed.py
+++ b/src/bendshed/paths/relayed.py
@@ -7,27 +7,17 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field
-from typing import Any
+from collections.abc import Callable
 
 from bendshed.logs import PartLog
 from bendshed.paths.neighbours import Neighbours
 from bendshed.paths.patience import Patience
+from bendshed.paths.relay_search import RELAY_METHOD, RELAY_SILENT_S, RelaySearch, Way, spawn
 from bendshed.ports.transport import Address, PeerUnreachable, Transport
 from bendshed.wire import catalog_pb2 as wire
 
-RELAY_METHOD = "paths.relay"
 DIRECT_PROBE_S = 0.5
 """While a target is reached through others, one request this often also goes directly."""
-MAX_RELAYS_AT_ONCE = 2
-LATE_TIMES, LATE_SLACK_S = 1.25, 0.03
-"""A relay is late after so many times the least that its way can take, and this. Then a second one
-is asked, and the first still waited for: a third of all nodes may be cut off together."""
-RELAY_SILENT_S = 1.0
-"""A node that did not answer as a relay, or did not reach a target, is not asked for this long."""
-MAX_UNREACHED = 2
-"""So many relays that do not reach a target prove that it is not this node that is cut off."""
 UNREACHED_PAUSE_S = 0.2
 """A target that relays do not reach either is not looked for through others for this long."""
 ISOLATED_S = 0.3
@@ -40,55 +30,10 @@
 log = PartLog("paths")
 
 
-@dataclass(slots=True)
-class _Way:
-    """What is known of the way to one target.
-
-    Attributes:
-        is_cut: relays reach it and the direct way does not.
-        heard_s: loop time of the last direct reply.
-        scouting: set while a request is finding out whether relays reach it; set off at its end.
-        relay: the one that reached it last; asked first.
-        avoided_until_s: relays that did not reach it, and until when they are not asked.
-
-    """
-
-    is_cut: bool = False
-    heard_s: float = float("-inf")
-    scouting: asyncio.Event | None = None
-    probe_from_s: float = 0.0
-    no_relay_until_s: float = 0.0
-    relay: Address | None = None
-    avoided_until_s: dict[Address, float] = field(default_factory=dict)
-
-
-@dataclass(slots=True)
-class _Search:
-    """One request that looks for a relay.
-
-    Attributes:
-        until_s: loop time after which no answer helps.
-        num_unreached: relays that do not reach the target, and know of no cut of their own.
-
-    """
-
-    peer: Address
-    method: str
-    payload: bytes
-    until_s: float
-    num_unreached: int = 0
-
-    @property
-    def may_ask_more(self) -> bool:
-        """Whether the target may be well although some relays do not reach it."""
-        return self.num_unreached < MAX_UNREACHED
-
-
 class RelayedRequests:
     """Sends requests on the way that works, and passes others' requests on.
 
     Attributes:
-        relays: asks for addresses of nodes that may pass requests on.
         num_relayed: requests of this node that were answered through another.
         num_doubled: requests that went through others too while the direct answer was still out.
 
@@ -102,22 +47,26 @@
         relayed_methods: frozenset[str],
         neighbours: Neighbours | None = None,
     ) -> None:
-        self.relays = relays
         self.num_relayed = 0
         self.num_doubled = 0
         self._transport = transport
         self._neighbours = neighbours if neighbours is not None else Neighbours()
         self._patience = Patience(transport.round_trip_s, self._neighbours)
-        self._rng = rng
+        self._search = RelaySearch(
+            transport,
+            rng,
+            relays,
+            self._patience,
+            self._neighbours,
+            self._note_word,
+            self._note_failure,
+        )
         self._relayed_methods = relayed_methods
-        self._ways: dict[Address, _Way] = {}
-        self._relay_silent_until_s: dict[Address, float] = {}
+        self._ways: dict[Address, Way] = {}
         self._silent_since_s: float | None = None
         self._silent_way_s = 0.0
-        self._relay_heard_s = float("-inf")
         self._num_open = 0
         self._cut_since_s = float("-inf")
-        self._good_relay: Address | None = None
         transport.handlers[RELAY_METHOD] = self._pass_on
 
     @property
@@ -127,7 +76,7 @@
             return False
         now_s = asyncio.get_running_loop().time()
         isolated_s = max(ISOLATED_S, ISOLATED_TRIPS * self._silent_way_s)
-        is_heard_by_relays = now_s - self._relay_heard_s < RELAY_SILENT_S + isolated_s
+        is_heard_by_relays = now_s - self._search.heard_s < RELAY_SILENT_S + isolated_s
         return now_s - self._silent_since_s > isolated_s and not is_heard_by_relays
 
     def way_s(self, peer: Address) -> float:
@@ -141,14 +90,14 @@
 
     async def request(self, peer: Address, method: str, payload: bytes, timeout_s: float) -> bytes:
         """Send a request; raise ``PeerUnreachable`` when no way gives an answer in time."""
-        way = self._ways.setdefault(peer, _Way())
+        way = self._ways.setdefault(peer, Way())
         now_s = asyncio.get_running_loop().time()
         until_s = now_s + timeout_s
         patience_s = self._patience.direct_s(peer, method, now_s)
         tasks: set[asyncio.Task[bytes]] = set()
         if not way.is_cut or now_s >= way.probe_from_s:
             way.probe_from_s = now_s + DIRECT_PROBE_S
-            tasks.add(_spawn(self._directly(way, peer, method, payload, timeout_s)))
+            tasks.add(spawn(self._directly(way, peer, method, payload, timeout_s)))
         try:
             if not way.is_cut and not self._is_likely_cut(way):
                 done, _ = await asyncio.wait(tasks, timeout=min(patience_s, timeout_s))
@@ -157,15 +106,15 @@
             left_s = until_s - asyncio.get_running_loop().time()
             if left_s > 0 and self._may_relay(way, patience_s):
                 self.num_doubled += not way.is_cut and any(not task.done() for task in tasks)
-                tasks.add(_spawn(self._indirectly(way, peer, method, payload, left_s)))
+                tasks.add(spawn(self._indirectly(way, peer, method, payload, left_s)))
             elif left_s > 0 and way.scouting is not None:
-                tasks.add(_spawn(self._after_scout(way, peer, method, payload, until_s)))
+                tasks.add(spawn(self._after_scout(way, peer, method, payload, until_s)))
             return await _first_answer(tasks)
         finally:
             for task in tasks:
                 task.cancel()
 
-    def _is_likely_cut(self, way: _Way) -> bool:
+    def _is_likely_cut(self, way: Way) -> bool:
         """Another target was found behind a cut, and this one said nothing since."""
         return self._is_behind_cut and way.heard_s < self._cut_since_s
 
@@ -177,7 +126,7 @@
         """
         return any(way.is_cut for way in self._ways.values())
 
-    def _may_relay(self, way: _Way, patience_s: float) -> bool:
+    def _may_relay(self, way: Way, patience_s: float) -> bool:
         if way.is_cut:
             return True
         now_s = asyncio.get_running_loop().time()
@@ -185,7 +134,7 @@
         return not was_heard and way.scouting is None and now_s >= way.no_relay_until_s
 
     async def _directly(
-        self, way: _Way, peer: Address, method: str, payload: bytes, timeout_s: float
+        self, way: Way, peer: Address, method: str, payload: bytes, timeout_s: float
     ) -> bytes:
         began_s = asyncio.get_running_loop().time()
         try:
@@ -195,25 +144,25 @@
             raise
         way.heard_s = asyncio.get_running_loop().time()
         self._patience.note(peer, method, way.heard_s - began_s, way.heard_s)
-        self._silent_since_s = None
+        self._note_word()
         if way.is_cut:
             way.is_cut = False
             log.say("reaches a peer directly again", peer=str(peer))
         return answer
 
     async def _indirectly(
-        self, way: _Way, peer: Address, method: str, payload: bytes, timeout_s: float
+        self, way: Way, peer: Address, method: str, payload: bytes, timeout_s: float
     ) -> bytes:
         scouting = asyncio.Event()
         if not way.is_cut:
             way.scouting = scouting
         try:
-            answer = await self._through_relays(way, peer, method, payload, timeout_s)
-        except PeerUnreachable:
+            answer = await self._search.find(way, peer, method, payload, timeout_s)
+        except PeerUnreachable as error:
             way.probe_from_s = 0.0
             if not way.is_cut:
                 way.no_relay_until_s = asyncio.get_running_loop().time() + UNREACHED_PAUSE_S
-            raise
+            raise PeerUnreachable(str(error), is_silent=not self._is_behind_cut) from error
         else:
             self._note_relayed(way, peer)
         finally:
@@ -222,7 +171,7 @@
             scouting.set()
         return answer
 
-    def _note_relayed(self, way: _Way, peer: Address) -> None:
+    def _note_relayed(self, way: Way, peer: Address) -> None:
         self.num_relayed += 1
         if not way.is_cut:
             way.is_cut = True
@@ -230,7 +179,7 @@
             log.say("reaches a peer through others", peer=str(peer))
 
     async def _after_scout(
-        self, way: _Way, peer: Address, method: str, payload: bytes, until_s: float
+        self, way: Way, peer: Address, method: str, payload: bytes, until_s: float
     ) -> bytes:
         """Another request looks for a way already: follow it if it finds one."""
         if way.scouting is not None:
@@ -240,106 +189,9 @@
             raise PeerUnreachable(f"no way to {peer} was found")
         return await self._indirectly(way, peer, method, payload, left_s)
 
-    async def _through_relays(
-        self, way: _Way, peer: Address, method: str, payload: bytes, timeout_s: float
-    ) -> bytes:
-        """Ask one relay after the other, and a second one beside it when that takes too long."""
-        search = _Search(peer, method, payload, asyncio.get_running_loop().time() + timeout_s)
-        candidates = self._candidates(way, peer)
-        asking: set[asyncio.Task[bytes]] = set()
-        num_at_once, late_s = 1, 0.0
-        try:
-            while True:
-                while candidates and len(asking) < num_at_once and search.may_ask_more:
-                    relay = candidates.pop(0)
-                    late_s = self._late_s(relay, search)
-                    asking.add(_spawn(self._through(way, relay, search)))
-                if not asking:
-                    break
-                may_add = candidates and len(asking) < MAX_RELAYS_AT_ONCE
-                done, asking = await asyncio.wait(
-                    asking,
-                    timeout=late_s if may_add else None,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                for task in done:
-                    if task.exception() is None:
-                        return task.result()
-                num_at_once = 1 if done else MAX_RELAYS_AT_ONCE
-        finally:
-            for task in asking:
-                task.cancel()
-        raise PeerUnreachable(f"no relay reaches {peer}", is_silent=not self._is_behind_cut)
-
-    def _late_s(self, relay: Address, search: "_Search") -> float:
-        """After this long without an answer another relay is asked beside this one."""
-        now_s = asyncio.get_running_loop().time()
-        least_s = self._patience.least_relay_s(relay, search.peer, search.method, now_s)
-        return LATE_TIMES * least_s + LATE_SLACK_S
-
-    async def _through(self, way: _Way, relay: Address, search: "_Search") -> bytes:
-        """Ask one relay; raise ``PeerUnreachable`` unless it reaches the target in time."""
-        loop = asyncio.get_running_loop()
-        now_s, peer, method = loop.time(), search.peer, search.method
-        left_s = search.until_s - now_s
-        least_s = self._patience.least_relay_s(relay, peer, method, now_s)
-        if left_s <= least_s:
-            raise PeerUnreachable(f"no time is left to reach {peer} through {relay}")
-        passed_on_s = self._patience.passed_on_s(relay, peer, method, now_s)
-        request = wire.RelayRequest(
-            target=wire.PeerAddress(host=peer.host, port=peer.port),
-            method=method,
-            payload=search.payload,
-            timeout_ms=max(1, int(min(passed_on_s, left_s) * 1000)),
-        )
-        try_s = min(self._patience.relay_s(relay, peer, method, now_s), left_s)
-        reply = await self._ask_relay(relay, request, try_s)
-        if reply is not None and reply.is_reached:
-            way.relay = self._good_relay = relay
-            return reply.payload
-        way.avoided_until_s[relay] = loop.time() + RELAY_SILENT_S
-        search.num_unreached += reply is not None and not reply.is_cut_here
-        raise PeerUnreachable(f"{relay} does not reach {peer}")
-
-    async def _ask_relay(
-        self, relay: Address, request: wire.RelayRequest, timeout_s: float
-    ) -> wire.RelayReply | None:
-        """Ask one relay; ``None``: it does not answer."""
-        try:
-            content = await self._transport.request(
-                relay, RELAY_METHOD, request.SerializeToString(), timeout_s
-            )
-        except PeerUnreachable as error:
-            self._note_failure(error, relay)
-            silent_until_s = asyncio.get_running_loop().time() + RELAY_SILENT_S
-            self._relay_silent_until_s[relay] = silent_until_s
-            return None
+    def _note_word(self) -> None:
+        """Somebody answered."""
         self._silent_since_s = None
-        self._relay_heard_s = asyncio.get_running_loop().time()
-        return wire.RelayReply.FromString(content)
-
-    def _candidates(self, way: _Way, peer: Address) -> list[Address]:
-        """Who may be asked: the last that reached the target, then those of this region.
-
-        The way through a relay beside the target is as long; but for a target in this region it
-        crosses the link twice.
-        """
-        now_s = asyncio.get_running_loop().time()
-        waits = (self._relay_silent_until_s, way.avoided_until_s)
-        heard = [
-            node
-            for node in self.relays()
-            if node != peer and all(until_s.get(node, 0.0) <= now_s for until_s in waits)
-        ]
-        self._rng.shuffle(heard)
-        heard.sort(
-            key=lambda node: (
-                node != way.relay,
-                node != self._good_relay,
-                self._neighbours.is_far(node.host),
-            )
-        )
-        return heard
 
     def _note_failure(self, error: PeerUnreachable, peer: Address) -> None:
         if not error.is_silent:
@@ -373,18 +225,6 @@
         return wire.RelayReply(is_reached=True, payload=answer).SerializeToString()
 
 
-def _spawn(work: Coroutine[Any, Any, bytes]) -> "asyncio.Task[bytes]":
-    task = asyncio.get_running_loop().create_task(work)
-    task.add_done_callback(_see_failure)
-    return task
-
-
-def _see_failure(task: "asyncio.Task[bytes]") -> None:
-    """A way that was not waited for may fail."""
-    if not task.cancelled():
-        task.exception()
-
-
 def _failed(done: "set[asyncio.Task[bytes]]") -> bool:
     return all(task.exception() is not None for task in done)
 
--- a/src/bendshed/placement/spill.py
+++ b/src/bendshed/placement/spill.py
@@ -16,6 +16,9 @@
 SLOTS_SHARE = 0.5
 """Most of the other regions' places that this region's turns may take: they have work of their own,
 and its burst may come next."""
+BROKEN_GAIN_MS = 500.0
+"""From this gain on the own region's runners fail or hang, as no mere load makes them: then the
+other regions' places do not bound what leaves."""
 LINK_SHARE = 0.5
 """Most of the link's rate for bodies and answers of turns; its other traffic must not wait."""
 BURST_S = 0.5
@@ -54,7 +57,8 @@
 
         """
         margin_ms = 0.0 if now_s - self._left_s < KEPT_S else MARGIN_MS
-        if gain_ms <= margin_ms or self.num_away >= SLOTS_SHARE * num_slots:
+        is_bounded = gain_ms < BROKEN_GAIN_MS
+        if gain_ms <= margin_ms or (is_bounded and self.num_away >= SLOTS_SHARE * num_slots):
             return False
         return not self.region_mbit_per_s or self._room(now_s) >= num_bytes
 
--- a/tests/test_distance_placement.py
+++ b/tests/test_distance_placement.py
@@ -7,7 +7,7 @@
 from bendshed.placement.distance import DistanceCosts, LinkTerms
 from bendshed.placement.places import Distance, Places
 from bendshed.placement.prompt_cache import PromptPart
-from bendshed.placement.spill import KEPT_S, MARGIN_MS, SLOTS_SHARE, SpillGate
+from bendshed.placement.spill import BROKEN_GAIN_MS, KEPT_S, MARGIN_MS, SLOTS_SHARE, SpillGate
 from bendshed.ports.transport import Address
 from bendshed.services.placement import NodeView, choose_runner
 from bendshed.services.runners import RunnerRecord, RunnerState, ServiceRunner
@@ -127,6 +127,13 @@
         self.assertFalse(gate.may_leave(0.0, 24, 0, 0.9 * KEPT_S))
         self.assertFalse(gate.may_leave(1.0, 24, 0, 1.1 * KEPT_S))
 
+    def test_where_the_own_runners_fail_places_bound_nothing(self) -> None:
+        gate = SpillGate()
+        for number in range(24):
+            gate.begin(f"t{number}", 0, 0.0)
+        self.assertFalse(gate.may_leave(BROKEN_GAIN_MS - 1, 24, 0, 0.0))
+        self.assertTrue(gate.may_leave(BROKEN_GAIN_MS, 24, 0, 0.0))
+
     def test_turns_that_ended_make_room(self) -> None:
         gate = SpillGate()
         for number in range(12):
