--- a/src/bendshed/placement/board.py
+++ b/src/bendshed/placement/board.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass, field
 
 from bendshed.identifiers import rendezvous_rank
-from bendshed.placement.distance import ANSWER_TOKEN_BYTES, DistanceCosts
+from bendshed.placement.distance import ANSWER_TOKEN_BYTES, DistanceCosts, TurnWays
 from bendshed.placement.places import Distance
 from bendshed.placement.prompt_cache import PromptCache, PromptPart
 from bendshed.placement.runner_health import RunnerHealth, median_pace
@@ -231,18 +231,20 @@
                 self._loads[runner.runner_id] = _RunnerLoad(cache)
         self._learn_cache(demand)
         pool_gap = median_pace(self._loads[runner.runner_id].health for runner in runners)
+        ways = self.distance.ways(demand.zone, demand.moved_bytes)
+        candidates = {r.runner_id: r for r in self._candidates(demand, runners)}
         costs = {
-            runner.runner_id: self._cost_ms(demand, runner, pool_gap, now_s)
-            for runner in self._candidates(demand, runners)
+            name: self._cost_ms(demand, runner, ways, pool_gap, now_s)
+            for name, runner in candidates.items()
         }
-        by_id = {runner.runner_id: runner for runner in runners if runner.runner_id in costs}
-        costs = self._within_region(demand, by_id, costs, now_s)
+        if ways.has_far:
+            costs = self._within_region(demand, candidates, ways, costs, now_s)
         least_ms = min(costs.values())
         equal = [name for name, cost in costs.items() if cost <= least_ms + NEAR_MS]
-        equal = [name for name in equal if by_id[name].zone == demand.zone] or equal
+        equal = [name for name in equal if candidates[name].zone == demand.zone] or equal
         chosen = equal[0] if len(equal) == 1 else rendezvous_rank(demand.line, equal)[0]
         load = self._loads[chosen]
-        kind = self._distance_to(demand, by_id[chosen])
+        kind = ways[candidates[chosen].zone].kind
         cached_tokens = load.cache.cached_tokens(demand.parts)
         advice = Advice(chosen, costs[chosen], len(load.turns), cached_tokens, kind)
         self._begin(demand, chosen, now_s)
@@ -250,24 +252,18 @@
             self._spill.begin(demand.turn_id, demand.moved_bytes, now_s)
         return advice
 
-    def _distance_to(self, demand: Demand, runner: ServiceRunner) -> Distance:
-        return self.distance.places.distance(demand.zone, runner.zone)
-
     def _within_region(
         self,
         demand: Demand,
         runners: Mapping[str, ServiceRunner],
+        ways: TurnWays,
         costs: dict[str, float],
         now_s: float,
     ) -> dict[str, float]:
         """Costs of the runners that come into question: the asker's region's, or all."""
-        far = {
-            name
-            for name, runner in runners.items()
-            if self._distance_to(demand, runner) is Distance.OTHER_REGION
-        }
+        far = {n for n, r in runners.items() if ways[r.zone].kind is Distance.OTHER_REGION}
         near = {name: cost for name, cost in costs.items() if name not in far}
-        if not far or not near:
+        if not near:
             return costs
         gain_ms = min(near.values()) - min(costs[name] for name in far)
         num_slots = sum(runners[name].slots for name in far)
@@ -296,7 +292,12 @@
         return [*near, *self._rng.sample(list(runners), MAX_CANDIDATES)]
 
     def _cost_ms(
-        self, demand: Demand, runner: ServiceRunner, pool_gap: float, now_s: float
+        self,
+        demand: Demand,
+        runner: ServiceRunner,
+        ways: TurnWays,
+        pool_gap: float,
+        now_s: float,
     ) -> float:
         """Milliseconds that the turn very likely loses at a runner."""
         load = self._loads[runner.runner_id]
@@ -315,9 +316,9 @@
             cost_ms += self.turn_ms
         if runner.runner_id in demand.avoided:
             cost_ms += FAILED_TURN_MS
-        kind = self._distance_to(demand, runner)
+        way = ways[runner.zone]
         is_connected = runner.runner_id in demand.connected
-        return cost_ms + self.distance.cost_ms(kind, is_connected, demand.moved_bytes)
+        return cost_ms + (way.connected_ms if is_connected else way.new_ms)
 
     @staticmethod
     def _reading_cost_ms(demand: Demand, cache: PromptCache) -> float:
--- a/src/bendshed/placement/distance.py
+++ b/src/bendshed/placement/distance.py
@@ -65,6 +65,10 @@
     terms: LinkTerms = field(default_factory=LinkTerms)
     measured_ms: Mapping[Distance, float] = field(default_factory=dict)
 
+    def ways(self, zone: str, num_bytes: int) -> "TurnWays":
+        """Costs of one turn by the runner's zone; see ``cost_ms``."""
+        return TurnWays(self, zone, num_bytes)
+
     def cost_ms(self, kind: Distance, is_connected: bool, num_bytes: int) -> float:
         """What a turn loses over such a distance, in milliseconds.
 
@@ -90,3 +94,41 @@
             return 0.0
         is_far = kind is Distance.OTHER_REGION
         return self.terms.zone_ms_per_kb + (self.terms.region_ms_per_kb if is_far else 0.0)
+
+
+@dataclass(frozen=True, slots=True)
+class WayCost:
+    """What a turn loses on its way to runners of one zone.
+
+    Attributes:
+        connected_ms: where a connection rests.
+        new_ms: where one is opened first.
+
+    """
+
+    kind: Distance
+    connected_ms: float
+    new_ms: float
+
+
+class TurnWays(dict[str, WayCost]):
+    """Costs of one turn by the runner's zone, each worked out once: many runners share a zone."""
+
+    def __init__(self, costs: DistanceCosts, zone: str, num_bytes: int) -> None:
+        super().__init__()
+        self._costs = costs
+        self._zone = zone
+        self._num_bytes = num_bytes
+
+    def __missing__(self, zone: str) -> WayCost:
+        """Work out the costs of a zone that is asked for first."""
+        kind = self._costs.places.distance(self._zone, zone)
+        connected_ms = self._costs.cost_ms(kind, True, self._num_bytes)
+        new_ms = self._costs.cost_ms(kind, False, self._num_bytes)
+        self[zone] = WayCost(kind, connected_ms, new_ms)
+        return self[zone]
+
+    @property
+    def has_far(self) -> bool:
+        """Whether any zone that was asked for stands in another region."""
+        return any(way.kind is Distance.OTHER_REGION for way in self.values())
