--- a/tests/test_regions_catalog.py
+++ b/tests/test_regions_catalog.py
@@ -212,5 +212,17 @@
         self.assertTrue(front.front.catalog.fronts)
 
 
+class SmallSiteTest(unittest.TestCase):
+    """Neither region has enough nodes for a reader of its own; both together have."""
+
+    def test_both_regions_count_together(self) -> None:
+        world = SiteWorld.started(3, PLACES, server.MIN_SHARED_ASKERS)
+        self.addCleanup(world.close)
+        world.run_for(4.0)
+        for front in world.fronts.values():
+            assert front.front is not None
+            self.assertTrue(front.front.catalog.is_fresh, front.name)
+
+
 if __name__ == "__main__":
     unittest.main()
