--- a/src/bendshed/adapters/tcp_transport.py
+++ b/src/bendshed/adapters/tcp_transport.py
@@ -13,6 +13,7 @@
 
 from google.protobuf.message import DecodeError
 
+from bendshed.adapters.traffic import Traffic
 from bendshed.logs import PartLog
 from bendshed.ports.transport import Address, PeerUnreachable, Transport
 from bendshed.wire.peer_pb2 import Frame
@@ -21,6 +22,8 @@
 MAX_FRAME_BYTES = 256 * 1024 * 1024
 CONNECT_TIMEOUT_S = 0.5
 """A machine that was dark a moment ago is asked anew, and not when a lost packet is sent again."""
+CONNECT_TRIPS = 4.0
+"""A far machine has at least so many of its round trips."""
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 """One-way messages to a peer that does not read are dropped beyond this."""
 HANDLER_FAILED = "handler_failed"
@@ -35,12 +38,15 @@
         self._owner = owner
         self._buffer = bytearray()
         self.transport: asyncio.Transport | None = None
-        self.waiting: dict[int, asyncio.Future[bytes]] = {}
+        self._peer_host = ""
+        self.waiting: dict[int, asyncio.Future[Frame]] = {}
         self._next_request_id = 1
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        peer = transport.get_extra_info("peername")
+        self._peer_host = peer[0] if peer else ""
         self._owner.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -78,11 +84,12 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def write(self, frame: Frame) -> None:
+    def write(self, frame: Frame, method: str) -> None:
         if self.transport is None:
             return
         content = frame.SerializeToString()
         self._owner.bytes_sent += len(content) + LENGTH.size
+        self._owner.traffic.note(method, self._peer_host, len(content) + LENGTH.size)
         self._owner.messages_sent += 1
         self.transport.write(LENGTH.pack(len(content)) + content)
 
@@ -93,10 +100,10 @@
             and self.transport.get_write_buffer_size() > MAX_BUFFERED_BYTES
         )
 
-    def begin_request(self) -> tuple[int, "asyncio.Future[bytes]"]:
+    def begin_request(self) -> tuple[int, "asyncio.Future[Frame]"]:
         request_id = self._next_request_id
         self._next_request_id += 1
-        future: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        future: asyncio.Future[Frame] = asyncio.get_running_loop().create_future()
         self.waiting[request_id] = future
         return request_id, future
 
@@ -120,6 +127,7 @@
 
     Attributes:
         bytes_sent, bytes_received, messages_sent: totals since start, datagrams included.
+        traffic: what was sent by kind of message and distance, datagrams left out.
 
     """
 
@@ -129,6 +137,9 @@
         self.bytes_sent = 0
         self.bytes_received = 0
         self.messages_sent = 0
+        self.traffic = Traffic(
+            "bendshed_peer_bytes_sent", "Bytes to other nodes by kind of message and distance"
+        )
         self._host = host
         self._port = port
         self._server: asyncio.Server | None = None
@@ -160,17 +171,27 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def round_trip_s(self, peer: Address) -> float | None:
+        """Seconds to a peer and back, the least that was measured lately; ``None``: never."""
+        return self.round_trips.least_s(peer, asyncio.get_running_loop().time())
+
     async def request(self, peer: Address, method: str, payload: bytes, timeout_s: float) -> bytes:
         """Send a request and wait for its reply."""
         try:
             async with asyncio.timeout(timeout_s):
                 connection = await self._connect(peer)
                 request_id, future = connection.begin_request()
-                connection.write(Frame(request_id=request_id, method=method, payload=payload))
+                frame = Frame(request_id=request_id, method=method, payload=payload)
+                connection.write(frame, method)
+                sent_s = asyncio.get_running_loop().time()
                 try:
-                    return await future
+                    reply = await future
                 finally:
                     connection.waiting.pop(request_id, None)
+                now_s = asyncio.get_running_loop().time()
+                way_s = now_s - sent_s - reply.served_us / 1_000_000
+                self.round_trips.note(peer, way_s, now_s)
+                return reply.payload
         except TimeoutError as error:
             raise PeerUnreachable(f"{peer} did not answer {method} in time") from error
 
@@ -190,7 +211,7 @@
     @staticmethod
     def _write_one_way(connection: _Connection, frame: Frame) -> None:
         if not connection.is_full:
-            connection.write(frame)
+            connection.write(frame, frame.method)
 
     def send_datagram(self, peer: Address, payload: bytes) -> None:
         """Send one datagram."""
@@ -226,10 +247,13 @@
 
     async def _open(self, peer: Address) -> _Connection:
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        began_s = loop.time()
+        far_s = CONNECT_TRIPS * (self.round_trip_s(peer) or 0.0)
+        async with asyncio.timeout(max(CONNECT_TIMEOUT_S, far_s)):
             _, connection = await loop.create_connection(
                 lambda: _Connection(self), peer.host, peer.port
             )
+        self.round_trips.note(peer, loop.time() - began_s, loop.time())
         return connection
 
     def on_frame(self, connection: _Connection, frame: Frame) -> None:
@@ -241,7 +265,7 @@
             if frame.error_kind:
                 future.set_exception(PeerUnreachable(frame.error_detail, is_silent=False))
             else:
-                future.set_result(frame.payload)
+                future.set_result(frame)
         elif frame.request_id == 0:
             self._call_one_way(self.one_way_handlers.get(frame.method), frame.payload)
         else:
@@ -253,6 +277,7 @@
             handler(payload)
 
     async def _answer(self, connection: _Connection, frame: Frame) -> None:
+        began_s = asyncio.get_running_loop().time()
         reply = Frame(request_id=frame.request_id, is_reply=True)
         handler = self.handlers.get(frame.method)
         try:
@@ -263,7 +288,8 @@
             log.say("a request failed", method=frame.method, error=repr(error))
             reply.error_kind = HANDLER_FAILED
             reply.error_detail = repr(error)
-        connection.write(reply)
+        reply.served_us = int((asyncio.get_running_loop().time() - began_s) * 1_000_000)
+        connection.write(reply, frame.method)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/src/bendshed/paths/relayed.py
+++ b/src/bendshed/paths/relayed.py
@@ -7,65 +7,35 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field
-from typing import Any
+from collections.abc import Callable
 
 from bendshed.logs import PartLog
+from bendshed.paths.neighbours import Neighbours
+from bendshed.paths.patience import Patience
+from bendshed.paths.relay_search import RELAY_METHOD, RELAY_SILENT_S, RelaySearch, Way, spawn
 from bendshed.ports.transport import Address, PeerUnreachable, Transport
 from bendshed.wire import catalog_pb2 as wire
 
-RELAY_METHOD = "paths.relay"
-PATIENCE_S = 0.06
-"""A target that said nothing at all for this long may be cut off: another way is tried."""
 DIRECT_PROBE_S = 0.5
 """While a target is reached through others, one request this often also goes directly."""
-RELAY_PATIENCE_S = 0.1
-"""A relay that is silent for this long may be cut off or dark itself: the next one is asked."""
-RELAY_REPLY_SHARE = 0.8
-"""A relay says that a target is silent before its asker gives the relay itself up."""
-RELAY_SILENT_S = 1.0
-"""A node that did not answer as a relay, or did not reach a target, is not asked for this long."""
-MAX_UNREACHED = 2
-"""So many relays that do not reach a target prove that it is not this node that is cut off."""
 UNREACHED_PAUSE_S = 0.2
 """A target that relays do not reach either is not looked for through others for this long."""
 ISOLATED_S = 0.3
 """A node that hears nobody for this long, neither targets nor relays, is cut off from all."""
+ISOLATED_TRIPS = 3.0
+"""And longer than so many round trips to the farthest node that it asked in vain."""
 MAX_OPEN_RELAYS = 64
 """Requests that a node passes on for others at the same time."""
 
 log = PartLog("paths")
 
 
-@dataclass(slots=True)
-class _Way:
-    """What is known of the way to one target.
-
-    Attributes:
-        is_cut: relays reach it and the direct way does not.
-        heard_s: loop time of the last direct reply.
-        is_scouting: a request is finding out whether relays reach it.
-        relay: the one that reached it last; asked first.
-        avoided_until_s: relays that did not reach it, and until when they are not asked.
-
-    """
-
-    is_cut: bool = False
-    heard_s: float = float("-inf")
-    is_scouting: bool = False
-    probe_from_s: float = 0.0
-    no_relay_until_s: float = 0.0
-    relay: Address | None = None
-    avoided_until_s: dict[Address, float] = field(default_factory=dict)
-
-
 class RelayedRequests:
     """Sends requests on the way that works, and passes others' requests on.
 
     Attributes:
-        relays: asks for addresses of nodes that may pass requests on.
         num_relayed: requests of this node that were answered through another.
+        num_doubled: requests that went through others too while the direct answer was still out.
 
     """
 
@@ -75,19 +45,28 @@
         rng: random.Random,
         relays: Callable[[], list[Address]],
         relayed_methods: frozenset[str],
+        neighbours: Neighbours | None = None,
     ) -> None:
-        self.relays = relays
         self.num_relayed = 0
+        self.num_doubled = 0
         self._transport = transport
-        self._rng = rng
+        self._neighbours = neighbours if neighbours is not None else Neighbours()
+        self._patience = Patience(transport.round_trip_s, self._neighbours)
+        self._search = RelaySearch(
+            transport,
+            rng,
+            relays,
+            self._patience,
+            self._neighbours,
+            self._note_word,
+            self._note_failure,
+        )
         self._relayed_methods = relayed_methods
-        self._ways: dict[Address, _Way] = {}
-        self._relay_silent_until_s: dict[Address, float] = {}
+        self._ways: dict[Address, Way] = {}
         self._silent_since_s: float | None = None
-        self._relay_heard_s = float("-inf")
+        self._silent_way_s = 0.0
         self._num_open = 0
         self._cut_since_s = float("-inf")
-        self._good_relay: Address | None = None
         transport.handlers[RELAY_METHOD] = self._pass_on
 
     @property
@@ -96,8 +75,13 @@
         if self._silent_since_s is None:
             return False
         now_s = asyncio.get_running_loop().time()
-        is_heard_by_relays = now_s - self._relay_heard_s < RELAY_SILENT_S + ISOLATED_S
-        return now_s - self._silent_since_s > ISOLATED_S and not is_heard_by_relays
+        isolated_s = max(ISOLATED_S, ISOLATED_TRIPS * self._silent_way_s)
+        is_heard_by_relays = now_s - self._search.heard_s < RELAY_SILENT_S + isolated_s
+        return now_s - self._silent_since_s > isolated_s and not is_heard_by_relays
+
+    def way_s(self, peer: Address) -> float:
+        """The round trip to a peer as measured, or what one of its kind takes."""
+        return self._patience.way_s(peer)
 
     def is_cut(self, peer: Address) -> bool:
         """Whether only relays reach a peer: it must not be asked to wait before it answers."""
@@ -106,27 +90,31 @@
 
     async def request(self, peer: Address, method: str, payload: bytes, timeout_s: float) -> bytes:
         """Send a request; raise ``PeerUnreachable`` when no way gives an answer in time."""
-        way = self._ways.setdefault(peer, _Way())
+        way = self._ways.setdefault(peer, Way())
         now_s = asyncio.get_running_loop().time()
         until_s = now_s + timeout_s
+        patience_s = self._patience.direct_s(peer, method, now_s)
         tasks: set[asyncio.Task[bytes]] = set()
         if not way.is_cut or now_s >= way.probe_from_s:
             way.probe_from_s = now_s + DIRECT_PROBE_S
-            tasks.add(_spawn(self._directly(way, peer, method, payload, timeout_s)))
+            tasks.add(spawn(self._directly(way, peer, method, payload, timeout_s)))
         try:
             if not way.is_cut and not self._is_likely_cut(way):
-                done, _ = await asyncio.wait(tasks, timeout=min(PATIENCE_S, timeout_s))
+                done, _ = await asyncio.wait(tasks, timeout=min(patience_s, timeout_s))
                 if done and not _failed(done):
                     return done.pop().result()
             left_s = until_s - asyncio.get_running_loop().time()
-            if left_s > 0 and self._may_relay(way):
-                tasks.add(_spawn(self._indirectly(way, peer, method, payload, left_s)))
+            if left_s > 0 and self._may_relay(way, patience_s):
+                self.num_doubled += not way.is_cut and any(not task.done() for task in tasks)
+                tasks.add(spawn(self._indirectly(way, peer, method, payload, left_s)))
+            elif left_s > 0 and way.scouting is not None:
+                tasks.add(spawn(self._after_scout(way, peer, method, payload, until_s)))
             return await _first_answer(tasks)
         finally:
             for task in tasks:
                 task.cancel()
 
-    def _is_likely_cut(self, way: _Way) -> bool:
+    def _is_likely_cut(self, way: Way) -> bool:
         """Another target was found behind a cut, and this one said nothing since."""
         return self._is_behind_cut and way.heard_s < self._cut_since_s
 
@@ -138,105 +126,81 @@
         """
         return any(way.is_cut for way in self._ways.values())
 
-    def _may_relay(self, way: _Way) -> bool:
+    def _may_relay(self, way: Way, patience_s: float) -> bool:
         if way.is_cut:
             return True
         now_s = asyncio.get_running_loop().time()
-        was_heard = now_s - way.heard_s < PATIENCE_S
-        return not was_heard and not way.is_scouting and now_s >= way.no_relay_until_s
+        was_heard = now_s - way.heard_s < patience_s
+        return not was_heard and way.scouting is None and now_s >= way.no_relay_until_s
 
     async def _directly(
-        self, way: _Way, peer: Address, method: str, payload: bytes, timeout_s: float
+        self, way: Way, peer: Address, method: str, payload: bytes, timeout_s: float
     ) -> bytes:
+        began_s = asyncio.get_running_loop().time()
         try:
             answer = await self._transport.request(peer, method, payload, timeout_s)
         except PeerUnreachable as error:
-            self._note_failure(error)
+            self._note_failure(error, peer)
             raise
         way.heard_s = asyncio.get_running_loop().time()
-        self._silent_since_s = None
+        self._patience.note(peer, method, way.heard_s - began_s, way.heard_s)
+        self._note_word()
         if way.is_cut:
             way.is_cut = False
             log.say("reaches a peer directly again", peer=str(peer))
         return answer
 
     async def _indirectly(
-        self, way: _Way, peer: Address, method: str, payload: bytes, timeout_s: float
+        self, way: Way, peer: Address, method: str, payload: bytes, timeout_s: float
     ) -> bytes:
-        way.is_scouting = not way.is_cut
+        scouting = asyncio.Event()
+        if not way.is_cut:
+            way.scouting = scouting
         try:
-            answer = await self._through_relays(way, peer, method, payload, timeout_s)
-        except PeerUnreachable:
+            answer = await self._search.find(way, peer, method, payload, timeout_s)
+        except PeerUnreachable as error:
             way.probe_from_s = 0.0
             if not way.is_cut:
                 way.no_relay_until_s = asyncio.get_running_loop().time() + UNREACHED_PAUSE_S
-            raise
+            raise PeerUnreachable(str(error), is_silent=not self._is_behind_cut) from error
+        else:
+            self._note_relayed(way, peer)
         finally:
-            way.is_scouting = False
+            if way.scouting is scouting:
+                way.scouting = None
+            scouting.set()
+        return answer
+
+    def _note_relayed(self, way: Way, peer: Address) -> None:
         self.num_relayed += 1
         if not way.is_cut:
             way.is_cut = True
             self._cut_since_s = asyncio.get_running_loop().time()
             log.say("reaches a peer through others", peer=str(peer))
-        return answer
 
-    async def _through_relays(
-        self, way: _Way, peer: Address, method: str, payload: bytes, timeout_s: float
+    async def _after_scout(
+        self, way: Way, peer: Address, method: str, payload: bytes, until_s: float
     ) -> bytes:
-        """Ask one relay after the other, first the one that reached the target last."""
-        loop = asyncio.get_running_loop()
-        until_s = loop.time() + timeout_s
-        request = wire.RelayRequest(
-            target=wire.PeerAddress(host=peer.host, port=peer.port), method=method, payload=payload
-        )
-        num_unreached = 0
-        for relay in self._candidates(way, peer):
-            try_s = min(RELAY_PATIENCE_S, until_s - loop.time())
-            if try_s <= 0 or num_unreached >= MAX_UNREACHED:
-                break
-            request.timeout_ms = max(1, int(RELAY_REPLY_SHARE * try_s * 1000))
-            reply = await self._ask_relay(relay, request, try_s)
-            if reply is not None and reply.is_reached:
-                way.relay = self._good_relay = relay
-                return reply.payload
-            way.avoided_until_s[relay] = loop.time() + RELAY_SILENT_S
-            num_unreached += reply is not None and not reply.is_cut_here
-        raise PeerUnreachable(f"no relay reaches {peer}", is_silent=not self._is_behind_cut)
-
-    async def _ask_relay(
-        self, relay: Address, request: wire.RelayRequest, timeout_s: float
-    ) -> wire.RelayReply | None:
-        """Ask one relay; ``None``: it does not answer."""
-        try:
-            content = await self._transport.request(
-                relay, RELAY_METHOD, request.SerializeToString(), timeout_s
-            )
-        except PeerUnreachable as error:
-            self._note_failure(error)
-            silent_until_s = asyncio.get_running_loop().time() + RELAY_SILENT_S
-            self._relay_silent_until_s[relay] = silent_until_s
-            return None
+        """Another request looks for a way already: follow it if it finds one."""
+        if way.scouting is not None:
+            await way.scouting.wait()
+        left_s = until_s - asyncio.get_running_loop().time()
+        if not way.is_cut or left_s <= 0:
+            raise PeerUnreachable(f"no way to {peer} was found")
+        return await self._indirectly(way, peer, method, payload, left_s)
+
+    def _note_word(self) -> None:
+        """Somebody answered."""
         self._silent_since_s = None
-        self._relay_heard_s = asyncio.get_running_loop().time()
-        return wire.RelayReply.FromString(content)
 
-    def _candidates(self, way: _Way, peer: Address) -> list[Address]:
-        now_s = asyncio.get_running_loop().time()
-        waits = (self._relay_silent_until_s, way.avoided_until_s)
-        heard = [
-            node
-            for node in self.relays()
-            if node != peer and all(until_s.get(node, 0.0) <= now_s for until_s in waits)
-        ]
-        self._rng.shuffle(heard)
-        heard.sort(key=lambda node: (node != way.relay, node != self._good_relay))
-        return heard
-
-    def _note_failure(self, error: PeerUnreachable) -> None:
+    def _note_failure(self, error: PeerUnreachable, peer: Address) -> None:
         if not error.is_silent:
             self._silent_since_s = None
-        elif self._silent_since_s is None:
+            return
+        if self._silent_since_s is None:
             self._silent_since_s = asyncio.get_running_loop().time()
+            self._silent_way_s = 0.0
+        self._silent_way_s = max(self._silent_way_s, self._patience.way_s(peer))
 
     # --- for others ------------------------------------------------------------------------
 
@@ -261,18 +225,6 @@
         return wire.RelayReply(is_reached=True, payload=answer).SerializeToString()
 
 
-def _spawn(work: Coroutine[Any, Any, bytes]) -> "asyncio.Task[bytes]":
-    task = asyncio.get_running_loop().create_task(work)
-    task.add_done_callback(_see_failure)
-    return task
-
-
-def _see_failure(task: "asyncio.Task[bytes]") -> None:
-    """A way that was not waited for may fail."""
-    if not task.cancelled():
-        task.exception()
-
-
 def _failed(done: "set[asyncio.Task[bytes]]") -> bool:
     return all(task.exception() is not None for task in done)
 
--- a/src/bendshed/platform/front.py
+++ b/src/bendshed/platform/front.py
@@ -69,6 +69,9 @@
             settings.policy,
             settings.turn_groups,
         )
+        for traffic in (self._transport.traffic, self._connections.traffic):
+            traffic.distance = self._node.neighbours.distance
+            traffic.add_to(registry)
         self._node.on_document = self._apply_limits
         self._forwarding = ForwardingApplication(
             self._node.forwarder, PlatformCallerProtocol(), lambda: self._node.is_isolated
--- a/src/bendshed/platform/replica.py
+++ b/src/bendshed/platform/replica.py
@@ -62,10 +62,13 @@
             settings.catalog_times,
             settings.policy,
             settings.bounds.quota_terms,
-            settings.turn_groups,
-            settings.places,
-            settings.bounds.cold_terms,
+            groups=settings.turn_groups,
+            places=settings.places,
+            cold_terms=settings.bounds.cold_terms,
+            link_terms=settings.placement,
         )
+        self._transport.traffic.distance = self._node.neighbours.distance
+        self._transport.traffic.add_to(registry)
         confirm = self._node.catalog.confirm
         self._runners = self._watcher(
             names.RUNNER_KIND,
--- a/src/bendshed/rehearsal/site/layout.py
+++ b/src/bendshed/rehearsal/site/layout.py
@@ -5,6 +5,7 @@
 
 from bendshed.placement.groups import TurnGroups
 from bendshed.placement.places import Places
+from bendshed.rehearsal.site.sim_zones import RUNNER_ZONES
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,6 +18,8 @@
         region_of: region by zone; empty: none is declared.
         between_regions_s: one way, beyond what lies between zones.
         has_tenants: whether the configuration names tenants.
+        runner_zones: zones of the runners of each service, in turn.
+        is_regional: whether each region has a group of the turn log; else there is one in all.
         max_stores: no further store is put in the place of another beyond so many.
 
     """
@@ -28,6 +31,8 @@
     between_regions_s: float = 0.0
     has_tenants: bool = True
     max_stores: int = 6
+    runner_zones: tuple[str, ...] = RUNNER_ZONES
+    is_regional: bool = True
 
     @property
     def places(self) -> Places:
@@ -37,7 +42,7 @@
     @property
     def groups(self) -> TurnGroups:
         """The turn log's groups."""
-        return TurnGroups.of(self.places)
+        return TurnGroups.of(self.places, self.is_regional)
 
     def zone(self, number: int, has_disk: bool) -> str:
         """Zone of a machine by its number."""
@@ -86,3 +91,18 @@
     max_stores=TWO_REGIONS.max_stores,
 )
 """Two groups; each tenant is held by one of them."""
+
+_FOUR_ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
+
+
+def two_zones_a_region(num_fronts: int) -> SiteLayout:
+    """Two zones in each of two regions, with runners in all, before one group of the turn log."""
+    return SiteLayout(
+        front_zones=tuple(_FOUR_ZONES[number % 4] for number in range(num_fronts)),
+        store_zones=_FOUR_ZONES,
+        num_voters=3,
+        region_of={"zone-a": "east", "zone-b": "east", "zone-c": "west", "zone-d": "west"},
+        between_regions_s=BETWEEN_REGIONS_S,
+        runner_zones=_FOUR_ZONES,
+        is_regional=False,
+    )
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -119,10 +119,12 @@
     def started(cls, seed: int, layout: SiteLayout = ONE_REGION) -> "SiteWorld":
         """A site that serves."""
         world = cls(seed, layout)
-        for number in range(NUM_ENGINES):
-            world.add_runner(f"engine-{number + 1}", "engines", 8, zone=RUNNER_ZONES[number % 2])
-        for number in range(NUM_TOOLS):
-            world.add_runner(f"tool-{number + 1}", "tools", 6, zone=RUNNER_ZONES[number % 2])
+        zones = layout.runner_zones
+        for number in range(max(NUM_ENGINES, len(zones))):
+            zone = zones[number % len(zones)]
+            world.add_runner(f"engine-{number + 1}", "engines", 8, zone)
+        for number in range(max(NUM_TOOLS, len(zones))):
+            world.add_runner(f"tool-{number + 1}", "tools", 6, zones[number % len(zones)])
         for number in range(len(layout.store_zones)):
             world.add_machine(f"store-{number + 1}", f"10.0.1.{number + 1}", number, has_disk=True)
         for number in range(len(layout.front_zones)):
@@ -148,6 +150,7 @@
         runner = SiteRunner(name, service, zone, slots, rng, self.seen.runs)
         self.runners[name] = runner
         self.seen.zones_of[name] = zone
+        self.network.regions[name] = self.layout.places.region(zone)
         self.net.by_address[address] = runner
         self.listed[name] = ServiceRunner(
             name, service, address, zone, slots, RunnerState.READY, int(1000 * cold_s)
@@ -207,7 +210,7 @@
         connections = SimConnections(self.net, machine.process, machine.host)
         metrics = ServiceMetrics(CollectorRegistry())
         self.metrics[machine.process.name] = metrics
-        place = NodePlace(machine.zone, transport.address)
+        place = NodePlace(machine.zone, transport.address, self.layout.places)
         front = ServiceNode(
             transport,
             connections,
@@ -250,6 +253,7 @@
             TIMES,
             quota_terms=QUOTA_TERMS,
             groups=self.layout.groups,
+            places=self.layout.places,
             cold_terms=COLD_TERMS,
         )
         machine.replica.start()
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -13,6 +13,7 @@
 from bendshed.catalog.zones import ZoneKeeper
 from bendshed.consensus.directory import ReplicaDirectory
 from bendshed.logs import PartLog
+from bendshed.paths.neighbours import Neighbours
 from bendshed.paths.relayed import RelayedRequests
 from bendshed.placement.groups import ONE_GROUP, TurnGroups
 from bendshed.placement.places import Places
@@ -71,6 +72,7 @@
 
     Attributes:
         directory: where the turn log's replicas are.
+        neighbours: where other nodes stand.
         catalog: what replica machines tell of configuration and runners.
         forwarder: serves requests.
         quotas: what the node may let through of each tenant.
@@ -92,6 +94,8 @@
         groups: TurnGroups = ONE_GROUP,
     ) -> None:
         self.directory = ReplicaDirectory()
+        self.neighbours = Neighbours(place.zone, place.places)
+        self.directory.on_change.append(self._note_replicas)
         self.on_document: Callable[[ServiceDocument], None] = lambda _document: None
         self.is_draining = False
         self._policy = policy
@@ -100,7 +104,9 @@
         self._table = RunnerTable(filter=self.zones.filter, cold=ColdTracker(clock=_loop_time))
         self.zones.on_zone_opened.append(self._table.cold.reopen)
         self._pool = connections
-        self._requests = RelayedRequests(transport, rng, self._other_nodes, RELAYED_METHODS)
+        self._requests = RelayedRequests(
+            transport, rng, self._other_nodes, RELAYED_METHODS, self.neighbours
+        )
         self.catalog = CatalogFollower(
             transport,
             self._requests,
@@ -111,6 +117,7 @@
             rng,
             policy.shared_reading,
             is_cut=self._requests.is_cut,
+            neighbours=self.neighbours,
         )
         leaders = GroupClient(
             self._requests,
@@ -120,6 +127,7 @@
             self.directory.node_ids,
             lambda group: self.directory.node_ids_in(groups.home_zones(group)),
         )
+        leaders.way_s = self._requests.way_s
         home_group = groups.at_home_in(place.zone)
         client = TurnClient(rng, leaders, self._refuses_alone, home_group)
         life = f"{place.address}/{rng.getrandbits(48):012x}"
@@ -137,11 +145,17 @@
             metrics,
             policy,
             RunnerAsks(client, metrics),
+            place.places,
         )
         self.forwarder = Forwarder(runners, self._turns)
         self._add_gauges(metrics)
         self.zones.add_gauges(metrics)
 
+    def _note_replicas(self) -> None:
+        """Remember where replica machines stand."""
+        for replica in self.directory.by_name.values():
+            self.neighbours.put(replica.address.host, replica.zone)
+
     def _other_nodes(self) -> list[Address]:
         return self.catalog.fronts if self._policy.relays else []
 
@@ -156,6 +170,10 @@
         ready.set_function(lambda: float(self.is_ready))
         relayed = metrics.gauge("bendshed_requests_relayed", "Answers that came through others")
         relayed.set_function(lambda: float(self._requests.num_relayed))
+        doubled = metrics.gauge(
+            "bendshed_requests_doubled", "Requests that went directly and through others"
+        )
+        doubled.set_function(lambda: float(self._requests.num_doubled))
         fresh = metrics.gauge(
             "bendshed_catalog_fresh", "1 while replica machines read for this node"
         )
@@ -228,6 +246,7 @@
 
     def put_runner(self, runner: ServiceRunner) -> None:
         """Take one runner's state."""
+        self.neighbours.put(runner.address.host, runner.zone)
         self._table.put(runner)
 
     def remove_runner(self, runner_id: str, trusted: bool) -> None:
--- a/src/bendshed/services/turn_record.py
+++ b/src/bendshed/services/turn_record.py
@@ -203,9 +203,18 @@
         left_s = self.deadline_s - asyncio.get_running_loop().time()
         state = self.attempts.runner_state()
         ports, regions = self.attempts.ports, self.attempts.regions
-        return demand_of(
+        demand = demand_of(
             self.request, self.attempts.service, left_s, state, ports.zone, regions=regions
         )
+        demand.body_bytes = len(self.request.body) + self._held_bytes()
+        return demand
+
+    def _held_bytes(self) -> int:
+        """Of the chain that goes before the body, as far as it is at hand."""
+        turn = self.request.turn
+        if turn is None or not (self.route.keeps_turns and turn.previous_turn):
+            return 0
+        return len(self.ports.transcripts.get((self._tenant, turn.previous_turn)) or b"")
 
     def _report(self) -> wire.TurnReport:
         """What this turn saw of runners."""
--- a/src/bendshed/turns/advice.py
+++ b/src/bendshed/turns/advice.py
@@ -6,6 +6,7 @@
 from bendshed.catalog.state import Catalog
 from bendshed.logs import PartLog
 from bendshed.placement.board import Demand, Ended, LoadBoard
+from bendshed.placement.distance import DistanceCosts
 from bendshed.placement.prompt_cache import PromptPart
 from bendshed.services.runners import ServiceRunner
 from bendshed.turns.cold import ColdAsk, ColdPermits, Openings, Placement
@@ -17,8 +18,14 @@
 class TurnAdvice:
     """Advises nodes, and learns from what they report."""
 
-    def __init__(self, catalog: Catalog, cold: ColdPermits, rng: random.Random) -> None:
-        self.board = LoadBoard(rng)
+    def __init__(
+        self,
+        catalog: Catalog,
+        cold: ColdPermits,
+        rng: random.Random,
+        distance: DistanceCosts | None = None,
+    ) -> None:
+        self.board = LoadBoard(rng, distance)
         self.cold = cold
         self._catalog = catalog
         self._listed_at = 0
@@ -87,6 +94,7 @@
             request=demand.turn_id,
             runner=advice.runner_id,
             cost_ms=round(advice.cost_ms, 1),
+            distance=advice.distance.value,
             running_there=advice.num_running,
             running=self.board.num_running,
             cached_tokens=advice.cached_tokens,
@@ -128,4 +136,5 @@
         avoided=frozenset(wanted.avoided),
         zone=wanted.zone,
         ran_at=ran_at,
+        body_bytes=wanted.body_bytes,
     )
--- a/src/bendshed/turns/client.py
+++ b/src/bendshed/turns/client.py
@@ -1,6 +1,7 @@
 """The executors' side of the turn log: reaches its leader and keeps transcripts at hand."""
 
 import asyncio
+import math
 import random
 from collections import OrderedDict
 from collections.abc import Callable
@@ -20,7 +21,7 @@
 log = PartLog("turns")
 
 TRY_TIMEOUT_S = 0.3
-"""Longest wait for one replica's reply; a commit takes some ms."""
+"""Longest wait for a neighbour's reply, as is the next; a commit takes some ms."""
 PREVIEW_TIMEOUT_S = 0.2
 LOSS_TOLD_S = 0.3
 """After this long without any answer a line tells it."""
@@ -69,8 +70,9 @@
         payload = command.SerializeToString()
         loop = asyncio.get_running_loop()
         give_up_at_s = loop.time() + timeout_s
-        while (left_s := give_up_at_s - loop.time()) > 0:
-            reply = await self._try_once(command.group, payload, min(TRY_TIMEOUT_S, left_s))
+        way_s = self._groups.way_to_leader_s(command.group)
+        while (left_s := give_up_at_s - loop.time()) > way_s:
+            reply = await self._try_once(command.group, payload, left_s)
             if reply is not None:
                 return reply
             await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
@@ -107,7 +109,7 @@
         loop = asyncio.get_running_loop()
         give_up_at_s = loop.time() + timeout_s
         while (left_s := give_up_at_s - loop.time()) > 0:
-            reply = await self._ask(group, method, payload, min(PREVIEW_TIMEOUT_S, left_s))
+            reply = await self._ask(group, method, payload, PREVIEW_TIMEOUT_S, left_s)
             if reply is not None and reply.answer not in NO_WORD:
                 return reply
             await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
@@ -132,17 +134,15 @@
             log.say("no replica of the turn log answers")
             self._is_loss_told = True
 
-    async def _try_once(
-        self, group: int, payload: bytes, timeout_s: float
-    ) -> wire.TurnReply | None:
-        reply = await self._ask(group, TURN_METHOD, payload, timeout_s)
+    async def _try_once(self, group: int, payload: bytes, left_s: float) -> wire.TurnReply | None:
+        reply = await self._ask(group, TURN_METHOD, payload, TRY_TIMEOUT_S, left_s)
         return None if reply is None or reply.answer in NO_WORD else reply
 
     async def _ask(
-        self, group: int, method: str, payload: bytes, timeout_s: float
+        self, group: int, method: str, payload: bytes, timeout_s: float, left_s: float = math.inf
     ) -> wire.TurnReply | None:
         """Ask the supposed leader of a group; learn from what it says who leads."""
-        answer = await self._groups.ask_leader(group, method, payload, timeout_s)
+        answer = await self._groups.ask_leader(group, method, payload, timeout_s, left_s)
         if group == self.home_group:
             self._note(answer is not None)
         if answer is None:
--- a/src/bendshed/turns/metrics.py
+++ b/src/bendshed/turns/metrics.py
@@ -56,5 +56,5 @@
         return Gauge(name, text, registry=self.registry)
 
     def labelled_gauge(self, name: str, text: str, label: str) -> Gauge:
-        """Add a gauge with one label; its owner gives each label a function."""
+        """Add a gauge with one label; its owner gives each value a function."""
         return Gauge(name, text, [label], registry=self.registry)
--- a/src/bendshed/turns/node.py
+++ b/src/bendshed/turns/node.py
@@ -15,9 +15,12 @@
 from bendshed.consensus.raft_types import Role
 from bendshed.consensus.supervisor import ReplicaSupervisor
 from bendshed.logs import PartLog
+from bendshed.paths.echo import Echo
+from bendshed.paths.neighbours import Neighbours
 from bendshed.placement.cold import ColdTerms
+from bendshed.placement.distance import DistanceCosts, LinkTerms
 from bendshed.placement.groups import ONE_GROUP, TurnGroups
-from bendshed.placement.places import Places
+from bendshed.placement.places import Distance, Places
 from bendshed.placement.zones import ZoneWord
 from bendshed.policy import EVERYTHING, Policy
 from bendshed.ports.catalog_storage import CatalogStorage
@@ -51,6 +54,7 @@
     Attributes:
         directory: the replica machines it knows.
         catalog: what it tells others of configuration and runners.
+        neighbours: where other nodes stand.
         follower: what it is told itself, so that one machine reads the registry for all.
 
     """
@@ -73,9 +77,12 @@
         groups: TurnGroups = ONE_GROUP,
         places: Places | None = None,
         cold_terms: ColdTerms | None = None,
+        link_terms: LinkTerms | None = None,
     ) -> None:
         self.directory = ReplicaDirectory()
         self._groups = groups
+        self.neighbours = Neighbours(zone, places or Places())
+        self.directory.on_change.append(self._note_replicas)
         self.host = GroupHost(
             storage,
             transport,
@@ -109,7 +116,7 @@
             catalog_storage,
             times,
             policy.kept_catalog,
-            places,
+            self.neighbours,
         )
         self.follower = CatalogFollower(
             transport,
@@ -121,10 +128,17 @@
             rng,
             policy.shared_reading and policy.replicas_follow,
             is_replica=True,
+            neighbours=self.neighbours,
         )
+        self.catalog.is_told = lambda: self.follower.is_head and self.follower.is_fresh
+        self.catalog.num_askers_elsewhere = self._num_askers_of_teller
+        self.follower.num_behind = lambda: self.catalog.num_fronts
+        self._echo = Echo(transport, self._other_replicas, self.neighbours)
+        self._echo.on_measured = self._take_distances
+        self._distance = DistanceCosts(self.neighbours.places, link_terms or LinkTerms())
         known = self.catalog.catalog
         cold = ColdPermits(known.cold, cold_terms or ColdTerms(), metrics, groups.count)
-        self._advice = TurnAdvice(known, cold, rng)
+        self._advice = TurnAdvice(known, cold, rng, self._distance)
         self._service = TurnService(
             self.host,
             transport,
@@ -170,6 +184,34 @@
         running.set_function(lambda: float(self._advice.board.num_running))
         cold = metrics.gauge("bendshed_cold_runners", "Listed runners that are cold")
         cold.set_function(lambda: float(self.catalog.catalog.cold.num_cold))
+        away = metrics.gauge("bendshed_turns_away", "Of them, those outside their front's region")
+        away.set_function(lambda: float(self._advice.board.num_away))
+        unheard = metrics.gauge("bendshed_regions_unheard", "Regions of which nobody is heard")
+        unheard.set_function(lambda: float(self._echo.watch.num_unheard))
+        trips = metrics.labelled_gauge(
+            "bendshed_round_trip_ms", "Median round trip to replica machines", "distance"
+        )
+        for kind in Distance:
+            trips.labels(kind.value).set_function(partial(self._round_trip_ms, kind))
+
+    def _note_replicas(self) -> None:
+        """Remember where replica machines stand."""
+        for replica in self.directory.by_name.values():
+            self.neighbours.put(replica.address.host, replica.zone)
+
+    def _num_askers_of_teller(self) -> int:
+        return self.follower.num_askers_told if self.follower.is_head else 0
+
+    def _take_distances(self, measured_ms: dict[Distance, float]) -> None:
+        self._distance.measured_ms = measured_ms
+
+    def _round_trip_ms(self, kind: Distance) -> float:
+        """As measured; 0: no machine of this kind was."""
+        return self._distance.measured_ms.get(kind, 0.0)
+
+    def _other_replicas(self) -> list[Address]:
+        nodes = self.directory.by_name.values()
+        return [node.address for node in nodes if node != self.directory.own]
 
     def _read_group(self, read: Callable[[HostedGroup], float], number: int) -> float:
         """Read a group of the turn log; 0 where this process holds no replica of it."""
@@ -218,6 +260,7 @@
             start_loop(self.follower.run(), "catalog"),
             start_loop(self._loads.run(), "loads"),
             start_loop(self._service.follow_lead(), "turns"),
+            start_loop(self._echo.run(), "regions"),
         ]
         log.say("started", node=self.host.node_id)
 
