Sub-agents of one program that are refused side by side come back one after the other

Cause: who is to come back was remembered by program, so five sub-agents of one program were all told the time of one place (100 ms) and met there; their six tries were used up within 0.4 to 1.7 s. Ruled out: refusals within a tenant's own limit. Change: lines of turns are remembered, not programs.

--- a/src/bendshed/quotas/ledger.py
+++ b/src/bendshed/quotas/ledger.py
@@ -56,6 +56,8 @@
         request_id: the same request may be asked for more than once.
         program_id: empty: it belongs to none.
         rank: what it is, which decides how far it may go.
+        line: of turns that follow each other; empty: not told. Sub-agents of a program have one
+            each, and each comes back by itself.
 
     """
 
@@ -63,6 +65,12 @@
     tenant: str
     program_id: str
     rank: Rank
+    line: str = ""
+
+    @property
+    def returns_as(self) -> tuple[str, str]:
+        """What comes back after a refusal, whatever the id of its next try."""
+        return self.program_id, self.line
 
 
 @dataclass(frozen=True, slots=True)
@@ -245,7 +253,7 @@
         rank = request.rank if self.puts_programs_first else Rank.CALL
         used = self._level(tenant, usage, now_ms)
         returning = self._returns.setdefault(tenant, ReturnTimes())
-        num_returning = returning.num_others(request.program_id, now_ms)
+        num_returning = returning.num_others(request.returns_as, now_ms)
         wanted = used + 1 + (num_returning if rank is Rank.NEW_PROGRAM else 0)
         excess = wanted - rank.most(limit)
         wait_ms = 0
@@ -254,11 +262,11 @@
             wait_ms = usage.wait_ms(tenant, now_ms, self._judged_ms, excess + behind)
         num_allowed = self._num_allowed(tenant, usage, now_ms)
         if not wait_ms:
-            returning.forget(request.program_id)
+            returning.forget(request.returns_as)
             return Admission(True, used, num_allowed)
         wait_ms = max(MIN_WAIT_MS, wait_ms)
         if request.rank is not Rank.NEW_PROGRAM:
-            returning.note(request.program_id, now_ms + wait_ms)
+            returning.note(request.returns_as, now_ms + wait_ms)
         return Admission(False, used, num_allowed, wait_ms)
 
     @property
--- a/src/bendshed/turns/quotas.py
+++ b/src/bendshed/turns/quotas.py
@@ -27,15 +27,19 @@
         self._version = -1
 
     def admit_turn(
-        self, begin: wire.BeginTurn, state: TurnLogState, term: int, now_ms: int
+        self, begin: wire.BeginTurn, state: TurnLogState, term: int, now_ms: int, line: str = ""
     ) -> wire.TurnReply | None:
-        """Promise a turn its place, or return the refusal; ``None``: it may go on."""
+        """Promise a turn its place, or return the refusal; ``None``: it may go on.
+
+        ``line`` tells the turns of sub-agents apart, which come back each by themselves; only a
+        preview knows it, and its decision stays for the commit of the same turn.
+        """
         limit = self._limit(begin.tenant)
         if limit is None or state.is_reserved(begin):
             return None
         self._ledger.begin_term(term)
         rank = Rank.TURN if state.is_under_way(begin) else Rank.NEW_PROGRAM
-        request = QuotaRequest(begin.turn_id, begin.tenant, begin.program_id, rank)
+        request = QuotaRequest(begin.turn_id, begin.tenant, begin.program_id, rank, line)
         admission = self._ledger.admit_turn(request, limit, state.usage, now_ms)
         return None if admission.is_granted else self._refuse(request, admission, limit)
 
--- a/src/bendshed/turns/service.py
+++ b/src/bendshed/turns/service.py
@@ -161,7 +161,8 @@
         begin = preview.begin
         reply = state.preview(begin)
         may_run = reply.answer in (wire.TURN_ANSWER_GRANTED, wire.TURN_ANSWER_BUDGET_SPENT)
-        refusal = self._quotas.admit_turn(begin, state, term, now_ms) if may_run else None
+        line = preview.demand.line
+        refusal = self._quotas.admit_turn(begin, state, term, now_ms, line) if may_run else None
         if refusal is not None:
             return refusal.SerializeToString()
         if may_run and preview.demand.service:
