--- a/tests/patterns/test_first_word_after_power.py
+++ b/tests/patterns/test_first_word_after_power.py
@@ -1,8 +1,9 @@
 """Load pattern: all machines lost power, and callers wait at nodes that know no configuration yet.
 
-Grounds for the figures: replica machines greet nodes that start, so a node knows whom to ask 12 to 19
-ms after it has started; it had the configuration 125 ms (p50) after that, since it slept for 50 to
-200 ms whenever nobody was known. The whole way is one round trip and some ms of reading.
+Grounds for the figures: replica machines greet nodes that start, so a node knows whom to ask 12 to
+19 ms after it has started; it had the configuration 125 ms (p50) after that, since it slept for 50
+to 200 ms whenever nobody was known. The whole way is one round trip and some ms of reading.
+
 """
 
 import unittest
