--- a/src/bendshed/programs/client.py
+++ b/src/bendshed/programs/client.py
@@ -70,6 +70,11 @@
         self._likely_nodes = likely_nodes
         self._silent_until_s: dict[str, float] = {}
 
+    @property
+    def knows_nodes(self) -> bool:
+        """Whether there is anybody to ask."""
+        return bool(self._disk_nodes())
+
     async def command(
         self, key: str, command: wire.ProgramCommand, timeout_s: float, wait_s: float = 0.0
     ) -> wire.CallResult:
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -35,7 +35,7 @@
 from bendshed.services.runners import RunnerTable, RunnerView, ServiceRunner
 from bendshed.services.turn_record import TurnPorts
 from bendshed.turns.client import TranscriptCache, TurnClient
-from bendshed.turns.service import PREVIEW_METHOD, QUOTA_METHOD, RUNNER_METHOD, TURN_METHOD
+from bendshed.turns.methods import PREVIEW_METHOD, QUOTA_METHOD, RUNNER_METHOD, TURN_METHOD
 from bendshed.turns.whereabouts import TurnWhereabouts
 
 TRANSCRIPT_BYTES = 16 * 1024 * 1024
@@ -205,7 +205,11 @@
         return asyncio.get_running_loop().time() - lost_since_s > TURNS_LOST_S
 
     async def watch_turn_log(self) -> None:
-        """While no replica answers, ask again and again, so that a node becomes ready anew."""
+        """Find the leader at the start; ask again and again while no replica answers.
+
+        A node becomes ready anew by that.
+        """
+        await self._turns.client.find_leader()
         while True:
             await asyncio.sleep(PROBE_INTERVAL_S)
             if self._turns.client.lost_since_s is not None:
--- a/src/bendshed/turns/kept_turn.py
+++ b/src/bendshed/turns/kept_turn.py
@@ -4,9 +4,6 @@
 
 from bendshed.wire import turns_pb2 as wire
 
-Owned = tuple[str, str]
-"""A tenant's name (empty: nobody's) and an id that is its own: two tenants never share one."""
-
 
 @dataclass(slots=True)
 class KeptTurn:
--- a/src/bendshed/turns/service.py
+++ b/src/bendshed/turns/service.py
@@ -10,18 +10,13 @@
 from bendshed.ports.transport import Transport
 from bendshed.turns.advice import TurnAdvice
 from bendshed.turns.led_group import LedGroup
+from bendshed.turns.methods import PREVIEW_METHOD, QUOTA_METHOD, RUNNER_METHOD, TURN_METHOD
 from bendshed.turns.metrics import CommandEnd, TurnLogMetrics
 from bendshed.turns.quotas import TurnQuotas
 from bendshed.turns.shares import ShareGatherer
 from bendshed.turns.state import TurnLogState
 from bendshed.wire import turns_pb2 as wire
 
-TURN_METHOD = "turns.command"
-PREVIEW_METHOD = "turns.preview"
-QUOTA_METHOD = "turns.quota"
-RUNNER_METHOD = "turns.runner"
-TURN_GROUP = 0
-"""The first group of the turn log: the only one where operators declare no regions."""
 SHARE_TIMEOUT_S = 0.25
 """How long another group's leader is asked for its share: a front waits a little longer."""
 NOT_TO_RUN = (
@@ -184,7 +179,8 @@
         begin = preview.begin
         reply = state.preview(begin)
         may_run = reply.answer in (wire.TURN_ANSWER_GRANTED, wire.TURN_ANSWER_BUDGET_SPENT)
-        refusal = group.quotas.admit_turn(begin, state, term, now_ms) if may_run else None
+        line = preview.demand.line
+        refusal = group.quotas.admit_turn(begin, state, term, now_ms, line) if may_run else None
         if refusal is not None:
             return refusal.SerializeToString()
         if may_run and preview.demand.service:
--- a/src/bendshed/turns/state.py
+++ b/src/bendshed/turns/state.py
@@ -8,7 +8,8 @@
 
 from bendshed.quotas.usage import UsageWindows
 from bendshed.turns.budget import ProgramBudget
-from bendshed.turns.kept_turn import KeptTurn, Owned
+from bendshed.turns.kept_turn import KeptTurn
+from bendshed.turns.methods import Owned
 from bendshed.wire import turns_pb2 as wire
 
 PROGRAM_KEPT_FACTOR = 2
