--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -91,6 +91,7 @@
         self._policy = policy
         self.zones = ZoneKeeper(place.places)
         self._places = place.places
+        self._zones_lag_s = times.zones_lag_s
         self._table = RunnerTable(filter=self.zones.filter)
         self._pool = connections
         self._requests = RelayedRequests(transport, rng, self._other_nodes, RELAYED_METHODS)
@@ -228,6 +229,11 @@
         self._table.filter = self.zones.filter
         self.catalog.note_zones(word.zones.at)
 
+    def confirm_zones(self, age_s: float) -> None:
+        """The registry confirmed everything so long ago, closed zones perhaps somewhat earlier."""
+        if self._zones_lag_s is not None:
+            self.zones.confirm(age_s + self._zones_lag_s)
+
     def start_drain(self) -> None:
         """Be not ready from now on; what comes is still served."""
         self.is_draining = True
@@ -270,4 +276,4 @@
 
     def confirm_all(self, age_s: float, _runners_at: int) -> None:
         """A node tells nobody else, but its metrics."""
-        self._node.zones.confirm(age_s)
+        self._node.confirm_zones(age_s)
