--- a/src/bendshed/services/attempts.py
+++ b/src/bendshed/services/attempts.py
@@ -163,7 +163,7 @@
             if choice is not None:
                 return choice
         kind = ErrorKind.OVERLOADED if self._num_unrun else ErrorKind.NO_RUNNER
-        return self._refusal(kind, f"no runner of {self.service} takes the request now")
+        return self._refusal(kind, self._nobody_takes_it())
 
     def _has_cold(self, now_s: float) -> bool:
         """Whether leave could open a runner that was not tried yet."""
@@ -355,8 +355,17 @@
         return OpenAnswer(head, record, connection, self.ports.pool, sent_s)
 
     def _give_back(self, choice: Choice, connection: RunnerConnection) -> None:
-        """The way to a cold runner took longer than the leave lasts, or it has just turned cold."""
+        """What held when a runner was chosen does not hold any more: choose again.
+
+        Its zone was closed meanwhile, the way to a cold runner took longer than the leave lasts, or
+        it has just turned cold.
+        """
         runner = choice.record.listed
+        if not self.ports.table.filter.may_get(runner, self.regions):
+            connection.finish()
+            self.ports.pool.release(runner.address, connection)
+            self._say("is not sent there any more", choice, reason="its zone was closed meanwhile")
+            return
         self._num_unrun += 1
         self._tried.discard(runner.runner_id)
         connection.abort()
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -101,6 +101,7 @@
         self._policy = policy
         self.zones = ZoneKeeper(place.places)
         self._places = place.places
+        self._zones_lag_s = times.zones_lag_s
         self._table = RunnerTable(filter=self.zones.filter, cold=ColdTracker(clock=_loop_time))
         self.zones.on_zone_opened.append(self._table.cold.reopen)
         self._pool = connections
@@ -269,6 +270,11 @@
         self._table.filter = self.zones.filter
         self.catalog.note_zones(word.zones.at)
 
+    def confirm_zones(self, age_s: float) -> None:
+        """The registry confirmed everything so long ago, closed zones perhaps somewhat earlier."""
+        if self._zones_lag_s is not None:
+            self.zones.confirm(age_s + self._zones_lag_s)
+
     def start_drain(self) -> None:
         """Be not ready from now on; what comes is still served."""
         self.is_draining = True
@@ -311,7 +317,7 @@
 
     def confirm_all(self, age_s: float, _runners_at: int) -> None:
         """A node tells nobody else, but its metrics."""
-        self._node.zones.confirm(age_s)
+        self._node.confirm_zones(age_s)
 
 
 def _loop_time() -> float:
--- a/src/bendshed/turns/advice.py
+++ b/src/bendshed/turns/advice.py
@@ -45,7 +45,8 @@
         self._follow_list()
         regions = frozenset(preview.demand.regions) or None
         runners = self._catalog.ready_runners(preview.demand.service, regions)
-        ask = ColdAsk(preview.begin.turn_id, preview.begin.program_id, is_new_program)
+        begin, line = preview.begin, preview.demand.line
+        ask = ColdAsk(begin.turn_id, begin.program_id, is_new_program, line)
         openings = self.cold.openings(runners, ask, now_s)
         if runners and not openings.runners:
             return self.cold.refuse(runners, ask, now_s)
--- a/src/bendshed/turns/cold.py
+++ b/src/bendshed/turns/cold.py
@@ -29,12 +29,19 @@
     Attributes:
         program_id: whose; of a request without one, the request's own id.
         is_new_program: nothing of the program has run yet, so it may be refused first.
+        line: of turns that follow each other; empty: not told.
 
     """
 
     request_id: str
     program_id: str
     is_new_program: bool
+    line: str = ""
+
+    @property
+    def returns_as(self) -> tuple[str, str]:
+        """What comes back after a refusal, whatever the id of its next try."""
+        return self.program_id, self.line
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,7 +126,7 @@
         """Sendings that programs under way will ask for once more."""
         if not ask.is_new_program:
             return 0
-        return self._returns[False].num_others(ask.program_id, int(1000 * now_s))
+        return self._returns[False].num_others(ask.returns_as, int(1000 * now_s))
 
     def _room(self, runner: ServiceRunner, ask: ColdAsk, now_s: float) -> int:
         rate = self.tracker.rate_of(runner.runner_id)
@@ -152,7 +159,7 @@
         """Permit one sending."""
         self.grants.grant(runner_id, now_s)
         self._refused.pop(ask.request_id, None)
-        self._returns[ask.is_new_program].forget(ask.program_id)
+        self._returns[ask.is_new_program].forget(ask.returns_as)
         self.metrics.cold_permits.labels(ColdEnd.GRANTED.value).inc()
         log.say(
             "permits a sending",
@@ -170,9 +177,9 @@
         self.grants.sweep(now_s)
         now_ms = int(1000 * now_s)
         returns = self._returns[ask.is_new_program]
-        num_before = returns.num_others(ask.program_id, now_ms)
+        num_before = returns.num_others(ask.returns_as, now_ms)
         retry_ms = max(MIN_WAIT_MS, self._wait_ms(runners, ask, num_before, now_s))
-        returns.note(ask.program_id, now_ms + retry_ms)
+        returns.note(ask.returns_as, now_ms + retry_ms)
         self._note_refused(ask.request_id, retry_ms, now_s)
         self.metrics.cold_permits.labels(ColdEnd.REFUSED.value).inc()
         log.say(
--- a/tests/run.py
+++ b/tests/run.py
@@ -39,6 +39,7 @@
     "test_site_processes",
     "test_site_fuzz",
     "test_site_rules",
+    "test_turn_groups",
     "test_fuzz",
     "test_promises",
 )
--- a/tests/test_cold_sendings.py
+++ b/tests/test_cold_sendings.py
@@ -379,6 +379,7 @@
 
     def __init__(self, reply: wire.TurnReply | None) -> None:
         self.lost_since_s = None
+        self.home_group = 0
         self.reply = reply
         self.asks: list[wire.RunnerAsk] = []
 
--- a/tests/test_site_rules.py
+++ b/tests/test_site_rules.py
@@ -2,32 +2,42 @@
 
 import logging
 import unittest
+from collections.abc import Mapping
+from typing import ClassVar
 
 from bendshed.rehearsal.site.oracle import Rule, Violation
 from tests.site_cold_defects import COLD_DEFECTS
 from tests.site_defects import DEFECTS, Defect
 from tests.site_zone_defects import ZONE_DEFECTS
 
-ALL_DEFECTS = {**DEFECTS, **ZONE_DEFECTS}
-
-ALL_DEFECTS = {**DEFECTS, **COLD_DEFECTS}
+ALL_DEFECTS = {**DEFECTS, **ZONE_DEFECTS, **COLD_DEFECTS}
 
 
 def play(defect: Defect) -> list[Violation]:
     return defect.scenario(defect.seed)
 
 
-class SiteRulesTest(unittest.TestCase):
+class RulesTest(unittest.TestCase):
+    def test_every_rule_has_a_defect(self) -> None:
+        self.assertEqual({defect.rule for defect in ALL_DEFECTS.values()}, set(Rule))
+
+    def test_no_name_is_given_twice(self) -> None:
+        self.assertEqual(len(ALL_DEFECTS), len(DEFECTS) + len(ZONE_DEFECTS) + len(COLD_DEFECTS))
+
+
+class Quiet(unittest.TestCase):
+    """Planted defects make the loop report errors."""
+
+    defects: ClassVar[Mapping[str, Defect]] = {}
+
     @classmethod
     def setUpClass(cls) -> None:
-        logging.disable(logging.CRITICAL)  # planted defects make the loop report errors
+        logging.disable(logging.CRITICAL)
         cls.addClassCleanup(logging.disable, logging.NOTSET)
 
-    def test_every_rule_has_a_defect(self) -> None:
-        self.assertEqual({defect.rule for defect in ALL_DEFECTS.values()}, set(Rule))
-
-    def test_defects_are_caught(self) -> None:
-        for name, defect in ALL_DEFECTS.items():
+    def check_caught(self) -> None:
+        self.assertTrue(self.defects)
+        for name, defect in self.defects.items():
             with self.subTest(defect=name):
                 with defect.plant():
                     try:
@@ -36,7 +46,51 @@
                         broken = set()
                 self.assertIn(defect.rule, broken)
 
-    def test_the_product_passes_the_same_scenarios(self) -> None:
-        for scenario, seed in sorted({(d.scenario, d.seed) for d in ALL_DEFECTS.values()}, key=str):
+    def check_passed(self) -> None:
+        self.assertTrue(self.defects)
+        scenarios = {(defect.scenario, defect.seed) for defect in self.defects.values()}
+        for scenario, seed in sorted(scenarios, key=str):
             with self.subTest(scenario=scenario.__name__):
                 self.assertEqual(scenario(seed), [])
+
+
+class CaughtTest(Quiet):
+    defects = DEFECTS
+
+    def test_defects_are_caught(self) -> None:
+        self.check_caught()
+
+
+class PassedTest(Quiet):
+    defects = DEFECTS
+
+    def test_the_product_passes_the_same_scenarios(self) -> None:
+        self.check_passed()
+
+
+class ZonesCaughtTest(Quiet):
+    defects = ZONE_DEFECTS
+
+    def test_defects_are_caught(self) -> None:
+        self.check_caught()
+
+
+class ZonesPassedTest(Quiet):
+    defects = ZONE_DEFECTS
+
+    def test_the_product_passes_the_same_scenarios(self) -> None:
+        self.check_passed()
+
+
+class ColdCaughtTest(Quiet):
+    defects = COLD_DEFECTS
+
+    def test_defects_are_caught(self) -> None:
+        self.check_caught()
+
+
+class ColdPassedTest(Quiet):
+    defects = COLD_DEFECTS
+
+    def test_the_product_passes_the_same_scenarios(self) -> None:
+        self.check_passed()
--- a/tests/test_zone_ways.py
+++ b/tests/test_zone_ways.py
@@ -13,6 +13,7 @@
 
 from bendshed.catalog.state import Catalog, KnownRunner
 from bendshed.errors import ErrorKind, WasRun
+from bendshed.placement.cold import ColdTerms
 from bendshed.placement.places import Places
 from bendshed.placement.zones import ClosedZones, RunnerFilter
 from bendshed.ports.http_messages import (
@@ -35,6 +36,8 @@
 from bendshed.services.turn_record import TurnPorts
 from bendshed.turns.advice import TurnAdvice
 from bendshed.turns.client import TranscriptCache
+from bendshed.turns.cold import ColdPermits
+from bendshed.turns.metrics import TurnLogMetrics
 from bendshed.wire import turns_pb2 as wire
 from tests.test_runner_answers import RecordingCaller
 
@@ -314,12 +317,15 @@
             catalog = Catalog(filter=filter_)
             runners = [KnownRunner(listed(name), 3) for name in (*SHUT, *OPEN)]
             catalog.list_runners(runners, 4, is_trusted=True)
-            advice = TurnAdvice(catalog, random.Random(1))
+            metrics = TurnLogMetrics(CollectorRegistry())
+            cold = ColdPermits(catalog.cold, ColdTerms(), metrics)
+            advice = TurnAdvice(catalog, cold, random.Random(1))
             for number in range(MANY):
                 demand = wire.TurnDemand(service="s", left_ms=4000, zone="b", regions=regions)
                 begin = wire.BeginTurn(turn_id=f"t{number}", most_tokens=9)
                 preview = wire.TurnPreview(begin=begin, demand=demand)
-                self.assertIn(advice.advise(preview, SHUT[0], 1.0), OPEN)
+                placement = advice.advise(preview, SHUT[0], False, 1.0)
+                self.assertIn(placement.runner_id, OPEN)
 
     async def test_the_leader_is_told_the_homes(self) -> None:
         front = Front(NO_BARRIER, HOMES, has_turns=True)
