--- a/tests/run.py
+++ b/tests/run.py
@@ -82,7 +82,7 @@
     """Names of all test classes, or of those in the modules or classes that are wanted."""
     names = [f"tests.{name.removeprefix('tests.')}" for name in wanted]
     if not names:
-        names = [f"tests.{path.stem}" for path in sorted((ROOT / "tests").rglob("test_*.py"))]
+        names = [_dotted(path) for path in sorted((ROOT / "tests").rglob("test_*.py"))]
     loader = unittest.TestLoader()
     found: dict[str, None] = {}
     for test in _each_test(loader.loadTestsFromNames(names)):
@@ -92,6 +92,11 @@
     return sorted(found, key=lambda part: not part.split(".")[1].startswith(LONG_PARTS))
 
 
+def _dotted(path: Path) -> str:
+    """Name of a module of tests, in a folder below too."""
+    return ".".join(path.relative_to(ROOT).with_suffix("").parts)
+
+
 def _each_test(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
     for entry in suite:
         if isinstance(entry, unittest.TestSuite):
--- a/tests/test_regions_site.py
+++ b/tests/test_regions_site.py
@@ -93,6 +93,7 @@
         stores = [store.replica for store in world.stores.values() if store.replica is not None]
         for replica in stores:
             measured_ms = replica._distance.measured_ms
+            link_ms = 2000 * (BETWEEN_REGIONS_S + LATENCY_S)
             self.assertAlmostEqual(
                 measured_ms[Distance.OTHER_REGION],
                 2000 * (BETWEEN_REGIONS_S + LATENCY_S),
