--- a/src/bendshed/turns/node.py
+++ b/src/bendshed/turns/node.py
@@ -193,7 +193,7 @@
             start_loop(self.follower.run(), "catalog"),
             start_loop(self._loads.run(), "loads"),
         ]
-        log.say("started", node=self.host.node_id)
+        log.say("started", node=self.host.node_id, homes=list(self._groups.homes))
 
     async def stop(self) -> None:
         """Hand leadership over, then stop all parts."""
