--- a/src/bendshed/turns/node.py
+++ b/src/bendshed/turns/node.py
@@ -262,7 +262,7 @@
             start_loop(self._service.follow_lead(), "turns"),
             start_loop(self._echo.run(), "regions"),
         ]
-        log.say("started", node=self.host.node_id)
+        log.say("started", node=self.host.node_id, homes=list(self._groups.homes))
 
     async def stop(self) -> None:
         """Hand leadership over, then stop all parts."""
