--- a/src/bendshed/platform/main.py
+++ b/src/bendshed/platform/main.py
@@ -57,4 +57,6 @@
     except SiteSettingsInvalid as error:
         sys.stderr.write(f"{error}\n")
         return BAD_INPUT
+    finally:
+        gc.enable()
     return 0
