--- a/tests/patterns/test_start_of_a_node.py
+++ b/tests/patterns/test_start_of_a_node.py
@@ -41,8 +41,9 @@
             "mock.patch.object(roles, 'run_role', lambda *_: seen.append(gc.isenabled())).start();"
             "main.main(['node']);"
             "after = gc.isenabled();"
+            "gc.disable();"
             "roles._collect_garbage();"
-            "print(seen, after, gc.get_freeze_count() > 0)"
+            "print(seen, after, gc.isenabled(), gc.get_freeze_count() > 0)"
         )
         done = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True)
-        self.assertEqual(done.stdout.decode().strip(), "[False] True True")
+        self.assertEqual(done.stdout.decode().strip(), "[False] True True True")
