--- a/src/bendshed/paths/neighbours.py
+++ b/src/bendshed/paths/neighbours.py
@@ -1,9 +1,9 @@
 """Where other nodes stand, as far as this process was told, and how far each kind is. Pure."""
 
-import statistics
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from bendshed.median import median
 from bendshed.placement.places import Distance, Places
 from bendshed.ports.transport import Address
 
@@ -74,4 +74,4 @@
             kind = self.distance(peer.host)
             if kind is not None:
                 by_kind.setdefault(kind, []).append(took_s)
-        return {kind: statistics.median(found) for kind, found in by_kind.items()}
+        return {kind: median(found) for kind, found in by_kind.items()}
--- a/src/bendshed/placement/runner_health.py
+++ b/src/bendshed/placement/runner_health.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from bendshed.median import median
+
 PACE_WEIGHT = 0.4
 """Weight of the newest pace in a runner's mean: two or three requests tell a change."""
 HALF_LIFE_S = 1.5
@@ -72,8 +74,4 @@
 
 def median_pace(healths: Iterable[RunnerHealth]) -> float:
     """Median over runners whose pace is known; 0: none is."""
-    known = sorted(health.pace for health in healths if health.pace)
-    if not known:
-        return 0.0
-    middle = len(known) // 2
-    return known[middle] if len(known) % 2 else (known[middle - 1] + known[middle]) / 2
+    return median(health.pace for health in healths if health.pace)
--- a/tests/site_defects.py
+++ b/tests/site_defects.py
@@ -322,7 +322,10 @@
         Rule.FOUND, calm, patch(TurnLogState, "_keep", lambda self, finish: None)
     ),
     "one replica is a majority": Defect(
-        Rule.FOUND, leader_loses_its_disk, patch(RaftReplica, "_quorum", property(lambda _s: 1))
+        Rule.FOUND,
+        leader_loses_its_disk,
+        patch(RaftReplica, "_quorum", property(lambda _s: 1)),
+        seed=2,  # with the first one such a site serves nothing, so nothing is lost
     ),
     "leaving is ignored": Defect(
         Rule.DRAIN, a_runner_leaves, patch(RunnerTable, "usable", _all_of_service)
--- a/tests/site_zone_defects.py
+++ b/tests/site_zone_defects.py
@@ -88,7 +88,7 @@
 
 def _retries_go_anywhere() -> contextlib.AbstractContextManager[object]:
     return mock.patch.multiple(
-        Attempts, _choose=_choose_anywhere_again, _may_still_get=lambda _self, _runner: True
+        Attempts, _choose=_choose_anywhere_again, _may_get=lambda *_args: True
     )
 
 
--- a/tests/test_regions_site.py
+++ b/tests/test_regions_site.py
@@ -96,7 +96,7 @@
             link_ms = 2000 * (BETWEEN_REGIONS_S + LATENCY_S)
             self.assertAlmostEqual(
                 measured_ms[Distance.OTHER_REGION],
-                2000 * (BETWEEN_REGIONS_S + LATENCY_S),
+                link_ms,
                 delta=2.0,
             )
             self.assertAlmostEqual(measured_ms[Distance.SAME_REGION], 2000 * LATENCY_S, delta=2.0)
--- a/tests/test_site_rules.py
+++ b/tests/test_site_rules.py
@@ -48,7 +48,8 @@
 
     def check_passed(self) -> None:
         self.assertTrue(self.defects)
-        scenarios = {(defect.scenario, defect.seed) for defect in self.defects.values()}
+        defects = self.defects.values()
+        scenarios = {(defect.scenario, seed) for defect in defects for seed in (1, defect.seed)}
         for scenario, seed in sorted(scenarios, key=str):
             with self.subTest(scenario=scenario.__name__):
                 self.assertEqual(scenario(seed), [])
--- a/tests/test_zone_processes.py
+++ b/tests/test_zone_processes.py
@@ -1,5 +1,6 @@
 """Real fronts and stores while operators close a zone, waiting for what they say."""
 
+import itertools
 import signal
 import tempfile
 import unittest
@@ -60,6 +61,14 @@
         for process in self.processes(site):
             await site.wait_for_line(process, "zones: a zone is open again")
 
+    async def run_until_one_is_whole(self, site: SiteInstallation) -> None:
+        """Runners of a zone that was opened are cold at first, and some programs are sent away."""
+        for number in itertools.count():
+            program = make_program(site, f"cold-{number}", PLAN)
+            await program.run()
+            if program.finished:
+                return
+
     async def runs(self, site: SiteInstallation, name: str) -> set[str]:
         """Zones of the runners that a program's requests ran at."""
         program = make_program(site, name, PLAN)
@@ -77,6 +86,7 @@
         site.metadata.put(names.ZONE_CLOSURE_KIND, ZONES[0], {})
         for process in self.processes(site):
             await site.wait_for_line(process, "zones: a zone is closed", times=3)
+        await self.run_until_one_is_whole(site)
         self.assertEqual(await self.runs(site, "open"), {CLOSED})
 
 
