--- a/tests/test_smoke.py
+++ b/tests/test_smoke.py
@@ -40,8 +40,7 @@
         stream = asyncio.create_task(turn("node-4", Call("p", 3, "long", max_tokens=64)))
         code = await installation.stop_node("node-2")
         self.assertEqual(code, 0)
-        third = await stream
-        self.assertTrue(third.whole, third)
+        self.assertTrue((await stream).whole)
 
     async def _use_a_declared_route(self, installation: Installation) -> None:
         """A request on a declared route goes to a machine of its service, at any node."""
