--- a/src/bendshed/catalog/state.py
+++ b/src/bendshed/catalog/state.py
@@ -94,9 +94,7 @@
         """All that are listed, ready or not."""
         return self._runners.keys()
 
-    def ready_runners(
-        self, service: str, regions: Collection[str] | None = None
-    ) -> list[ServiceRunner]:
+    def ready_runners(self, service: str, regions: Collection[str] | None) -> list[ServiceRunner]:
         """Runners of a service that may get new work of some regions; ``None``: of any."""
         ready = self._ready.get(service, {}).values()
         if self.filter.lets_all(regions):
--- a/src/bendshed/services/runners.py
+++ b/src/bendshed/services/runners.py
@@ -193,11 +193,12 @@
         return sum(1 for record in self.by_id.values() if record.view is view)
 
     def usable(
-        self, service: str, now_s: float, regions: Collection[str] | None = None
+        self, service: str, now_s: float, regions: Collection[str] | None
     ) -> list[RunnerRecord]:
         """Runners that may get new work: the listed ready ones, else the doubtful ones.
 
-        Those of closed zones, or outside the regions that the request is allowed in, never are.
+        Those of closed zones, or outside the regions that the request is allowed in, never are;
+        ``None``: it is allowed anywhere.
         """
         records = self._by_service(service)
         for record in list(records.values()):
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -237,5 +237,7 @@
         del self.world.listed["engine-1"]
         self.world.run_for(0.5)
         assert self.front.front is not None
-        names = {record.listed.runner_id for record in self.front.front._table.usable("engines", 0)}
+        names = {
+            record.listed.runner_id for record in self.front.front._table.usable("engines", 0, None)
+        }
         self.assertEqual(names, {"engine-2", "engine-3"})
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -78,7 +78,7 @@
             self.table.put(runner(name))
 
     def usable(self, now_s: float = 0.0) -> list[str]:
-        return [record.listed.runner_id for record in self.table.usable("s", now_s)]
+        return [record.listed.runner_id for record in self.table.usable("s", now_s, None)]
 
     def test_a_draining_runner_gets_nothing_new(self) -> None:
         self.table.put(runner("a", state=RunnerState.DRAINING))
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -126,7 +126,7 @@
         for zone in "ab":
             table.put(runner(zone, zone))
         table.remove("b", 0.0, trusted=False)
-        self.assertEqual([one.listed.runner_id for one in table.usable("s", 0.0)], ["b"])
+        self.assertEqual([one.listed.runner_id for one in table.usable("s", 0.0, None)], ["b"])
 
     def test_a_service_is_shut_only_where_closed_zones_or_regions_are_the_cause(self) -> None:
         table = RunnerTable(filter=self.filter)
