--- a/src/bendshed/quotas/gate.py
+++ b/src/bendshed/quotas/gate.py
@@ -91,7 +91,7 @@
         """Requests up to this total may be let through from now on."""
         account = self._accounts.setdefault(tenant, _Account())
         if ceiling > account.total:
-            is_open = now_s < account.usable_until_s
+            is_open = account.leave.is_valid(now_s)
             account.ceiling = max(account.ceiling, ceiling) if is_open else ceiling
             account.leave = TimedLeave(now_s + USABLE_S)
             self._allowed[tenant] = None
