--- a/src/bendshed/turns/client.py
+++ b/src/bendshed/turns/client.py
@@ -25,8 +25,6 @@
 """After this long without any answer a line tells it."""
 RETRY_MIN_S = 0.01
 RETRY_MAX_S = 0.05
-MAX_PREVIEW_ASKS = 3
-"""Replicas that one preview goes to while each names another that leads."""
 FIND_FIRST_S = 0.03
 FIND_GROWTH = 1.5
 FIND_LAST_S = 0.4
@@ -82,20 +80,12 @@
         raise GroupUnavailable(f"no leader of the turn log answered within {timeout_s:.2f} s")
 
     async def preview(self, preview: wire.TurnPreview) -> wire.TurnReply | None:
-        """Ask what a begin would be answered; ``None``: nobody who knows answered.
-
-        A replica that does not lead and names another costs a round trip more, and no pause.
-        """
+        """Ask once what a begin would be answered; ``None``: nobody who knows answered."""
         payload = preview.SerializeToString()
-        loop = asyncio.get_running_loop()
-        give_up_at_s = loop.time() + PREVIEW_TIMEOUT_S
-        for _ in range(MAX_PREVIEW_ASKS):
-            reply = await self._ask(PREVIEW_METHOD, payload, give_up_at_s - loop.time())
-            if reply is None or reply.answer != wire.TURN_ANSWER_NOT_LEADER:
-                return reply
-            if TURN_GROUP not in self._groups.leaders or loop.time() >= give_up_at_s:
-                return None
-        return None
+        reply = await self._ask(PREVIEW_METHOD, payload, PREVIEW_TIMEOUT_S)
+        if reply is not None and reply.answer == wire.TURN_ANSWER_NOT_LEADER:
+            return None
+        return reply
 
     async def admit_call(self, ask: wire.QuotaAsk, timeout_s: float) -> wire.TurnReply | None:
         """Ask for one request that is no turn, across a change of leaders; ``None``: no answer.
