A turn that left on a lost leader's promise counts

Cause: a previewed turn is sent while its begin is being committed. Change: a begin that is sent again tells that its turn has left and is counted without a question; the end of a turn that is not reserved counts it.

--- a/src/bendshed/services/turn_record.py
+++ b/src/bendshed/services/turn_record.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 from bendshed.errors import ErrorKind, Refusal
@@ -248,12 +249,17 @@
         note_told = self._report_calls(command)
         loop = asyncio.get_running_loop()
         timeout_s = min(BEGIN_TIMEOUT_S, self.deadline_s - loop.time())
-        task = loop.create_task(self._command_or_none(command, timeout_s))
+        mark_left = partial(self._mark_left, command.begin)
+        task = loop.create_task(self._command_or_none(command, timeout_s, mark_left))
         task.add_done_callback(lambda done: note_told() if _is_committed(done) else None)
         self.ports.late.add(task)
         task.add_done_callback(self.ports.late.discard)
         return task
 
+    def _mark_left(self, begin: wire.BeginTurn) -> None:
+        """Tell a new leader that the turn went to its runner on another one's word."""
+        begin.has_left = self.attempts.may_have_run
+
     def _report_calls(self, command: wire.TurnCommand) -> Callable[[], None]:
         """Tell what this node let through of limited tenants; nothing where nobody is limited."""
         if not self.attempts.asker.is_limited:
@@ -261,10 +267,13 @@
         return self.ports.quotas.report(command)
 
     async def _command_or_none(
-        self, command: wire.TurnCommand, timeout_s: float
+        self,
+        command: wire.TurnCommand,
+        timeout_s: float,
+        before_try: Callable[[], None] = lambda: None,
     ) -> wire.TurnReply | None:
         try:
-            return await self.ports.client.command(command, timeout_s)
+            return await self.ports.client.command(command, timeout_s, before_try)
         except GroupUnavailable as error:
             log.say(
                 "the turn log does not answer",
@@ -371,6 +380,7 @@
             retention_ms=self.route.retention_ms,
             runner_id=self.attempts.answered_by,
             tenant=self._tenant,
+            was_sent=self.attempts.may_have_run,
         )
         return wire.TurnCommand(finish=finish, report=self._report(), group=self.group)
 
--- a/src/bendshed/turns/client.py
+++ b/src/bendshed/turns/client.py
@@ -69,16 +69,22 @@
         """Whether no other node has answered for a while: a retry here is of no use."""
         return self._is_isolated()
 
-    async def command(self, command: wire.TurnCommand, timeout_s: float) -> wire.TurnReply:
-        """Commit a command.
+    async def command(
+        self,
+        command: wire.TurnCommand,
+        timeout_s: float,
+        before_try: Callable[[], None] = lambda: None,
+    ) -> wire.TurnReply:
+        """Commit a command; ``before_try`` may bring it up to date before each try.
 
         Raise ``GroupUnavailable`` when no leader answered in time; the effect is unknown then.
         """
-        payload = command.SerializeToString()
         loop = asyncio.get_running_loop()
         give_up_at_s = loop.time() + timeout_s
         way_s = self._groups.way_to_leader_s(command.group)
         while (left_s := give_up_at_s - loop.time()) > way_s:
+            before_try()
+            payload = command.SerializeToString()
             reply = await self._try_once(command.group, payload, left_s)
             if reply is not None:
                 return reply
--- a/src/bendshed/turns/quotas.py
+++ b/src/bendshed/turns/quotas.py
@@ -31,11 +31,13 @@
     ) -> wire.TurnReply | None:
         """Promise a turn its place, or return the refusal; ``None``: it may go on.
 
+        One that left on an earlier leader's promise, and whose commit was not seen, only counts.
+
         ``line`` tells the turns of sub-agents apart, which come back each by themselves; only a
         preview knows it, and its decision stays for the commit of the same turn.
         """
         limit = self._limit(begin.tenant)
-        if limit is None or state.is_reserved(begin):
+        if limit is None or state.is_reserved(begin) or begin.has_left:
             return None
         self._ledger.begin_term(term)
         rank = Rank.TURN if state.is_under_way(begin) else Rank.NEW_PROGRAM
--- a/src/bendshed/turns/state.py
+++ b/src/bendshed/turns/state.py
@@ -243,6 +243,8 @@
         program = self._program((finish.tenant, finish.program_id), finish.retention_ms)
         if finish.turn_id in program.closed:
             return self._reply(wire.TURN_ANSWER_CLOSED, program)
+        if finish.tenant and finish.was_sent and finish.turn_id not in program.reserved:
+            self.usage.charge(finish.tenant, self.clock_ms, 1)
         program.close(finish.turn_id)
         program.runner_id = finish.runner_id or program.runner_id
         if finish.outcome != wire.TURN_OUTCOME_NOTHING_HANDED_ON:
