Mends from the reviews of the joined parts

By those who did not write them: the turn log in groups and quotas, zones and cold runners, distance and recovery. Each was shown by a small script or read, and has a test unless said so: - A restored replica forgot expired programs at another command than the others: a spent budget could be fresh at one replica.

--- a/src/bendshed/catalog/follower.py
+++ b/src/bendshed/catalog/follower.py
@@ -232,6 +232,7 @@
         If it cannot, it passes over itself as others do, and is told by the next.
         """
         self._is_shared = False
+        self._told_by, self.num_askers_told = None, 0
         if self._is_lost_here:
             self._avoid(self._me, "the registry is lost here")
         if self._expiry is not None:
--- a/src/bendshed/placement/spill.py
+++ b/src/bendshed/placement/spill.py
@@ -60,7 +60,7 @@
         is_bounded = gain_ms < BROKEN_GAIN_MS
         if gain_ms <= margin_ms or (is_bounded and self.num_away >= SLOTS_SHARE * num_slots):
             return False
-        return not self.region_mbit_per_s or self._room(now_s) >= num_bytes
+        return not self.region_mbit_per_s or self._room(now_s) >= min(num_bytes, self._most_bytes)
 
     def begin(self, turn_id: str, num_bytes: int, now_s: float) -> None:
         """A turn left its region."""
@@ -75,6 +75,16 @@
 
     def _room(self, now_s: float) -> float:
         """Bytes that may leave at this moment; negative after turns that had no choice."""
-        rate = LINK_SHARE * self.region_mbit_per_s * BYTES_PER_MBIT
-        most = BURST_S * rate
-        return min(most, self._room_bytes + rate * min(now_s - self._filled_s, 60.0))
+        return min(
+            self._most_bytes,
+            self._room_bytes + self._bytes_per_s * min(now_s - self._filled_s, 60.0),
+        )
+
+    @property
+    def _bytes_per_s(self) -> float:
+        return LINK_SHARE * self.region_mbit_per_s * BYTES_PER_MBIT
+
+    @property
+    def _most_bytes(self) -> float:
+        """Of one burst; a turn that moves more leaves too, and those behind it wait longer."""
+        return BURST_S * self._bytes_per_s
--- a/src/bendshed/platform/settings.py
+++ b/src/bendshed/platform/settings.py
@@ -180,6 +180,9 @@
     """The template lays the platform's fields beside our own; without it, they stand alone."""
     if not isinstance(content, dict) or "site" not in content:
         return content
+    for section in ("policy", "placement"):
+        if not isinstance(content.get(section) or {}, dict):
+            raise SiteSettingsInvalid(f"{path}: {section}: not an object: write its fields by name")
     policy = content.get("policy") or {}
     for name in unknown_switches(policy):
         raise SiteSettingsInvalid(f"{path}: policy.{name}: unknown: {SWITCHES_CURE}")
--- a/src/bendshed/programs/client.py
+++ b/src/bendshed/programs/client.py
@@ -21,6 +21,8 @@
 second way when the direct one is silent (`paths/`)."""
 LEAST_TRIPS = 2.0
 """A node that had less time than so many round trips may be well though it gave no answer."""
+LEAST_S = 0.06
+"""The same for a near one, whose commit may wait for replicas that are far."""
 RETRY_MIN_S = 0.02
 RETRY_MAX_S = 0.2
 
@@ -138,7 +140,7 @@
         try:
             content = await self._transport.request(address, method, payload, given_s)
         except PeerUnreachable as error:
-            if given_s < LEAST_TRIPS * way_s:
+            if error.is_silent and given_s < max(LEAST_TRIPS * way_s, LEAST_S):
                 return None
             self._forget(group_id, target)
             if error.is_silent:
--- a/src/bendshed/quotas/ledger.py
+++ b/src/bendshed/quotas/ledger.py
@@ -144,12 +144,24 @@
         if known is not None:
             return known.admission
         admission = self._decide(request, limit, usage, now_ms)
+        self._promise(request, admission, now_ms)
+        return admission
+
+    def _promise(self, request: QuotaRequest, admission: Admission, now_ms: int) -> None:
+        """Remember a decision; one that grants counts until it is settled."""
         granted = admission.is_granted
         self._decided[request.request_id] = _Decision(admission, request.tenant, now_ms, granted)
         if granted:
             promised = self._num_promised.get(request.tenant, 0)
             self._num_promised[request.tenant] = promised + 1
-        return admission
+
+    def count_left(self, request: QuotaRequest, now_ms: int) -> None:
+        """A turn that left on an earlier leader's word counts as promised until it is committed."""
+        self._forget_promises(now_ms)
+        known = self._decided.pop(request.request_id, None)
+        if known is not None:
+            self._close(known)
+        self._promise(request, Admission(True, 0, 0), now_ms)
 
     def settle_turn(self, request_id: str) -> None:
         """A promised turn was committed, so that it is counted there, or will not run."""
--- a/src/bendshed/services/forwarder.py
+++ b/src/bendshed/services/forwarder.py
@@ -153,6 +153,7 @@
         refusal = attempts.refuse_if_shut()
         if refusal is not None:
             return refusal
+        attempts.admit_again = partial(self._admit_call, request, asker, deadline_s)
         try:
             async with asyncio.timeout_at(deadline_s + ANSWER_MARGIN_S):
                 if route.kind is RouteKind.STREAM:
@@ -161,7 +162,6 @@
                     record = self._record_of(request, route, attempts, engine, deadline_s)
                     if record is not None:
                         return await StreamExchange(request, attempts, caller, record).run()
-                attempts.admit_again = partial(self._admit_call, request, asker, deadline_s)
                 refusal = await attempts.admit_again()
                 if refusal is not None:
                     return refusal
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -101,6 +101,7 @@
         self.on_document: Callable[[ServiceDocument], None] = lambda _document: None
         self.is_draining = False
         self._policy = policy
+        self._groups = groups
         self.zones = ZoneKeeper(place.places)
         self._places = place.places
         self._zones_lag_s = times.zones_lag_s
@@ -208,16 +209,24 @@
         return asyncio.get_running_loop().time() - lost_since_s > TURNS_LOST_S
 
     async def watch_turn_log(self) -> None:
-        """Find the leader at the start; ask again and again while no replica answers.
+        """Find the leaders at the start; ask again and again while no replica answers.
 
-        A node becomes ready anew by that.
+        A node becomes ready anew by that. A region that is cut off must not hold it up.
         """
         await self._knows_replicas.wait()
-        await self._turns.client.find_leader()
-        while True:
-            await asyncio.sleep(PROBE_INTERVAL_S)
-            if self._turns.client.lost_since_s is not None:
-                await self._turns.client.probe()
+        client = self._turns.client
+        loop = asyncio.get_running_loop()
+        others = self._groups.others(client.home_group)
+        looking = [loop.create_task(client.find_leader(group)) for group in others]
+        try:
+            await client.find_leader(client.home_group)
+            while True:
+                await asyncio.sleep(PROBE_INTERVAL_S)
+                if client.lost_since_s is not None:
+                    await client.probe()
+        finally:
+            for task in looking:
+                task.cancel()
 
     def take_document(self, document: ServiceDocument) -> bool:
         """Apply a newer document; an older one changes nothing."""
--- a/src/bendshed/services/runner_asks.py
+++ b/src/bendshed/services/runner_asks.py
@@ -10,6 +10,7 @@
 from bendshed.errors import ErrorKind, Refusal
 from bendshed.logs import PartLog
 from bendshed.ports.runner import ServiceRequest
+from bendshed.programs.client import FAR_TRIPS
 from bendshed.quotas.window import TimedLeave
 from bendshed.services.metrics import ColdAskEnd, ServiceMetrics
 from bendshed.turns.client import TurnClient
@@ -112,6 +113,7 @@
         )
         is_lost = self._client.lost_since_s is not None
         timeout_s = LOST_ASK_TIMEOUT_S if is_lost else ASK_TIMEOUT_S
+        timeout_s += FAR_TRIPS * self._client.way_home_s
         timeout_s = min(timeout_s, demand.left_ms / 1000)
         reply = await self._client.place(ask, timeout_s)
         log.say(
--- a/src/bendshed/services/turn_record.py
+++ b/src/bendshed/services/turn_record.py
@@ -343,7 +343,8 @@
             whereabouts = self.ports.whereabouts
             whereabouts.note_program(self._tenant, self.request.program_id, self.group)
             return None
-        self._is_finished = True  # nothing is reserved
+        # Nothing is reserved; one that left all the same is counted by its end.
+        self._is_finished = not (self._tenant and self.attempts.may_have_run)
         if reply.answer == wire.TURN_ANSWER_QUOTA_EXCEEDED:
             return refusal_of(reply)
         if reply.answer == wire.TURN_ANSWER_NO_ROOM:
--- a/src/bendshed/turns/advice.py
+++ b/src/bendshed/turns/advice.py
@@ -71,7 +71,9 @@
         ask = ColdAsk(asked.request_id, asked.request_id, asked.is_new_program)
         openings = self.cold.counted_openings(runners, ask, now_s)
         if not openings.runners:
-            return self.cold.refuse(runners, ask, now_s)
+            placement = self.cold.refuse(runners, ask, now_s)
+            self.cold.forget_refused(asked.request_id)  # no begin stands beside it
+            return placement
         return self.cold.grant(self._place(asked, openings.runners, now_s), ask, now_s)
 
     def _place(self, asked: wire.RunnerAsk, runners: Sequence[ServiceRunner], now_s: float) -> str:
--- a/src/bendshed/turns/client.py
+++ b/src/bendshed/turns/client.py
@@ -128,17 +128,21 @@
             await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
         return None
 
-    async def find_leader(self) -> None:
-        """Look for the leader until it has answered, so that no caller's first turn must."""
+    async def find_leader(self, group: int) -> None:
+        """Look for a group's leader until it has answered, so that no caller's first turn must."""
         pause_s = FIND_FIRST_S
         while True:
             for _ in range(FIND_ASKS):
-                preview = wire.TurnPreview(group=self.home_group)
-                if await self.preview(preview) is not None:
+                if await self.preview(wire.TurnPreview(group=group)) is not None:
                     return
             await asyncio.sleep(pause_s)
             pause_s = min(FIND_LAST_S, FIND_GROWTH * pause_s)
 
+    @property
+    def way_home_s(self) -> float:
+        """The round trip to the home group's supposed leader."""
+        return self._groups.way_to_leader_s(self.home_group)
+
     async def probe(self) -> None:
         """Ask any replica something harmless; ``lost_since_s`` tells the outcome."""
         await self.preview(wire.TurnPreview(group=self.home_group))
--- a/src/bendshed/turns/cold.py
+++ b/src/bendshed/turns/cold.py
@@ -207,6 +207,10 @@
         while next(iter(self._refused.values()))[0] < now_s - REFUSED_KEPT_S:
             self._refused.popitem(last=False)
 
+    def forget_refused(self, request_id: str) -> None:
+        """A refusal that binds no begin."""
+        self._refused.pop(request_id, None)
+
     def refused_for_ms(self, request_id: str, now_s: float) -> int:
         """When a turn that was refused a moment ago was told to come back; 0: it was not."""
         if not self._refused:
--- a/src/bendshed/turns/group_peers.py
+++ b/src/bendshed/turns/group_peers.py
@@ -5,9 +5,10 @@
 
 from bendshed.consensus.directory import ReplicaDirectory
 from bendshed.consensus.retirement import EMPTIED_METHOD
+from bendshed.paths.neighbours import Neighbours
 from bendshed.placement.groups import TurnGroups
 from bendshed.ports.transport import Address, Transport
-from bendshed.programs.client import GroupClient, GroupUnavailable
+from bendshed.programs.client import FAR_TRIPS, GroupClient, GroupUnavailable
 from bendshed.turns.client import TurnClient
 from bendshed.wire import turns_pb2 as wire
 
@@ -25,6 +26,7 @@
         rng: random.Random,
         groups: TurnGroups,
         directory: ReplicaDirectory,
+        neighbours: Neighbours,
     ) -> None:
         self._directory = directory
         self._client = GroupClient(
@@ -35,12 +37,17 @@
             directory.node_ids,
             lambda group: directory.node_ids_in(groups.home_zones(group)),
         )
+        self._client.way_s = lambda peer: neighbours.way_s(peer.host, transport.round_trip_s(peer))
         self._turns = TurnClient(rng, self._client)
         self._looked_s: dict[int, float] = {}
         self._looking: set[asyncio.Task[None]] = set()
 
     async def command(self, command: wire.TurnCommand, timeout_s: float) -> wire.TurnReply | None:
-        """Commit a command in its group; ``None``: no leader answered in time."""
+        """Commit a command in its group; ``None``: no leader answered in time.
+
+        ``timeout_s`` is for a neighbour; a far leader has more.
+        """
+        timeout_s += FAR_TRIPS * self._client.way_to_leader_s(command.group)
         try:
             return await self._turns.command(command, timeout_s)
         except GroupUnavailable:
--- a/src/bendshed/turns/node.py
+++ b/src/bendshed/turns/node.py
@@ -94,7 +94,7 @@
             stands_at_once=policy.quick_election,
             order_of=self._standing_order,
         )
-        peers = GroupPeers(transport, rng, groups, self.directory)
+        peers = GroupPeers(transport, rng, groups, self.directory, self.neighbours)
         me = ReplicaNode(name, self.host.node_id, address, zone)
         self.supervisor = ReplicaSupervisor(
             self.host,
--- a/src/bendshed/turns/quotas.py
+++ b/src/bendshed/turns/quotas.py
@@ -37,11 +37,14 @@
         preview knows it, and its decision stays for the commit of the same turn.
         """
         limit = self._limit(begin.tenant)
-        if limit is None or state.is_reserved(begin) or begin.has_left:
+        if limit is None or state.is_reserved(begin):
             return None
         self._ledger.begin_term(term)
         rank = Rank.TURN if state.is_under_way(begin) else Rank.NEW_PROGRAM
         request = QuotaRequest(begin.turn_id, begin.tenant, begin.program_id, rank, line)
+        if begin.has_left:
+            self._ledger.count_left(request, now_ms)
+            return None
         admission = self._ledger.admit_turn(request, limit, state.usage, now_ms)
         return None if admission.is_granted else self._refuse(request, admission, limit)
 
--- a/src/bendshed/turns/service.py
+++ b/src/bendshed/turns/service.py
@@ -134,8 +134,8 @@
         """A begin was committed, or its turn will not run."""
         turn_id = command.begin.turn_id
         group = self._groups.get(command.group)
-        if group is not None:
-            group.quotas.settle_turn(turn_id)
+        if group is not None and reply.answer != wire.TURN_ANSWER_UNAVAILABLE:
+            group.quotas.settle_turn(turn_id)  # else it may commit yet, and its promise lapses
         if reply.answer in NOT_TO_RUN:
             self._advice.take_refusal(turn_id, asyncio.get_running_loop().time())
 
@@ -214,7 +214,7 @@
         """A preview's refusal holds for the begin beside it: its program stays a new one."""
         now_s = asyncio.get_running_loop().time()
         retry_ms = self._advice.cold.refused_for_ms(begin.turn_id, now_s)
-        if not retry_ms or state.is_reserved(begin):
+        if not retry_ms or begin.has_left or state.is_reserved(begin):
             return None
         return _no_room(retry_ms)
 
--- a/src/bendshed/turns/state.py
+++ b/src/bendshed/turns/state.py
@@ -39,15 +39,16 @@
         self.turns: dict[Owned, KeptTurn] = {}
         self.programs: dict[Owned, ProgramBudget] = {}
         self.usage = UsageWindows()
-        self._swept_ms = 0
 
     # --- what the replication asks for ---------------------------------------------------
 
     def apply(self, data: bytes) -> wire.TurnReply:
         """Apply one committed command."""
         command = wire.TurnCommand.FromString(data)
-        self.clock_ms = max(self.clock_ms, command.elapsed_ms)
-        self._sweep()
+        before_ms = self.clock_ms
+        self.clock_ms = max(before_ms, command.elapsed_ms)
+        if before_ms // SWEEP_INTERVAL_MS != self.clock_ms // SWEEP_INTERVAL_MS:
+            self._sweep()
         if command.HasField("spent"):
             self.usage.take_report(command.spent.node, command.spent.spent, self.clock_ms)
         if command.HasField("allowance"):
@@ -276,10 +277,11 @@
         return program
 
     def _sweep(self) -> None:
-        """Forget what has expired; a chain's turns never expire before its newest one."""
-        if self.clock_ms - self._swept_ms < SWEEP_INTERVAL_MS:
-            return
-        self._swept_ms = self.clock_ms
+        """Forget what has expired; a chain's turns never expire before its newest one.
+
+        When it happens follows from the replicated clock alone: a replica that was restored from a
+        snapshot forgets with the very command at which all others do.
+        """
         now_ms = self.clock_ms
         self.turns = {name: turn for name, turn in self.turns.items() if turn.expires_ms >= now_ms}
         self.programs = {
--- a/tests/test_distance_placement.py
+++ b/tests/test_distance_placement.py
@@ -142,6 +142,12 @@
         gate.end("t3")
         self.assertTrue(gate.may_leave(100.0, 24, 0, 0.0))
 
+    def test_a_turn_beyond_a_burst_leaves_and_those_behind_it_wait(self) -> None:
+        gate = SpillGate(region_mbit_per_s=1.0)
+        self.assertTrue(gate.may_leave(5_000.0, 24, 40_000, 0.0))
+        gate.begin("large", 40_000, 0.0)
+        self.assertFalse(gate.may_leave(5_000.0, 24, 1_000, 0.1))
+
     def test_bytes_that_left_without_a_choice_count_too(self) -> None:
         gate = SpillGate(region_mbit_per_s=8.0)
         self.assertTrue(gate.may_leave(100.0, 24, 200_000, 0.0))
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -106,6 +106,7 @@
             "placement.zone_ms_per_kb": {"zone_ms_per_kb": -1},
             "placement.region_mbit_per_s": {"region_mbit_per_s": "30 Mbit"},
             "placement": [1],
+            "placement: not an object": 5,
         }
         for field, placement in cases.items():
             with self.subTest(field=field), self.assertRaises(SiteSettingsInvalid) as caught:
--- /dev/null
+++ b/tests/test_promised_turns.py
@@ -0,0 +1,74 @@
+"""A turn that was sent on a preview's word and whose begin is then answered otherwise."""
+
+import asyncio
+import unittest
+from unittest.mock import MagicMock
+
+from bendshed.errors import ErrorKind, Refusal
+from bendshed.services.stream_exchange import StreamExchange
+from bendshed.services.turn_record import TurnRecord
+from bendshed.turns.whereabouts import TurnWhereabouts
+from bendshed.wire import turns_pb2 as wire
+
+
+class Client:
+    """Grants the preview, and answers the begin once the turn has left."""
+
+    is_isolated = False
+
+    def __init__(self, answer: "wire.TurnAnswer.ValueType") -> None:
+        self.answer = answer
+        self.finishes: list[wire.FinishTurn] = []
+        self.has_left = asyncio.Event()
+
+    async def preview(self, _asked: wire.TurnPreview) -> wire.TurnReply:
+        return wire.TurnReply(answer=wire.TURN_ANSWER_GRANTED)
+
+    async def command(
+        self, command: wire.TurnCommand, _timeout_s: float, _before_try: object = None
+    ) -> wire.TurnReply:
+        if command.HasField("finish"):
+            self.finishes.append(command.finish)
+            return wire.TurnReply()
+        await self.has_left.wait()
+        return wire.TurnReply(answer=self.answer)
+
+
+class PromisedTurnTest(unittest.IsolatedAsyncioTestCase):
+    async def play(self, client: Client, tenant: str) -> Refusal:
+        ports = MagicMock(client=client, whereabouts=TurnWhereabouts(), late=set())
+        ports.policy.shared_load = False
+        attempts = MagicMock(may_have_run=False, advised="", answered_by="r", failed=[])
+        attempts.asker.name = tenant
+        attempts.asker.is_limited = False
+
+        async def open_answer() -> MagicMock:
+            attempts.may_have_run = True
+            client.has_left.set()
+            return MagicMock()
+
+        attempts.open = open_answer
+        request = MagicMock(request_id="q", program_id="p", body=b"")
+        request.turn = MagicMock(previous_turn="", budget_tokens=9, most_tokens=3)
+        route = MagicMock(keeps_turns=False, retention_ms=0)
+        deadline_s = asyncio.get_running_loop().time() + 60
+        record = TurnRecord(ports, request, route, attempts, None, deadline_s)
+        outcome = await StreamExchange(request, attempts, MagicMock(), record).run()
+        await asyncio.gather(*ports.late)
+        assert isinstance(outcome, Refusal)
+        return outcome
+
+    async def test_its_end_counts_it_and_nothing_is_promised(self) -> None:
+        for answer in (wire.TURN_ANSWER_QUOTA_EXCEEDED, wire.TURN_ANSWER_BUDGET_SPENT):
+            with self.subTest(answer=answer):
+                client = Client(answer)
+                refusal = await self.play(client, "a tenant")
+                self.assertEqual(refusal.kind, ErrorKind.ENGINE_LOST)
+                (finish,) = client.finishes
+                self.assertTrue(finish.was_sent)
+                self.assertEqual(finish.outcome, wire.TURN_OUTCOME_NOTHING_HANDED_ON)
+
+    async def test_where_nobody_counts_nothing_is_told(self) -> None:
+        client = Client(wire.TURN_ANSWER_BUDGET_SPENT)
+        await self.play(client, "")
+        self.assertEqual(client.finishes, [])
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -99,6 +99,16 @@
             self.ledger.settle_turn(name)
         return admission.is_granted
 
+    def test_turns_that_left_count_until_they_are_committed(self) -> None:
+        for number in range(10):
+            request = QuotaRequest(f"l{number}", "t", "p", Rank.TURN)
+            self.ledger.count_left(request, 0)
+            self.ledger.count_left(request, 0)
+        self.assertFalse(self.turn("new", 0))
+        for number in range(10):
+            self.ledger.settle_turn(f"l{number}")
+        self.assertTrue(self.turn("newer", 0))
+
     def spare(self, node: str, now_ms: int, limit: TenantLimit) -> int:
         """What a node is allowed after a turn; committed as the turn's end is."""
         ceiling = self.ledger.spare(node, 0, "t", limit, self.usage, now_ms)
--- a/tests/test_turn_groups.py
+++ b/tests/test_turn_groups.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections import Counter
+from collections.abc import Callable
 from unittest import mock
 
 from bendshed.placement.groups import ONE_GROUP, TurnGroups
@@ -220,10 +221,13 @@
         num_asked = 0
 
         async def unreliable(
-            client: TurnClient, asked: wire.TurnCommand, timeout_s: float
+            client: TurnClient,
+            asked: wire.TurnCommand,
+            timeout_s: float,
+            before_try: Callable[[], None] = lambda: None,
         ) -> wire.TurnReply:
             nonlocal num_asked
-            reply = await command(client, asked, timeout_s)
+            reply = await command(client, asked, timeout_s, before_try)
             if not asked.HasField("release"):
                 return reply
             num_asked += 1
--- a/tests/test_turn_state.py
+++ b/tests/test_turn_state.py
@@ -261,6 +261,19 @@
         self.assertEqual([piece.transcript for piece in reply.chain], [b"[a]"])
         self.assertEqual(reply.spent_tokens, 60)
 
+    def test_a_restored_state_forgets_when_all_others_do(self) -> None:
+        """A budget must not be fresh at the one replica that was restored between two sweeps."""
+        log, copy = Log(), Log()
+        log.begin("a", budget=100, most=60)
+        log.finish("a", tokens=60)
+        kept_ms = log.state.programs["", "p"].expires_ms
+        for now_ms in (kept_ms - 700, kept_ms + 500):
+            log.now_ms = copy.now_ms = now_ms
+            copy.state.restore(log.state.snapshot())
+            replies = [each.begin("b", budget=100, most=60) for each in (log, copy)]
+            self.assertEqual(replies[0], replies[1])
+            self.assertEqual(log.state.snapshot(), copy.state.snapshot())
+
     def test_a_restored_state_answers_alike(self) -> None:
         log, copy = Log(), Log()
         log.now_ms = 1234
