A front passes over an entry that is the same as before, as it did

A mend of a review (an entry told again makes a runner cold) kept runners cold for ever where all entries are told again and again, which the simulated site does: one_cold_runner_is_left was not served.

--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -168,6 +168,8 @@
             return
         self.count("runner turns cold")
         left_ms = int(1000 * for_s)
+        if left_ms == listed.cold_left_ms:
+            left_ms += 1  # an entry that is the same as before is no news
         self.listed[name] = replace(listed, cold_left_ms=left_ms)
         self.seen.end_cold(name, self.loop.time())
         self._note_cold(name, APPLY_S, for_s)
--- a/src/bendshed/services/runners.py
+++ b/src/bendshed/services/runners.py
@@ -150,8 +150,6 @@
         """Take a line of the list."""
         record = self.by_id.get(runner.runner_id)
         if record is not None and record.listed == runner and record.unlisted_at_s is None:
-            if runner.cold_left_ms:
-                self.cold.put(runner)  # told anew: what is left counts from now on
             return
         if record is None:
             record = RunnerRecord(runner)
