Who heard newer closed zones elsewhere is informed by an older fresh word

Cause: a node counted as informed only if its teller knew the very revision of closed zones that it knew itself. Revisions rise with every change of the registry, so after a start, or when the reader changes, most nodes had heard a later one elsewhere and were not informed until the reader's next watch of that kind, up to 1.7 s; they then read the registry for themselves. Change: whoever knows a later revision knows all that the teller does, so the teller's age holds.

--- a/src/bendshed/catalog/follower.py
+++ b/src/bendshed/catalog/follower.py
@@ -344,15 +344,17 @@
         self.version = max(self.version, document.version)
 
     def _take_zones(self, reply: wire.CatalogReply) -> bool:
-        """Take closed zones that are newer; ``False``: the other side knows less than this node.
+        """Take closed zones that are newer; ``False``: the other side knows nothing of them.
+
+        A node that heard of a newer revision elsewhere knows all that the other side does, so its
+        word is as fresh as the other side's: which zones are closed is told whole.
 
         They come before runners, so that none of a closed zone is taken for usable in between.
         """
         if reply.zones_at > self.zones_at:
             self._taker.take_zones(read_zones(reply))
             self.zones_at = reply.zones_at
-        is_level = reply.zones_at > 0 and reply.zones_at == self.zones_at
-        return is_level or not self._times.follows_zones
+        return reply.zones_at > 0 or not self._times.follows_zones
 
     def _take_runners(self, reply: wire.CatalogReply) -> bool:
         """Take what is newer; ``False``: the other side knows less than this front."""
