A refusal by the budget logs what was spent and what is reserved

A 402 said that the budget is spent, and nothing told whether turns had spent it or reservations held it. The front now logs budget, one turn's worst case, spent and reserved tokens with the refusal; both counts come with the leader's reply. No decision changes. A gauge of reservations was tried and left out: reading it walks over all programs of a group on the loop.

--- a/src/bendshed/services/turn_reservation.py
+++ b/src/bendshed/services/turn_reservation.py
@@ -99,7 +99,10 @@
             return None
         # Nothing is reserved; a turn that was dispatched all the same is counted by its end.
         self.needs_end = bool(tenant) and self.attempts.may_have_run
-        return refusal_of_begin(reply, self._search.is_spent)
+        refusal = refusal_of_begin(reply, self._search.is_spent)
+        if refusal.kind is ErrorKind.BUDGET_EXHAUSTED:
+            self._log_budget(reply)
+        return refusal
 
     def _cached_transcript(self) -> bytes | None:
         """The chain before the turn if this node has cached it; ``None``: it has not."""
@@ -198,6 +201,20 @@
             return
         self.transcript = cached if cached is not None else transcript_of(reply)
 
+    def _log_budget(self, reply: wire.TurnReply) -> None:
+        """Log what a refusal by the budget rests on: what was spent, and what other turns hold."""
+        log.say(
+            "budget does not hold the turn",
+            request=self._begin.turn_id,
+            program=self._begin.program_id,
+            tenant=self.codec.tenant,
+            budget_tokens=self._begin.budget_tokens,
+            most_tokens=self._begin.most_tokens,
+            spent_tokens=reply.spent_tokens,
+            reserved_tokens=reply.reserved_tokens,
+            group=self.group,
+        )
+
     def _log_begin(self, refusal: Refusal | None, is_previewed: bool, took_s: float) -> None:
         log.say(
             "turn begun" if refusal is None else "turn not begun",
