Tests: turns are refused as spent although their program has used nothing

The oracle of the simulated sites took each 402 as an allowed answer. It now asks whether the budget, less what the program's turns count, holds the turn: a turn that ended whole counts its tokens, one that was refused or never reached a runner counts nothing, any other counts its most.

--- a/src/bendshed/rehearsal/site/oracle.py
+++ b/src/bendshed/rehearsal/site/oracle.py
@@ -18,6 +18,10 @@
 APPLY_S = 2.0
 LEAVE_S = 0.5
 """Work for a client that left ends within this time."""
+SETTLE_S = 1.0
+"""A turn that ended this long before a decision is decided on by what it used."""
+FINAL_STATUSES = (503, *range(400, 500))
+"""Answers after which a turn counts nothing, whether it ran or not."""
 
 
 class Rule(StrEnum):
@@ -28,6 +32,7 @@
     WHOLE = "an answer is whole, in order and the request's own"
     CHAIN = "a turn reaches a runner behind its own chain"
     BUDGET = "a program gets at most its budget and one turn more"
+    SPENT = "a turn is refused as spent only where its budget does not hold one more"
     FOUND = "a turn answered whole is found"
     DRAIN = "a leaving runner gets nothing new"
     LEAVE = "work ends soon after its client left"
@@ -121,6 +126,40 @@
             yield Violation(Rule.BUDGET, f"{program} got {tokens} tokens of {bounds[program]}")
 
 
+def check_spent(seen: SiteRecords) -> Iterable[Violation]:
+    """A 402 is only true where the budget, less what the program's turns count, is too small."""
+    ran = {run.request_id for run in seen.runs}
+    turns_of: dict[str, list[SiteRequest]] = defaultdict(list)
+    for request in seen.requests:
+        if request.kind is Kind.TURN:
+            turns_of[request.program_id].append(request)
+    for request in seen.requests:
+        if request.status != 402:
+            continue
+        others = [turn for turn in turns_of[request.program_id] if turn is not request]
+        counted = sum(_counted_tokens(turn, request.ended_s, ran) for turn in others)
+        left = request.budget_tokens - counted
+        most = request.most_events * EVENT_TOKENS
+        if left >= most:
+            detail = f"{request.request_id} of {request.program_id} got 402"
+            yield Violation(Rule.SPENT, f"{detail} with {left} tokens left for {most}")
+
+
+def _counted_tokens(turn: SiteRequest, at_s: float, ran: set[str]) -> int:
+    """What another turn may count at most in a decision: its use once it has ended, else its most.
+
+    A turn that never reached a runner counts nothing.
+    """
+    if turn.sent_s >= at_s or turn.request_id not in ran:
+        return 0
+    is_settled = turn.is_over and turn.ended_s <= at_s - SETTLE_S
+    if is_settled and turn.status in FINAL_STATUSES:
+        return 0
+    if is_settled and turn.status == 200 and turn.is_whole:
+        return turn.answer.count(b"\n\n") * EVENT_TOKENS
+    return turn.most_events * EVENT_TOKENS
+
+
 def check_found(seen: SiteRecords) -> Iterable[Violation]:
     """A 404 is only true where the turn was never answered whole, or long ago."""
     turns = {request.request_id: request for request in seen.requests}
@@ -239,6 +278,7 @@
     check_whole,
     check_chains,
     check_budgets,
+    check_spent,
     check_found,
     check_drains,
     check_leaving,
--- /dev/null
+++ b/tests/site_budget_defects.py
@@ -0,0 +1,73 @@
+"""Planted defects around budgets, and scenarios that must catch them."""
+
+from bendshed.rehearsal.site.documents import WIDE
+from bendshed.rehearsal.site.oracle import Rule, Violation
+from bendshed.rehearsal.site.records import Kind, SiteRequest
+from bendshed.rehearsal.site.runner import EVENT_TOKENS
+from bendshed.rehearsal.site.sim_world import SiteWorld
+from bendshed.services.turn_record import TurnRecord
+from tests.site_defects import Defect, patch, world
+
+EVENTS = 3
+BUDGET_TURNS = 3
+OUTAGES = 4
+OUTAGE_S = 2.0
+"""Longer than a turn waits for its begin."""
+LED_AGAIN_S = 5.0
+ANSWER_S = 1.0
+
+
+def ask(site: SiteWorld, number: int, previous: str = "") -> SiteRequest:
+    """Send one turn of a program whose budget holds few, each time to another front."""
+    request = SiteRequest(
+        f"try-{number}",
+        Kind.TURN,
+        "program",
+        site.loop.time(),
+        f"front-{1 + number % len(site.fronts)}",
+        tenant=WIDE,
+        body=b"input",
+        previous=previous,
+        budget_tokens=BUDGET_TURNS * EVENTS * EVENT_TOKENS,
+        most_events=EVENTS,
+    )
+    site.clients.spawn(site.loop, site.send(request))
+    return request
+
+
+def silence_voters(site: SiteWorld) -> None:
+    """The leader reaches the other stores; nothing else passes between stores."""
+    leader = site.leader()
+    assert leader is not None
+    hosts = [store.host for store in site.stores.values()]
+    others = [host for host in hosts if host != leader.host]
+    site.network.cuts.update((one, other) for one in others for other in hosts if one != other)
+
+
+def begins_are_committed_too_late(seed: int) -> list[Violation]:
+    """A program goes on from a stored turn; its begins reach the voters' logs without a commit."""
+    with world(seed) as site:
+        stored = ask(site, 0)
+        site.run_for(ANSWER_S)
+        assert stored.status == 200, "the first turn is not served"
+        for number in range(1, OUTAGES + 1):
+            silence_voters(site)
+            refused = ask(site, number, stored.request_id)
+            site.run_for(OUTAGE_S)
+            assert refused.status == 503, "the begin was committed in time"
+            site.network.cuts.clear()
+            site.wait_for(site.is_led, LED_AGAIN_S)
+            site.run_for(ANSWER_S)
+        last = ask(site, OUTAGES + 1, stored.request_id)
+        site.run_for(ANSWER_S)
+        assert last.status, "the last turn is not answered"
+        return site.settle()
+
+
+BUDGET_DEFECTS: dict[str, Defect] = {
+    "the end of a turn that was not served is dropped": Defect(
+        Rule.SPENT,
+        begins_are_committed_too_late,
+        patch(TurnRecord, "finish_broken", lambda _record: None),
+    ),
+}
--- a/tests/test_site_rules.py
+++ b/tests/test_site_rules.py
@@ -6,11 +6,13 @@
 from typing import ClassVar
 
 from bendshed.rehearsal.site.oracle import Rule, Violation
+from tests.site_budget_defects import BUDGET_DEFECTS
 from tests.site_cold_defects import COLD_DEFECTS
 from tests.site_defects import DEFECTS, Defect
 from tests.site_zone_defects import ZONE_DEFECTS
 
-ALL_DEFECTS = {**DEFECTS, **ZONE_DEFECTS, **COLD_DEFECTS}
+GROUPS_OF_DEFECTS = (DEFECTS, BUDGET_DEFECTS, ZONE_DEFECTS, COLD_DEFECTS)
+ALL_DEFECTS = {name: defect for group in GROUPS_OF_DEFECTS for name, defect in group.items()}
 
 
 def play(defect: Defect) -> list[Violation]:
@@ -22,7 +24,7 @@
         self.assertEqual({defect.rule for defect in ALL_DEFECTS.values()}, set(Rule))
 
     def test_no_name_is_given_twice(self) -> None:
-        self.assertEqual(len(ALL_DEFECTS), len(DEFECTS) + len(ZONE_DEFECTS) + len(COLD_DEFECTS))
+        self.assertEqual(len(ALL_DEFECTS), sum(len(group) for group in GROUPS_OF_DEFECTS))
 
 
 class Quiet(unittest.TestCase):
@@ -95,3 +97,12 @@
 
     def test_the_product_passes_the_same_scenarios(self) -> None:
         self.check_passed()
+
+
+class BudgetsCaughtTest(Quiet):
+    """``test_begins_are_ended`` plays the same scenario without the defect."""
+
+    defects = BUDGET_DEFECTS
+
+    def test_defects_are_caught(self) -> None:
+        self.check_caught()
