--- a/tests/site_budget_defects.py
+++ b/tests/site_budget_defects.py
@@ -13,6 +13,8 @@
 OUTAGES = 4
 OUTAGE_S = 2.0
 """Longer than a turn waits for its begin."""
+LONG_OUTAGE_S = 30.0
+"""The turn log may be away for any length of time."""
 LED_AGAIN_S = 5.0
 ANSWER_S = 1.0
 
@@ -64,6 +66,25 @@
         return site.settle()
 
 
+def no_begin_is_committed_for_long(seed: int) -> list[Violation]:
+    """Begins reach the voters' logs, and their ends find no leader for half a minute."""
+    with world(seed) as site:
+        stored = ask(site, 0)
+        site.run_for(ANSWER_S)
+        assert stored.status == 200, "the first turn is not served"
+        silence_voters(site)
+        refused = [ask(site, number, stored.request_id) for number in range(1, OUTAGES + 1)]
+        site.run_for(LONG_OUTAGE_S)
+        assert {request.status for request in refused} == {503}, "a begin was committed in time"
+        site.network.cuts.clear()
+        site.wait_for(site.is_led, LED_AGAIN_S)
+        site.run_for(LED_AGAIN_S)
+        last = ask(site, OUTAGES + 1, stored.request_id)
+        site.run_for(ANSWER_S)
+        assert last.status, "the last turn is not answered"
+        return site.settle()
+
+
 BUDGET_DEFECTS: dict[str, Defect] = {
     "the end of a turn that was not served is dropped": Defect(
         Rule.SPENT,
--- a/tests/test_begins_are_ended.py
+++ b/tests/test_begins_are_ended.py
@@ -32,7 +32,10 @@
 from bendshed.services.turn_record import TurnPorts, TurnRecord
 from bendshed.turns.client import TurnClient
 from bendshed.wire import turns_pb2 as wire
-from tests.site_budget_defects import begins_are_committed_too_late
+from tests.site_budget_defects import (
+    begins_are_committed_too_late,
+    no_begin_is_committed_for_long,
+)
 
 EVENTS = 3
 
@@ -115,6 +118,11 @@
         self.addCleanup(logging.disable, logging.NOTSET)
         self.assertEqual([begins_are_committed_too_late(seed) for seed in (1, 2, 3)], [[], [], []])
 
+    def test_nor_while_the_turn_log_is_away_for_long(self) -> None:
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.assertEqual([no_begin_is_committed_for_long(seed) for seed in (1, 2)], [[], []])
+
 
 class SpentRuleTest(unittest.TestCase):
     """The rule that judges 402s can fail, and allows what it must."""
