Ends of turns that no caller waits for are tried until they are committed

Callers saw: after half a minute without a leader a program is refused as spent, though none of its turns ran.

Cause: the end of such a turn was given up after 20 s, with a log line, and nothing remembered it. Nothing else releases a reservation before its program is forgotten.

Why it holds: a node keeps the ends that are not known to be committed, by group, and tries them as long as its process runs. Repeats do no harm: the id is closed once. What a killed process leaves stays reserved: a turn that was under way there may have handed out its most.

--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -202,6 +202,8 @@
             "bendshed_requests_doubled", "Requests that went directly and through others"
         )
         doubled.set_function(lambda: float(self._requests.num_doubled))
+        ends = metrics.gauge("bendshed_turn_ends_pending", "Ends of turns to be committed")
+        ends.set_function(lambda: float(self._turns.ends.num_pending))
         fresh = metrics.gauge(
             "bendshed_catalog_fresh", "1 while replica machines read for this node"
         )
@@ -318,10 +320,11 @@
 
     async def finish_late_turns(self) -> None:
         """Wait for the ends of turns that no caller waits for."""
-        await asyncio.gather(*self._turns.late, return_exceptions=True)
+        await self._turns.finish_late()
 
     def close(self) -> None:
-        """Close idle connections to runners."""
+        """Close idle connections to runners; log what is left of turns."""
+        self._turns.ends.log_left()
         self._pool.close()
 
 
--- a/src/bendshed/services/turn_ports.py
+++ b/src/bendshed/services/turn_ports.py
@@ -11,6 +11,7 @@
 from bendshed.policy import EVERYTHING, Policy
 from bendshed.services.metrics import ServiceMetrics
 from bendshed.services.quota_client import QuotaClient
+from bendshed.services.turn_ends import PendingEnds
 from bendshed.turns.client import TranscriptCache, TurnClient
 from bendshed.turns.group_locator import GroupLocator
 from bendshed.turns.shares import ShareGatherer
@@ -25,10 +26,6 @@
 SHARE_TIMEOUT_S = 0.6
 """How long another group is asked for its share of a budget, across a change of its leader. Chosen,
 not measured."""
-LATE_FINISH_TIMEOUT_S = 20.0
-"""How long the end of a broken turn is tried, which no caller waits for. A turn without an end
-keeps its worst case reserved until its program is forgotten. Chosen, not measured."""
-
 log = PartLog("turns")
 
 
@@ -38,7 +35,8 @@
 
     Attributes:
         group_locator: which group of the turn log is requested first.
-        late: commands under way that outlive their request.
+        late: begins under way that outlive their request.
+        ends: of turns that no caller waits for.
         shares: takes shares between groups whose leaders do not reach each other.
 
     """
@@ -50,9 +48,11 @@
     policy: Policy = EVERYTHING
     group_locator: GroupLocator = field(default_factory=GroupLocator)
     late: "set[asyncio.Task[Any]]" = field(default_factory=set)
+    ends: PendingEnds = field(init=False)
     shares: ShareGatherer = field(init=False)
 
     def __post_init__(self) -> None:
+        self.ends = PendingEnds(self.client)
         self.shares = ShareGatherer(self.group_locator.groups, self._commit_share)
 
     def run_late(self, task: "asyncio.Task[Any]") -> None:
@@ -70,6 +70,11 @@
             return _nothing_reported
         return self.quotas.report(command)
 
+    async def finish_late(self) -> None:
+        """Wait for all that goes on without a caller: begins under way, then ends."""
+        await asyncio.gather(*self.late, return_exceptions=True)
+        await self.ends.finish()
+
     async def _commit_share(self, _group: int, command: wire.TurnCommand) -> wire.TurnReply | None:
         """Commit a command in its group; ``None``: no leader answered in time."""
         try:
--- a/src/bendshed/services/turn_record.py
+++ b/src/bendshed/services/turn_record.py
@@ -16,7 +16,7 @@
 from bendshed.services.events import StreamEvent
 from bendshed.services.turn_codec import TurnCodec, TurnEnd
 from bendshed.services.turn_output import TurnOutput
-from bendshed.services.turn_ports import FINISH_TIMEOUT_S, LATE_FINISH_TIMEOUT_S, TurnPorts
+from bendshed.services.turn_ports import FINISH_TIMEOUT_S, TurnPorts
 from bendshed.services.turn_reservation import TurnReservation
 from bendshed.wire import turns_pb2 as wire
 
@@ -109,10 +109,8 @@
         """Charge a turn that did not end well; no caller waits for that."""
         if not self._reservation.needs_end or self._is_finished:
             return
-        command = self._finish_command(is_whole=False)
         self._is_finished = True
-        loop = asyncio.get_running_loop()
-        self.ports.run_late(loop.create_task(self._finish_in_background(command)))
+        self.ports.ends.add(self._finish_command(is_whole=False))
 
     def _finish_command(self, is_whole: bool) -> wire.TurnCommand:
         attempts = self.attempts
@@ -126,13 +124,3 @@
         turn = (self._tenant, self.request.request_id)
         self.ports.group_locator.note_turn(*turn, self._reservation.group)
         self.ports.transcripts.put(turn, self.body + self._output.content)
-
-    async def _finish_in_background(self, command: wire.TurnCommand) -> None:
-        try:
-            await self.ports.client.command(command, LATE_FINISH_TIMEOUT_S)
-        except GroupUnavailable as error:
-            log.say(
-                "reservation not released: turn end not committed",
-                request=self.request.request_id,
-                reason=str(error),
-            )
--- a/tests/test_begins_are_ended.py
+++ b/tests/test_begins_are_ended.py
@@ -84,8 +84,7 @@
         return StreamExchange(request, attempts, MagicMock(), record)
 
     async def all_ended(self) -> list[str]:
-        while self.ports.late:
-            await asyncio.gather(*self.ports.late, return_exceptions=True)
+        await self.ports.finish_late()
         return self.log.ended
 
     async def refuse(self) -> None:
--- /dev/null
+++ b/tests/test_turn_ends.py
@@ -0,0 +1,112 @@
+"""Ends of turns that no caller waits for: all are committed, gently while no leader answers."""
+
+import asyncio
+import unittest
+from typing import cast
+from unittest import mock
+
+from bendshed.consensus.group_client import GroupUnavailable
+from bendshed.rehearsal.simulator.loop import VirtualTimeLoop
+from bendshed.services import turn_ends
+from bendshed.services.turn_ends import ENDS_AT_ONCE, LAST_PAUSE_S, PendingEnds
+from bendshed.turns.client import TurnClient
+from bendshed.wire import turns_pb2 as wire
+
+COMMIT_S = 0.01
+AWAY_S = 60.0
+
+
+class Leaders:
+    """Leaders of groups, some of which do not answer."""
+
+    def __init__(self) -> None:
+        self.away: set[int] = set()
+        self.ended: list[str] = []
+        self.num_tries = 0
+        self.num_at_once = self.most_at_once = 0
+
+    async def command(self, command: wire.TurnCommand, timeout_s: float) -> wire.TurnReply:
+        self.num_tries += 1
+        self.num_at_once += 1
+        self.most_at_once = max(self.most_at_once, self.num_at_once)
+        try:
+            if command.group in self.away:
+                await asyncio.sleep(timeout_s)
+                raise GroupUnavailable("away")
+            await asyncio.sleep(COMMIT_S)
+        finally:
+            self.num_at_once -= 1
+        self.ended.append(command.finish.turn_id)
+        return wire.TurnReply()
+
+
+def end_of(number: int, group: int = 0) -> wire.TurnCommand:
+    finish = wire.FinishTurn(turn_id=f"turn-{number}", program_id="p")
+    return wire.TurnCommand(finish=finish, group=group)
+
+
+class PendingEndsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.loop = VirtualTimeLoop()
+        self.addCleanup(self.loop.close)
+        self.leaders = Leaders()
+        self.ends = PendingEnds(cast(TurnClient, self.leaders))
+        patch = mock.patch.object(turn_ends, "log")
+        self.log = patch.start()
+        self.addCleanup(patch.stop)
+
+    def add(self, *commands: wire.TurnCommand) -> None:
+        async def add() -> None:
+            for command in commands:
+                self.ends.add(command)
+
+        self.loop.run_until_complete(add())
+
+    def run_for(self, seconds: float) -> None:
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    def finish(self) -> None:
+        self.loop.run_until_complete(self.ends.finish())
+
+    def test_all_are_committed_a_few_at_once(self) -> None:
+        self.add(*(end_of(number) for number in range(10)))
+        self.assertEqual(self.ends.num_pending, 10)
+        self.finish()
+        self.assertCountEqual(self.leaders.ended, [f"turn-{number}" for number in range(10)])
+        self.assertEqual(self.leaders.most_at_once, ENDS_AT_ONCE)
+        self.assertEqual(self.ends.num_pending, 0)
+
+    def test_they_outlast_an_outage_of_any_length(self) -> None:
+        self.leaders.away = {0}
+        self.add(*(end_of(number) for number in range(10)))
+        self.run_for(AWAY_S)
+        self.assertEqual(self.ends.num_pending, 10)
+        self.assertLess(self.leaders.num_tries, AWAY_S / LAST_PAUSE_S + 10)
+        self.assertEqual(self.log.say.call_count, 1)
+        self.leaders.away = set()
+        self.run_for(2 * LAST_PAUSE_S)
+        self.assertEqual(len(self.leaders.ended), 10)
+
+    def test_a_group_that_is_away_holds_no_other_up(self) -> None:
+        self.leaders.away = {1}
+        self.add(end_of(0, group=1), end_of(1, group=0))
+        self.run_for(10 * COMMIT_S)
+        self.assertEqual(self.leaders.ended, ["turn-1"])
+
+    def test_what_finds_no_place_is_named(self) -> None:
+        with mock.patch.object(turn_ends, "MAX_PENDING", 2):
+            self.add(*(end_of(number) for number in range(3)))
+        self.finish()
+        self.assertEqual(len(self.leaders.ended), 2)
+        self.log.say.assert_called_once_with(
+            "reservation not released: too many turn ends wait", request="turn-2", program="p"
+        )
+
+    def test_a_process_that_stops_says_what_it_leaves(self) -> None:
+        self.leaders.away = {0}
+        self.add(end_of(0))
+        self.log.say.reset_mock()
+        self.ends.log_left()
+        self.log.say.assert_called_once()
+        self.leaders.away = set()
+        self.finish()
