A budget of several groups is called spent only where all of them together do not hold the turn

Callers saw: a turn of 18 tokens is refused as spent while 23 of its program's 500 are left. Found by the check of refusals by the budget, in a world of two regions whose link was cut and healed.

Cause: two groups that take each other's shares at once swap them. A group was called short once each other group had answered, also with tokens on their way between them.

Why it holds: each reply names what its group has spent and reserved. The refusal now adds these up over all groups and compares the sum with the whole budget; else the turn is told to come back. Nothing changes in what is replicated or sent.

--- a/src/bendshed/services/group_search.py
+++ b/src/bendshed/services/group_search.py
@@ -25,7 +25,7 @@
         begin: what is to be committed.
         group: that the begin was sent to last; the turn's end is committed there.
         commit: commits the begin in a group.
-        is_spent: every group has released its share, and the whole did not hold the turn.
+        is_spent: every group has answered, and the whole budget does not hold the turn.
 
     """
 
@@ -43,9 +43,10 @@
             self.begin.is_sent_on = True
             reply = await self._commit(reply.owner_group)
         if _is_short(reply):
-            has_all = await self.shares.gather(self.group, self.begin)
+            gathered = await self.shares.gather(self.group, self.begin)
             reply = await self._commit(self.group)
-            self.is_spent = has_all and _is_short(reply)
+            if reply is not None and _is_short(reply):
+                self.is_spent = gathered.is_spent(self.begin, reply)
         return reply
 
     async def _find_chain(self, reply: Reply) -> Reply:
--- a/src/bendshed/services/turn_codec.py
+++ b/src/bendshed/services/turn_codec.py
@@ -104,7 +104,7 @@
 
 
 def refusal_of_begin(reply: wire.TurnReply, is_spent: bool) -> Refusal:
-    """Read why a begin reserved nothing; ``is_spent``: no group holds a share any more."""
+    """Read why a begin reserved nothing; ``is_spent``: all groups together do not hold it."""
     if reply.answer == wire.TURN_ANSWER_QUOTA_EXCEEDED:
         return refusal_of(reply)
     if reply.answer == wire.TURN_ANSWER_NO_ROOM:
@@ -115,6 +115,7 @@
         return Refusal(ErrorKind.BUDGET_EXHAUSTED, "the program's budget is spent")
     if reply.answer == wire.TURN_ANSWER_OTHER_GROUP:
         return Refusal(
-            ErrorKind.TURN_LOG_UNAVAILABLE, "a group that holds a part of the budget is silent"
+            ErrorKind.TURN_LOG_UNAVAILABLE,
+            "a group that holds a part of the budget is silent, or takes it over just now",
         )
     return Refusal(ErrorKind.TURN_LOG_UNAVAILABLE, "this turn id was finished before")
--- a/src/bendshed/turns/service.py
+++ b/src/bendshed/turns/service.py
@@ -123,8 +123,9 @@
     async def _commit(self, command: wire.TurnCommand) -> wire.TurnReply:
         """Commit a command; a begin that its group's share does not hold takes the others' first.
 
-        The answer is ``BUDGET_SPENT`` only when every other group has answered. Where one is silent
-        it stays ``OTHER_GROUP``: the requesting node may reach that group.
+        The answer is ``BUDGET_SPENT`` only when every other group has answered and all together do
+        not hold the turn. Else it stays ``OTHER_GROUP``: the requesting node may reach a group that
+        is silent, and what is on its way between groups counts a moment later.
         """
         group = self._group(command.group)
         if not command.HasField("begin"):
@@ -134,9 +135,9 @@
             return refusal
         reply = await group.commit(command)
         if _must_gather(command, reply):
-            has_all = await self.shares.gather(command.group, command.begin)
+            gathered = await self.shares.gather(command.group, command.begin)
             reply = await group.commit(command)
-            if has_all and _must_gather(command, reply):
+            if _must_gather(command, reply) and gathered.is_spent(command.begin, reply):
                 reply.answer = wire.TURN_ANSWER_BUDGET_SPENT
         if reply.answer == wire.TURN_ANSWER_GRANTED and group.led()[0].wants_shares(command.begin):
             self.shares.gather_later(command.group, command.begin)
--- a/src/bendshed/turns/shares.py
+++ b/src/bendshed/turns/shares.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 from bendshed.logs import PartLog
 from bendshed.placement.groups import TurnGroups
@@ -20,6 +21,29 @@
 log = PartLog("turns")
 
 
+@dataclass(frozen=True, slots=True)
+class GatheredShares:
+    """What the other groups said of a program's budget when their shares were taken over.
+
+    Attributes:
+        has_all: each of them answered.
+        used_elsewhere_tokens: spent and reserved in those that answered.
+
+    """
+
+    has_all: bool
+    used_elsewhere_tokens: int
+
+    def is_spent(self, begin: wire.BeginTurn, reply: wire.TurnReply) -> bool:
+        """Whether all groups together do not hold a turn that this group's reply is short of.
+
+        Its share alone may be short of it: tokens that groups take from each other at once are on
+        their way, and for a moment no group holds them.
+        """
+        used_tokens = reply.spent_tokens + reply.reserved_tokens + self.used_elsewhere_tokens
+        return self.has_all and used_tokens + begin.most_tokens > begin.budget_tokens
+
+
 class ShareGatherer:
     """Requests the shares of the other groups; for each program one gathering at a time.
 
@@ -32,17 +56,17 @@
         self.num_taken = 0
         self._groups = groups
         self._send = send
-        self._under_way: dict[Program, asyncio.Task[bool]] = {}
+        self._under_way: dict[Program, asyncio.Task[GatheredShares]] = {}
 
     def gather_later(self, group_id: int, begin: wire.BeginTurn) -> None:
         """Gather in the background."""
         self._gathering(group_id, begin)
 
-    async def gather(self, group_id: int, begin: wire.BeginTurn) -> bool:
-        """Wait until what the others released counts here; ``False``: a group did not answer."""
+    async def gather(self, group_id: int, begin: wire.BeginTurn) -> GatheredShares:
+        """Wait until what the others released counts here."""
         return await asyncio.shield(self._gathering(group_id, begin))
 
-    def _gathering(self, group_id: int, begin: wire.BeginTurn) -> "asyncio.Task[bool]":
+    def _gathering(self, group_id: int, begin: wire.BeginTurn) -> "asyncio.Task[GatheredShares]":
         program = (group_id, begin.tenant, begin.program_id)
         task = self._under_way.get(program)
         if task is None:
@@ -52,21 +76,25 @@
             task.add_done_callback(lambda _done: self._under_way.pop(program, None))
         return task
 
-    async def _gather(self, group_id: int, begin: wire.BeginTurn) -> bool:
+    async def _gather(self, group_id: int, begin: wire.BeginTurn) -> GatheredShares:
         others = self._groups.others(group_id)
-        taken = await asyncio.gather(*(self._take(group_id, other, begin) for other in others))
+        replies = await asyncio.gather(*(self._take(group_id, other, begin) for other in others))
+        answered = [reply for reply in replies if reply is not None]
         log.say(
             "budget shares of other groups taken over",
             request=begin.turn_id,
             program=begin.program_id,
             group=group_id,
-            tokens=sum(tokens for tokens in taken if tokens is not None),
-            silent=[other for other, tokens in zip(others, taken, strict=True) if tokens is None],
+            tokens=sum(reply.released_tokens for reply in answered),
+            silent=[other for other, reply in zip(others, replies, strict=True) if reply is None],
         )
-        return None not in taken
+        used_tokens = sum(reply.spent_tokens + reply.reserved_tokens for reply in answered)
+        return GatheredShares(len(answered) == len(replies), used_tokens)
 
-    async def _take(self, group_id: int, other: int, begin: wire.BeginTurn) -> int | None:
-        """Tokens that another group has released so far and that count here now."""
+    async def _take(
+        self, group_id: int, other: int, begin: wire.BeginTurn
+    ) -> wire.TurnReply | None:
+        """Take over what another group has released; return its reply once that counts here."""
         release = wire.ReleaseShare(
             tenant=begin.tenant,
             program_id=begin.program_id,
@@ -88,4 +116,4 @@
         if await self._send(group_id, wire.TurnCommand(take=take, group=group_id)) is None:
             return None
         self.num_taken += 1
-        return reply.released_tokens
+        return reply
