Tests: connections between nodes that fall silent are used for ever

Red, and listed: requests (either way silent, or both), requests that are given up early, and one-way messages. A proxy of the test reads on and passes nothing on, so no end is told by the kernel.

--- /dev/null
+++ b/tests/stalling_proxy.py
@@ -0,0 +1,93 @@
+"""A proxy of one TCP address whose open connections can fall silent without being closed."""
+
+import asyncio
+import enum
+
+from bendshed.model.address import Address
+
+LOCAL = "127.0.0.1"
+CHUNK_BYTES = 65_536
+
+
+class Silence(enum.Enum):
+    """Which bytes of the open connections are lost."""
+
+    BOTH = "both"
+    TO_TARGET = "to the target"
+    FROM_TARGET = "from the target"
+
+
+class StallingProxy:
+    """Passes bytes on. After ``fall_silent`` the connections of that moment lose theirs.
+
+    They stay open: what is written to them is read and acknowledged, and goes nowhere. Connections
+    opened later work.
+
+    Attributes:
+        num_opened: connections that were accepted.
+
+    """
+
+    def __init__(self, target: Address) -> None:
+        self.num_opened = 0
+        self._target = target
+        self._server: asyncio.Server | None = None
+        self._silenced: set[tuple[int, Silence]] = set()
+        self._writers: list[asyncio.StreamWriter] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> Address:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._accept, LOCAL, 0)
+        return Address(*self._server.sockets[0].getsockname()[:2])
+
+    def fall_silent(self, silence: Silence = Silence.BOTH) -> None:
+        """Lose all further bytes of the connections that are open."""
+        for number in range(1, self.num_opened + 1):
+            self._silenced.add((number, silence))
+
+    async def stop(self) -> None:
+        """Close everything."""
+        assert self._server is not None
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.num_opened += 1
+        number = self.num_opened
+        self._writers.append(writer)
+        to_reader, to_writer = await asyncio.open_connection(self._target.host, self._target.port)
+        self._writers.append(to_writer)
+        for source, sink, silence in (
+            (reader, to_writer, Silence.TO_TARGET),
+            (to_reader, writer, Silence.FROM_TARGET),
+        ):
+            task = asyncio.get_running_loop().create_task(
+                self._pass_on(source, sink, number, silence)
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _pass_on(
+        self,
+        source: asyncio.StreamReader,
+        sink: asyncio.StreamWriter,
+        number: int,
+        silence: Silence,
+    ) -> None:
+        try:
+            while content := await source.read(CHUNK_BYTES):
+                if not self._is_silent(number, silence):
+                    sink.write(content)
+                    await sink.drain()
+        except ConnectionError:
+            pass  # one side is gone; the other learns it below unless it is silent
+        if not self._is_silent(number, silence):
+            sink.close()
+
+    def _is_silent(self, number: int, silence: Silence) -> bool:
+        return not self._silenced.isdisjoint({(number, silence), (number, Silence.BOTH)})
--- /dev/null
+++ b/tests/test_silent_connections.py
@@ -0,0 +1,133 @@
+"""Connections between nodes that fall silent without being closed, while new ones work.
+
+Seen: twelve seconds after the return of power nothing was served at a site; no log was kept. How it
+may come about: the connections of all nodes fall silent. Cause: a request that timed out said
+nothing of its connection, so each further one went into the same dead connection; nobody waits for
+an answer to a one-way message, so consensus went on sending heartbeats and votes into nothing.
+Proof: a proxy that goes on reading and passes nothing on; new connections through it work. That the
+site's connections were silent is not proven.
+"""
+
+import asyncio
+import unittest
+
+from bendshed.adapters.tcp_transport import TcpTransport
+from bendshed.model.address import Address
+from bendshed.ports.transport import PeerUnreachable
+from tests.stalling_proxy import LOCAL, Silence, StallingProxy
+
+METHOD, SLOW_METHOD, ONE_WAY_METHOD = "say", "wait", "tell"
+TRY_S = 0.3
+NUM_TRIES = 10
+"""Tries of a request, one after the other: 3 s, the time within which a node has to be in touch."""
+HEARTBEAT_S = 0.025
+NUM_HEARTBEATS = 120
+"""One-way messages at the pace of consensus for as long."""
+
+
+class NodeBehindProxy(unittest.IsolatedAsyncioTestCase):
+    """A node whose connections to a peer pass through a proxy."""
+
+    async def asyncSetUp(self) -> None:
+        self.node, self.peer = TcpTransport(LOCAL, 0), TcpTransport(LOCAL, 0)
+        await self.node.start()
+        self.proxy = StallingProxy(await self.peer.start())
+        self.address: Address = await self.proxy.start()
+        self.peer.handlers[METHOD] = self.answer
+        self.peer.handlers[SLOW_METHOD] = self.answer_late
+        self.peer.one_way_handlers[ONE_WAY_METHOD] = self.take
+        self.taken = asyncio.Event()
+        self.arrived, self.may_answer = asyncio.Event(), asyncio.Event()
+
+    async def asyncTearDown(self) -> None:
+        await self.node.close()
+        await self.peer.close()
+        await self.proxy.stop()
+
+    async def answer(self, payload: bytes) -> bytes:
+        return payload
+
+    async def answer_late(self, payload: bytes) -> bytes:
+        self.arrived.set()
+        await self.may_answer.wait()
+        return payload
+
+    def take(self, _payload: bytes) -> None:
+        self.taken.set()
+
+    async def request(self) -> bytes:
+        """Request once, as long as one try of a turn's begin takes."""
+        return await self.node.request(self.address, METHOD, b"x", TRY_S)
+
+    async def is_told(self) -> bool:
+        """Whether one of many one-way messages arrives."""
+        self.taken.clear()
+        for _ in range(NUM_HEARTBEATS):
+            self.node.send(self.address, ONE_WAY_METHOD, b"x")
+            try:
+                async with asyncio.timeout(HEARTBEAT_S):
+                    await self.taken.wait()
+            except TimeoutError:
+                continue
+            return True
+        return False
+
+
+class SilentConnectionTest(NodeBehindProxy):
+    async def is_answered_again(self) -> bool:
+        for _ in range(NUM_TRIES):
+            try:
+                await self.request()
+            except PeerUnreachable:
+                continue
+            return True
+        return False
+
+    async def test_requests_are_answered_again_whichever_way_is_silent(self) -> None:
+        for silence in Silence:
+            await self.request()
+            self.proxy.fall_silent(silence)
+            self.assertTrue(await self.is_answered_again(), silence)
+
+    async def test_one_way_messages_arrive_again(self) -> None:
+        for silence in (Silence.BOTH, Silence.TO_TARGET):
+            self.assertTrue(await self.is_told())
+            self.proxy.fall_silent(silence)
+            self.assertTrue(await self.is_told(), silence)
+
+    async def test_requests_that_are_given_up_early_show_it_too(self) -> None:
+        """A relay's answer ends the direct request before its own time is over."""
+        await self.request()
+        self.proxy.fall_silent()
+        self.assertTrue(await self.is_answered_by_cancelled_tries())
+
+    async def is_answered_by_cancelled_tries(self) -> bool:
+        for _ in range(NUM_TRIES):
+            try:
+                async with asyncio.timeout(TRY_S):
+                    await self.node.request(self.address, METHOD, b"x", 2 * TRY_S)
+            except (TimeoutError, PeerUnreachable):
+                continue
+            return True
+        return False
+
+
+class LiveConnectionTest(NodeBehindProxy):
+    """What is no silence opens no further connection and loses no answer."""
+
+    async def test_a_request_that_waits_there_is_no_silence(self) -> None:
+        loop = asyncio.get_running_loop()
+        real_time, ahead_s = loop.time, 0.0
+        loop.time = lambda: real_time() + ahead_s  # type: ignore[method-assign]
+        waiting = loop.create_task(self.node.request(self.address, SLOW_METHOD, b"late", 10_000.0))
+        await self.arrived.wait()
+        ahead_s = 500.0
+        await self.request()
+        self.may_answer.set()
+        self.assertEqual(await waiting, b"late")
+        self.assertEqual(self.proxy.num_opened, 1)
+
+    async def test_one_way_messages_that_arrive_open_no_connection(self) -> None:
+        for _ in range(NUM_HEARTBEATS):
+            self.assertTrue(await self.is_told())
+        self.assertEqual(self.proxy.num_opened, 1)
