Connections between nodes that fall silent are replaced

Callers: nothing was served, for ever, once the open connections between nodes lost their bytes without a reset: requests timed out one after the other in the same connection, and one-way messages of consensus went on into it, so no leader was elected. Cause: a time-out ended the request and kept the connection; only a close or a reset ended that. Mend: a connection whose requested answer is overdue by a second at least, with nothing heard since, is replaced at the next message; answers that come late are still taken. Requests given up early count too. Where only one-way messages go and nothing was heard for a second, an empty request goes beside one of them: the echo that replica machines answer already; a build that does not know it replies with an error, which shows the same. Some 40 bytes a second and peer, in groups only.

--- a/src/bendshed/adapters/tcp_transport.py
+++ b/src/bendshed/adapters/tcp_transport.py
@@ -2,7 +2,8 @@
 
 A frame on TCP is a protobuf ``Frame`` behind its length in four bytes. A connection carries
 requests and their replies in any order; messages written in one turn of the loop leave in one
-segment. Lost connections are opened again on the next message.
+segment. Lost connections are opened again on the next message, and so are those that fell silent
+without being closed (``silence.py``).
 """
 
 import asyncio
@@ -13,10 +14,11 @@
 
 from google.protobuf.message import DecodeError
 
+from bendshed.adapters.silence import SilenceWatch
 from bendshed.adapters.traffic import Traffic
 from bendshed.logs import PartLog
 from bendshed.model.address import Address
-from bendshed.ports.transport import PeerUnreachable, Transport
+from bendshed.ports.transport import ECHO_METHOD, PeerUnreachable, Transport
 from bendshed.wire.peer_pb2 import Frame
 
 LENGTH = struct.Struct("!I")
@@ -43,6 +45,8 @@
         self.transport: asyncio.Transport | None = None
         self._peer_host = ""
         self.waiting: dict[int, asyncio.Future[Frame]] = {}
+        self.silence = SilenceWatch()
+        self._is_retired = False
         self._next_request_id = 1
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -51,6 +55,7 @@
         peer = transport.get_extra_info("peername")
         self._peer_host = peer[0] if peer else ""
         self._owner.connections.add(self)
+        self.silence.note_heard(asyncio.get_running_loop().time())
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._owner.connections.discard(self)
@@ -61,6 +66,7 @@
         self.transport = None
 
     def data_received(self, data: bytes) -> None:
+        self.silence.note_heard(asyncio.get_running_loop().time())
         self._buffer += data
         position = 0
         while len(self._buffer) - position >= LENGTH.size:
@@ -100,13 +106,41 @@
             and self.transport.get_write_buffer_size() > MAX_BUFFERED_BYTES
         )
 
-    def begin_request(self) -> tuple[int, "asyncio.Future[Frame]"]:
-        request_id = self._next_request_id
-        self._next_request_id += 1
+    def begin_request(self, timeout_s: float) -> tuple[int, "asyncio.Future[Frame]"]:
+        request_id = self._next_id()
         future: asyncio.Future[Frame] = asyncio.get_running_loop().create_future()
         self.waiting[request_id] = future
+        self.silence.note_request(timeout_s, asyncio.get_running_loop().time())
         return request_id, future
 
+    def end_request(self, request_id: int) -> None:
+        self.waiting.pop(request_id, None)
+        self._abort_if_unused()
+
+    def write_one_way(self, frame: Frame) -> None:
+        """Write a message, and a request beside it where nothing else would bring an answer."""
+        if self.is_full:
+            return
+        self.write(frame, frame.method)
+        now_s = asyncio.get_running_loop().time()
+        if self.silence.must_probe(now_s):
+            self.silence.note_request(0.0, now_s)
+            self.write(Frame(request_id=self._next_id(), method=ECHO_METHOD), ECHO_METHOD)
+
+    def retire(self) -> None:
+        """Send nothing here any more; an answer that comes after all is still taken."""
+        self._is_retired = True
+        self._abort_if_unused()
+
+    def _abort_if_unused(self) -> None:
+        if self._is_retired and not self.waiting and self.transport is not None:
+            self.transport.abort()
+
+    def _next_id(self) -> int:
+        request_id = self._next_request_id
+        self._next_request_id += 1
+        return request_id
+
 
 class _Datagrams(asyncio.DatagramProtocol):
     """UDP socket of a node."""
@@ -176,14 +210,14 @@
         try:
             async with asyncio.timeout(timeout_s):
                 connection = await self._connect(peer)
-                request_id, future = connection.begin_request()
+                request_id, future = connection.begin_request(timeout_s)
                 frame = Frame(request_id=request_id, method=method, payload=payload)
                 connection.write(frame, method)
                 sent_s = asyncio.get_running_loop().time()
                 try:
                     reply = await future
                 finally:
-                    connection.waiting.pop(request_id, None)
+                    connection.end_request(request_id)
                 now_s = asyncio.get_running_loop().time()
                 expected_round_trip_s = now_s - sent_s - reply.served_us / 1_000_000
                 self.round_trips.note(peer, expected_round_trip_s, now_s)
@@ -196,18 +230,13 @@
         frame = Frame(method=method, payload=payload)
         connection = self._open_connection(peer)
         if connection is not None:
-            self._write_one_way(connection, frame)
+            connection.write_one_way(frame)
         else:
             self._spawn(self._send_after_connect(peer, frame))
 
     async def _send_after_connect(self, peer: Address, frame: Frame) -> None:
         with contextlib.suppress(PeerUnreachable):
-            self._write_one_way(await self._connect(peer), frame)
-
-    @staticmethod
-    def _write_one_way(connection: _Connection, frame: Frame) -> None:
-        if not connection.is_full:
-            connection.write(frame, frame.method)
+            (await self._connect(peer)).write_one_way(frame)
 
     def send_datagram(self, peer: Address, payload: bytes) -> None:
         """Send one datagram."""
@@ -237,7 +266,16 @@
         if task is None or not task.done() or task.cancelled() or task.exception() is not None:
             return None
         connection = task.result()
-        return connection if connection.transport is not None else None
+        if connection.transport is None:
+            return None
+        # Neither a reset nor the kernel ends a connection whose bytes are lost or acknowledged
+        # midway; each further message would be lost in it.
+        if connection.silence.is_silent(asyncio.get_running_loop().time()):
+            log.say("connection replaced: silent", peer=str(peer))
+            del self._outgoing[peer]
+            connection.retire()
+            return None
+        return connection
 
     async def _open(self, peer: Address) -> _Connection:
         loop = asyncio.get_running_loop()
--- a/src/bendshed/paths/echo.py
+++ b/src/bendshed/paths/echo.py
@@ -11,9 +11,8 @@
 from bendshed.model.address import Address
 from bendshed.model.places import Distance
 from bendshed.paths.neighbours import Neighbours
-from bendshed.ports.transport import PeerUnreachable, Transport
+from bendshed.ports.transport import ECHO_METHOD, PeerUnreachable, Transport
 
-ECHO_METHOD = "paths.echo"
 ECHO_INTERVAL_S = 2.0
 """Nine machines send 36 requests a second at this pace, of some 40 bytes."""
 ECHO_TIMEOUT_S = 1.0
@@ -49,7 +48,7 @@
 
 
 class Echo:
-    """Sends echoes to the other replica machines, and answers theirs.
+    """Sends echoes to the other replica machines; each transport answers them.
 
     Attributes:
         watch: which regions answer.
@@ -63,7 +62,7 @@
         neighbours: Neighbours,
         on_measured: Callable[[dict[Distance, float]], None],
     ) -> None:
-        """Answer echoes from now on.
+        """Take the parts.
 
         Args:
             transport: measures the round trip of each request.
@@ -77,11 +76,6 @@
         self._transport = transport
         self._peers = peers
         self._neighbours = neighbours
-        transport.handlers[ECHO_METHOD] = self._answer
-
-    @staticmethod
-    async def _answer(_payload: bytes) -> bytes:
-        return b""
 
     async def run(self) -> None:
         """Send echoes until cancelled."""
--- a/src/bendshed/ports/transport.py
+++ b/src/bendshed/ports/transport.py
@@ -9,6 +9,8 @@
 
 Handler = Callable[[bytes], Awaitable[bytes]]
 OneWayHandler = Callable[[bytes], None]
+ECHO_METHOD = "paths.echo"
+"""A request that every node answers with nothing."""
 
 
 class PeerUnreachable(Exception):
@@ -42,7 +44,7 @@
 
     def __init__(self) -> None:
         self.round_trips: RoundTrips[Address] = RoundTrips()
-        self.handlers: dict[str, Handler] = {}
+        self.handlers: dict[str, Handler] = {ECHO_METHOD: _answer_echo}
         self.one_way_handlers: dict[str, OneWayHandler] = {}
         self.datagram_handler: OneWayHandler | None = None
 
@@ -69,3 +71,7 @@
     @abstractmethod
     def send_datagram(self, peer: Address, payload: bytes) -> None:
         """Send one datagram."""
+
+
+async def _answer_echo(_payload: bytes) -> bytes:
+    return b""
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -11,15 +11,18 @@
 import asyncio
 import unittest
 
+from bendshed.adapters.silence import ANSWER_DUE_S, PROBE_AFTER_S, SilenceWatch
 from bendshed.adapters.tcp_transport import TcpTransport
 from bendshed.model.address import Address
-from bendshed.ports.transport import PeerUnreachable
+from bendshed.ports.transport import ECHO_METHOD, PeerUnreachable
 from tests.stalling_proxy import LOCAL, Silence, StallingProxy
 
 METHOD, SLOW_METHOD, ONE_WAY_METHOD = "say", "wait", "tell"
 TRY_S = 0.3
 NUM_TRIES = 10
 """Tries of a request, one after the other: 3 s, the time within which a node has to be in touch."""
+GUARD_S = 30.0
+"""Ends a request that hangs; a busy machine may take its time for one that is answered."""
 HEARTBEAT_S = 0.025
 NUM_HEARTBEATS = 120
 """One-way messages at the pace of consensus for as long."""
@@ -131,3 +134,45 @@
         for _ in range(NUM_HEARTBEATS):
             self.assertTrue(await self.is_told())
         self.assertEqual(self.proxy.num_opened, 1)
+
+    async def test_a_peer_that_knows_no_echo_answers_it_all_the_same(self) -> None:
+        """Builds run side by side; any reply shows that the connection works."""
+        del self.peer.handlers[ECHO_METHOD]
+        with self.assertRaises(PeerUnreachable) as caught:
+            await self.node.request(self.address, ECHO_METHOD, b"", GUARD_S)
+        self.assertFalse(caught.exception.is_silent)
+
+
+class SilenceWatchTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.watch = SilenceWatch()
+        self.watch.note_heard(10.0)
+
+    def test_nothing_requested_is_no_silence(self) -> None:
+        self.assertFalse(self.watch.is_silent(1e9))
+
+    def test_the_first_overdue_answer_counts_not_the_last(self) -> None:
+        for number in range(5):
+            self.watch.note_request(0.06, 10.0 + number)
+        self.assertFalse(self.watch.is_silent(10.0 + ANSWER_DUE_S))
+        self.assertTrue(self.watch.is_silent(10.1 + ANSWER_DUE_S))
+
+    def test_a_long_wait_is_not_cut_short(self) -> None:
+        self.watch.note_request(8.0, 10.0)
+        self.assertFalse(self.watch.is_silent(18.0))
+        self.assertTrue(self.watch.is_silent(18.1))
+
+    def test_any_byte_ends_the_doubt(self) -> None:
+        self.watch.note_request(0.06, 10.0)
+        self.watch.note_heard(10.5)
+        self.assertFalse(self.watch.is_silent(1e9))
+
+    def test_one_way_messages_probe_once_until_the_answer_is_due(self) -> None:
+        self.assertFalse(self.watch.must_probe(10.0 + PROBE_AFTER_S))
+        self.assertTrue(self.watch.must_probe(10.1 + PROBE_AFTER_S))
+        self.watch.note_request(0.0, 10.1 + PROBE_AFTER_S)
+        self.assertFalse(self.watch.must_probe(10.2 + PROBE_AFTER_S))
+
+    def test_a_request_that_waits_long_does_not_replace_the_probe(self) -> None:
+        self.watch.note_request(100.0, 10.0)
+        self.assertTrue(self.watch.must_probe(10.1 + PROBE_AFTER_S))
