A front that counts as isolated probes until another node answers

Callers: a front refused every turn, and told the platform that it was not ready, for as long as it ran, though the network was well. Cause: failed paths make a front isolated at once, but only a request that failed whole set off the probes. Where its client left in between, nobody sent anything on any path that counts: turns are refused, and requests for the catalog wait at a store directly. Mend: the front probes while it counts as isolated too. Any answer ends that, so the state and its way out go by the same fact. No cost while nodes answer.

--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -246,7 +246,9 @@
             await client.find_leader(client.home_group)
             while True:
                 await asyncio.sleep(PROBE_INTERVAL_S)
-                if client.lost_since_s is not None:
+                # A request that its caller gave up tells of a failed path and of no loss; while the
+                # node rejects turns as isolated, only a probe can show that others answer again.
+                if client.lost_since_s is not None or client.is_isolated:
                     await client.probe()
         finally:
             for task in looking:
