A call to the platform's store that times out drops the kept connections beside it

Callers: a process stayed without news from the platform's store for one time-out and one pause more a kept connection, after all had fallen silent. Cause: a timed out call closed its own connection only; the next took another silent one. Mend: it closes all that rest.

--- a/src/bendshed/platform/objects.py
+++ b/src/bendshed/platform/objects.py
@@ -119,7 +119,11 @@
         try:
             async with asyncio.timeout(timeout_s):
                 status, answer = await self._exchange(request)
-        except (TimeoutError, ConnectFailed, ResponseBroken) as error:
+        except TimeoutError as error:
+            # Kept connections fall silent together; each would cost one more call its whole time.
+            self._pool.forget(self._address)
+            raise StoreUnavailable(f"{method.decode()} {target}: {error!r}") from error
+        except (ConnectFailed, ResponseBroken) as error:
             raise StoreUnavailable(f"{method.decode()} {target}: {error!r}") from error
         if status in (200, 201, 404, 409, 410):
             try:
