Stores greet fronts that are not back yet for as long as the registry is away

Callers: after a loss of power of all, no front served anything until the registry was back, where the fronts started more than ten seconds after the stores; the same after half a minute without fronts. Cause: fronts remember nothing, and learn of stores by the registry or by a store's greeting. Stores forgot the fronts of their previous life after ten seconds, and silent ones after thirty, whatever the registry did. Mend: they forget them only while the registry answers, since with it a front finds stores by itself. After thirty seconds a front is greeted every 2.1 s, within the 3 s in which a machine has to be in touch, at a seventh of the messages.

--- a/src/bendshed/catalog/demand.py
+++ b/src/bendshed/catalog/demand.py
@@ -1,6 +1,7 @@
 """Which nodes rely on this replica machine, and whether it reads the registry for them."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from bendshed.catalog.messages import ReadRequest
@@ -16,7 +17,7 @@
 SILENT_REQUESTER_S = 1.2
 """A front without a request for this long may have started again and know no replica machine."""
 GREETED_S = 30.0
-"""A front that has been silent for this long is forgotten."""
+"""A front that has been silent for this long is forgotten, unless the registry is away."""
 
 log = PartLog("catalog")
 
@@ -75,16 +76,18 @@
         """Fronts that requested the catalog of this machine and do not any more."""
         now_s = asyncio.get_running_loop().time()
         return [
-            front
-            for front, at_s in self.fronts_at_s.items()
-            if SILENT_REQUESTER_S < now_s - at_s < GREETED_S
+            front for front, at_s in self.fronts_at_s.items() if now_s - at_s > SILENT_REQUESTER_S
         ]
 
-    def forget_silent(self) -> None:
-        """Forget nodes that have been silent for long."""
+    def forget_silent(self, keeps_fronts: bool) -> None:
+        """Forget nodes that have been silent for long.
+
+        ``keeps_fronts``: the registry does not answer, so a front that starts again learns of no
+        machine elsewhere.
+        """
         now_s = asyncio.get_running_loop().time()
         for known, memory_s in (
-            (self.fronts_at_s, GREETED_S),
+            (self.fronts_at_s, math.inf if keeps_fronts else GREETED_S),
             (self._replicas_at_s, REQUESTER_MEMORY_S),
         ):
             for node in [node for node, at_s in known.items() if now_s - at_s > memory_s]:
--- a/src/bendshed/catalog/front_exchange.py
+++ b/src/bendshed/catalog/front_exchange.py
@@ -1,8 +1,10 @@
 """Keeps fronts in touch: greets silent ones, names some to the other replica machines."""
 
 import asyncio
+import itertools
+from collections.abc import Callable
 
-from bendshed.catalog.demand import Demand
+from bendshed.catalog.demand import GREETED_S, Demand
 from bendshed.catalog.messages import read_fronts
 from bendshed.catalog.persistence import CatalogPersistence
 from bendshed.catalog.relay_list import RelayList
@@ -13,6 +15,9 @@
 
 FRONTS_METHOD = "catalog.fronts"
 GREETING_INTERVAL_S = 0.3
+LATE_GREETING_ROUNDS = 7
+"""A front that has been greeted for ``GREETED_S`` is greeted in one round of so many, each 2.1 s:
+within the 3 s in which a machine has to be in touch, at a seventh of the messages."""
 
 
 class FrontExchange:
@@ -26,6 +31,7 @@
         demand: Demand,
         relay_list: RelayList,
         persistence: CatalogPersistence,
+        is_registry_lost: Callable[[], bool],
     ) -> None:
         self._transport = transport
         self._directory = directory
@@ -33,6 +39,8 @@
         self._demand = demand
         self._relay_list = relay_list
         self._persistence = persistence
+        self._is_registry_lost = is_registry_lost
+        self._greeted_since_s: dict[Address, float] = {}
 
     def start(self) -> None:
         """Receive what other machines say of fronts from now on."""
@@ -43,14 +51,28 @@
 
     async def greet(self) -> None:
         """Send silent fronts this machine's address: they may have no other source."""
-        while True:
+        for number in itertools.count():
+            if self._is_registry_lost():
+                self._persistence.keep_fronts()
             own = self._directory.own
             if own is not None:
                 hello = to_wire(own).SerializeToString()
-                for front in self._silent_fronts():
+                for front in self._due_fronts(is_late_round=number % LATE_GREETING_ROUNDS == 0):
                     self._transport.send(front, HELLO_METHOD, hello)
             await asyncio.sleep(GREETING_INTERVAL_S)
 
+    def _due_fronts(self, is_late_round: bool) -> list[Address]:
+        """Silent fronts that are greeted in this round."""
+        now_s = asyncio.get_running_loop().time()
+        silent = self._silent_fronts()
+        known_s = self._greeted_since_s
+        self._greeted_since_s = {front: known_s.get(front, now_s) for front in silent}
+        return [
+            front
+            for front, since_s in self._greeted_since_s.items()
+            if is_late_round or now_s - since_s < GREETED_S
+        ]
+
     def _silent_fronts(self) -> list[Address]:
         """Fronts that sent requests to this machine, or to its previous incarnation."""
         previous = self._persistence.previous_fronts()
--- a/src/bendshed/catalog/persistence.py
+++ b/src/bendshed/catalog/persistence.py
@@ -10,7 +10,8 @@
 SAVE_PACE_S = 1.0
 """Shortest pause between two saves: a burst of changes is written once a second."""
 PREVIOUS_FRONTS_S = 10.0
-"""Fronts that the disk names and that have sent no request by then are forgotten."""
+"""Fronts that the disk names and that have sent no request are forgotten once the registry has
+answered this machine for so long: with it a front finds replica machines by itself."""
 
 
 class CatalogPersistence:
@@ -31,8 +32,12 @@
         """From now on count the time until fronts of the previous incarnation are forgotten."""
         self._forgets_fronts_at_s = asyncio.get_running_loop().time() + PREVIOUS_FRONTS_S
 
+    def keep_fronts(self) -> None:
+        """The registry does not answer: a front that starts now learns of no machine elsewhere."""
+        self._forgets_fronts_at_s = asyncio.get_running_loop().time() + PREVIOUS_FRONTS_S
+
     def previous_fronts(self) -> tuple[Address, ...]:
-        """Fronts of the previous incarnation; empty some time after the start."""
+        """Fronts of the previous incarnation; empty once they are forgotten."""
         is_recent = asyncio.get_running_loop().time() < self._forgets_fronts_at_s
         return self.stored.fronts if is_recent else ()
 
--- a/src/bendshed/catalog/replica_parts.py
+++ b/src/bendshed/catalog/replica_parts.py
@@ -71,6 +71,7 @@
             self.demand,
             self._relay_list,
             self._persistence,
+            lambda: self.catalog.is_lost,
         )
         self.follower = CatalogFollower(
             FollowerPaths(around.transport, around.transport, around.neighbours),
@@ -126,7 +127,7 @@
         zones = self.catalog.zones.record
         while True:
             await asyncio.sleep(SHARE_INTERVAL_S)
-            self.demand.forget_silent()
+            self.demand.forget_silent(keeps_fronts=self.catalog.is_lost)
             self._relay_list.forget_silent(REQUESTER_MEMORY_S)
             self._relay_list.retain_only(self.demand.fronts_at_s)
             if zones.forget_old(asyncio.get_running_loop().time()):
