A request to a runner that nobody heard drops the kept connections beside it

Callers: after connections to runners had fallen silent together, one request was lost for each connection that a front kept, for as long as a runner names in Keep-Alive. Cause: giving a request up closed its own connection only; the rest of the others ends by their time. Mend: a request that was given up, or broken by the kernel, after 4 s without a byte closes the idle ones to that runner. A slower runner that says anything keeps them, and so does a request given up sooner; a new connection costs little beside a lost request.

--- a/src/bendshed/adapters/connection_pool.py
+++ b/src/bendshed/adapters/connection_pool.py
@@ -1,6 +1,7 @@
 """Kept connections to many peers, the most recently used first."""
 
 import asyncio
+from functools import partial
 
 from bendshed.adapters.http_connection import HttpConnection, open_connection
 from bendshed.adapters.traffic import Traffic
@@ -44,6 +45,8 @@
         opened = await open_connection(address, max(self._connect_timeout_s, far_s))
         now_s = asyncio.get_running_loop().time()
         self._round_trips.note(address, now_s - began_s, now_s)
+        # Kept connections fall silent together; each would lose one more request.
+        opened.on_silent = partial(self.forget, address)
         return opened
 
     def _take_idle(self, address: Address) -> HttpConnection | None:
--- a/src/bendshed/adapters/http_connection.py
+++ b/src/bendshed/adapters/http_connection.py
@@ -8,7 +8,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import httptools
 
@@ -23,7 +23,8 @@
 
 PAUSE_READING_BYTES = 256 * 1024
 USER_TIMEOUT_MS = 4_000
-"""Unacknowledged bytes break a connection after this long."""
+"""Unacknowledged bytes break a connection after this long. A request that was given up without any
+byte for as long shows that the connection may be silent, also where its bytes are acknowledged."""
 MAX_HEAD_BYTES = 64 * 1024
 FIRST_INTERIM_STATUS, FIRST_FINAL_STATUS, LAST_STATUS = 100, 200, 599
 KNOWN_VERSIONS = ("1.0", "1.1")
@@ -41,11 +42,14 @@
 
     Attributes:
         rest_until_s: loop time until which an idle connection may be used again.
+        on_silent: called when nothing was heard for ``USER_TIMEOUT_MS`` after a request.
 
     """
 
     def __init__(self) -> None:
         self.rest_until_s = 0.0
+        self.on_silent: Callable[[], None] = _pass_over
+        self._unheard_since_s: float | None = None
         self._num_sent = 0
         self._num_received = 0
         self._loop = asyncio.get_running_loop()
@@ -82,6 +86,7 @@
         self._head_ready = self._loop.create_future()
         content = request.encode()
         self._num_sent += len(content)
+        self._unheard_since_s = self._loop.time()
         self._transport.write(content)
         return await self._head_ready
 
@@ -120,6 +125,9 @@
     def abort(self) -> None:
         """Close at once."""
         self._usable = False
+        since_s, self._unheard_since_s = self._unheard_since_s, None
+        if since_s is not None and self._loop.time() - since_s >= USER_TIMEOUT_MS / 1000:
+            self.on_silent()
         if self._transport is not None:
             self._transport.abort()
 
@@ -136,6 +144,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse; a byte without a request ends the connection."""
         self._num_received += len(data)
+        self._unheard_since_s = None
         if self._request is None or self._complete:
             self.abort()
             return
@@ -159,6 +168,8 @@
         """Whatever was not complete is broken."""
         self._transport = None
         self._usable = False
+        if isinstance(exc, TimeoutError):
+            self.on_silent()
         self._fail("the connection was reset" if exc is not None else "the connection closed")
 
     def _fail(self, reason: str) -> None:
@@ -246,6 +257,10 @@
         self._end()
 
 
+def _pass_over() -> None:
+    """No pool keeps connections beside this one."""
+
+
 def _is_framed(head: ResponseHead) -> bool:
     if head.status in (204, 304):
         return True
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -285,3 +285,9 @@
         loop.time = lambda: real_time() + USER_TIMEOUT_MS / 1000  # type: ignore[method-assign]
         connection.abort()
         self.assertTrue(self.pool.has_idle(self.address))
+
+    async def test_the_kernels_time_out_shows_it_at_once(self) -> None:
+        """Bytes that nobody acknowledged: asyncio passes on the socket's error."""
+        connection = await self.pool.acquire(self.address)
+        connection.connection_lost(TimeoutError())
+        self.assertFalse(self.pool.has_idle(self.address))
