Stores save the fronts that another store names to them

Callers: after a loss of power of all in which one store lost its disk too, no front served anything until the registry was back, though a leader stood. Cause: fronts remember nothing, and without the registry learn of stores by a store's greeting. All fronts request the catalog of one store. The others knew them by its naming alone, and saved them only where something else changed in the same seconds; so it depended on the moment. Mend: a store saves fronts that are newly named to it, up to as many as are named at once, and keeps them while the registry is away.

--- a/src/bendshed/catalog/front_exchange.py
+++ b/src/bendshed/catalog/front_exchange.py
@@ -7,7 +7,7 @@
 from bendshed.catalog.demand import GREETED_S, Demand
 from bendshed.catalog.messages import read_fronts
 from bendshed.catalog.persistence import CatalogPersistence
-from bendshed.catalog.relay_list import RelayList
+from bendshed.catalog.relay_list import MAX_FRONTS_SHARED, RelayList
 from bendshed.consensus.directory import HELLO_METHOD, ReplicaDirectory, to_wire
 from bendshed.model.address import Address
 from bendshed.ports.transport import Transport
@@ -47,7 +47,17 @@
         self._transport.one_way_handlers[FRONTS_METHOD] = self._take_fronts
 
     def _take_fronts(self, payload: bytes) -> None:
-        self._relay_list.take_named(read_fronts(wire.CatalogReply.FromString(payload)))
+        """Remember fronts that another machine names, on the disk too.
+
+        That machine may lose its disk with its power while the registry is away: then nobody else
+        tells the fronts of any machine. A disk that holds as many as are named at once is not
+        written for others, since those named are drawn anew each time.
+        """
+        named = read_fronts(wire.CatalogReply.FromString(payload))
+        self._relay_list.take_named(named)
+        saved = self._persistence.saved_fronts
+        if len(saved) < MAX_FRONTS_SHARED and any(front.address not in saved for front in named):
+            self._persistence.note_change()
 
     async def greet(self) -> None:
         """Send silent fronts this machine's address: they may have no other source."""
--- a/src/bendshed/catalog/persistence.py
+++ b/src/bendshed/catalog/persistence.py
@@ -19,11 +19,13 @@
 
     Attributes:
         stored: what the disk held at the start.
+        saved_fronts: fronts that the disk holds now.
 
     """
 
     def __init__(self, storage: CatalogStorage, reads_stored: bool) -> None:
         self.stored = decode_stored(storage.load() if reads_stored else None)
+        self.saved_fronts = frozenset(self.stored.fronts)
         self._storage = storage
         self._forgets_fronts_at_s = 0.0
         self._unsaved = asyncio.Event()
@@ -50,5 +52,7 @@
         while True:
             await self._unsaved.wait()
             self._unsaved.clear()
-            await self._storage.save(encode_stored(snapshot()))
+            content = snapshot()
+            await self._storage.save(encode_stored(content))
+            self.saved_fronts = frozenset(content.fronts)
             await asyncio.sleep(SAVE_PACE_S)
--- a/src/bendshed/catalog/replica_parts.py
+++ b/src/bendshed/catalog/replica_parts.py
@@ -1,6 +1,7 @@
 """Builds the parts of a replica machine's catalog, and runs them."""
 
 import asyncio
+import math
 import random
 from collections.abc import Coroutine
 from dataclasses import dataclass
@@ -127,8 +128,10 @@
         zones = self.catalog.zones.record
         while True:
             await asyncio.sleep(SHARE_INTERVAL_S)
-            self.demand.forget_silent(keeps_fronts=self.catalog.is_lost)
-            self._relay_list.forget_silent(REQUESTER_MEMORY_S)
+            is_lost = self.catalog.is_lost
+            self.demand.forget_silent(keeps_fronts=is_lost)
+            # While the registry is away the fronts are lost with the last machine that knows them.
+            self._relay_list.forget_silent(math.inf if is_lost else REQUESTER_MEMORY_S)
             self._relay_list.retain_only(self.demand.fronts_at_s)
             if zones.forget_old(asyncio.get_running_loop().time()):
                 self.catalog.note_unsaved()
