--- a/tests/test_site_readiness.py
+++ b/tests/test_site_readiness.py
@@ -188,6 +188,19 @@
         self.world.run_for(self.FOUND_S)
         self.assertTrue(self.is_served_at_all_fronts())
 
+    def test_after_a_loss_of_power_of_the_fronts_and_one_store(self) -> None:
+        """The others live on, and know the fronts by the naming of the one that is gone."""
+        fronts = list(self.world.fronts.values())
+        for store in list(self.world.stores.values()):
+            for machine in [*fronts, store]:
+                self.world.kill(machine)
+            for front in fronts:
+                self.world.restart(front)
+            self.world.run_for(self.FOUND_S)
+            self.assertTrue(self.is_served_at_all_fronts(), store.name)
+            self.world.restart(store)
+            self.world.run_for(self.FOUND_S)
+
 
 class LostReaderTest(unittest.TestCase):
     """All lose power, one store its disk too, and the registry is away from then on.
