Stores greet the fronts of a store that is gone while the registry is away

Callers: no front served anything until the registry was back, where fronts started again while the store that all of them requested the catalog of was gone; two other stores lived and led. Cause: a store greeted fronts that had sent it requests itself, in this life or the last. Of the others it knew some by that store's naming, never greeted them, and forgot them after 3 s, sooner than it missed the registry. With the registry nothing is greeted that was not before.

--- a/src/bendshed/catalog/front_exchange.py
+++ b/src/bendshed/catalog/front_exchange.py
@@ -84,10 +84,16 @@
         ]
 
     def _silent_fronts(self) -> list[Address]:
-        """Fronts that sent requests to this machine, or to its previous incarnation."""
-        previous = self._persistence.previous_fronts()
-        silent = self._demand.silent_fronts()
-        return silent + [front for front in previous if front not in self._demand.fronts_at_s]
+        """Fronts that sent requests to this machine or its previous incarnation.
+
+        While the registry is away also those of other machines that may be gone.
+        """
+        others = list(self._persistence.previous_fronts())
+        if self._is_registry_lost():
+            others += self._relay_list.unnamed_lately()
+        here = self._demand.fronts_at_s
+        unheard = [front for front in dict.fromkeys(others) if front not in here]
+        return self._demand.silent_fronts() + unheard
 
     def share(self) -> None:
         """Name some fronts to the other replica machines, which name them as relays."""
--- a/src/bendshed/catalog/relay_list.py
+++ b/src/bendshed/catalog/relay_list.py
@@ -55,6 +55,11 @@
         for front in [front for front, at_s in self.elsewhere.items() if now_s - at_s > memory_s]:
             del self.elsewhere[front]
 
+    def unnamed_lately(self) -> list[Address]:
+        """Fronts that other machines do not name any more: they or those machines may be gone."""
+        oldest_s = asyncio.get_running_loop().time() - self._lately_s
+        return [front for front, at_s in self.elsewhere.items() if at_s < oldest_s]
+
     def retain_only(self, known: Iterable[Address]) -> None:
         """Forget what was noted of fronts that are not known any more."""
         self._cut_off.intersection_update(known)
