Search of losses of power of all: troubles within the tolerance, then one closing

After a loss of power of a whole site nothing was served, and no search drew such an end. A closing draws who loses a disk, when each machine has power again and how long its process takes to start, and what the platform's store does meanwhile. Clients go on from stored turns until they are served. It fails when less than a quarter of the requests sent later than 12 s after power is back is served, or a stored turn is not continued by then. The tolerance is a small model of its own: which stores count as lost, and until when.

Existing games, their draws and their oracle stay as they are.

--- a/src/bendshed/cli/rehearse.py
+++ b/src/bendshed/cli/rehearse.py
@@ -117,6 +117,7 @@
         *search_options(),
         option("worlds", None, "Worlds to play", flag=False, default="20"),
         option("regions", None, "Sites of two regions", flag=True),
+        option("closings", None, "Sites that lose power as a whole at their end", flag=True),
     ]
 
     def handle(self) -> int:
@@ -124,6 +125,10 @@
         from bendshed.rehearsal.search import STEPS_PER_WORLD
         from bendshed.rehearsal.site.fuzz import REGIONS, SITE
 
+        if self.option("closings"):
+            from bendshed.rehearsal.site.closings import CLOSINGS, STEPS_PER_CLOSING
+
+            return self.search(CLOSINGS, int(self.option("worlds")) * STEPS_PER_CLOSING)
         game = REGIONS if self.option("regions") else SITE
         return self.search(game, int(self.option("worlds")) * STEPS_PER_WORLD)
 
--- a/src/bendshed/rehearsal/site/layout.py
+++ b/src/bendshed/rehearsal/site/layout.py
@@ -1,7 +1,7 @@
 """Where the machines of a simulated site stand."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from bendshed.model.places import Places
 from bendshed.placement.groups import TurnGroups
@@ -57,6 +57,17 @@
 )
 """Zones without a region: one group."""
 
+SMALL = SiteLayout(
+    front_zones=("zone-a", "zone-b", "zone-c"),
+    store_zones=("zone-a", "zone-b", "zone-c"),
+    num_voters=3,
+    has_tenants=False,
+)
+"""One store a zone, each a voter, so none stands by."""
+
+SMALL_WITH_SPARE = replace(SMALL, store_zones=("zone-a", "zone-b", "zone-c", "zone-a"))
+"""The same with a store that stands by."""
+
 THREE_ZONES = SiteLayout(
     front_zones=("zone-a", "zone-b", "zone-c"),
     store_zones=("zone-a", "zone-b", "zone-c") * 3 + ("zone-a",),
