--- a/src/bendshed/rehearsal/site/closings.py
+++ b/src/bendshed/rehearsal/site/closings.py
@@ -61,8 +61,11 @@
         elif step.action is Trouble.RETIRE:
             self._retire(machine)
         elif world.may_lose(machine.name) and machine.is_up:
-            world.count(step.action.value)
-            self._play(step, machine)
+            if step.action is Trouble.REPLACE:
+                self._replace(machine, step)
+            else:
+                world.count(step.action.value)
+                self._play(step, machine)
         world.run_for(world.draw.choice(PAUSES_S) * step.amount)
 
     def _play_harmless(self, step: Step[Trouble]) -> None:
@@ -100,9 +103,6 @@
                 world.run_for(for_s / 4)
                 world.lose_disk(machine)
                 world.restart(machine)
-            case Trouble.REPLACE:
-                self._replace(machine, step)
-                return
             case Trouble.FREEZE:
                 machine.process.paused = True
                 world.run_for(for_s)
@@ -125,9 +125,10 @@
     def _replace(self, machine: SimMachine, step: Step[Trouble]) -> None:
         """With two stores the other cannot tell a removal from a cut, so none is replaced."""
         world = self.world
-        world.tolerance.forget(machine.name)
         if len(world.stores) <= MIN_STORES:
             return
+        world.count(Trouble.REPLACE.value)
+        world.tolerance.forget(machine.name)
         world.kill(machine)
         del world.stores[machine.name]
         self._add("store-next", step.which)
