Replica machines introduce themselves to each other where a word is missed

With two voters left, one lost its disk as all lost power, and the registry refused that machine: no leader stood until the registry took it. The survivor wrote to the former identity at the right address; the emptied machine, whose directory is empty, could not tell who wrote and so could not say that this identity is gone. For the same reason an empty machine that was taken in as a learner never acknowledged while the registry was silent.

Who misses a peer now requests it at its address, every 0.3 s: a leader the members that were silent for 0.2 s, a voter without a leader all voters. The request names who asks, the reply who is there. So both directories hold the other, whoever of them kept its disk. An identity counts as lost by the same rule as before: its machine speaks under another one. A machine of an earlier version answers that it does not know the method, and all is as before.

--- /dev/null
+++ b/src/bendshed/consensus/introductions.py
@@ -0,0 +1,66 @@
+"""Two replica machines tell each other who they are, without the registry.
+
+A machine that lost its disk starts with an empty directory. While the registry is silent it knows
+nobody: it cannot acknowledge what a leader sends, nor tell voters that its former identity is lost.
+So whoever misses a peer's word asks at its address, and the question itself names who asks.
+"""
+
+import asyncio
+from collections.abc import Callable, Collection
+
+from bendshed.consensus.directory import ReplicaDirectory, from_wire, to_wire
+from bendshed.ports.registry import ReplicaNode
+from bendshed.ports.transport import PeerUnreachable, Transport
+from bendshed.wire import turns_pb2 as wire
+
+INTRODUCE_METHOD = "replica.introduce"
+"""Request of one replica machine to another: both name themselves."""
+INTERVAL_S = 0.3
+ANSWER_TIMEOUT_S = 0.5
+
+
+class Introductions:
+    """Asks machines whose word is missed who they are, again and again, and answers others.
+
+    Args:
+        missed: identities that should speak and do not.
+
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        directory: ReplicaDirectory,
+        me: ReplicaNode,
+        missed: Callable[[], Collection[str]],
+    ) -> None:
+        self._transport = transport
+        self._directory = directory
+        self._hello = to_wire(me).SerializeToString()
+        self._missed = missed
+
+    def start(self) -> None:
+        """Answer from now on."""
+        self._transport.handlers[INTRODUCE_METHOD] = self._answer
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        while True:
+            await asyncio.sleep(INTERVAL_S)
+            missed = self._missed()
+            nodes = [n for n in self._directory.by_name.values() if n.node_id in missed]
+            await asyncio.gather(*(self._ask(n) for n in nodes if n != self._directory.own))
+
+    async def _ask(self, node: ReplicaNode) -> None:
+        try:
+            reply = await self._transport.request(
+                node.address, INTRODUCE_METHOD, self._hello, ANSWER_TIMEOUT_S
+            )
+        except PeerUnreachable:
+            return  # silent, or of a version that does not know the method: asked again
+        self._directory.put(from_wire(wire.ReplicaHello.FromString(reply)))
+
+    async def _answer(self, payload: bytes) -> bytes:
+        """Take who asks, and reply who this is."""
+        self._directory.put(from_wire(wire.ReplicaHello.FromString(payload)))
+        return self._hello
--- a/src/bendshed/consensus/supervisor.py
+++ b/src/bendshed/consensus/supervisor.py
@@ -6,7 +6,9 @@
 from bendshed.consensus.bootstrap import GroupBootstrap
 from bendshed.consensus.directory import HELLO_METHOD, ReplicaDirectory, from_wire, to_wire
 from bendshed.consensus.host import GroupHost, HostedGroup
+from bendshed.consensus.introductions import Introductions
 from bendshed.consensus.membership_plan import ReplicaFacts, plan_membership
+from bendshed.consensus.raft_types import Role
 from bendshed.consensus.replica_choice import VoterPlaces, rank_candidates
 from bendshed.consensus.retirement import EMPTIED_METHOD, RequestEmptied, RetirementReporter
 from bendshed.logs import PartLog
@@ -18,6 +20,8 @@
 from bendshed.wire import turns_pb2 as wire
 
 CHECK_INTERVAL_S = 0.1
+MISSED_S = 0.2
+"""A member that was silent for this long is asked who it is."""
 SILENT_S = 1.0
 """A member that was silent for this long is replaced when a machine is free."""
 REJECTED_S = 3.0
@@ -68,6 +72,7 @@
         self._groups = groups
         self._bootstrap = GroupBootstrap(host, storage, registry, directory, me, num_voters, groups)
         self._reporter = RetirementReporter(host, registry, directory, groups, request_emptied)
+        self._introductions = Introductions(transport, directory, me, self._missed)
         self._rejected_until_s: dict[str, float] = {}
         self._num_rejected: dict[str, int] = {}
         self._away_since: dict[int, tuple[float, int, int]] = {}
@@ -82,11 +87,13 @@
         self._transport.one_way_handlers[HELLO_METHOD] = self._take_hello
         self._transport.handlers[EMPTIED_METHOD] = self._reporter.answer
         self._host.on_foreign_message = self._introduce_to
+        self._introductions.start()
         self._tasks = [
             start_loop(self._bootstrap.announce(), "supervisor"),
             start_loop(self._bootstrap.run(), "supervisor"),
             start_loop(self._supervise(), "supervisor"),
             start_loop(self._reporter.run(), "supervisor"),
+            start_loop(self._introductions.run(), "supervisor"),
         ]
 
     async def stop(self) -> None:
@@ -106,6 +113,18 @@
     def _take_hello(self, payload: bytes) -> None:
         self._directory.put(from_wire(wire.ReplicaHello.FromString(payload)))
 
+    def _missed(self) -> set[str]:
+        """Members that a leader here does not hear, and all voters of a group without a leader."""
+        missed: set[str] = set()
+        for group in self._host.groups.values():
+            replica = group.replica
+            if replica.role is Role.LEADER:
+                members = [*replica.membership.voters, *replica.membership.learners]
+                missed |= replica.followers.silent(members, MISSED_S / self._tick_s)
+            elif not replica.leader_id:
+                missed.update(replica.membership.voters)
+        return missed
+
     # --- repair --------------------------------------------------------------------------
 
     async def _supervise(self) -> None:
