A machine that answers again is taken in at once

A store was replaced; its successor was cut off for some seconds and back in reach for the time to catch up when another store lost its disk and all lost power. No leader stood: of three voters one was removed, one lost, and the successor was none yet. A machine that is taken in and stays silent is left alone for 3 s, and twice as long each further time, so that a dead one does not fill the log; nothing ended that time when it came back.

The leader asks a machine that it leaves alone who it is, as it asks silent members; an answer ends the time. A machine whose disk takes no writes answers nothing, so one with a full disk is still left alone and does not keep others out. The count of failures stays until it has caught up.

--- a/src/bendshed/consensus/introductions.py
+++ b/src/bendshed/consensus/introductions.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Collection
 
 from bendshed.consensus.directory import ReplicaDirectory, from_wire, to_wire
+from bendshed.consensus.host import GroupHost
 from bendshed.ports.registry import ReplicaNode
 from bendshed.ports.transport import PeerUnreachable, Transport
 from bendshed.wire import turns_pb2 as wire
@@ -17,6 +18,8 @@
 """Request of one replica machine to another: both name themselves."""
 INTERVAL_S = 0.3
 ANSWER_TIMEOUT_S = 0.5
+DISK_S = 0.3
+"""A machine whose disk takes longer could not hold a replica now, and does not say who it is."""
 
 
 class Introductions:
@@ -24,6 +27,7 @@
 
     Args:
         missed: identities that should speak and do not.
+        on_answer: called with the identity of a machine that answered and whose disk takes writes.
 
     """
 
@@ -31,13 +35,17 @@
         self,
         transport: Transport,
         directory: ReplicaDirectory,
+        host: GroupHost,
         me: ReplicaNode,
         missed: Callable[[], Collection[str]],
+        on_answer: Callable[[str], None],
     ) -> None:
         self._transport = transport
         self._directory = directory
+        self._host = host
         self._hello = to_wire(me).SerializeToString()
         self._missed = missed
+        self._on_answer = on_answer
 
     def start(self) -> None:
         """Answer from now on."""
@@ -58,9 +66,17 @@
             )
         except PeerUnreachable:
             return  # silent, or of a version that does not know the method: asked again
-        self._directory.put(from_wire(wire.ReplicaHello.FromString(reply)))
+        if reply:
+            found = from_wire(wire.ReplicaHello.FromString(reply))
+            self._directory.put(found)
+            self._on_answer(found.node_id)
 
     async def _answer(self, payload: bytes) -> bytes:
-        """Take who asks, and reply who this is."""
+        """Take who asks, and reply who this is; empty while the disk takes no writes."""
         self._directory.put(from_wire(wire.ReplicaHello.FromString(payload)))
+        try:
+            async with asyncio.timeout(DISK_S):
+                await self._host.flush()
+        except TimeoutError:
+            return b""
         return self._hello
--- a/src/bendshed/consensus/supervisor.py
+++ b/src/bendshed/consensus/supervisor.py
@@ -72,7 +72,9 @@
         self._groups = groups
         self._bootstrap = GroupBootstrap(host, storage, registry, directory, me, num_voters, groups)
         self._reporter = RetirementReporter(host, registry, directory, groups, request_emptied)
-        self._introductions = Introductions(transport, directory, me, self._missed)
+        self._introductions = Introductions(
+            transport, directory, host, me, self._missed, self._forgive
+        )
         self._rejected_until_s: dict[str, float] = {}
         self._num_rejected: dict[str, int] = {}
         self._away_since: dict[int, tuple[float, int, int]] = {}
@@ -114,8 +116,11 @@
         self._directory.put(from_wire(wire.ReplicaHello.FromString(payload)))
 
     def _missed(self) -> set[str]:
-        """Members that a leader here does not hear, and all voters of a group without a leader."""
-        missed: set[str] = set()
+        """Members that a leader here does not hear and machines that it leaves alone; all voters
+        of a group without a leader.
+        """
+        now_s = asyncio.get_running_loop().time()
+        missed = {node for node, until_s in self._rejected_until_s.items() if now_s < until_s}
         for group in self._host.groups.values():
             replica = group.replica
             if replica.role is Role.LEADER:
@@ -221,6 +226,14 @@
         wait_s = min(MAX_REJECTED_S, REJECTED_S * 2.0**times)
         self._rejected_until_s[node] = asyncio.get_running_loop().time() + wait_s
 
+    def _forgive(self, node: str) -> None:
+        """A machine that was left alone answers again: it may be taken in at once.
+
+        Until it is, a lost voter that it is to replace still counts in each quorum.
+        """
+        if self._rejected_until_s.pop(node, None) is not None:
+            log.say("machine may be taken in again: it answers", node=node)
+
     def _facts(self, group_id: int, group: HostedGroup) -> ReplicaFacts:
         """What the plan rests on; candidates are not ranked yet."""
         replica = group.replica
