Failing test: a live voter is taken for a lost one after an older announcement

Two voters that each read an older announcement of the other could each lead alone, which must not be.

--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -88,6 +88,26 @@
         self.check_serves_after(self.world.stores["store-2"])
 
 
+class OlderAnnouncementTest(PowerLossCase):
+    """A store that is alive is taken for one whose disk is lost.
+
+    Seen: no leader and no request served, also once the registry answers rightly. How: a store
+    loses its disk and becomes a voter again under its new identity; later all lose power, another
+    its disk, and a survivor reads the first one's older announcement after its start. Cause: which
+    of two identities of a machine is the lost one was told by the order in which they came, and
+    what had been known of that was not on the disk. Proof: the survivor holds the live voter's
+    identity among the lost ones, has no address for it, and has no quorum.
+    """
+
+    def test_what_was_known_to_be_lost_stays_so(self) -> None:
+        older = dict(self.world.registry.announced)
+        CLOSINGS.apply(self.world, Step(Trouble.LOSE_DISK, 1, 0.1))
+        self.assertTrue(self.world.may_lose())
+        self.world.disrupt(Disruption.STALE, LONGER_THAN_THE_PLAY_S)
+        self.world.disrupted.listed = older
+        self.check_serves_after(self.world.stores["store-3"])
+
+
 def _fronts_of(machine: SimMachine) -> int:
     """Fronts that follow a store."""
     return len(machine.replica.demand.fronts_at_s) if machine.replica is not None else 0
