Stores remember over a restart which identities are lost

No leader stood after a loss of power of all, also once the registry answered rightly. A survivor started, took both identities from its disk's list and an older announcement in that order, and so held the live one for the lost one: it had no address for it, and no quorum with it. An announcement can come late: a write without an answer may be done seconds later, and another store's directory may be older.

The identities that are known to be lost are saved beside the list of machines, an optional field of the same file, and read before it. It grows by some 18 bytes a lost disk.

--- a/src/bendshed/catalog/codec.py
+++ b/src/bendshed/catalog/codec.py
@@ -67,12 +67,18 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredCatalog:
-    """What a replica machine has on its disk between incarnations."""
+    """What a replica machine has on its disk between incarnations.
+
+    Attributes:
+        lost: identities of replica machines whose disk is lost.
+
+    """
 
     catalog: Catalog = field(default_factory=Catalog)
     replicas: tuple[ReplicaNode, ...] = ()
     fronts: tuple[Address, ...] = ()
     zones: ZoneUpdate = field(default_factory=ZoneUpdate)
+    lost: tuple[str, ...] = ()
 
 
 def encode_stored(stored: StoredCatalog) -> bytes:
@@ -81,6 +87,7 @@
     everything.replicas.extend(to_wire(node) for node in stored.replicas)
     everything.fronts.extend(write_address(front) for front in stored.fronts)
     add_zones(everything, stored.zones, known_at=0)
+    everything.lost.extend(stored.lost)
     return everything.SerializeToString()
 
 
@@ -95,6 +102,7 @@
             tuple(from_wire(hello) for hello in everything.replicas),
             tuple(read_peer(front) for front in everything.fronts),
             read_zones(everything),
+            tuple(everything.lost),
         )
     except (DecodeError, DocumentUnreadable):
         return StoredCatalog()
--- a/src/bendshed/catalog/replica_parts.py
+++ b/src/bendshed/catalog/replica_parts.py
@@ -96,6 +96,8 @@
         """Begin to answer, with what the disk held."""
         self._persistence.start()
         self.catalog.start()
+        # First: an older announcement would else make a live voter count as lost.
+        self._around.directory.wiped.update(self._persistence.stored.lost)
         for node in self._persistence.stored.replicas:
             self._around.directory.put(node)
         self._around.directory.on_change.append(self.catalog.announce)
@@ -141,4 +143,5 @@
             tuple(self._around.directory.by_name.values()),
             self._exchange.all_fronts(),
             self.catalog.zones.record.update(asyncio.get_running_loop().time()),
+            tuple(sorted(self._around.directory.wiped)),
         )
--- a/src/bendshed/consensus/directory.py
+++ b/src/bendshed/consensus/directory.py
@@ -21,7 +21,8 @@
     """Replica machines by name.
 
     Invariants: an identity that was superseded at its machine never comes back, since its disk
-    is lost; this process's own identity is never superseded.
+    is lost, also over restarts of this process (``catalog/persistence.py`` holds them); this
+    process's own identity is never superseded.
 
     Attributes:
         own: this process's announcement; ``None``: it holds no replica.
