--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -108,6 +108,26 @@
         self.check_serves_after(self.world.stores["store-3"])
 
 
+class UnknownPastTest(PowerLossCase):
+    """A store that is alive is taken for lost by one that came later.
+
+    Seen: as above. How: as above, and the survivor joined after the first disk was lost, so it
+    never knew the older identity and could not remember that it is the lost one. Cause: nothing
+    that a machine itself says sets the order right, since an identity that counts as lost never
+    came back. Proof: the survivor's list names the older identity, though the machine answers under
+    the newer one.
+    """
+
+    def test_the_word_of_a_machine_itself_decides(self) -> None:
+        older = dict(self.world.registry.announced)
+        CLOSINGS.apply(self.world, Step(Trouble.LOSE_DISK, 1, 0.1))
+        CLOSINGS.apply(self.world, Step(Trouble.REPLACE, 0, 0.1))
+        self.assertTrue(self.world.may_lose())
+        self.world.disrupt(Disruption.STALE, LONGER_THAN_THE_PLAY_S)
+        self.world.disrupted.listed = older
+        self.check_serves_after(self.world.stores["store-3"])
+
+
 def _fronts_of(machine: SimMachine) -> int:
     """Fronts that follow a store."""
     return len(machine.replica.demand.fronts_at_s) if machine.replica is not None else 0
