The word of a machine itself decides which of its identities is alive

A voter without a leader asks all machines that it knows by name, since the listed identity may be the wrong one. Registry and directories of others still only ever add to the lost ones.

--- a/src/bendshed/consensus/directory.py
+++ b/src/bendshed/consensus/directory.py
@@ -20,9 +20,9 @@
 class ReplicaDirectory:
     """Replica machines by name.
 
-    Invariants: an identity that was superseded at its machine never comes back, since its disk
-    is lost, also over restarts of this process (``catalog/persistence.py`` holds them); this
-    process's own identity is never superseded.
+    Invariants: an identity that was superseded at its machine comes back by that machine's own
+    word alone, since its disk is lost, also over restarts of this process
+    (``catalog/persistence.py`` holds them); this process's own identity is never superseded.
 
     Attributes:
         own: this process's announcement; ``None``: it holds no replica.
@@ -63,6 +63,17 @@
         )
         self._notify()
 
+    def put_own_word(self, node: ReplicaNode) -> None:
+        """Take what a machine itself has just replied.
+
+        Announcements come in any order, so a live identity may count as lost. A process that
+        answers under it proves that its disk is there.
+        """
+        if node.node_id in self.wiped and not self._is_own_past(node):
+            self.wiped.discard(node.node_id)
+            log.say("replica machine is not lost: it answers", name=node.name, node=node.node_id)
+        self.put(node)
+
     def list_retiring(self, names: Collection[str]) -> None:
         """Take all wishes of operators that machines are emptied."""
         self.knows_retiring = True
--- a/src/bendshed/consensus/introductions.py
+++ b/src/bendshed/consensus/introductions.py
@@ -2,7 +2,8 @@
 
 A machine that lost its disk starts with an empty directory. While the registry is silent it knows
 nobody: it cannot acknowledge what a leader sends, nor tell voters that its former identity is lost.
-So whoever misses a peer's word asks at its address, and the question itself names who asks.
+So whoever misses a peer's word asks at its address, and the question itself names who asks. A
+reply to a request that was sent a moment ago also corrects what older announcements said.
 """
 
 import asyncio
@@ -68,7 +69,7 @@
             return  # silent, or of a version that does not know the method: asked again
         if reply:
             found = from_wire(wire.ReplicaHello.FromString(reply))
-            self._directory.put(found)
+            self._directory.put_own_word(found)
             self._on_answer(found.node_id)
 
     async def _answer(self, payload: bytes) -> bytes:
--- a/src/bendshed/consensus/supervisor.py
+++ b/src/bendshed/consensus/supervisor.py
@@ -116,8 +116,8 @@
         self._directory.put(from_wire(wire.ReplicaHello.FromString(payload)))
 
     def _missed(self) -> set[str]:
-        """Members that a leader here does not hear and machines that it leaves alone; all voters
-        of a group without a leader.
+        """Members that a leader here does not hear and machines that it leaves alone; without a
+        leader all machines, since a voter may be listed under another identity.
         """
         now_s = asyncio.get_running_loop().time()
         missed = {node for node, until_s in self._rejected_until_s.items() if now_s < until_s}
@@ -126,8 +126,8 @@
             if replica.role is Role.LEADER:
                 members = [*replica.membership.voters, *replica.membership.learners]
                 missed |= replica.followers.silent(members, MISSED_S / self._tick_s)
-            elif not replica.leader_id:
-                missed.update(replica.membership.voters)
+            elif not replica.leader_id and replica.is_voter:
+                missed.update(self._directory.node_ids())
         return missed
 
     # --- repair --------------------------------------------------------------------------
