Machines that answer take a replica before machines that are only listed

Stores were replaced one after the other, each once the successor of the last had its time to catch up; after the sixth no leader stood any more. The announcement of a removed machine stays in the registry. A leader took one such after the other in for a second each, and what it had learned of them was gone with each change of leaders, so a successor voted later the more machines had ever been removed. Until then the removed voter counts in each quorum.

A leader that misses a voter asks the machines which may take its place who they are, and takes those that answer first; it waits up to 0.8 s for the first answer, where a dead machine cost 1.1 s each. Those that do not answer come after, as before, since an earlier version does not know the question. Machines are asked side by side, so a silent one holds no other up.

The test fails before (no leader after the sixth of seven) and passes now.

--- a/src/bendshed/consensus/introductions.py
+++ b/src/bendshed/consensus/introductions.py
@@ -47,6 +47,7 @@
         self._hello = to_wire(me).SerializeToString()
         self._missed = missed
         self._on_answer = on_answer
+        self._asking: dict[str, asyncio.Task[None]] = {}
 
     def start(self) -> None:
         """Answer from now on."""
@@ -57,8 +58,21 @@
         while True:
             await asyncio.sleep(INTERVAL_S)
             missed = self._missed()
-            nodes = [n for n in self._directory.by_name.values() if n.node_id in missed]
-            await asyncio.gather(*(self._ask(n) for n in nodes if n != self._directory.own))
+            for node in list(self._directory.by_name.values()):
+                if node.node_id in missed and node != self._directory.own:
+                    self._begin_to_ask(node)
+
+    def _begin_to_ask(self, node: ReplicaNode) -> None:
+        """Ask one machine, unless it is being asked: a silent one holds no other up."""
+        if node.name not in self._asking:
+            asking = asyncio.get_running_loop().create_task(self._ask(node))
+            self._asking[node.name] = asking
+            asking.add_done_callback(lambda _done: self._asking.pop(node.name, None))
+
+    def stop(self) -> None:
+        """Give up what is being asked."""
+        for asking in self._asking.values():
+            asking.cancel()
 
     async def _ask(self, node: ReplicaNode) -> None:
         try:
--- a/src/bendshed/consensus/supervisor.py
+++ b/src/bendshed/consensus/supervisor.py
@@ -22,6 +22,10 @@
 CHECK_INTERVAL_S = 0.1
 MISSED_S = 0.2
 """A member that was silent for this long is asked who it is."""
+ANSWERED_S = 1.5
+"""A machine that answered within this time is taken for alive."""
+FIRST_ANSWER_S = 0.8
+"""A leader that needs a machine waits this long for the first to answer."""
 SILENT_S = 1.0
 """A member that was silent for this long is replaced when a machine is free."""
 REJECTED_S = 3.0
@@ -73,8 +77,10 @@
         self._bootstrap = GroupBootstrap(host, storage, registry, directory, me, num_voters, groups)
         self._reporter = RetirementReporter(host, registry, directory, groups, request_emptied)
         self._introductions = Introductions(
-            transport, directory, host, me, self._missed, self._forgive
+            transport, directory, host, me, self._missed, self._note_answer
         )
+        self._answered_s: dict[str, float] = {}
+        self._short_since_s: dict[int, float] = {}
         self._rejected_until_s: dict[str, float] = {}
         self._num_rejected: dict[str, int] = {}
         self._away_since: dict[int, tuple[float, int, int]] = {}
@@ -100,6 +106,7 @@
 
     async def stop(self) -> None:
         """End."""
+        self._introductions.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -116,16 +123,21 @@
         self._directory.put(from_wire(wire.ReplicaHello.FromString(payload)))
 
     def _missed(self) -> set[str]:
-        """Members that a leader here does not hear and machines that it leaves alone; without a
-        leader all machines, since a voter may be listed under another identity.
+        """Identities whose word this machine needs.
+
+        A leader needs that of members that are silent, and while one is or is missing, that of
+        machines which may take its place. Without a leader all machines are asked, since a voter
+        may be listed under another identity.
         """
-        now_s = asyncio.get_running_loop().time()
-        missed = {node for node, until_s in self._rejected_until_s.items() if now_s < until_s}
+        missed: set[str] = set()
         for group in self._host.groups.values():
             replica = group.replica
             if replica.role is Role.LEADER:
                 members = [*replica.membership.voters, *replica.membership.learners]
-                missed |= replica.followers.silent(members, MISSED_S / self._tick_s)
+                silent = replica.followers.silent(members, MISSED_S / self._tick_s)
+                missed |= silent
+                if silent or len(replica.membership.voters) < self._num_voters:
+                    missed.update(set(self._directory.node_ids()) - set(members))
             elif not replica.leader_id and replica.is_voter:
                 missed.update(self._directory.node_ids())
         return missed
@@ -200,7 +212,11 @@
         places, weak = facts.places, {*facts.silent, *facts.retiring}
         free, voters = facts.candidates, replica.membership.voters
         ranked = rank_candidates(group_id, places, free, voters, weak)
-        wanted = plan_membership(replica.membership, replace(facts, candidates=ranked))
+        sound = [node for node in voters if node not in weak and node not in facts.wiped]
+        candidates = self._answering_first(group_id, ranked, is_short=len(sound) < facts.count)
+        if candidates is None and not facts.wiped:
+            return
+        wanted = plan_membership(replica.membership, replace(facts, candidates=candidates or []))
         if wanted is None:
             self._rested[group_id] = seen
             return
@@ -226,11 +242,32 @@
         wait_s = min(MAX_REJECTED_S, REJECTED_S * 2.0**times)
         self._rejected_until_s[node] = asyncio.get_running_loop().time() + wait_s
 
-    def _forgive(self, node: str) -> None:
-        """A machine that was left alone answers again: it may be taken in at once.
+    def _answering_first(
+        self, group_id: int, ranked: list[str], is_short: bool
+    ) -> list[str] | None:
+        """Put machines that answer first; ``None``: wait for the first answer.
+
+        The registry also lists machines that were removed. Each would be waited for as a member
+        while the voter to be replaced still counts in every quorum. A machine of a version that
+        does not answer comes after those that do.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if not is_short or not ranked:
+            self._short_since_s.pop(group_id, None)
+            return ranked
+        since_s = self._short_since_s.setdefault(group_id, now_s)
+        oldest_s = now_s - ANSWERED_S
+        answering = [node for node in ranked if self._answered_s.get(node, -1.0) >= oldest_s]
+        if not answering and now_s < since_s + FIRST_ANSWER_S:
+            return None
+        return answering + [node for node in ranked if node not in answering]
+
+    def _note_answer(self, node: str) -> None:
+        """A machine answers; one that was left alone may be taken in at once.
 
         Until it is, a lost voter that it is to replace still counts in each quorum.
         """
+        self._answered_s[node] = asyncio.get_running_loop().time()
         if self._rejected_until_s.pop(node, None) is not None:
             log.say("machine may be taken in again: it answers", node=node)
 
