--- a/src/bendshed/catalog/front_exchange.py
+++ b/src/bendshed/catalog/front_exchange.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import itertools
+import math
 from collections.abc import Callable
 
 from bendshed.catalog.demand import GREETED_S, Demand
 from bendshed.catalog.messages import read_fronts
 from bendshed.catalog.persistence import CatalogPersistence
-from bendshed.catalog.relay_list import MAX_FRONTS_SHARED, RelayList
+from bendshed.catalog.relay_list import RelayList
 from bendshed.consensus.directory import HELLO_METHOD, ReplicaDirectory, to_wire
 from bendshed.model.address import Address
 from bendshed.ports.transport import Transport
@@ -15,6 +16,9 @@
 
 FRONTS_METHOD = "catalog.fronts"
 GREETING_INTERVAL_S = 0.3
+SAVE_FRONTS_S = 5.0
+"""Shortest pause between two saves for fronts alone. Some are named at a time, drawn anew, so where
+there are many it takes several rounds until all are known."""
 LATE_GREETING_ROUNDS = 7
 """A front that has been greeted for ``GREETED_S`` is greeted in one round of so many, each 2.1 s:
 within the 3 s in which a machine has to be in touch, at a seventh of the messages."""
@@ -41,6 +45,8 @@
         self._persistence = persistence
         self._is_registry_lost = is_registry_lost
         self._greeted_since_s: dict[Address, float] = {}
+        self._named_at_s: dict[Address, float] = {}
+        self._fronts_saved_s = -math.inf
 
     def start(self) -> None:
         """Receive what other machines say of fronts from now on."""
@@ -50,13 +56,16 @@
         """Remember fronts that another machine names, on the disk too.
 
         That machine may lose its disk with its power while the registry is away: then nobody else
-        tells the fronts of any machine. A disk that holds as many as are named at once is not
-        written for others, since those named are drawn anew each time.
+        tells the fronts of any machine.
         """
         named = read_fronts(wire.CatalogReply.FromString(payload))
         self._relay_list.take_named(named)
+        now_s = asyncio.get_running_loop().time()
+        self._named_at_s.update((front.address, now_s) for front in named)
         saved = self._persistence.saved_fronts
-        if len(saved) < MAX_FRONTS_SHARED and any(front.address not in saved for front in named):
+        is_news = any(front.address not in saved for front in named)
+        if is_news and now_s >= self._fronts_saved_s + SAVE_FRONTS_S:
+            self._fronts_saved_s = now_s
             self._persistence.note_change()
 
     async def greet(self) -> None:
@@ -96,7 +105,13 @@
         return self._demand.silent_fronts() + unheard
 
     def share(self) -> None:
-        """Name some fronts to the other replica machines, which name them as relays."""
+        """Name some fronts to the other replica machines, which name them as relays and save them.
+
+        Forget those that none has named for long.
+        """
+        oldest_s = asyncio.get_running_loop().time() - GREETED_S
+        for front in [front for front, at_s in self._named_at_s.items() if at_s < oldest_s]:
+            del self._named_at_s[front]
         fronts = self._relay_list.to_share(self._demand.fronts_at_s)
         if not fronts:
             return
@@ -107,6 +122,6 @@
 
     def all_fronts(self) -> tuple[Address, ...]:
         """Fronts to save: of this machine, of the others, of the previous incarnation; sorted."""
-        fronts = {*self._demand.fronts_at_s, *self._relay_list.elsewhere}
+        fronts = {*self._demand.fronts_at_s, *self._named_at_s}
         fronts.update(self._persistence.previous_fronts())
         return tuple(sorted(fronts, key=str))
