--- a/src/bendshed/platform/objects.py
+++ b/src/bendshed/platform/objects.py
@@ -7,7 +7,6 @@
 import orjson
 
 from bendshed.adapters.connection_pool import ConnectionPool
-from bendshed.adapters.http_connection import HttpConnection
 from bendshed.model.address import Address
 from bendshed.platform import names
 from bendshed.ports.http_messages import ClientRequest, ConnectFailed, ResponseBroken
@@ -141,14 +140,11 @@
             whole = True
             return head.status, answer
         finally:
-            self._give_back(connection, whole)
-
-    def _give_back(self, connection: HttpConnection, whole: bool) -> None:
-        if whole:
-            connection.finish()
-        else:
-            connection.abort()
-        self._pool.release(self._address, connection)
+            if whole:
+                connection.finish()
+            else:
+                connection.abort()
+            self._pool.release(self._address, connection)
 
 
 def _path(kind: str, name: str = "") -> str:
