--- a/src/bendshed/consensus/supervisor.py
+++ b/src/bendshed/consensus/supervisor.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from bendshed.consensus.bootstrap import GroupBootstrap
+from bendshed.consensus.candidates import Candidates
 from bendshed.consensus.directory import HELLO_METHOD, ReplicaDirectory, from_wire, to_wire
 from bendshed.consensus.host import GroupHost, HostedGroup
 from bendshed.consensus.introductions import Introductions
@@ -22,16 +23,8 @@
 CHECK_INTERVAL_S = 0.1
 MISSED_S = 0.2
 """A member that was silent for this long is asked who it is."""
-ANSWERED_S = 1.5
-"""A machine that answered within this time is taken for alive."""
-FIRST_ANSWER_S = 0.8
-"""A leader that needs a machine waits this long for the first to answer."""
 SILENT_S = 1.0
 """A member that was silent for this long is replaced when a machine is free."""
-REJECTED_S = 3.0
-"""A machine that was taken in and did not answer is left alone for this long, and for twice as
-long each further time."""
-MAX_REJECTED_S = 60.0
 MAX_LEARNER_LAG = 100
 HOME_WATCH_S = 0.5
 """A voter at home must hold what was committed this long ago to be handed the lead."""
@@ -76,13 +69,10 @@
         self._groups = groups
         self._bootstrap = GroupBootstrap(host, storage, registry, directory, me, num_voters, groups)
         self._reporter = RetirementReporter(host, registry, directory, groups, request_emptied)
+        self._candidates = Candidates()
         self._introductions = Introductions(
-            transport, directory, host, me, self._missed, self._note_answer
+            transport, directory, host, me, self._missed, self._candidates.note_answer
         )
-        self._answered_s: dict[str, float] = {}
-        self._short_since_s: dict[int, float] = {}
-        self._rejected_until_s: dict[str, float] = {}
-        self._num_rejected: dict[str, int] = {}
         self._away_since: dict[int, tuple[float, int, int]] = {}
         self._handed_on_s = float("-inf")
         self._rested: dict[int, object] = {}
@@ -213,7 +203,9 @@
         free, voters = facts.candidates, replica.membership.voters
         ranked = rank_candidates(group_id, places, free, voters, weak)
         sound = [node for node in voters if node not in weak and node not in facts.wiped]
-        candidates = self._answering_first(group_id, ranked, is_short=len(sound) < facts.count)
+        candidates = self._candidates.answering_first(
+            group_id, ranked, is_short=len(sound) < facts.count
+        )
         if candidates is None and not facts.wiped:
             return
         wanted = plan_membership(replica.membership, replace(facts, candidates=candidates or []))
@@ -221,7 +213,7 @@
             self._rested[group_id] = seen
             return
         for node in set(replica.membership.learners) & set(facts.silent):
-            self._reject(node)
+            self._candidates.reject(node)
         if self._host.propose_membership(group_id, wanted):
             log.say(
                 "membership change proposed",
@@ -235,42 +227,6 @@
                 term=replica.term,
             )
 
-    def _reject(self, node: str) -> None:
-        """Leave a machine alone that was taken in and stayed silent."""
-        times = self._num_rejected.get(node, 0)
-        self._num_rejected[node] = times + 1
-        wait_s = min(MAX_REJECTED_S, REJECTED_S * 2.0**times)
-        self._rejected_until_s[node] = asyncio.get_running_loop().time() + wait_s
-
-    def _answering_first(
-        self, group_id: int, ranked: list[str], is_short: bool
-    ) -> list[str] | None:
-        """Put machines that answer first; ``None``: wait for the first answer.
-
-        The registry also lists machines that were removed. Each would be waited for as a member
-        while the voter to be replaced still counts in every quorum. A machine of a version that
-        does not answer comes after those that do.
-        """
-        now_s = asyncio.get_running_loop().time()
-        if not is_short or not ranked:
-            self._short_since_s.pop(group_id, None)
-            return ranked
-        since_s = self._short_since_s.setdefault(group_id, now_s)
-        oldest_s = now_s - ANSWERED_S
-        answering = [node for node in ranked if self._answered_s.get(node, -1.0) >= oldest_s]
-        if not answering and now_s < since_s + FIRST_ANSWER_S:
-            return None
-        return answering + [node for node in ranked if node not in answering]
-
-    def _note_answer(self, node: str) -> None:
-        """A machine answers; one that was left alone may be taken in at once.
-
-        Until it is, a lost voter that it is to replace still counts in each quorum.
-        """
-        self._answered_s[node] = asyncio.get_running_loop().time()
-        if self._rejected_until_s.pop(node, None) is not None:
-            log.say("machine may be taken in again: it answers", node=node)
-
     def _facts(self, group_id: int, group: HostedGroup) -> ReplicaFacts:
         """What the plan rests on; candidates are not ranked yet."""
         replica = group.replica
@@ -283,8 +239,7 @@
         caught_up = replica.followers.caught_up(
             membership.learners, replica.last_index, MAX_LEARNER_LAG
         )
-        for node in caught_up:
-            self._num_rejected.pop(node, None)
+        self._candidates.note_caught_up(caught_up)
         return ReplicaFacts(
             me=self.me.node_id,
             wiped=self._directory.wiped & set(members),
@@ -298,13 +253,12 @@
 
     def _free(self, places: VoterPlaces, members: list[str], retiring: set[str]) -> list[str]:
         """Machines that may be taken in."""
-        now_s = asyncio.get_running_loop().time()
         return [
             node
             for node in places.zone_of
             if node not in members
             and node not in retiring
-            and self._rejected_until_s.get(node, 0.0) <= now_s
+            and not self._candidates.is_left_alone(node)
         ]
 
     def num_sound_voters(self, group_id: int = 0) -> int:
