--- a/src/bendshed/consensus/introductions.py
+++ b/src/bendshed/consensus/introductions.py
@@ -81,7 +81,8 @@
             )
         except PeerUnreachable:
             return  # silent, or of a version that does not know the method: asked again
-        if reply:
+        # Another word that came meanwhile may be newer than this one: the machine is asked again.
+        if reply and self._directory.by_name.get(node.name) == node:
             found = from_wire(wire.ReplicaHello.FromString(reply))
             self._directory.put_own_word(found)
             self._on_answer(found.node_id)
