--- a/tests/test_turn_ends.py
+++ b/tests/test_turn_ends.py
@@ -1,6 +1,7 @@
 """Ends of turns that no caller waits for: all are committed, gently while no leader answers."""
 
 import asyncio
+import sys
 import unittest
 from typing import cast
 from unittest import mock
@@ -13,7 +14,10 @@
 from bendshed.wire import turns_pb2 as wire
 
 COMMIT_S = 0.01
+SLOW_COMMIT_S = 0.8
 AWAY_S = 60.0
+MOST_PASSES = 10
+"""Passes of the loop from an answer to the end of the task that waited for it."""
 
 
 class Leaders:
@@ -24,6 +28,7 @@
         self.ended: list[str] = []
         self.num_tries = 0
         self.num_at_once = self.most_at_once = 0
+        self.has_answered = asyncio.Event()
 
     async def command(self, command: wire.TurnCommand, timeout_s: float) -> wire.TurnReply:
         self.num_tries += 1
@@ -33,10 +38,14 @@
             if command.group in self.away:
                 await asyncio.sleep(timeout_s)
                 raise GroupUnavailable("away")
+            if timeout_s < COMMIT_S:
+                await asyncio.sleep(timeout_s)
+                raise GroupUnavailable("slow")
             await asyncio.sleep(COMMIT_S)
         finally:
             self.num_at_once -= 1
         self.ended.append(command.finish.turn_id)
+        self.has_answered.set()
         return wire.TurnReply()
 
 
@@ -93,6 +102,29 @@
         self.run_for(10 * COMMIT_S)
         self.assertEqual(self.leaders.ended, ["turn-1"])
 
+    def test_one_that_is_added_as_the_queue_runs_empty_is_committed(self) -> None:
+        async def add_both() -> None:
+            self.ends.add(end_of(0))
+            (committing,) = self.ends._committing.values()
+            await self.leaders.has_answered.wait()
+            for _ in range(MOST_PASSES):
+                if committing.done():
+                    break
+                await asyncio.sleep(0)
+            self.ends.add(end_of(1))
+
+        self.loop.run_until_complete(add_both())
+        self.run_for(10 * COMMIT_S)
+        self.assertEqual(self.leaders.ended, ["turn-0", "turn-1"])
+        self.assertEqual(self.ends.num_pending, 0)
+
+    def test_slow_commits_do_not_hold_the_queue_up(self) -> None:
+        """Each is committed late, and known to be only if it is waited for as long."""
+        with mock.patch.object(sys.modules[__name__], "COMMIT_S", SLOW_COMMIT_S):
+            self.add(*(end_of(number) for number in range(10)))
+            self.run_for(AWAY_S)
+        self.assertEqual(self.ends.num_pending, 0)
+
     def test_what_finds_no_place_is_named(self) -> None:
         with mock.patch.object(turn_ends, "MAX_PENDING", 2):
             self.add(*(end_of(number) for number in range(3)))
