Tests: a turn is refused as spent before the ends of refused turns have come

Begins of refused turns are committed first; until their ends have come, the next try is answered 402, which ends its program. Where all fronts lose power with ends that wait, they never come.

--- a/tests/site_budget_defects.py
+++ b/tests/site_budget_defects.py
@@ -85,6 +85,47 @@
         return site.settle()
 
 
+def the_next_try_meets_the_new_leader(seed: int, after_s: float) -> list[Violation]:
+    """As above, but the caller asks as soon as a leader leads, before the ends have come."""
+    with world(seed) as site:
+        stored = ask(site, 0)
+        site.run_for(ANSWER_S)
+        assert stored.status == 200, "the first turn is not served"
+        silence_voters(site)
+        refused = [ask(site, number, stored.request_id) for number in range(1, OUTAGES + 1)]
+        site.run_for(LONG_OUTAGE_S)
+        assert {request.status for request in refused} == {503}, "a begin was committed in time"
+        site.network.cuts.clear()
+        site.wait_for(site.is_led, LED_AGAIN_S)
+        site.run_for(after_s)
+        ask(site, OUTAGES + 1, stored.request_id)
+        site.run_for(ANSWER_S)
+        return site.settle()
+
+
+def fronts_stop_before_their_ends(seed: int) -> list[Violation]:
+    """All tries are refused, none runs; then every front loses power, and the caller asks again."""
+    with world(seed) as site:
+        stored = ask(site, 0)
+        site.run_for(ANSWER_S)
+        assert stored.status == 200, "the first turn is not served"
+        silence_voters(site)
+        refused = [ask(site, number, stored.request_id) for number in range(1, OUTAGES + 1)]
+        site.run_for(OUTAGE_S)
+        assert {request.status for request in refused} == {503}, "a begin was committed in time"
+        for front in list(site.fronts.values()):
+            site.kill(front)
+        site.network.cuts.clear()
+        for front in list(site.fronts.values()):
+            site.restart(front)
+        site.wait_for(site.is_led, LED_AGAIN_S)
+        for number in range(1, OUTAGES + 1):
+            site.run_for(LED_AGAIN_S)
+            ask(site, OUTAGES + number, stored.request_id)
+        site.run_for(ANSWER_S)
+        return site.settle()
+
+
 BUDGET_DEFECTS: dict[str, Defect] = {
     "the end of a turn that was not served is dropped": Defect(
         Rule.SPENT,
--- a/tests/test_begins_are_ended.py
+++ b/tests/test_begins_are_ended.py
@@ -34,7 +34,9 @@
 from bendshed.wire import turns_pb2 as wire
 from tests.site_budget_defects import (
     begins_are_committed_too_late,
+    fronts_stop_before_their_ends,
     no_begin_is_committed_for_long,
+    the_next_try_meets_the_new_leader,
 )
 
 EVENTS = 3
@@ -122,6 +124,17 @@
         self.addCleanup(logging.disable, logging.NOTSET)
         self.assertEqual([no_begin_is_committed_for_long(seed) for seed in (1, 2)], [[], []])
 
+    def test_nor_when_the_next_try_meets_the_new_leader(self) -> None:
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        played = [the_next_try_meets_the_new_leader(1, after_s) for after_s in (0.0, 0.2, 0.5)]
+        self.assertEqual(played, [[], [], []])
+
+    def test_nor_where_all_fronts_lost_power_before_their_ends(self) -> None:
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.assertEqual(fronts_stop_before_their_ends(1), [])
+
 
 class SpentRuleTest(unittest.TestCase):
     """The rule that judges 402s can fail, and allows what it must."""
