No live voter leaves while another is unheard

No leader stood after a loss of power of all in which the newest store alone lost its disk. It had taken a removed store's place 0.6 s before and stood in a zone without voters. For a second the removed voter counts as sound, so the newcomer was taken in to even the zones out and a live voter let go for it. Of the three voters then one was removed, one lost its disk, and one remained.

An exchange for a better zone now begins, and a live voter leaves, only while all others were heard within 0.2 s. A voter that is gone is silent for a second soon after and goes first; one that is only late delays the exchange by as much.

--- a/src/bendshed/consensus/membership_plan.py
+++ b/src/bendshed/consensus/membership_plan.py
@@ -20,6 +20,7 @@
         candidates: live processes that hold no replica, best first.
         count: wanted voters.
         places: zones of nodes, so that voters survive the loss of a zone.
+        unheard: members without a reply for a moment: they may be gone, or not.
 
     """
 
@@ -31,6 +32,16 @@
     candidates: Sequence[str]
     count: int
     places: VoterPlaces = field(default_factory=lambda: VoterPlaces({}))
+    unheard: Collection[str] = ()
+
+    def may_let_go(self, voters: Collection[str], node: str) -> bool:
+        """Whether one voter may leave: a live one only while all others are heard.
+
+        If another is gone and its successor among the voters, a loss of the successor's disk would
+        leave too few.
+        """
+        others = [voter for voter in voters if voter not in (node, self.me)]
+        return node in self.silent or not any(voter in self.unheard for voter in others)
 
     def is_weak(self, node: str) -> bool:
         """Whether a voter is to be replaced."""
@@ -83,14 +94,18 @@
         return None  # the leader itself is to go; it hands over first
     silent = [node for node in removable if node in facts.silent]
     others = silent or removable or [node for node in present.voters if node != facts.me]
-    return _without(present, facts.places.best_without(present.voters, others))
+    leaving = facts.places.best_without(present.voters, others)
+    return _without(present, leaving) if facts.may_let_go(present.voters, leaving) else None
 
 
 def _rebalance(present: GroupMembership, facts: ReplicaFacts) -> GroupMembership | None:
     """Enough sound voters: take in a machine whose zone is better than that of one of them.
 
-    Each exchange leaves the voters strictly better, so exchanges end.
+    Each exchange leaves the voters strictly better, so exchanges end. None begins while a voter is
+    unheard.
     """
+    if any(node in facts.unheard for node in present.voters):
+        return None
     for node in present.learners:
         if not _improves(present, node, facts):
             return _membership(list(present.voters), [n for n in present.learners if n != node])
@@ -119,7 +134,7 @@
     """No machine is free to take over: a retiring voter still goes while two others stay."""
     leaving = [n for n in present.voters if n in facts.retiring and n != facts.me]
     stay = [n for n in present.voters if not facts.is_weak(n)]
-    if leaving and len(stay) >= 2:
+    if leaving and len(stay) >= 2 and facts.may_let_go(present.voters, leaving[0]):
         return _without(present, leaving[0])
     return None
 
--- a/src/bendshed/consensus/supervisor.py
+++ b/src/bendshed/consensus/supervisor.py
@@ -21,8 +21,8 @@
 from bendshed.wire import turns_pb2 as wire
 
 CHECK_INTERVAL_S = 0.1
-MISSED_S = 0.2
-"""A member that was silent for this long is asked who it is."""
+UNHEARD_S = 0.2
+"""A member that was silent for this long is asked who it is, and no live voter leaves."""
 SILENT_S = 1.0
 """A member that was silent for this long is replaced when a machine is free."""
 MAX_LEARNER_LAG = 100
@@ -124,7 +124,7 @@
             replica = group.replica
             if replica.role is Role.LEADER:
                 members = [*replica.membership.voters, *replica.membership.learners]
-                silent = replica.followers.silent(members, MISSED_S / self._tick_s)
+                silent = replica.followers.silent(members, UNHEARD_S / self._tick_s)
                 missed |= silent
                 if silent or len(replica.membership.voters) < self._num_voters:
                     missed.update(set(self._directory.node_ids()) - set(members))
@@ -244,6 +244,7 @@
             me=self.me.node_id,
             wiped=self._directory.wiped & set(members),
             silent=silent,
+            unheard=replica.followers.silent(members, UNHEARD_S / self._tick_s),
             retiring=retiring,
             caught_up=caught_up,
             candidates=free,
--- a/tests/test_membership_plan.py
+++ b/tests/test_membership_plan.py
@@ -49,6 +49,12 @@
     def test_one_that_came_back_after_its_successor_joined_is_surplus(self) -> None:
         self.assertEqual(self.plan(members("abcd")), ("abc", ""))
 
+    def test_a_live_voter_stays_while_another_is_unheard(self) -> None:
+        self.assertIsNone(self.plan(members("abcd"), unheard=["b"]))
+        self.assertEqual(self.plan(members("abcd"), unheard=["d"]), ("abc", ""))
+        self.assertIsNone(self.plan(members("abc"), retiring=["c"], unheard=["b"]))
+        self.assertEqual(self.plan(members("abcd"), silent=["c"], unheard=["b", "c"]), ("abd", ""))
+
     def test_a_useless_learner_is_dropped(self) -> None:
         self.assertEqual(self.plan(members("abc", "d"), wiped=["d"]), ("abc", ""))
         self.assertEqual(self.plan(members("abc", "d"), silent=["d"]), ("abc", ""))
