--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -4,6 +4,7 @@
 import unittest
 
 from bendshed.rehearsal.search import Step
+from bendshed.rehearsal.site.closing_rules import Broken
 from bendshed.rehearsal.site.closing_world import ClosingWorld
 from bendshed.rehearsal.site.closings import CLOSINGS, MAX_TROUBLE_S, Trouble
 from bendshed.rehearsal.site.sim_disruption import Disruption
@@ -173,6 +174,36 @@
         self.check_serves_after(newest)
 
 
+class SuccessorsFirstMomentsTest(unittest.TestCase):
+    """A successor loses its disk in the moment in which it and the removed voter both vote.
+
+    Seen: no leader after a loss of power of all in which the newest store alone lost its disk, at
+    some moments after its start. How: a store is replaced, and the successor loses its disk as all
+    lose power. Cause: it was made a voter beside the removed one, and three of four are a majority,
+    of which two are left. Proof: the voters are the first three and the successor.
+    """
+
+    seed = 1
+    MOMENTS_S = (1.05, 1.1, 1.15, 1.2, 1.25)
+
+    def setUp(self) -> None:
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def test_the_site_serves_whenever_it_happens(self) -> None:
+        broken = {moment_s: self.broken_at(moment_s) for moment_s in self.MOMENTS_S}
+        self.assertEqual(broken, {moment_s: [] for moment_s in self.MOMENTS_S})
+
+    def broken_at(self, moment_s: float) -> list[Broken]:
+        world = ClosingWorld.opened(self.seed)
+        try:
+            CLOSINGS.apply(world, Step(Trouble.REPLACE, 1, 0.0))
+            world.run_for(moment_s)
+            return world.close_down(max(world.stores.values(), key=_number))
+        finally:
+            world.close()
+
+
 def _number(machine: SimMachine) -> int:
     """Stores that came later have higher ones; those of the start are numbered below them."""
     return int(machine.name.rpartition("-")[2])
