A silent voter goes before its successor votes

A successor that lost its disk as all lost power, 1.15 to 1.2 s after its start, left no leader: it had just been made a voter beside the removed one, and of four voters three are a majority.

With three voters or more the silent one now leaves once its successor holds the log, and the successor votes next. A leader and one follower are a majority of three as of two, so nothing is asked of the others that was not before. Of two voters none leaves first, since one alone would be the only copy.

--- a/src/bendshed/consensus/membership_plan.py
+++ b/src/bendshed/consensus/membership_plan.py
@@ -68,12 +68,26 @@
     if len(voters) - len(weak) >= facts.count:
         return _rebalance(present, facts)
     if learners:
-        return _promote(present, [node for node in learners if node in facts.caught_up])
+        return _replace(present, facts)
     if facts.candidates:
         return _membership(voters, [facts.candidates[0]])
     return _empty_without_successor(present, facts)
 
 
+def _replace(present: GroupMembership, facts: ReplicaFacts) -> GroupMembership | None:
+    """A learner that has caught up takes a voter's place.
+
+    A silent voter goes before its successor votes: beside it, a majority would need one voter more,
+    and a loss of the successor's disk would leave too few. Of two voters none goes first: with the
+    learner the other makes a majority, alone it would be the only copy.
+    """
+    ready = [node for node in present.learners if node in facts.caught_up]
+    gone = [node for node in present.voters if node in facts.silent and node != facts.me]
+    if ready and gone and len(present.voters) > 2:
+        return _without(present, gone[0])
+    return _promote(present, ready)
+
+
 def _promote(present: GroupMembership, ready: Sequence[str]) -> GroupMembership | None:
     """A learner that has caught up becomes a voter."""
     if not ready:
