While a machine is taken in, a leader waits for no other's answer

An answer is waited for only while no machine is being taken in.

The test of catching up failed since the silent voter leaves first, and passes.

--- a/src/bendshed/consensus/supervisor.py
+++ b/src/bendshed/consensus/supervisor.py
@@ -203,9 +203,9 @@
         free, voters = facts.candidates, replica.membership.voters
         ranked = rank_candidates(group_id, places, free, voters, weak)
         sound = [node for node in voters if node not in weak and node not in facts.wiped]
-        candidates = self._candidates.answering_first(
-            group_id, ranked, is_short=len(sound) < facts.count
-        )
+        # While a machine is being taken in, no other is needed, and so none is waited for.
+        is_short = len(sound) < facts.count and not replica.membership.learners
+        candidates = self._candidates.answering_first(group_id, ranked, is_short)
         if candidates is None and not facts.wiped:
             return
         wanted = plan_membership(replica.membership, replace(facts, candidates=candidates or []))
