--- /dev/null
+++ b/tests/test_older_announcements.py
@@ -0,0 +1,76 @@
+"""Two stores led one group at once, each sure that the other's disk was lost.
+
+Seen: turns were answered by two leaders, and a program got more tokens than its budget. How it came
+about: both stores had lost their disks before, one after the other, and were voters again; then all
+lost power, and the registry's list was an older one. What had been known to be lost was not on the disks
+of an earlier build. Cause: each took the
+older announcement of the other for a newer identity, counted the live one as lost, and needed no
+vote but its own. Proof: each holds the other's live identity among the lost ones.
+"""
+
+import logging
+import unittest
+from dataclasses import replace
+
+from bendshed.catalog.codec import decode_stored, encode_stored
+from bendshed.ports.registry import ReplicaNode
+from bendshed.rehearsal.simulator.platform import SimDisk
+from bendshed.rehearsal.site.layout import SiteLayout
+from bendshed.rehearsal.site.sim_world import SiteWorld
+
+TWO_STORES = SiteLayout(
+    front_zones=("zone-a", "zone-b", "zone-c"),
+    store_zones=("zone-a", "zone-b"),
+    num_voters=3,
+    has_tenants=False,
+)
+CATCH_UP_S = 12.0
+OFF_S = 0.5
+WATCHED_S = 3.0
+LOOK_S = 0.01
+
+
+class OlderList(dict[str, ReplicaNode]):
+    """Takes announcements and lists none of them."""
+
+    def __setitem__(self, _name: str, _node: ReplicaNode) -> None:
+        return
+
+
+def leaders(world: SiteWorld) -> list[str]:
+    groups = {n: s.replica.host.groups for n, s in world.stores.items() if s.replica is not None}
+    return [n for n, held in groups.items() if 0 in held and held[0].replica.is_ready_leader]
+
+
+class OlderListTest(unittest.TestCase):
+    def play(self, seed: int, keeps_lost: bool) -> tuple[int, int]:
+        """Most leaders at once, and leaders at the end."""
+        world = SiteWorld.started(seed, TWO_STORES)
+        self.addCleanup(world.close)
+        world.run_for(CATCH_UP_S)
+        older = OlderList(world.registry.announced)
+        for name, store in sorted(world.stores.items()):
+            world.kill(store)
+            store.disk = SimDisk(identity=f"{name}-disk-new")
+            world.restart(store)
+            world.run_for(CATCH_UP_S)
+        for store in world.stores.values():
+            world.kill(store)
+            if not keeps_lost and store.disk is not None:
+                stored = decode_stored(store.disk.catalog)
+                store.disk.catalog = encode_stored(replace(stored, lost=()))
+        world.registry.announced = older
+        world.run_for(OFF_S)
+        for store in world.stores.values():
+            world.restart(store)
+        most = 0
+        for _ in range(int(WATCHED_S / LOOK_S)):
+            world.run_for(LOOK_S)
+            most = max(most, len(leaders(world)))
+        return most, len(leaders(world))
+
+    def test_no_two_stores_lead_at_once(self) -> None:
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        played = [self.play(seed, keeps) for seed in (1, 2, 3) for keeps in (True, False)]
+        self.assertEqual(played, [(1, 1)] * 6)
