A quorum shrinks only by a machine's own word that its disk is lost

Cause: an identity counted as lost as soon as its machine was announced under another one. Announcements come in any order, so two voters that each read an older one of the other both needed no vote but their own.

Why it holds: what raft leaves out of a quorum is now only what its machine itself has answered for, under another identity, to a question of this process, or in an earlier life of it (saved). Such an identity has no disk any more and cannot vote. Where the machine does not answer, the quorum waits. Removing a member is unchanged: it needs a full quorum. The saved catalog gains an optional field; nothing replicated changes.

--- a/src/bendshed/catalog/codec.py
+++ b/src/bendshed/catalog/codec.py
@@ -70,7 +70,8 @@
     """What a replica machine has on its disk between incarnations.
 
     Attributes:
-        lost: identities of replica machines whose disk is lost.
+        lost: identities of replica machines whose disk is lost, as announcements say.
+        proven_lost: those whose machine itself has answered under another identity.
 
     """
 
@@ -79,6 +80,7 @@
     fronts: tuple[Address, ...] = ()
     zones: ZoneUpdate = field(default_factory=ZoneUpdate)
     lost: tuple[str, ...] = ()
+    proven_lost: tuple[str, ...] = ()
 
 
 def encode_stored(stored: StoredCatalog) -> bytes:
@@ -88,6 +90,7 @@
     everything.fronts.extend(write_address(front) for front in stored.fronts)
     add_zones(everything, stored.zones, known_at=0)
     everything.lost.extend(stored.lost)
+    everything.proven_lost.extend(stored.proven_lost)
     return everything.SerializeToString()
 
 
@@ -103,6 +106,7 @@
             tuple(read_peer(front) for front in everything.fronts),
             read_zones(everything),
             tuple(everything.lost),
+            tuple(everything.proven_lost),
         )
     except (DecodeError, DocumentUnreadable):
         return StoredCatalog()
--- a/src/bendshed/catalog/replica_parts.py
+++ b/src/bendshed/catalog/replica_parts.py
@@ -100,6 +100,7 @@
         self.catalog.start()
         # First: an older announcement would else make a live voter count as lost.
         self._around.directory.wiped.update(self._persistence.stored.lost)
+        self._around.directory.proven_lost.update(self._persistence.stored.proven_lost)
         for node in self._persistence.stored.replicas:
             self._around.directory.put(node)
         self._around.directory.on_change.append(self.catalog.announce)
@@ -148,4 +149,5 @@
             self._exchange.all_fronts(),
             self.catalog.zones.record.update(asyncio.get_running_loop().time()),
             tuple(sorted(self._around.directory.wiped)),
+            tuple(sorted(self._around.directory.proven_lost)),
         )
--- a/src/bendshed/consensus/directory.py
+++ b/src/bendshed/consensus/directory.py
@@ -22,12 +22,14 @@
 
     Invariants: an identity that was superseded at its machine comes back by that machine's own
     word alone, since its disk is lost, also over restarts of this process
-    (``catalog/persistence.py`` holds them); this process's own identity is never superseded.
+    (``catalog/persistence.py`` holds them); this process's own identity is never superseded; an
+    identity is proven lost only by its machine's own word under another one.
 
     Attributes:
         own: this process's announcement; ``None``: it holds no replica.
         by_name: the latest known announcement of each machine.
-        wiped: identities whose disk is lost.
+        wiped: identities whose disk is lost, as announcements say, which come in any order.
+        proven_lost: those of them whose machine itself has answered under another identity.
         retiring: names of machines that operators want emptied.
         knows_retiring: whether this incarnation has read the operators' wishes.
         on_change: called after each change.
@@ -37,14 +39,18 @@
     own: ReplicaNode | None = None
     by_name: dict[str, ReplicaNode] = field(default_factory=dict)
     wiped: set[str] = field(default_factory=set)
+    proven_lost: set[str] = field(default_factory=set)
     retiring: set[str] = field(default_factory=set)
     knows_retiring: bool = False
     on_change: list[Callable[[], None]] = field(default_factory=list)
+    _identities: dict[str, set[str]] = field(default_factory=dict)
 
     def put(self, node: ReplicaNode) -> None:
         """Take an announcement."""
+        self._identities.setdefault(node.name, set()).add(node.node_id)
         if self._is_own_past(node):
             self.wiped.add(node.node_id)
+            self.proven_lost.add(node.node_id)
             return
         known = self.by_name.get(node.name)
         if node == known or node.node_id in self.wiped:
@@ -73,6 +79,8 @@
             self.wiped.discard(node.node_id)
             log.say("replica machine is not lost: it answers", name=node.name, node=node.node_id)
         self.put(node)
+        self.proven_lost.discard(node.node_id)
+        self.proven_lost |= self._identities[node.name] - {node.node_id}
 
     def list_retiring(self, names: Collection[str]) -> None:
         """Take all wishes of operators that machines are emptied."""
--- a/src/bendshed/consensus/raft.py
+++ b/src/bendshed/consensus/raft.py
@@ -51,7 +51,7 @@
         persisted_index: last entry of this replica known to be durable.
         followers: what the leader knows of the others.
         log: entries since the last snapshot.
-        lost: identities whose disks are known to be lost for good.
+        lost: identities whose disks are proven to be lost for good.
 
     """
 
--- a/src/bendshed/consensus/supervisor.py
+++ b/src/bendshed/consensus/supervisor.py
@@ -139,7 +139,9 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             self._hand_on_when_stalled()
             for group_id, group in list(self._host.groups.items()):
-                group.replica.lost = frozenset(self._directory.wiped)
+                # Announcements alone prove nothing: two voters that each read an older one of the
+                # other would both lead.
+                group.replica.lost = frozenset(self._directory.proven_lost)
                 if group.replica.is_ready_leader:
                     self._supervise_group(group_id, group)
 
--- a/tests/test_older_announcements.py
+++ b/tests/test_older_announcements.py
@@ -2,10 +2,10 @@
 
 Seen: turns were answered by two leaders, and a program got more tokens than its budget. How it came
 about: both stores had lost their disks before, one after the other, and were voters again; then all
-lost power, and the registry's list was an older one. What had been known to be lost was not on the disks
-of an earlier build. Cause: each took the
-older announcement of the other for a newer identity, counted the live one as lost, and needed no
-vote but its own. Proof: each holds the other's live identity among the lost ones.
+lost power, and the registry's list was an older one. What had been known to be lost was not on
+their disks. Cause: each took the older announcement of the other for a newer identity, counted the
+live one as lost, and needed no vote but its own. Proof: each holds the other's live identity among
+the lost ones.
 """
 
 import logging
