--- a/tests/site_budget_defects.py
+++ b/tests/site_budget_defects.py
@@ -54,19 +54,38 @@
         assert last.status, "the last turn is not answered"
 
 
+def store_a_turn(site: SiteWorld) -> SiteRequest:
+    """The program's first turn, answered whole."""
+    stored = ask(site, 0)
+    site.run_for(ANSWER_S)
+    assert stored.status == 200, "the first turn is not served"
+    return stored
+
+
+def refuse_in_an_outage(site: SiteWorld, stored: SiteRequest, outage_s: float) -> None:
+    """Turns whose begins reach the voters' logs and whose callers are refused; the outage lasts."""
+    silence_voters(site)
+    refused = [ask(site, number, stored.request_id) for number in range(1, OUTAGES + 1)]
+    site.run_for(outage_s)
+    assert {request.status for request in refused} == {503}, "a begin was committed in time"
+
+
+def end_the_outage(site: SiteWorld) -> None:
+    """Stores reach each other again; return once one leads."""
+    site.network.cuts.clear()
+    site.wait_for(site.is_led, LED_AGAIN_S)
+
+
 def begins_are_committed_too_late(seed: int) -> list[Violation]:
     """A program goes on from a stored turn; its begins reach the voters' logs without a commit."""
     with world(seed) as site:
-        stored = ask(site, 0)
-        site.run_for(ANSWER_S)
-        assert stored.status == 200, "the first turn is not served"
+        stored = store_a_turn(site)
         for number in range(1, OUTAGES + 1):
             silence_voters(site)
             refused = ask(site, number, stored.request_id)
             site.run_for(OUTAGE_S)
             assert refused.status == 503, "the begin was committed in time"
-            site.network.cuts.clear()
-            site.wait_for(site.is_led, LED_AGAIN_S)
+            end_the_outage(site)
             site.run_for(ANSWER_S)
         ask_again(site, stored)
         return site.settle()
@@ -75,15 +94,9 @@
 def no_begin_is_committed_for_long(seed: int) -> list[Violation]:
     """Begins reach the voters' logs, and their ends find no leader for half a minute."""
     with world(seed) as site:
-        stored = ask(site, 0)
-        site.run_for(ANSWER_S)
-        assert stored.status == 200, "the first turn is not served"
-        silence_voters(site)
-        refused = [ask(site, number, stored.request_id) for number in range(1, OUTAGES + 1)]
-        site.run_for(LONG_OUTAGE_S)
-        assert {request.status for request in refused} == {503}, "a begin was committed in time"
-        site.network.cuts.clear()
-        site.wait_for(site.is_led, LED_AGAIN_S)
+        stored = store_a_turn(site)
+        refuse_in_an_outage(site, stored, LONG_OUTAGE_S)
+        end_the_outage(site)
         site.run_for(LED_AGAIN_S)
         ask_again(site, stored)
         return site.settle()
@@ -92,15 +105,9 @@
 def the_next_try_meets_the_new_leader(seed: int, after_s: float) -> list[Violation]:
     """As above, but the caller asks as soon as a leader leads, before the ends have come."""
     with world(seed) as site:
-        stored = ask(site, 0)
-        site.run_for(ANSWER_S)
-        assert stored.status == 200, "the first turn is not served"
-        silence_voters(site)
-        refused = [ask(site, number, stored.request_id) for number in range(1, OUTAGES + 1)]
-        site.run_for(LONG_OUTAGE_S)
-        assert {request.status for request in refused} == {503}, "a begin was committed in time"
-        site.network.cuts.clear()
-        site.wait_for(site.is_led, LED_AGAIN_S)
+        stored = store_a_turn(site)
+        refuse_in_an_outage(site, stored, LONG_OUTAGE_S)
+        end_the_outage(site)
         site.run_for(after_s)
         ask(site, OUTAGES + 1, stored.request_id)
         site.run_for(ANSWER_S)
@@ -110,19 +117,14 @@
 def fronts_stop_before_their_ends(seed: int) -> list[Violation]:
     """All tries are refused, none runs; then every front loses power, and the caller asks again."""
     with world(seed) as site:
-        stored = ask(site, 0)
-        site.run_for(ANSWER_S)
-        assert stored.status == 200, "the first turn is not served"
-        silence_voters(site)
-        refused = [ask(site, number, stored.request_id) for number in range(1, OUTAGES + 1)]
-        site.run_for(OUTAGE_S)
-        assert {request.status for request in refused} == {503}, "a begin was committed in time"
-        for front in list(site.fronts.values()):
+        stored = store_a_turn(site)
+        refuse_in_an_outage(site, stored, OUTAGE_S)
+        fronts = list(site.fronts.values())
+        for front in fronts:
             site.kill(front)
-        site.network.cuts.clear()
-        for front in list(site.fronts.values()):
+        for front in fronts:
             site.restart(front)
-        site.wait_for(site.is_led, LED_AGAIN_S)
+        end_the_outage(site)
         site.run_for(LED_AGAIN_S)
         ask_again(site, stored)
         return site.settle()
