--- a/src/bendshed/turns/led_group.py
+++ b/src/bendshed/turns/led_group.py
@@ -108,12 +108,12 @@
         Begins of turns that were refused may be committed before their ends come, for one when a
         new leader commits what the last one left.
         """
-        program = state.programs[begin.tenant, begin.program_id]
-        standing_tokens = self._reservations.standing_tokens(
-            (begin.tenant, begin.program_id),
-            program.reserved,
-            asyncio.get_running_loop().time(),
-        )
+        name = (begin.tenant, begin.program_id)
+        program = state.programs.get(name)
+        if program is None:  # a snapshot has replaced the state since: another process leads
+            return reply
+        now_s = asyncio.get_running_loop().time()
+        standing_tokens = self._reservations.standing_tokens(name, program.reserved, now_s)
         used_tokens = program.spent_tokens + standing_tokens
         if used_tokens + begin.most_tokens > begin.budget_tokens:
             return reply
