--- a/src/bendshed/rehearsal/site/closing_world.py
+++ b/src/bendshed/rehearsal/site/closing_world.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
-from bendshed.rehearsal.simulator.platform import SimDisk
 from bendshed.rehearsal.simulator.timed_world import CHECK_S
 from bendshed.rehearsal.site.closing_rules import RECOVERY_S, Broken, PowerLoss, is_served, judge
 from bendshed.rehearsal.site.layout import SMALL, SMALL_WITH_SPARE
@@ -163,7 +162,7 @@
 
     def lose_disk(self, machine: SimMachine) -> None:
         """Its next incarnation starts with an empty one."""
-        machine.disk = SimDisk(identity=f"{machine.name}-disk-{machine.lives + 1}")
+        machine.lose_disk()
         self._use_disk(machine)
 
     def settle(self) -> list[Broken]:  # type: ignore[override]
--- a/src/bendshed/rehearsal/site/fuzz.py
+++ b/src/bendshed/rehearsal/site/fuzz.py
@@ -5,7 +5,6 @@
 from functools import partial
 
 from bendshed.rehearsal.search import Game, Step
-from bendshed.rehearsal.simulator.platform import SimDisk
 from bendshed.rehearsal.site.actions import CALM, WITHIN_A_REGION, Action
 from bendshed.rehearsal.site.documents import GUEST, NARROW, WIDE
 from bendshed.rehearsal.site.layout import TWO_REGIONS, TWO_REGIONS_WITH_TENANTS
@@ -155,7 +154,7 @@
             return
         world.count("wipe a disk")
         world.kill(machine)
-        machine.disk = SimDisk(identity=f"{machine.name}-disk-{machine.lives + 1}")
+        machine.lose_disk()
         world.restart(machine)
 
     def _calm_stores(self) -> bool:
@@ -179,7 +178,7 @@
         machines = [*self.world.fronts.values(), *self.world.stores.values()]
         for other in machines:
             self.world.kill(other)
-        machine.disk = SimDisk(identity=f"{machine.name}-disk-{machine.lives + 1}")
+        machine.lose_disk()
         for other in machines:
             self.world.restart(other)
 
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -73,6 +73,10 @@
         """Whether its process runs, paused or not."""
         return not self.is_down
 
+    def lose_disk(self) -> None:
+        """The machine, which is down, will start with an empty disk under a new identity."""
+        self.disk = SimDisk(identity=f"{self.name}-disk-{self.lives + 1}")
+
 
 @dataclass(slots=True)
 class SiteWorld(TimedWorld):
--- a/tests/site_defects.py
+++ b/tests/site_defects.py
@@ -15,7 +15,6 @@
 from bendshed.model.route_index import RouteIndex
 from bendshed.model.service_document import ServiceDocument, Tenant
 from bendshed.ports.http_messages import ResponseBroken
-from bendshed.rehearsal.simulator.platform import SimDisk
 from bendshed.rehearsal.site.documents import GUEST, NARROW, WIDE
 from bendshed.rehearsal.site.oracle import Rule, Violation
 from bendshed.rehearsal.site.programs import ProgramPlan
@@ -93,7 +92,7 @@
             start_programs(site, 3)
             site.run_for(0.4)
             site.kill(leader)
-            leader.disk = SimDisk(identity=f"{leader.name}-disk-{leader.lives + 1}")
+            leader.lose_disk()
             site.network.cuts.clear()
             site.restart(leader)
         return site.settle()
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from enum import StrEnum
 
-from bendshed.rehearsal.simulator.platform import SimDisk
 from bendshed.rehearsal.site.programs import ProgramPlan
 from bendshed.rehearsal.site.records import Kind
 from bendshed.rehearsal.site.sim_world import SimMachine, SiteWorld
@@ -64,7 +63,7 @@
                 leader.process.paused = True
             case StoreFault.WIPE:
                 world.kill(leader)
-                leader.disk = SimDisk(identity=f"{leader.name}-disk-2")
+                leader.lose_disk()
                 world.restart(leader)
 
     def is_whole(self, world: SiteWorld, struck: SimMachine) -> bool:
--- a/tests/test_older_announcements.py
+++ b/tests/test_older_announcements.py
@@ -14,7 +14,6 @@
 
 from bendshed.catalog.codec import decode_stored, encode_stored
 from bendshed.ports.registry import ReplicaNode
-from bendshed.rehearsal.simulator.platform import SimDisk
 from bendshed.rehearsal.site.layout import SiteLayout
 from bendshed.rehearsal.site.sim_world import SiteWorld
 
@@ -49,9 +48,9 @@
         self.addCleanup(world.close)
         world.run_for(CATCH_UP_S)
         older = OlderList(world.registry.announced)
-        for name, store in sorted(world.stores.items()):
+        for _, store in sorted(world.stores.items()):
             world.kill(store)
-            store.disk = SimDisk(identity=f"{name}-disk-new")
+            store.lose_disk()
             world.restart(store)
             world.run_for(CATCH_UP_S)
         for store in world.stores.values():
--- a/tests/test_quorum.py
+++ b/tests/test_quorum.py
@@ -7,7 +7,6 @@
 from bendshed.consensus.quorum import quorum_size
 from bendshed.model.address import Address
 from bendshed.ports.registry import ReplicaNode
-from bendshed.rehearsal.simulator.platform import SimDisk
 from bendshed.rehearsal.site.sim_world import SimMachine, SiteWorld
 from tests.site_defects import start_programs
 
@@ -65,7 +64,7 @@
 
     def wipe(self, machine: SimMachine) -> None:
         self.world.kill(machine)
-        machine.disk = SimDisk(identity=f"{machine.name}-disk-{machine.lives + 1}")
+        machine.lose_disk()
         self.world.run_for(0.4)
         self.world.restart(machine)
 
--- a/tests/test_site_readiness.py
+++ b/tests/test_site_readiness.py
@@ -2,7 +2,6 @@
 
 import unittest
 
-from bendshed.rehearsal.simulator.platform import SimDisk
 from bendshed.rehearsal.site.documents import NARROW
 from bendshed.rehearsal.site.layout import SiteLayout
 from bendshed.rehearsal.site.programs import ProgramPlan
@@ -230,7 +229,7 @@
             machines = [*world.fronts.values(), *world.stores.values()]
             for machine in machines:
                 world.kill(machine)
-            world.stores[lost].disk = SimDisk(identity=f"{lost}-disk-2")
+            world.stores[lost].lose_disk()
             world.run_for(self.DARK_S)
             for machine in machines:
                 world.restart(machine)
