Tests: reservations in another region's group count as used at once

The other group's reservations, of turns that were refused or left and whose ends have not come, count as used in the sum over all groups.

--- a/tests/test_site_fuzz.py
+++ b/tests/test_site_fuzz.py
@@ -15,6 +15,8 @@
 FAILED_ONCE = (1024, 1113, 189)
 """Numbers of an allowance that had lapsed, and been counted seconds before, were used anew; turns
 that left on a lost leader's promise were counted nowhere."""
+REFUSED_BY_ANOTHER_REGION = (3022, 3026)
+"""A budget was called spent by reservations of refused turns in the other region's group."""
 SEARCHED_REGIONS = 4
 FAULTS = tuple(action for action in WITHIN_A_REGION if action not in CALM)
 
@@ -46,6 +48,16 @@
                 world.close()
                 self.assertEqual(violations, [])
 
+    def test_turns_are_not_refused_by_reservations_of_another_region(self) -> None:
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        broken = []
+        for seed in REFUSED_BY_ANOTHER_REGION:
+            world, violations = REGIONS.run(seed, REGIONS.random_steps(seed, STEPS_PER_WORLD))
+            world.close()
+            broken += violations
+        self.assertEqual(broken, [])
+
     def test_a_search_reports_what_it_played(self) -> None:
         logging.disable(logging.CRITICAL)
         self.addCleanup(logging.disable, logging.NOTSET)
