--- a/src/bendshed/rehearsal/site/closing_world.py
+++ b/src/bendshed/rehearsal/site/closing_world.py
@@ -61,12 +61,7 @@
     def opened(cls, seed: int) -> "ClosingWorld":
         """A site of three or four stores, with programs."""
         layout = SMALL_WITH_SPARE if seed % 3 == 0 else SMALL
-        world = cls(seed, layout)
-        try:
-            world._build()
-        except BaseException:
-            world.close()
-            raise
+        world = cls.started(seed, layout)
         world.clients.spawn(world.loop, world._load())
         world.run_for(1.0)
         return world
--- a/src/bendshed/rehearsal/site/closings.py
+++ b/src/bendshed/rehearsal/site/closings.py
@@ -13,8 +13,6 @@
 STEPS_PER_CLOSING = 5
 MAX_DISRUPTION_S = 14.0
 MAX_TROUBLE_S = 8.0
-RETIRING_S = 8.0
-"""Operators wait this long for a store to be emptied, then take the wish back."""
 PAUSES_S = (0.1, 1.0, 5.0)
 """After a step; each is drawn as often."""
 
@@ -145,13 +143,7 @@
         world.count(Trouble.RETIRE.value)
         world.registry.retirements[machine.name] = False
         world.run_for(0.2)
-        for _ in range(int(RETIRING_S / 0.1)):
-            world.run_for(0.1)
-            if world.registry.retirements[machine.name]:
-                world.kill(machine)
-                del world.stores[machine.name]
-                break
-        del world.registry.retirements[machine.name]
+        world.remove_once_emptied(machine)
 
     def _cut_for(self, machine: SimMachine, kind: Trouble, for_s: float) -> None:
         world = self.world
--- a/src/bendshed/rehearsal/site/fuzz.py
+++ b/src/bendshed/rehearsal/site/fuzz.py
@@ -306,13 +306,7 @@
             return
         world.count("retire a store")
         world.registry.retirements[machine.name] = False
-        for _ in range(80):
-            world.run_for(0.1)
-            if world.registry.retirements[machine.name]:
-                world.kill(machine)
-                del world.stores[machine.name]
-                break
-        del world.registry.retirements[machine.name]
+        world.remove_once_emptied(machine)
 
     def _registry(self, is_down: bool) -> None:
         self.world.count("metadata store down" if is_down else "metadata store up")
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from typing import Self
 
 from prometheus_client import CollectorRegistry
 
@@ -50,6 +51,9 @@
 START_LIMIT_S = 20.0
 QUIET_S = 40.0
 CATCH_UP_S = 4.4
+RETIRING_S = 8.0
+"""Operators wait this long for a store to be emptied, then take the wish back."""
+RETIREMENT_CHECK_S = 0.1
 BUDGET_TOKENS = 600
 TENANTS = (WIDE, NARROW)
 
@@ -121,7 +125,7 @@
         self.zones = SimZones(self.seen, self._next_revision)
 
     @classmethod
-    def started(cls, seed: int, layout: SiteLayout = ONE_REGION) -> "SiteWorld":
+    def started(cls, seed: int, layout: SiteLayout = ONE_REGION) -> Self:
         """A site that serves."""
         world = cls(seed, layout)
         try:
@@ -487,6 +491,16 @@
         self.kill(machine)
         self.restart(machine)
 
+    def remove_once_emptied(self, machine: SimMachine) -> None:
+        """Remove a retiring store once it is emptied; the wish ends then, or after its time."""
+        for _ in range(int(RETIRING_S / RETIREMENT_CHECK_S)):
+            self.run_for(RETIREMENT_CHECK_S)
+            if self.registry.retirements[machine.name]:
+                self.kill(machine)
+                del self.stores[machine.name]
+                break
+        del self.registry.retirements[machine.name]
+
     def stores_are_sound(self) -> bool:
         """Whether another disk may be lost: all up and reachable for the time to catch up."""
         calm_s = self.loop.time() - self.store_trouble_s
