Log the software version of runners and what a resumed stream names

The version comes from the runner's entry, travels in the catalog (an additional wire field; a build without it leaves it empty) and stands in `forward: request dispatched` and `runners: runner is listed`; a resumed stream also names its event and the attempt that it resumes. An entry whose version is missing or no text counts as unknown. No decision reads any of it.

--- a/src/bendshed/catalog/codec.py
+++ b/src/bendshed/catalog/codec.py
@@ -156,6 +156,7 @@
         is_draining=runner.state is RunnerState.DRAINING,
         revision=known.revision,
         cold_left_ms=cold_left_ms,
+        software_version=runner.software_version,
     )
 
 
@@ -170,6 +171,7 @@
         row.slots,
         state,
         row.cold_left_ms,
+        row.software_version,
     )
     return KnownRunner(runner, row.revision)
 
--- a/src/bendshed/model/runner.py
+++ b/src/bendshed/model/runner.py
@@ -18,6 +18,7 @@
     """One incarnation of a runner, as listed.
 
     Attributes:
+        software_version: version of the runner's software, not of its weights; empty: not known.
         cold_left_ms: remaining time for which the runner is cold, counted from the receipt of this
             entry; 0 if it is warm.
 
@@ -30,3 +31,4 @@
     slots: int
     state: RunnerState
     cold_left_ms: int = 0
+    software_version: str = ""
--- a/src/bendshed/platform/caller_protocol.py
+++ b/src/bendshed/platform/caller_protocol.py
@@ -65,6 +65,7 @@
             program_id=program_id,
             session=program_id or _header_text(fields, names.SESSION_ID),
             last_event_id=_header_text(fields, names.LAST_EVENT_ID),
+            resumes=_header_text(fields, names.RESUMES),
             turn=turn if program_id else None,
             arrived_s=received.arrived_s,
             credential=_read_credential(received.headers),
--- a/src/bendshed/platform/encode.py
+++ b/src/bendshed/platform/encode.py
@@ -92,6 +92,7 @@
         "zone": runner.zone,
         "slots": runner.slots,
         "state": runner.state.value,
+        "version": runner.software_version,
         "coldLeftMs": runner.cold_left_ms,
         "seq": 1,
     }
--- a/src/bendshed/platform/roles.py
+++ b/src/bendshed/platform/roles.py
@@ -1,7 +1,6 @@
 """Runs one role in this process after setting up logging, metrics and signal handlers."""
 
 import asyncio
-import gc
 import random
 import signal
 import sys
@@ -13,6 +12,7 @@
 from bendshed.logs import BoundedLineWriter, PartLog, log_to, name_process
 from bendshed.platform.listeners import Listeners
 from bendshed.platform.settings import SiteSettings, SiteSettingsInvalid, load_site_settings
+from bendshed.tasks import enable_garbage_collection
 
 METRICS_PATH = "/metrics"
 
@@ -47,23 +47,17 @@
     if role == "node":
         from bendshed.platform.front import FrontProcess  # noqa: PLC0415 (each role imports only its own modules)
 
-        _enable_garbage_collection()
+        enable_garbage_collection()
         await FrontProcess(settings, listeners, registry).run(stopping)
         return
     from bendshed.platform.replica import StoreProcess  # noqa: PLC0415
 
     if settings.dataDir is None:
         raise SiteSettingsInvalid("dataDir: (missing): run the role store where there is a disk")
-    _enable_garbage_collection()
+    enable_garbage_collection()
     await StoreProcess(settings, Path(settings.dataDir), registry).run(stopping)
 
 
-def _enable_garbage_collection() -> None:
-    """Enable garbage collection; imported objects live forever and are excluded from it."""
-    gc.freeze()
-    gc.enable()
-
-
 def _log_changed_settings(current: SiteSettings) -> None:
     """Read the settings again and log the fields that differ from the current ones."""
     try:
--- a/src/bendshed/platform/translate.py
+++ b/src/bendshed/platform/translate.py
@@ -113,6 +113,7 @@
         slots=int(row.get("slots") or 1),
         state=RunnerState.READY if row.get("state") == "ready" else RunnerState.DRAINING,
         cold_left_ms=int(row.get("coldLeftMs") or 0),
+        software_version=row["version"] if isinstance(row.get("version"), str) else "",
     )
 
 
--- a/src/bendshed/ports/runner.py
+++ b/src/bendshed/ports/runner.py
@@ -41,6 +41,8 @@
         wait_ms: how long the caller waits after arrival; ``None`` if not specified.
         session: id shared by requests with a common prompt prefix; empty for none.
         last_event_id: event after which the caller resumes a stream; empty for a new stream.
+        resumes: id of the caller's attempt that brought the first event of that stream; empty if
+            it names none.
         arrived_s: event loop time of the arrival.
         credential: SHA-256 of the caller's credential; empty if there is none or it is malformed.
         authorization: headers that contained it; forwarded only if the configuration declares no
@@ -66,6 +68,7 @@
     credential: str = field(default="", repr=False)
     authorization: Headers = field(default_factory=list, repr=False)
     affinity_key: str = ""
+    resumes: str = ""
 
 
 class Caller(ABC):
--- a/src/bendshed/services/attempts.py
+++ b/src/bendshed/services/attempts.py
@@ -305,8 +305,19 @@
             left_ms=left_ms,
             attempt=self.history.num_possible_runs,
             is_cold=self.ports.table.cold.is_cold(runner_id),
+            software_version=choice.record.listed.software_version,
+            **self._describe_resumption(),
         )
 
+    def _describe_resumption(self) -> dict[str, str]:
+        """Log fields of a request that resumes a stream; none for any other request."""
+        if not self.request.last_event_id:
+            return {}
+        return {
+            "resumes": self.request.resumes,
+            "last_event_id": self.request.last_event_id,
+        }
+
     def _say(self, message: str, choice: Choice, reason: str) -> None:
         log.say(
             message,
--- a/src/bendshed/services/runners.py
+++ b/src/bendshed/services/runners.py
@@ -77,6 +77,7 @@
             service=runner.service,
             address=str(runner.address),
             state=runner.state.value,
+            software_version=runner.software_version,
         )
 
     def remove(self, runner_id: str, now_s: float, is_trusted: bool) -> None:
--- a/src/bendshed/tasks.py
+++ b/src/bendshed/tasks.py
@@ -1,6 +1,7 @@
-"""Background tasks that must not end silently."""
+"""Background tasks that must not end silently, and garbage collection of long-lived processes."""
 
 import asyncio
+import gc
 from collections.abc import Coroutine
 from typing import Any
 
@@ -27,3 +28,9 @@
     log.say("background task failed", part=task.get_name(), error=repr(error))
     context = {"message": f"{task.get_name()} failed", "exception": error, "task": task}
     task.get_loop().call_exception_handler(context)
+
+
+def enable_garbage_collection() -> None:
+    """Enable garbage collection; imported objects live forever and are excluded from it."""
+    gc.freeze()
+    gc.enable()
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -166,6 +166,14 @@
         leaving = read_runner(StoredObject("i-1", 4, {**spec, "state": "draining"}, None))
         self.assertEqual(leaving.state, RunnerState.DRAINING)
 
+    def test_software_version_that_is_no_text_counts_as_unknown(self) -> None:
+        spec = {"service": "s", "addr": "10.0.0.9:80", "state": "ready"}
+        versions = [
+            read_runner(StoredObject("i-1", 3, {**spec, **row}, None)).software_version
+            for row in ({"version": "v1.1"}, {}, {"version": 7}, {"version": ["v1"]})
+        ]
+        self.assertEqual(versions, ["v1.1", "", "", ""])
+
 
 def read(headers: Headers, raw_path: bytes = b"/p/a%2Fb", query: bytes = b"x=%20") -> object:
     received = ReceivedRequest(b"POST", raw_path, query, headers, b"body", 0.0)
@@ -204,6 +212,11 @@
         self.assertEqual(request.turn.budget_tokens, 2304)
         self.assertEqual((request.turn.max_answer_tokens, request.turn.previous_turn), (288, "t0"))
 
+    def test_headers_of_a_resumed_stream(self) -> None:
+        request = read([*TURN, (b"last-event-id", b"7"), (b"resumes", b"r0")])
+        assert isinstance(request, ServiceRequest)
+        self.assertEqual((request.last_event_id, request.resumes), ("7", "r0"))
+
     def test_forwarded_headers(self) -> None:
         passed = [name for name, _ in self.turn().headers]
         self.assertIn(b"x-other", passed)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -157,7 +157,7 @@
         document = make_document(7)
         self.assertEqual(read_document(write_document(document, all_keys())), document)
         address = Address("10.0.0.1", 80)
-        runner = ServiceRunner("i", "s", address, "z", 6, RunnerState.DRAINING, 2_500)
+        runner = ServiceRunner("i", "s", address, "z", 6, RunnerState.DRAINING, 2_500, "v1.1")
         item = StoredObject("i", 1, write_runner(runner), None)
         self.assertEqual(read_runner(item), runner)
 
