--- a/src/bendshed/rehearsal/site/documents.py
+++ b/src/bendshed/rehearsal/site/documents.py
@@ -1,5 +1,7 @@
 """The configuration of rehearsed sites."""
 
+from dataclasses import replace
+
 from bendshed.admission.quota_limits import QuotaTolerance
 from bendshed.identifiers import credential_digest
 from bendshed.model.service_document import (
@@ -15,6 +17,7 @@
 from bendshed.rehearsal.site.runner import EVENT_TOKENS
 
 SITE_HOST = "site"
+STREAM_SERVICE = "engines"
 RETENTION_MS = 60_000
 NARROW, WIDE, GUEST = "narrow", "wide", "guest"
 """Tenants: one with a limit that programs reach, one without, one whose key may be removed."""
@@ -41,7 +44,7 @@
 def make_document(
     version: int, has_guest: bool = True, has_tenants: bool = True
 ) -> ServiceDocument:
-    """Three routes: turns, repeatable calls, unrepeatable calls; two or three tenants, or none."""
+    """Turns of two kinds, repeatable and unrepeatable calls; two or three tenants, or none."""
     turn = Route(
         name="turns",
         host=SITE_HOST,
@@ -50,13 +53,22 @@
         timeout_ms=4000,
         target_ms=200,
         priority=1,
-        targets=(WeightedService("engines", 1),),
+        targets=(WeightedService(STREAM_SERVICE, 1),),
         keeps_turns=True,
         retention_ms=RETENTION_MS,
         is_sticky=True,
     )
+    resumable = replace(
+        turn,
+        name="resumable",
+        path_prefix="/resumable/",
+        keeps_turns=False,
+        retention_ms=0,
+        is_resumable=True,
+    )
     routes = (
         turn,
+        resumable,
         _plain("repeatable", RouteKind.IDEMPOTENT, 2),
         _plain("unrepeatable", RouteKind.NON_IDEMPOTENT, 1),
     )
--- a/src/bendshed/rehearsal/site/oracle.py
+++ b/src/bendshed/rehearsal/site/oracle.py
@@ -85,9 +85,10 @@
 
 
 def _expected_answer(request: SiteRequest) -> bytes:
-    if request.kind is not Kind.TURN:
+    if request.kind not in (Kind.TURN, Kind.RESUMABLE_TURN):
         return plain_answer(request.request_id)
-    events = (event_bytes(request.request_id, number) for number in range(request.most_events))
+    numbers = range(request.after_event, request.most_events)
+    events = (event_bytes(request.request_id, number) for number in numbers)
     return b"".join(events)
 
 
@@ -117,9 +118,9 @@
     handed: dict[str, int] = defaultdict(int)
     bounds: dict[str, int] = {}
     for request in seen.requests:
-        if request.kind is not Kind.TURN:
+        if request.kind not in (Kind.TURN, Kind.RESUMABLE_TURN):
             continue
-        handed[request.program_id] += request.answer.count(b"\n\n") * EVENT_TOKENS
+        handed[request.program_id] += request.num_events * EVENT_TOKENS
         bound = request.budget_tokens + request.most_events * EVENT_TOKENS
         bounds[request.program_id] = max(bounds.get(request.program_id, 0), bound)
     for program, tokens in handed.items():
@@ -132,7 +133,7 @@
     ran = {run.request_id for run in seen.runs}
     turns_of: dict[str, list[SiteRequest]] = defaultdict(list)
     for request in seen.requests:
-        if request.kind is Kind.TURN:
+        if request.kind in (Kind.TURN, Kind.RESUMABLE_TURN):
             turns_of[request.program_id].append(request)
     for request in seen.requests:
         if request.status != 402:
--- a/src/bendshed/rehearsal/site/programs.py
+++ b/src/bendshed/rehearsal/site/programs.py
@@ -10,6 +10,8 @@
 
 ATTEMPTS = 2
 """Tries of one request that a client makes."""
+STREAM_ATTEMPTS = 4
+"""Tries of one stream that may be taken up again."""
 SENDINGS = 3
 """Times that a failed turn is sent from its start."""
 FINAL_STATUSES = (400, 401, 402, 404, 413)
@@ -29,6 +31,7 @@
         tools: calls between two turns.
         sub_agents: lines of two turns each, begun after the first turn.
         loops: starts sub-agents again and again until it is stopped.
+        streams: turns before the main chain whose streams the client takes up again.
 
     """
 
@@ -36,6 +39,7 @@
     tools: int = 2
     sub_agents: int = 0
     loops: bool = False
+    streams: int = 0
 
 
 @dataclass(slots=True)
@@ -63,6 +67,9 @@
 
     async def run(self, continues: str = "") -> None:
         """Do what is planned; end early on a final refusal."""
+        for _ in range(self.plan.streams):
+            await self._stream()
+            await asyncio.sleep(THINK_S)
         previous = continues
         for number in range(self.plan.turns):
             turn = await self._turn(previous)
@@ -113,6 +120,27 @@
             await asyncio.sleep(self.rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
         return None
 
+    async def _stream(self) -> None:
+        """Run one turn whose stream is taken up again after the newest event that arrived.
+
+        Each try names the attempt that brought the first event, not the latest one.
+        """
+        events = self.rng.randint(6, 14)
+        body = f"[{self.program_id} {self.rng.random():.6f}]".encode()
+        resumes, after_event = "", 0
+        for _ in range(STREAM_ATTEMPTS):
+            request = self._request(Kind.RESUMABLE_TURN, body=body, events=events)
+            request.resumes, request.after_event = resumes, after_event
+            await self.send(request)
+            self.statuses.append(request.status)
+            is_done = request.status == 200 and request.is_whole
+            after_event += request.num_events
+            if is_done or after_event == events or request.status in FINAL_STATUSES:
+                return
+            if request.num_events and not resumes:
+                resumes = request.request_id
+            await asyncio.sleep(self.rng.uniform(0.02, 0.1))
+
     async def _try_for(self, make: Callable[[], SiteRequest]) -> SiteRequest:
         """Send with the client's own retries: after a promise always, else if repeatable."""
         for attempt in range(ATTEMPTS):
--- a/src/bendshed/rehearsal/site/records.py
+++ b/src/bendshed/rehearsal/site/records.py
@@ -13,6 +13,8 @@
     TURN = "turn"
     REPEATABLE = "repeatable"
     UNREPEATABLE = "unrepeatable"
+    RESUMABLE_TURN = "resumable"
+    """A turn whose stream may be taken up again, and which is not stored."""
 
 
 @dataclass(slots=True)
@@ -26,6 +28,11 @@
         status: 0: the connection ended without an answer.
         is_whole: the answer ended properly.
         left_s: when the client left before its answer was whole; ``None``: it did not.
+        resumes: attempt that brought the first event of a stream that this one takes up; empty: a
+            new stream.
+        after_event: id of the newest event that the client holds of that stream.
+        is_serviceable: when it was sent, all machines were in touch, and two runners of the
+            version that began the stream served; of a new stream: two runners served.
 
     """
 
@@ -46,6 +53,14 @@
     is_over: bool = False
     ended_s: float = 0.0
     left_s: float | None = None
+    resumes: str = ""
+    after_event: int = 0
+    is_serviceable: bool = False
+
+    @property
+    def num_events(self) -> int:
+        """Whole events that this attempt brought."""
+        return self.answer.count(b"\n\n")
 
 
 @dataclass(slots=True)
--- a/src/bendshed/rehearsal/site/runner.py
+++ b/src/bendshed/rehearsal/site/runner.py
@@ -22,6 +22,7 @@
     Attributes:
         wanted_runner: incarnation that is meant; empty: any.
         num_events: events of its stream; 0: a plain request.
+        after_event: id of the event after which a resumed stream goes on; 0: from its start.
 
     """
 
@@ -31,6 +32,7 @@
     body: bytes
     num_events: int
     tenant: str = ""
+    after_event: int = 0
 
 
 @dataclass(slots=True)
@@ -40,6 +42,7 @@
     Attributes:
         arrived_s: when it reached the runner, before it waited there for a slot.
         events: events made so far.
+        software_version: of the runner's software at the time.
         ended_s: when it stopped working on it; ``None``: it still works.
 
     """
@@ -53,6 +56,7 @@
     arrived_s: float = 0.0
     events: int = 0
     ended_s: float | None = None
+    software_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +111,7 @@
     slots: int
     rng: random.Random
     runs: list[RunRecord]
+    software_version: str = ""
     troubles: RunnerTroubles = field(default_factory=RunnerTroubles)
     num_present: int = 0
     is_dead: bool = False
@@ -143,6 +148,7 @@
             loop.time(),
             call.tenant,
             arrived_s,
+            software_version=self.software_version,
         )
         self.runs.append(record)
         try:
@@ -171,7 +177,7 @@
             raise RunnerReset
         yield Head(200)
         cut_at = self.rng.randrange(call.num_events) if cuts else call.num_events
-        for number in range(call.num_events):
+        for number in range(call.after_event, call.num_events):
             if number == cut_at:
                 event = event_bytes(call.request_id, number)
                 yield Chunk(event[: len(event) // 2])
--- a/src/bendshed/rehearsal/site/sim_caller.py
+++ b/src/bendshed/rehearsal/site/sim_caller.py
@@ -11,7 +11,7 @@
 from bendshed.rehearsal.site.documents import key_of
 from bendshed.rehearsal.site.programs import tokens_of
 from bendshed.rehearsal.site.records import Kind, SiteRequest
-from bendshed.rehearsal.site.sim_runners import EVENTS, PROGRAM, REQUEST_ID
+from bendshed.rehearsal.site.sim_runners import AFTER_EVENT, EVENTS, PROGRAM, REQUEST_ID
 
 CALLER_LATENCY_S = 0.003
 CALLER_TIMEOUT_S = 4.0
@@ -83,7 +83,7 @@
 def to_service_request(request: SiteRequest, now_s: float) -> ServiceRequest:
     """What a front reads of a client's request."""
     turn = None
-    if request.kind is Kind.TURN:
+    if request.kind in (Kind.TURN, Kind.RESUMABLE_TURN):
         most = tokens_of(request.most_events)
         turn = TurnDetails(request.previous, request.budget_tokens, most)
     path = f"/{request.kind.value}/x"
@@ -91,6 +91,7 @@
         (REQUEST_ID, request.request_id.encode()),
         (PROGRAM, request.program_id.encode()),
         (EVENTS, str(request.most_events).encode()),
+        (AFTER_EVENT, str(request.after_event).encode()),
     ]
     return ServiceRequest(
         request_id=request.request_id,
@@ -103,7 +104,8 @@
         wait_ms=int(CALLER_TIMEOUT_S * 1000),
         program_id=request.program_id,
         session=request.program_id,
-        last_event_id="",
+        last_event_id=str(request.after_event or ""),
+        resumes=request.resumes,
         turn=turn,
         arrived_s=now_s,
         credential=credential_digest(key_of(request.tenant)),
--- a/src/bendshed/rehearsal/site/sim_runners.py
+++ b/src/bendshed/rehearsal/site/sim_runners.py
@@ -27,7 +27,7 @@
 CONNECT_TIMEOUT_S = 0.6
 HANG_S = 4.0
 REQUEST_ID, WANTED, PROGRAM, EVENTS, NOT_RUN = b"id", b"wanted", b"program", b"events", b"not-run"
-TENANT = b"tenant"
+TENANT, AFTER_EVENT = b"tenant", b"after-event"
 
 
 class SimRunnerProtocol(RunnerProtocol):
@@ -106,6 +106,7 @@
             body=request.body,
             num_events=int(fields[EVENTS]),
             tenant=fields[TENANT].decode(),
+            after_event=int(fields.get(AFTER_EVENT, b"0")),
         )
         self._head = self._loop.create_future()
         self._work = self._net.runner_process.spawn(self._loop, self._serve(call))
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -36,6 +36,7 @@
 from bendshed.rehearsal.site.sim_catalog import SimCatalogStorage
 from bendshed.rehearsal.site.sim_registry import SimRegistry
 from bendshed.rehearsal.site.sim_runners import SimConnections, SimRunnerNet, SimRunnerProtocol
+from bendshed.rehearsal.site.sim_streams import has_two_runners
 from bendshed.rehearsal.site.sim_zones import RUNNER_ZONES, ZONE_CLOSE_S, SimZones
 from bendshed.services.metrics import ServiceMetrics
 from bendshed.services.node import NodeLocation, ServiceNode
@@ -55,6 +56,7 @@
 """Operators wait this long for a store to be emptied, then take the wish back."""
 RETIREMENT_CHECK_S = 0.1
 BUDGET_TOKENS = 600
+FIRST_SOFTWARE_VERSION = "v1"
 TENANTS = (WIDE, NARROW)
 
 
@@ -71,6 +73,7 @@
     replica: TurnLogNode | None = None
     lives: int = 0
     is_down: bool = True
+    started_s: float = 0.0
 
     @property
     def is_up(self) -> bool:
@@ -159,18 +162,26 @@
         slots: int,
         zone: str = RUNNER_ZONES[0],
         cold_s: float = 0.0,
+        software_version: str = FIRST_SOFTWARE_VERSION,
     ) -> None:
         """Add a runner and list it."""
         number = len(self.runners) + 1
         address = Address(f"10.0.3.{number}", 80)
         rng = random.Random(self.seed * 100 + number)
-        runner = SiteRunner(name, service, zone, slots, rng, self.seen.runs)
+        runner = SiteRunner(name, service, zone, slots, rng, self.seen.runs, software_version)
         self.runners[name] = runner
         self.seen.zones_of[name] = zone
         self.network.regions[name] = self.layout.places.region(zone)
         self.net.by_address[address] = runner
         self.listed[name] = ServiceRunner(
-            name, service, address, zone, slots, RunnerState.READY, int(1000 * cold_s)
+            name,
+            service,
+            address,
+            zone,
+            slots,
+            RunnerState.READY,
+            int(1000 * cold_s),
+            software_version,
         )
         self._note_cold(name, 0.0, cold_s)
 
@@ -204,6 +215,7 @@
         """Start a process of a machine."""
         machine.lives += 1
         machine.is_down = False
+        machine.started_s = self.loop.time()
         machine.process = SimProcess(f"{machine.name}#{machine.lives}")
         rng = random.Random(f"{self.seed}/{machine.process.name}")
         machine.process.context.copy().run(self._start_in_process, machine, rng)
@@ -402,6 +414,7 @@
     async def send(self, request: SiteRequest) -> None:
         """Send a request to its node and wait for its end."""
         self.seen.requests.append(request)
+        request.is_serviceable = self.is_calm() and has_two_runners(self, request)
         over = asyncio.Event()
         self._waiting[request.request_id] = over
         await asyncio.sleep(CALLER_LATENCY_S)
@@ -507,6 +520,14 @@
         up = all(m.is_up and not m.process.paused for m in self.stores.values())
         return up and not self.network.cuts and calm_s > CATCH_UP_S and self.is_led()
 
+    def is_calm(self) -> bool:
+        """Whether all machines are in touch: up, reachable and past the time to catch up."""
+        now_s = self.loop.time()
+        fronts = [m for m in self.fronts.values() if m.is_up and not m.process.paused]
+        are_settled = all(now_s - m.started_s > CATCH_UP_S for m in fronts)
+        is_blind = any(row.to_s > now_s - CATCH_UP_S for row in self.seen.blindness)
+        return are_settled and not is_blind and self.stores_are_sound()
+
     # --- runners and configuration -------------------------------------------------------
 
     def drain_runner(self, name: str) -> None:
@@ -528,7 +549,21 @@
         self.listed.pop(name, None)
         base, _, incarnation = name.partition("+")
         name = f"{base}+{int(incarnation or 0) + 1}"
-        self.add_runner(name, runner.service, runner.slots, runner.zone, COLD_START_S)
+        version = runner.software_version
+        self.add_runner(name, runner.service, runner.slots, runner.zone, COLD_START_S, version)
+
+    def restart_runner(self, name: str, software_version: str, unlisted_for_s: float) -> None:
+        """A runner starts again under its id; its entry names the new version only later."""
+        runner = self.runners[name]
+        self.count("runner restarts under its id")
+        self.net.reset_runner(runner)
+        runner.software_version = software_version
+
+        def update_entry() -> None:
+            if name in self.listed and not runner.is_dead:
+                self.listed[name] = replace(self.listed[name], software_version=software_version)
+
+        self.loop.call_later(unlisted_for_s, update_entry)
 
     def publish(self) -> None:
         """The operator writes a configuration."""
--- a/tests/patterns/test_start_of_a_node.py
+++ b/tests/patterns/test_start_of_a_node.py
@@ -42,7 +42,7 @@
             "main.main(['node']);"
             "after = gc.isenabled();"
             "gc.disable();"
-            "roles._enable_garbage_collection();"
+            "roles.enable_garbage_collection();"
             "print(seen, after, gc.isenabled(), gc.get_freeze_count() > 0)"
         )
         process = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True)
