Bind a resumed stream to the service and version that began it

Cause: a request with Last-Event-Id was placed like a new one. No process knew the software version of a runner, nobody remembered where a client attempt had run, and `Resumes` was not read.

Fix: the turn log remembers the origin (service, software version) of each stream that may be resumed, as long as its caller waits. A turn's begin contains the expected origin; the leader, which has just placed the turn, fills in the version of that runner, so no message is added. Before the first event the front compares the runner that answered; only if that one is of another version it commits the true origin first. A resumed stream reads its origin through the log, so no replaced leader answers, and every placement (the leader's, a permit, a front's own choice, a retry) considers that version alone, in the service that began it. Who cannot know the version refuses at once: stream_unknown, version_gone, or turn_log_unavailable.

Why it works: an event goes to a client only after an origin with the version that wrote it is committed, or with none.

Wire: optional fields and commands; a replica of the build before ignores them, and then streams are not resumed.

test_dispatch_restrictions: its resumed stream now names the attempt and has an origin; same assertions.

--- a/src/bendshed/catalog/state.py
+++ b/src/bendshed/catalog/state.py
@@ -11,6 +11,7 @@
 from bendshed.catalog.cold_runner_tracker import ColdRunnerTracker
 from bendshed.model.runner import RunnerState, ServiceRunner
 from bendshed.model.service_document import ServiceDocument
+from bendshed.placement.eligibility import may_continue_stream
 from bendshed.placement.zones import RunnerFilter
 
 MAX_REMOVED = 1_000
@@ -97,12 +98,30 @@
         """Identities of all listed runners, ready or not."""
         return self._runners.keys()
 
-    def ready_runners(self, service: str, regions: Collection[str] | None) -> list[ServiceRunner]:
-        """Ready runners of a service in allowed regions; ``None``: in all regions."""
+    def software_version_of(self, runner_id: str) -> str:
+        """Software version of a listed runner; empty: it is not listed, or names none."""
+        known = self._runners.get(runner_id)
+        return known.runner.software_version if known is not None else ""
+
+    def ready_runners(
+        self, service: str, regions: Collection[str] | None, software_version: str = ""
+    ) -> list[ServiceRunner]:
+        """Ready runners of a service.
+
+        Args:
+            service: name of the service.
+            regions: where they may be located; ``None``: anywhere.
+            software_version: of a stream that they are to continue; empty: a new request.
+
+        """
         ready = self._ready.get(service, {}).values()
-        if self.filter.allows_all(regions):
+        if self.filter.allows_all(regions) and not software_version:
             return list(ready)
-        return [runner for runner in ready if self.filter.allows(runner, regions)]
+        return [
+            runner
+            for runner in ready
+            if self.filter.allows(runner, regions) and may_continue_stream(runner, software_version)
+        ]
 
     def apply_document(self, document: ServiceDocument) -> bool:
         """Apply a newer document; ``False``: it is not newer."""
--- a/src/bendshed/errors.py
+++ b/src/bendshed/errors.py
@@ -30,6 +30,8 @@
     NOT_READY = "not_ready"
     NO_RUNNER = "no_runner"
     NO_ROOM = "no_room"
+    STREAM_UNKNOWN = "stream_unknown"
+    VERSION_GONE = "version_gone"
     GROUP_UNAVAILABLE = "group_unavailable"
     TURN_LOG_UNAVAILABLE = "turn_log_unavailable"
     ENGINE_LOST = "engine_lost"
@@ -90,6 +92,8 @@
     ErrorKind.NOT_READY: ErrorAnswer(503, True, _NO, 1),
     ErrorKind.NO_RUNNER: ErrorAnswer(503, True, _NO, 2),
     ErrorKind.NO_ROOM: ErrorAnswer(503, True, _NO, 1),
+    ErrorKind.STREAM_UNKNOWN: ErrorAnswer(503, False, _NO),
+    ErrorKind.VERSION_GONE: ErrorAnswer(503, False, _NO),
     ErrorKind.GROUP_UNAVAILABLE: ErrorAnswer(503, True, _UNKNOWN, 2),
     ErrorKind.TURN_LOG_UNAVAILABLE: ErrorAnswer(503, True, _NO, 1),
     ErrorKind.ENGINE_LOST: ErrorAnswer(502, True, _YES, 1),
--- /dev/null
+++ b/src/bendshed/model/stream_origin.py
@@ -0,0 +1,18 @@
+"""Which runners may continue a stream."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """The service and the software version that began a stream.
+
+    Events of different versions do not fit together, so only runners of both may continue it.
+
+    Attributes:
+        software_version: empty: not known, so that no runner may continue the stream.
+
+    """
+
+    service: str
+    software_version: str
--- a/src/bendshed/operators/explanation.py
+++ b/src/bendshed/operators/explanation.py
@@ -58,6 +58,8 @@
     "no_runner": "No listed runner of the service was ready, or none that this request may reach.",
     "budget_reserved": "Turns that were under way, or not ended yet, held the rest of the budget.",
     "no_room": "Every runner that may take it was cold, and had got what it bears for the moment.",
+    "stream_unknown": "Nobody knows which software version began the stream, so none may go on.",
+    "version_gone": "No runner that may take it is of the version that began the stream.",
     "overloaded": "Every runner that was asked turned the request away unrun.",
     "deadline_exceeded": "The time was over before a runner could begin.",
     "outcome_unknown": "A runner got the request and gave no answer in time; it may have run.",
--- a/src/bendshed/placement/cluster_load.py
+++ b/src/bendshed/placement/cluster_load.py
@@ -104,6 +104,10 @@
         """Running turns outside the requesting node's region."""
         return self._spill.num_redirected
 
+    def runner_of(self, turn_id: str) -> str:
+        """Id of the runner where a running turn was placed; empty: it was not placed here."""
+        return self._running.runner_of(turn_id)
+
     def own_loads(self) -> list[tuple[str, LoadSummary]]:
         """Load that this leader placed at runners, for reports to leaders of other groups."""
         return self._running.load_summaries()
--- a/src/bendshed/placement/eligibility.py
+++ b/src/bendshed/placement/eligibility.py
@@ -1,7 +1,8 @@
 """Decides which runners are eligible for a request. Pure.
 
-A runner is eligible if it is listed, ready, in no closed zone and in a region that the request's
-route and tenant allow (`placement/allowed_regions.py`). The same rule applies to every path of a
+A runner is eligible if it is listed, ready, in no closed zone, in a region that the request's
+route and tenant allow (`placement/allowed_regions.py`), and, for a resumed stream, of the software
+version that began the stream. The same rule applies to every path of a
 request to a runner: the leader's placement, a node's own choice, a retry, a resumed stream. Cold
 runners are eligible, but need a permit (`admission/cold_permits.py`).
 """
@@ -11,7 +12,7 @@
 from typing import Protocol
 
 from bendshed.model.places import Places
-from bendshed.model.runner import RunnerState
+from bendshed.model.runner import RunnerState, ServiceRunner
 from bendshed.placement.runner_record import RunnerRecord
 
 UNLISTED_GRACE_S = 2.5
@@ -95,6 +96,11 @@
     return bool(ready) and not _allowed(ready, runner_filter, regions)
 
 
+def may_continue_stream(runner: ServiceRunner, software_version: str) -> bool:
+    """Whether a runner may continue a stream of a software version; empty: it is a new stream."""
+    return not software_version or runner.software_version == software_version
+
+
 def is_outdated(record: RunnerRecord, now_s: float) -> bool:
     """Whether a runner vanished from the list too long ago to be a last resort."""
     unlisted_at_s = record.unlisted_at_s
--- a/src/bendshed/placement/running_turns.py
+++ b/src/bendshed/placement/running_turns.py
@@ -58,6 +58,10 @@
         """Record of a runner that was passed to ``add_runners``."""
         return self._loads[runner_id]
 
+    def runner_of(self, turn_id: str) -> str:
+        """Id of the runner where a turn counts; empty: it does not run."""
+        return self._runner_by_turn.get(turn_id, "")
+
     def load_summaries(self) -> list[tuple[str, LoadSummary]]:
         """Load by runner, for reports to leaders of other groups; idle runners are left out."""
         return [
--- a/src/bendshed/rehearsal/site/oracle.py
+++ b/src/bendshed/rehearsal/site/oracle.py
@@ -10,6 +10,7 @@
 from bendshed.rehearsal.site.documents import NARROW, QUOTA_TERMS, narrow_most
 from bendshed.rehearsal.site.records import Kind, SiteRecords, SiteRequest
 from bendshed.rehearsal.site.runner import EVENT_TOKENS, event_bytes, plain_answer, stream_output
+from bendshed.rehearsal.site.sim_streams import mixed_streams, neglected_resumptions
 from bendshed.rehearsal.site.sim_zones import runs_in_closed_zones
 
 PROMISES = (402, 404, 408, 421, 429, 503)
@@ -45,6 +46,8 @@
     QUOTA = "no window holds more of a tenant's requests than it may have"
     CLOSED = "a closed zone gets nothing new"
     COLD = "a cold runner gets no more in a second than it bears"
+    VERSION = "a stream goes on only at the software version that began it"
+    RESUMED = "streams go on while two runners of their version serve"
 
 
 @dataclass(frozen=True, slots=True)
@@ -274,6 +277,18 @@
         yield Violation(Rule.COLD, f"{runner_id} got {count} in the second from {begin_s:.2f} s")
 
 
+def check_versions(seen: SiteRecords) -> Iterable[Violation]:
+    """No client holds events of two software versions in one stream."""
+    for detail in mixed_streams(seen):
+        yield Violation(Rule.VERSION, detail)
+
+
+def check_resumed(seen: SiteRecords) -> Iterable[Violation]:
+    """Resumed streams go on at least half as often as new ones begin."""
+    for detail in neglected_resumptions(seen):
+        yield Violation(Rule.RESUMED, detail)
+
+
 CHECKS = (
     check_once,
     check_refusals,
@@ -291,6 +306,8 @@
     check_quotas,
     check_closed_zones,
     check_cold,
+    check_versions,
+    check_resumed,
 )
 
 
--- a/src/bendshed/retries/decisions.py
+++ b/src/bendshed/retries/decisions.py
@@ -46,6 +46,8 @@
     """The request may have run, and the tenant's quota does not admit another run."""
     RESERVATION_FAILED = "reservation_failed"
     """The turn was dispatched while its reservation was committing, and that was refused."""
+    ORIGIN_UNCONFIRMED = "origin_unconfirmed"
+    """A runner answered, but its software version is not the recorded one or was not recorded."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +128,7 @@
             | GiveUpReason.ANSWER_BROKEN
             | GiveUpReason.NO_QUOTA
             | GiveUpReason.RESERVATION_FAILED
+            | GiveUpReason.ORIGIN_UNCONFIRMED
         ):
             return Refusal(ErrorKind.ENGINE_LOST, give_up.detail)
         case _:
--- a/src/bendshed/services/attempts.py
+++ b/src/bendshed/services/attempts.py
@@ -50,6 +50,7 @@
 
     Attributes:
         sent_s: loop time at which the request was dispatched.
+        software_version: of the runner, as listed when the request was dispatched.
 
     """
 
@@ -58,8 +59,15 @@
     connection: RunnerConnection
     pool: RunnerConnections
     sent_s: float
+    software_version: str = ""
     _closed: bool = False
 
+    @property
+    def confirmed_version(self) -> str:
+        """Version of the runner's software; empty: it is not listed with one all the while."""
+        is_unchanged = self.record.listed.software_version == self.software_version
+        return self.software_version if is_unchanged else ""
+
     async def body(self) -> AsyncIterator[bytes]:
         """Yield the body in chunks; raise ``ResponseBroken`` if it breaks off."""
         async for chunk in self.connection.body():
@@ -144,13 +152,15 @@
         return True
 
     def reject_if_no_eligible_runner(self) -> Refusal | None:
-        """Return a refusal if closed zones and allowed regions exclude every runner."""
+        """Return a refusal if zones, regions or the stream's version exclude every runner."""
         regions, service = self.placement.regions, self.placement.service
         if regions is not None and not regions:
             described = describe_regions(self.route, self.principal)
             return Refusal(ErrorKind.NO_RUNNER, f"no region is allowed: {described}")
         if self.ports.table.has_no_eligible_runner(service, regions):
             return Refusal(ErrorKind.NO_RUNNER, self.placement.describe_no_runner())
+        if self.placement.has_no_runner_of_version():
+            return Refusal(ErrorKind.VERSION_GONE, self.placement.describe_no_runner())
         return None
 
     def record_work_time(self, response: OpenResponse) -> None:
@@ -217,6 +227,7 @@
         loop = asyncio.get_running_loop()
         record = choice.record
         sent_s = loop.time()
+        software_version = record.listed.software_version
         try:
             head = await connection.send(message)
         except ResponseBroken as error:
@@ -230,7 +241,7 @@
             # Includes cancellation: the response may still arrive, so do not reuse the connection.
             connection.abort()
             raise
-        return OpenResponse(head, record, connection, self.ports.pool, sent_s)
+        return OpenResponse(head, record, connection, self.ports.pool, sent_s, software_version)
 
     def _runner_dispatch(self, choice: Choice, left_ms: int) -> RunnerDispatch:
         principal = self.principal
@@ -246,18 +257,26 @@
     def _withdraw_dispatch(self, choice: Choice, connection: RunnerConnection) -> None:
         """Withdraw a dispatch whose preconditions no longer hold after connecting.
 
-        Either the runner's zone was closed in the meantime, or the permit for a cold runner expired
-        while connecting, or the runner has just turned cold.
+        Either the runner's zone was closed in the meantime, or its entry names another software
+        version than that of a resumed stream, or the permit for a cold runner expired while
+        connecting, or the runner has just turned cold.
         """
         runner = choice.record.listed
-        if not self.ports.table.filter.allows(runner, self.placement.regions):
+        if not self.placement.is_allowed(choice.record):
             connection.finish()
             self.ports.pool.release(runner.address, connection)
-            self._say(
-                "dispatch withdrawn: zone closed",
-                choice,
-                reason="the zone was closed while connecting",
-            )
+            if self.placement.is_of_version(choice.record):
+                self._say(
+                    "dispatch withdrawn: zone closed",
+                    choice,
+                    reason="the zone was closed while connecting",
+                )
+            else:
+                self._say(
+                    "dispatch withdrawn: software version changed",
+                    choice,
+                    reason="the list named another version while connecting",
+                )
             return
         self.history.record_expired_permit(runner.runner_id)
         connection.abort()
--- a/src/bendshed/services/forwarder.py
+++ b/src/bendshed/services/forwarder.py
@@ -11,6 +11,7 @@
 from bendshed.model.principal import Principal
 from bendshed.model.route_index import RouteIndex, choose_target
 from bendshed.model.service_document import EngineFeatures, Route, RouteKind, ServiceDocument
+from bendshed.model.stream_origin import StreamOrigin
 from bendshed.placement.allowed_regions import allowed_regions
 from bendshed.ports.http_messages import ResponseBroken
 from bendshed.ports.runner import Caller, ServiceRequest
@@ -26,8 +27,10 @@
 from bendshed.services.metrics import CALLER_LEFT, NO_ROUTE, ServedOutcome
 from bendshed.services.runner_placement import RunnerPlacement
 from bendshed.services.stream_exchange import StreamExchange
+from bendshed.services.stream_origins import OriginRecorder, is_resumed, ttl_ms
 from bendshed.services.turn_ports import TurnPorts
 from bendshed.services.turn_record import TurnRecord
+from bendshed.wire import turns_pb2 as wire
 
 MAX_BUFFERED_BODY_BYTES = 64 * 1024
 """A plain response up to this size is buffered until it is complete, so that the request can be
@@ -153,10 +156,21 @@
             wait_ms = min(wait_ms, request.wait_ms)
         deadline_s = request.arrived_s + wait_ms / 1000
         sticky_key = self._sticky_key(request, route)
-        service = choose_target(route, sticky_key or request.request_id)
+        origin = await self._find_origin(request, route, principal, deadline_s)
+        if isinstance(origin, Refusal):
+            return origin
+        if origin is None:
+            origin = StreamOrigin(choose_target(route, sticky_key or request.request_id), "")
         admit = partial(self._admit_call, request, principal, deadline_s)
         regions = allowed_regions(route, principal)
-        placement = RunnerPlacement(self._runner_ports, request, service, sticky_key, regions)
+        placement = RunnerPlacement(
+            self._runner_ports,
+            request,
+            origin.service,
+            sticky_key,
+            regions,
+            origin.software_version,
+        )
         history = AttemptHistory(deadline_s)
         attempts = Attempts(request, route, principal, placement, history, admit)
         refusal = attempts.reject_if_no_eligible_runner()
@@ -169,6 +183,24 @@
             timed_out = GiveUp(GiveUpReason.TIMED_OUT, "no answer came in time")
             return refusal_of(timed_out, history)
 
+    async def _find_origin(
+        self, request: ServiceRequest, route: Route, principal: Principal, deadline_s: float
+    ) -> StreamOrigin | Refusal | None:
+        """Return where a resumed stream must go on; ``None``: the request begins a new one.
+
+        Without a turn log, as on the own interface, runners have no versions to tell apart.
+        """
+        if self._turn_ports is None or not is_resumed(request, route):
+            return None
+        left_s = deadline_s - asyncio.get_running_loop().time()
+        origin = await self._turn_ports.origins.find(request, principal.name, left_s)
+        if isinstance(origin, Refusal):
+            return origin
+        if all(target.service != origin.service for target in route.targets):
+            detail = f"the route does not lead to {origin.service} any more"
+            return Refusal(ErrorKind.VERSION_GONE, detail)
+        return origin
+
     async def _serve_attempts(
         self,
         request: ServiceRequest,
@@ -189,7 +221,8 @@
         if refusal is not None:
             return refusal
         if is_stream:
-            return await StreamExchange(request, attempts, caller, None).run()
+            origin = self._build_origin_recorder(request, attempts)
+            return await StreamExchange(request, attempts, caller, None, origin).run()
         return await self._serve_plain(attempts, caller)
 
     def _build_turn_record(
@@ -200,8 +233,35 @@
     ) -> TurnRecord | None:
         if request.turn is None or self._turn_ports is None:
             return None
-        deadline_s = attempts.history.deadline_s
-        return TurnRecord(self._turn_ports, request, attempts.route, attempts, engine, deadline_s)
+        return TurnRecord(
+            self._turn_ports,
+            request,
+            attempts.route,
+            attempts,
+            engine,
+            attempts.history.deadline_s,
+            self._build_origin_recorder(request, attempts),
+        )
+
+    def _build_origin_recorder(
+        self, request: ServiceRequest, attempts: Attempts
+    ) -> OriginRecorder | None:
+        """Build the recorder of a stream that may be resumed; ``None`` for any other."""
+        if self._turn_ports is None or not attempts.route.is_resumable:
+            return None
+        placement = attempts.placement
+        expected = wire.StreamOrigin(
+            service=placement.service,
+            software_version=placement.expected_version(),
+            ttl_ms=ttl_ms(request, attempts.route),
+        )
+        return OriginRecorder(
+            self._turn_ports.origins,
+            request,
+            attempts.principal.name,
+            expected,
+            placement.software_version,
+        )
 
     def _sticky_key(self, request: ServiceRequest, route: Route) -> str:
         """Key of requests that run faster at the same runner; empty: none."""
--- a/src/bendshed/services/permit_client.py
+++ b/src/bendshed/services/permit_client.py
@@ -66,11 +66,12 @@
     zone: str,
     tried: Collection[str] = (),
     regions: Collection[str] | None = None,
+    software_version: str = "",
 ) -> wire.TurnDemand:
     """Describe a request, whether a turn or not, to the leader that chooses its runner.
 
     ``left_s`` is the time until the request's deadline in seconds; ``tried`` holds the ids of
-    runners that it was already sent to.
+    runners that it was already sent to; ``software_version`` is that of a stream to be continued.
     """
     turn = request.turn
     parts = turn.parts if turn is not None else ()
@@ -84,6 +85,7 @@
         line=(turn.chain_id if turn is not None else "") or request.session,
         tried=tried,
         regions=sorted(regions or ()),
+        software_version=software_version,
     )
 
 
--- a/src/bendshed/services/runner_placement.py
+++ b/src/bendshed/services/runner_placement.py
@@ -12,6 +12,7 @@
 from bendshed.errors import Refusal
 from bendshed.model.permit import NO_PERMIT, TimedPermit
 from bendshed.model.places import Places
+from bendshed.placement.eligibility import may_continue_stream
 from bendshed.placement.node_choice import Choice, NodeView, choose_runner
 from bendshed.policy import ALL_ENABLED, Policy
 from bendshed.ports.runner import RunnerProtocol, ServiceRequest
@@ -59,6 +60,7 @@
         service: the service whose runners are eligible.
         sticky_key: session or affinity key that requests share; empty: none.
         regions: where the runners may be located; ``None``: anywhere.
+        software_version: version that began the stream which the request resumes; empty: any.
 
     """
 
@@ -67,6 +69,7 @@
     service: str
     sticky_key: str
     regions: frozenset[str] | None = None
+    software_version: str = ""
     _preferred_runner: str = ""
     _preferred_permit: TimedPermit = NO_PERMIT
 
@@ -90,8 +93,23 @@
             detail += f", closed zones: {', '.join(closed)}"
         if self.regions is not None:
             detail += f", allowed regions: {', '.join(sorted(self.regions))}"
+        if self.software_version:
+            detail += f", software version: {self.software_version}"
         return detail
 
+    def has_no_runner_of_version(self) -> bool:
+        """Whether the request resumes a stream that no eligible runner may continue."""
+        now_s = asyncio.get_running_loop().time()
+        return bool(self.software_version) and not self._eligible(now_s)
+
+    def expected_version(self) -> str:
+        """Software version that the request will run at; empty: runners of several are eligible."""
+        if self.software_version:
+            return self.software_version
+        now_s = asyncio.get_running_loop().time()
+        versions = {record.listed.software_version for record in self._eligible(now_s)}
+        return versions.pop() if len(versions) == 1 else ""
+
     def runner_report(self) -> RunnerReport:
         """Report on the service's runners to a leader that places the request."""
         now_s = asyncio.get_running_loop().time()
@@ -136,13 +154,22 @@
         )
 
     def may_dispatch_to(self, record: RunnerRecord, permit: TimedPermit, now_s: float) -> bool:
-        """Whether a runner is in an open zone and an allowed region, and is warm or permitted."""
-        if not self.ports.table.filter.allows(record.listed, self.regions):
+        """Whether a runner may still get the request, and is warm or permitted."""
+        if not self.is_allowed(record):
             return False
         return permit.is_valid(now_s) or not self.ports.table.cold.is_cold(record.listed.runner_id)
 
+    def is_allowed(self, record: RunnerRecord) -> bool:
+        """Whether a runner is in an open zone, an allowed region, and of the stream's version."""
+        is_located_well = self.ports.table.filter.allows(record.listed, self.regions)
+        return is_located_well and self.is_of_version(record)
+
+    def is_of_version(self, record: RunnerRecord) -> bool:
+        """Whether a runner is of the version of a resumed stream; of a new one, any is."""
+        return may_continue_stream(record.listed, self.software_version)
+
     def _eligible(self, now_s: float) -> list[RunnerRecord]:
-        return self.ports.table.eligible(self.service, now_s, self.regions)
+        return self.ports.table.eligible(self.service, now_s, self.regions, self.software_version)
 
     def _choose_preferred(
         self, eligible: Collection[RunnerRecord], tried: Collection[str], now_s: float
@@ -178,6 +205,7 @@
             self.ports.zone,
             history.tried,
             self.regions,
+            self.software_version,
         )
         permit = await self.ports.permit_client.request_permit(self.request, demand)
         if isinstance(permit, Refusal):
--- a/src/bendshed/services/runners.py
+++ b/src/bendshed/services/runners.py
@@ -16,6 +16,7 @@
     are_all_excluded,
     eligible_runners,
     is_outdated,
+    may_continue_stream,
 )
 from bendshed.placement.runner_record import AVOID_S, ObservedState, RunnerRecord, WorkTimes
 
@@ -109,7 +110,11 @@
         return sum(1 for record in self.by_id.values() if record.observed_state is view)
 
     def eligible(
-        self, service: str, now_s: float, regions: Collection[str] | None
+        self,
+        service: str,
+        now_s: float,
+        regions: Collection[str] | None,
+        software_version: str = "",
     ) -> list[RunnerRecord]:
         """Eligible runners of a service, else its last resorts; see ``eligible_runners``.
 
@@ -117,13 +122,21 @@
             service: name of the service.
             now_s: loop time; runners that are no longer a last resort are removed.
             regions: where the request may run; ``None``: anywhere.
+            software_version: of a stream that the request continues; empty: a new request.
 
         """
         records = self._by_service(service)
         for record in list(records.values()):
             if is_outdated(record, now_s):
                 self._drop(record)
-        return eligible_runners(records.values(), self.filter, regions)
+        candidates: Collection[RunnerRecord] = records.values()
+        if software_version:
+            candidates = [
+                record
+                for record in records.values()
+                if may_continue_stream(record.listed, software_version)
+            ]
+        return eligible_runners(candidates, self.filter, regions)
 
     def has_no_eligible_runner(self, service: str, regions: Collection[str] | None) -> bool:
         """Whether a service has ready runners, but all of them where the request may not run."""
--- a/src/bendshed/services/stream_exchange.py
+++ b/src/bendshed/services/stream_exchange.py
@@ -15,6 +15,7 @@
 from bendshed.services.attempts import Attempts, OpenResponse
 from bendshed.services.events import EventSplitter, StreamEvent
 from bendshed.services.metrics import ServedOutcome
+from bendshed.services.stream_origins import OriginRecorder
 from bendshed.services.turn_record import TurnRecord
 
 HTTP_OK = 200
@@ -32,6 +33,8 @@
 
     Attributes:
         record: the recorded turn whose output is streamed; ``None``: the stream is not recorded.
+        origin: records which runners may continue a stream that is no turn; ``None``: it may not be
+            resumed.
         num_events: events sent to the caller.
 
     """
@@ -40,6 +43,7 @@
     attempts: Attempts
     caller: Caller
     record: TurnRecord | None
+    origin: OriginRecorder | None = None
     num_events: int = 0
 
     async def run(self) -> Refusal | ServedOutcome:
@@ -69,6 +73,10 @@
                 detail = f"the turn ran, but its reservation failed: {reservation_refusal.detail}"
                 failed = GiveUp(GiveUpReason.RESERVATION_FAILED, detail)
                 return refusal_of(failed, self.attempts.history)
+            if response.head.status == HTTP_OK and not await self._confirm_origin(response):
+                detail = "the version that answered may not be the one that began the stream"
+                failed = GiveUp(GiveUpReason.ORIGIN_UNCONFIRMED, detail)
+                return refusal_of(failed, self.attempts.history)
             is_complete = await self._relay(response)
         except (ResponseBroken, StreamBroken) as error:
             log.say(
@@ -83,6 +91,13 @@
             response.close(is_complete)
         return ServedOutcome.ANSWERED if is_complete else ServedOutcome.BROKEN_OFF
 
+    async def _confirm_origin(self, response: OpenResponse) -> bool:
+        """Whether events may be sent: a later attempt finds the version that wrote them."""
+        version = response.confirmed_version
+        if self.record is not None:
+            return await self.record.confirm_origin(version)
+        return self.origin is None or await self.origin.confirm_of_call(version)
+
     async def _relay(self, response: OpenResponse) -> bool:
         """Relay the stream event by event; raise if it is incomplete."""
         loop = asyncio.get_running_loop()
--- /dev/null
+++ b/src/bendshed/services/stream_origins.py
@@ -0,0 +1,181 @@
+"""Finds the origin of a stream that a caller resumes, and records it before the first event.
+
+The turn log remembers origins. A turn's begin contains the expected one, which costs no message;
+this module corrects it if another runner answered. Invariant: an event goes to the caller only if
+the recorded origin names the version that wrote it, or names none, so that the stream is not
+resumed. Source: docs/design/0013.
+"""
+
+from dataclasses import dataclass
+
+from bendshed.consensus.group_client import GroupUnavailable
+from bendshed.errors import ErrorKind, Refusal
+from bendshed.logs import PartLog
+from bendshed.model.service_document import Route
+from bendshed.model.stream_origin import StreamOrigin
+from bendshed.ports.runner import ServiceRequest
+from bendshed.turns.client import TurnClient
+from bendshed.turns.group_locator import GroupLocator
+from bendshed.wire import turns_pb2 as wire
+
+FIND_TIMEOUT_S = 1.5
+"""Timeout of reading an origin; outlasts an election of the group."""
+RECORD_TIMEOUT_S = 0.6
+"""Timeout of recording an origin, which delays the first event."""
+MAX_TTL_MS = 600_000
+"""Upper bound on the time for which an origin is remembered, whatever a caller states."""
+
+log = PartLog("origins")
+
+
+def is_resumed(request: ServiceRequest, route: Route) -> bool:
+    """Whether a request continues a stream; other routes ignore the caller's event id."""
+    return bool(request.last_event_id) and route.is_resumable
+
+
+def ttl_ms(request: ServiceRequest, route: Route) -> int:
+    """How long a stream may be resumed: as long as its caller waits for the whole of it."""
+    return min(MAX_TTL_MS, max(request.wait_ms or 0, route.timeout_ms))
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOriginClient:
+    """Reads and records origins in the turn log."""
+
+    client: TurnClient
+    group_locator: GroupLocator
+
+    async def find(
+        self, request: ServiceRequest, tenant: str, left_s: float
+    ) -> StreamOrigin | Refusal:
+        """Return the origin of the stream that a request resumes.
+
+        Kinds: ``BAD_REQUEST`` if it does not name the stream; ``STREAM_UNKNOWN``;
+        ``TURN_LOG_UNAVAILABLE`` if a group that may know it did not answer in time.
+        """
+        if not request.resumes:
+            detail = "an event id without the attempt that brought the first event: send both"
+            return Refusal(ErrorKind.BAD_REQUEST, detail)
+        if self.client.is_isolated:
+            return Refusal(ErrorKind.TURN_LOG_UNAVAILABLE, "no other node answers this one")
+        timeout_s = min(FIND_TIMEOUT_S, left_s)
+        find = wire.FindOrigin(tenant=tenant, request_id=request.resumes)
+        first = self.group_locator.group_of(tenant, request.program_id, "")
+        num_silent = 0
+        for group in (first, *self.group_locator.others(tenant, first)):
+            command = wire.TurnCommand(find_origin=find, group=group)
+            reply = await self._commit(command, request.request_id, timeout_s)
+            num_silent += reply is None
+            if reply is not None and reply.HasField("origin"):
+                return _origin_of(reply, request, group)
+        if num_silent:
+            return Refusal(
+                ErrorKind.TURN_LOG_UNAVAILABLE, "a group that may know the stream is silent"
+            )
+        return Refusal(
+            ErrorKind.STREAM_UNKNOWN, f"nothing is known of the stream {request.resumes}"
+        )
+
+    async def record(
+        self, request_id: str, tenant: str, group: int, origin: wire.StreamOrigin
+    ) -> bool:
+        """Record the origin of a stream; ``False``: not known to be recorded in time."""
+        record = wire.RecordOrigin(tenant=tenant, request_id=request_id, origin=origin)
+        command = wire.TurnCommand(record_origin=record, group=group)
+        return await self._commit(command, request_id, RECORD_TIMEOUT_S) is not None
+
+    async def _commit(
+        self, command: wire.TurnCommand, request_id: str, timeout_s: float
+    ) -> wire.TurnReply | None:
+        try:
+            return await self.client.command(command, timeout_s)
+        except GroupUnavailable as error:
+            log.say(
+                "no leader answered",
+                request=request_id,
+                command=command.WhichOneof("command"),
+                group=command.group,
+                reason=str(error),
+            )
+            return None
+
+
+def _origin_of(
+    reply: wire.TurnReply, request: ServiceRequest, group: int
+) -> StreamOrigin | Refusal:
+    origin = StreamOrigin(reply.origin.service, reply.origin.software_version)
+    log.say(
+        "stream bound to its version",
+        request=request.request_id,
+        resumes=request.resumes,
+        service=origin.service,
+        software_version=origin.software_version,
+        source="answer" if reply.is_origin_confirmed else "placement",
+        age_ms=reply.origin_age_ms,
+        group=group,
+    )
+    if not origin.software_version:
+        return Refusal(ErrorKind.STREAM_UNKNOWN, "the version that began the stream is not known")
+    return origin
+
+
+@dataclass(slots=True)
+class OriginRecorder:
+    """The origin of one stream that may be resumed.
+
+    Attributes:
+        expected: origin that the turn's begin contains; without a version if it is not known.
+        bound_version: version that began the stream which the request resumes; empty: a new stream.
+
+    """
+
+    origins: StreamOriginClient
+    request: ServiceRequest
+    tenant: str
+    expected: wire.StreamOrigin
+    bound_version: str
+
+    async def confirm_of_turn(self, begun: wire.TurnReply, group: int, version: str) -> bool:
+        """Confirm the origin of a turn before its first event; ``False``: no event may be sent.
+
+        Args:
+            begun: reply to the turn's begin; a replica of an earlier build names no origin in it,
+                and then none is recorded.
+            group: group that committed the begin.
+            version: of the runner that answered; empty: not known.
+
+        """
+        if not self._is_bound_to(version):
+            return False
+        recorded_version = begun.origin.software_version
+        if not begun.HasField("origin") or recorded_version == version:
+            return True
+        is_recorded = await self._record(version, group)
+        return is_recorded or not recorded_version
+
+    async def confirm_of_call(self, version: str) -> bool:
+        """The same for a stream that is not a turn, of which nothing is recorded yet."""
+        if not self._is_bound_to(version):
+            return False
+        is_log_reachable = self.origins.client.unreachable_since_s is None
+        if version and is_log_reachable:
+            group = self.origins.group_locator.group_of(self.tenant, self.request.program_id, "")
+            await self._record(version, group)
+        return True
+
+    def _is_bound_to(self, version: str) -> bool:
+        return not self.bound_version or version == self.bound_version
+
+    async def _record(self, version: str, group: int) -> bool:
+        origin = wire.StreamOrigin(
+            service=self.expected.service, software_version=version, ttl_ms=self.expected.ttl_ms
+        )
+        is_recorded = await self.origins.record(self.request.request_id, self.tenant, group, origin)
+        log.say(
+            "origin recorded: not the expected one" if is_recorded else "origin not recorded",
+            request=self.request.request_id,
+            expected_version=self.expected.software_version,
+            software_version=version,
+            group=group,
+        )
+        return is_recorded
--- a/src/bendshed/services/turn_codec.py
+++ b/src/bendshed/services/turn_codec.py
@@ -43,8 +43,13 @@
     route: Route
     tenant: str
 
-    def encode_begin(self, num_groups: int) -> wire.BeginTurn:
-        """Encode the reservation of the maximum cost; ``num_groups`` groups share the budget."""
+    def encode_begin(
+        self, num_groups: int, origin: wire.StreamOrigin | None = None
+    ) -> wire.BeginTurn:
+        """Encode the reservation of the maximum cost; ``num_groups`` groups share the budget.
+
+        ``origin`` is the expected origin of a stream that may be resumed.
+        """
         turn = self._turn
         return wire.BeginTurn(
             program_id=self.request.program_id,
@@ -56,6 +61,7 @@
             retention_ms=self.route.retention_ms,
             tenant=self.tenant,
             num_groups=num_groups,
+            origin=origin,
         )
 
     def encode_finish(self, group: int, output: TurnOutput, end: TurnEnd) -> wire.TurnCommand:
--- a/src/bendshed/services/turn_ports.py
+++ b/src/bendshed/services/turn_ports.py
@@ -11,6 +11,7 @@
 from bendshed.policy import ALL_ENABLED, Policy
 from bendshed.services.metrics import ServiceMetrics
 from bendshed.services.quota_client import QuotaClient
+from bendshed.services.stream_origins import StreamOriginClient
 from bendshed.services.turn_ends import PendingTurnEnds
 from bendshed.turns.client import TranscriptCache, TurnClient
 from bendshed.turns.group_locator import GroupLocator
@@ -36,6 +37,7 @@
         background_begins: pending begins, which may outlive their requests.
         ends: uncommitted ends of turns that no caller waits for.
         shares: transfers budget shares between groups whose leaders cannot reach each other.
+        origins: which runners may continue a stream.
 
     """
 
@@ -48,10 +50,12 @@
     background_begins: "set[asyncio.Task[Any]]" = field(default_factory=set)
     ends: PendingTurnEnds = field(init=False)
     shares: ShareGatherer = field(init=False)
+    origins: StreamOriginClient = field(init=False)
 
     def __post_init__(self) -> None:
         self.ends = PendingTurnEnds(self.client)
         self.shares = ShareGatherer(self.group_locator.groups, self._commit_share)
+        self.origins = StreamOriginClient(self.client, self.group_locator)
 
     def run_in_background(self, task: "asyncio.Task[Any]") -> None:
         """Keep a reference to a task until it ends; the node waits for it before stopping."""
--- a/src/bendshed/services/turn_record.py
+++ b/src/bendshed/services/turn_record.py
@@ -14,6 +14,7 @@
 from bendshed.ports.runner import ServiceRequest
 from bendshed.services.attempts import Attempts
 from bendshed.services.events import StreamEvent
+from bendshed.services.stream_origins import OriginRecorder
 from bendshed.services.turn_codec import TurnCodec, TurnEnd
 from bendshed.services.turn_output import TurnOutput
 from bendshed.services.turn_ports import FINISH_TIMEOUT_S, TurnPorts
@@ -35,6 +36,7 @@
         attempts: dispatches to runners, which follow the placement of the preview.
         engine: features of the service; ``None``: not a model engine.
         deadline_s: loop time after which the turn is no longer begun.
+        origin: records which runners may continue the stream; ``None``: it may not be resumed.
 
     """
 
@@ -44,6 +46,7 @@
     attempts: Attempts
     engine: EngineFeatures | None
     deadline_s: float
+    origin: OriginRecorder | None = None
     _codec: TurnCodec = field(init=False)
     _output: TurnOutput = field(init=False)
     _reservation: TurnReservation = field(init=False)
@@ -52,7 +55,10 @@
     def __post_init__(self) -> None:
         self._codec = TurnCodec(self.request, self.route, self._tenant)
         self._output = TurnOutput(self.engine, self.route.keeps_turns)
-        self._reservation = TurnReservation(self.ports, self._codec, self.attempts, self.deadline_s)
+        expected = self.origin.expected if self.origin is not None else None
+        self._reservation = TurnReservation(
+            self.ports, self._codec, self.attempts, self.deadline_s, expected
+        )
 
     @property
     def _tenant(self) -> str:
@@ -71,6 +77,13 @@
         """Wait until the reservation is committed; return the refusal if it is not."""
         return await self._reservation.confirm()
 
+    async def confirm_origin(self, software_version: str) -> bool:
+        """Confirm the version that answered, after ``confirm``; ``False``: send no event."""
+        begun = self._reservation.begun
+        if self.origin is None or begun is None:
+            return True
+        return await self.origin.confirm_of_turn(begun, self._reservation.group, software_version)
+
     def count(self, event: StreamEvent) -> None:
         """Count an event before it is sent."""
         self._output.count(event)
--- a/src/bendshed/services/turn_reservation.py
+++ b/src/bendshed/services/turn_reservation.py
@@ -39,7 +39,9 @@
         group: id of the turn log's group that commits the turn.
         needs_finish: the turn's end must be committed: a reservation may exist, or a runner may
             have run it without one.
+        origin: expected origin of a stream that may be resumed; ``None``: it may not.
         transcript: the chain that precedes the turn's own input.
+        begun: reply to the committed begin; ``None``: not committed yet.
 
     """
 
@@ -48,8 +50,10 @@
     attempts: Attempts
     deadline_s: float
     group: int = field(init=False)
+    origin: wire.StreamOrigin | None = None
     needs_finish: bool = False
     transcript: bytes = b""
+    begun: wire.TurnReply | None = None
     _begin: wire.BeginTurn = field(init=False)
     _search: GroupSearch = field(init=False)
     _commit_task: "asyncio.Task[wire.TurnReply | None] | None" = None
@@ -58,7 +62,7 @@
 
     def __post_init__(self) -> None:
         locator, tenant = self.ports.group_locator, self.codec.tenant
-        begin = self._begin = self.codec.encode_begin(locator.num_groups(tenant))
+        begin = self._begin = self.codec.encode_begin(locator.num_groups(tenant), self.origin)
         self.group = locator.group_of(tenant, begin.program_id, begin.previous_turn)
         self._search = GroupSearch(locator, self.ports.shares, begin, self.group, self._commit_in)
 
@@ -97,6 +101,7 @@
         tenant = self.codec.tenant
         if is_granted(reply):
             self._is_reserved = True
+            self.begun = reply
             self.ports.group_locator.record_program(tenant, self._begin.program_id, self.group)
             return None
         # Nothing is reserved; a turn that was dispatched nevertheless is charged by its end.
@@ -138,6 +143,7 @@
             placement.runner_report(),
             placement.ports.zone,
             regions=placement.regions,
+            software_version=placement.software_version,
         )
         demand.body_bytes = len(request.body) + len(self._cached_transcript() or b"")
         return demand
--- a/src/bendshed/turns/service.py
+++ b/src/bendshed/turns/service.py
@@ -156,6 +156,7 @@
         refusal = self._rejected_by_preview(command.begin, state)
         if refusal is not None:
             return refusal
+        self._set_expected_version(command.begin)
         reply = await group.commit(command, answer_by_s)
         if _needs_gather(command, reply):
             gathered = await self.shares.gather(command.group, command.begin)
@@ -166,6 +167,15 @@
             self.shares.gather_later(command.group, command.begin)
         return reply
 
+    def _set_expected_version(self, begin: wire.BeginTurn) -> None:
+        """Set the software version of the runner where the preview placed the turn.
+
+        The begin was sent along with the preview, so its front did not know the placement.
+        """
+        if begin.HasField("origin"):
+            placed_version = self._placement.software_version_of(begin.turn_id)
+            begin.origin.software_version = placed_version or begin.origin.software_version
+
     def _settle_begin(self, command: wire.TurnCommand, reply: wire.TurnReply) -> None:
         """End the bookkeeping of a begin that was committed or whose turn will not run."""
         turn_id = command.begin.turn_id
--- a/src/bendshed/turns/state.py
+++ b/src/bendshed/turns/state.py
@@ -1,4 +1,4 @@
-"""Replicated state machine of the turn log: stored turn chains, program budgets, tenant usage.
+"""Replicated state machine of the turn log: stored turns, budgets, tenant usage, stream origins.
 
 Applies committed commands and returns replies; performs no I/O. Time is the log's clock, which
 commands carry. It is monotonic and stops while the group has no leader, so that nothing expires
@@ -11,6 +11,7 @@
 from bendshed.admission.quota_usage import UsageWindows
 from bendshed.turns.methods import TenantScopedId
 from bendshed.turns.stored_turn import StoredTurn
+from bendshed.turns.stream_origins import StreamOrigins
 from bendshed.wire import turns_pb2 as wire
 
 PROGRAM_RETENTION_FACTOR = 2
@@ -45,6 +46,7 @@
         self.turns: dict[TenantScopedId, StoredTurn] = {}
         self.programs: dict[TenantScopedId, ProgramBudget] = {}
         self.usage = UsageWindows()
+        self.origins = StreamOrigins()
 
     # --- replication ---------------------------------------------------------------------
 
@@ -71,6 +73,10 @@
                 return self._release(command.release)
             case "take":
                 return self._take(command.take)
+            case "record_origin":
+                return self._record_origin(command.record_origin)
+            case "find_origin":
+                return self._find_origin(command.find_origin)
         return wire.TurnReply()
 
     def snapshot(self) -> bytes:
@@ -91,6 +97,8 @@
             yield wire.TurnLogSnapshot(programs=[budget]).SerializeToString()
         for piece in self.usage.snapshot_parts():
             yield piece.SerializeToString()
+        for part in self.origins.snapshot_parts():
+            yield part.SerializeToString()
 
     def restore(self, state: bytes) -> None:
         """Replace the state by that of a snapshot."""
@@ -103,6 +111,7 @@
             (row.tenant, row.program_id): ProgramBudget.from_wire(row) for row in snapshot.programs
         }
         self.usage = UsageWindows.from_snapshot(snapshot)
+        self.origins = StreamOrigins.from_snapshot(snapshot)
 
     # --- begin ---------------------------------------------------------------------------
 
@@ -120,6 +129,10 @@
         program.note_granted(begin)
         reply = self._reply(wire.TURN_ANSWER_GRANTED, program)
         self._add_uncached_chain(reply, begin)
+        if begin.HasField("origin"):
+            stream = (begin.tenant, begin.turn_id)
+            self.origins.record_expected(stream, begin.origin, self.clock_ms)
+            self.origins.add_to_reply(reply, stream, self.clock_ms)
         return reply
 
     def preview(self, begin: wire.BeginTurn) -> wire.TurnReply:
@@ -237,6 +250,20 @@
             reserved_tokens=program.reserved_tokens,
         )
 
+    # --- origins of streams --------------------------------------------------------------
+
+    def _record_origin(self, record: wire.RecordOrigin) -> wire.TurnReply:
+        stream = (record.tenant, record.request_id)
+        self.origins.record_confirmed(stream, record.origin, self.clock_ms)
+        return self._find_origin(
+            wire.FindOrigin(tenant=record.tenant, request_id=record.request_id)
+        )
+
+    def _find_origin(self, request: wire.FindOrigin) -> wire.TurnReply:
+        reply = wire.TurnReply()
+        self.origins.add_to_reply(reply, (request.tenant, request.request_id), self.clock_ms)
+        return reply
+
     # --- finish --------------------------------------------------------------------------
 
     def _finish(self, finish: wire.FinishTurn) -> wire.TurnReply:
@@ -291,6 +318,7 @@
             name: program for name, program in self.programs.items() if program.expires_ms >= now_ms
         }
         self.usage.sweep(now_ms)
+        self.origins.sweep(now_ms)
 
 
 def _program_retention_ms(retention_ms: int) -> int:
--- /dev/null
+++ b/src/bendshed/turns/stream_origins.py
@@ -0,0 +1,108 @@
+"""Which service and software version began each stream that may be resumed. Pure.
+
+Replicated as a part of the turn log's state; time is the log's clock.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Self
+
+from bendshed.turns.methods import TenantScopedId
+from bendshed.wire import turns_pb2 as wire
+
+
+@dataclass(frozen=True, slots=True)
+class StoredOrigin:
+    """The origin of one stream.
+
+    Attributes:
+        software_version: empty: not known, so that the stream is not continued.
+        is_confirmed: the front reported the runner that answered; otherwise it is the runner that
+            was expected when the turn began.
+        recorded_ms, expires_ms: by the log's clock.
+
+    """
+
+    service: str
+    software_version: str
+    is_confirmed: bool
+    recorded_ms: int
+    expires_ms: int
+
+
+class StreamOrigins:
+    """Origins by the request id of the client attempt that brought the first event.
+
+    Invariant: an expected origin never replaces one that is recorded, so that a late copy of a
+    begin changes nothing.
+    """
+
+    def __init__(self) -> None:
+        self._origins: dict[TenantScopedId, StoredOrigin] = {}
+
+    def __len__(self) -> int:
+        return len(self._origins)
+
+    def record_expected(
+        self, stream: TenantScopedId, origin: wire.StreamOrigin, now_ms: int
+    ) -> None:
+        """Record the origin that a begin expects, unless one is recorded."""
+        if stream not in self._origins:
+            self._put(stream, origin, False, now_ms)
+
+    def record_confirmed(
+        self, stream: TenantScopedId, origin: wire.StreamOrigin, now_ms: int
+    ) -> None:
+        """Record the origin that the stream's front reported."""
+        self._put(stream, origin, True, now_ms)
+
+    def _put(
+        self, stream: TenantScopedId, origin: wire.StreamOrigin, is_confirmed: bool, now_ms: int
+    ) -> None:
+        self._origins[stream] = StoredOrigin(
+            origin.service, origin.software_version, is_confirmed, now_ms, now_ms + origin.ttl_ms
+        )
+
+    def add_to_reply(self, reply: wire.TurnReply, stream: TenantScopedId, now_ms: int) -> None:
+        """Add a stream's origin to a reply; without one, the reply names none."""
+        found = self._origins.get(stream)
+        if found is None or found.expires_ms < now_ms:
+            return
+        reply.origin.service = found.service
+        reply.origin.software_version = found.software_version
+        reply.is_origin_confirmed = found.is_confirmed
+        reply.origin_age_ms = now_ms - found.recorded_ms
+
+    def sweep(self, now_ms: int) -> None:
+        """Remove expired origins."""
+        self._origins = {
+            stream: origin
+            for stream, origin in self._origins.items()
+            if origin.expires_ms >= now_ms
+        }
+
+    def snapshot_parts(self) -> Iterator[wire.TurnLogSnapshot]:
+        """Yield one snapshot part for each origin."""
+        for (tenant, request_id), stored in self._origins.items():
+            origin = wire.StreamOrigin(
+                service=stored.service,
+                software_version=stored.software_version,
+                ttl_ms=stored.expires_ms - stored.recorded_ms,
+            )
+            row = wire.StoredOrigin(
+                tenant=tenant,
+                request_id=request_id,
+                origin=origin,
+                is_confirmed=stored.is_confirmed,
+                recorded_ms=stored.recorded_ms,
+            )
+            yield wire.TurnLogSnapshot(origins=[row])
+
+    @classmethod
+    def from_snapshot(cls, snapshot: wire.TurnLogSnapshot) -> Self:
+        """Rebuild the origins from a snapshot."""
+        origins = cls()
+        for row in snapshot.origins:
+            stream = (row.tenant, row.request_id)
+            origins._put(stream, row.origin, row.is_confirmed, row.recorded_ms)
+        return origins
--- a/src/bendshed/turns/turn_placement.py
+++ b/src/bendshed/turns/turn_placement.py
@@ -55,7 +55,9 @@
         """
         self._drop_unlisted_runners()
         regions = frozenset(preview.demand.regions) or None
-        runners = self._catalog.ready_runners(preview.demand.service, regions)
+        runners = self._catalog.ready_runners(
+            preview.demand.service, regions, preview.demand.software_version
+        )
         begin, chain = preview.begin, preview.demand.line
         request = PermitRequest(begin.turn_id, begin.program_id, is_new_program, chain)
         permitted_runners = self.cold.permitted_runners(runners, request, now_s)
@@ -75,7 +77,9 @@
         regions = frozenset(demand.regions) or None
         runners = [
             runner
-            for runner in self._catalog.ready_runners(demand.service, regions)
+            for runner in self._catalog.ready_runners(
+                demand.service, regions, demand.software_version
+            )
             if runner.runner_id not in demand.tried
         ]
         if not runners:
@@ -131,6 +135,10 @@
         )
         return placed.runner_id
 
+    def software_version_of(self, turn_id: str) -> str:
+        """Software version of the runner where a turn was placed; empty: not known."""
+        return self._catalog.software_version_of(self.cluster_load.runner_of(turn_id))
+
     def end_turn(self, turn_id: str, report: wire.TurnReport, now_s: float) -> None:
         """Remove an ended turn from the load."""
         ended = EndedTurn(turn_id, report.runner_id, report.event_gap_us / 1000, report.failed)
--- a/tests/site_defects.py
+++ b/tests/site_defects.py
@@ -294,7 +294,7 @@
 
 
 def _all_runners_of_service(
-    table: RunnerTable, service: str, now_s: float, regions: object = None
+    table: RunnerTable, service: str, now_s: float, regions: object = None, _version: str = ""
 ) -> list[object]:
     return list(table.by_service.get(service, {}).values())
 
--- a/tests/test_dispatch_restrictions.py
+++ b/tests/test_dispatch_restrictions.py
@@ -77,7 +77,9 @@
 
 def listed(runner_id: str) -> ServiceRunner:
     zone = "a" if runner_id in OPEN_RUNNERS else "b"
-    return ServiceRunner(runner_id, "s", address(runner_id), zone, 6, RunnerState.READY)
+    return ServiceRunner(
+        runner_id, "s", address(runner_id), zone, 6, RunnerState.READY, software_version="v1"
+    )
 
 
 class FakeConnection(RunnerConnection):
@@ -163,7 +165,10 @@
         client = mock.Mock(is_isolated=False)
         client.preview = self._preview
         client.command = mock.AsyncMock(
-            return_value=wire.TurnReply(answer=wire.TURN_ANSWER_GRANTED)
+            return_value=wire.TurnReply(
+                answer=wire.TURN_ANSWER_GRANTED,
+                origin=wire.StreamOrigin(service="s", software_version="v1"),
+            )
         )
         quotas = mock.Mock()
         quotas.admit_call = self._admit_call
@@ -211,6 +216,7 @@
             turn,
             asyncio.get_running_loop().time(),
             credential,
+            resumes="r-first" if resumes else "",
         )
         caller = RecordingCaller()
         await self.forwarder.serve(request, caller)
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -30,6 +30,7 @@
     GiveUpReason.ANSWER_BROKEN,
     GiveUpReason.NO_QUOTA,
     GiveUpReason.RESERVATION_FAILED,
+    GiveUpReason.ORIGIN_UNCONFIRMED,
 }
 
 
--- a/tests/test_site_rules.py
+++ b/tests/test_site_rules.py
@@ -9,9 +9,10 @@
 from tests.site_budget_defects import BUDGET_DEFECTS
 from tests.site_cold_defects import COLD_DEFECTS
 from tests.site_defects import DEFECTS, Defect
+from tests.site_stream_defects import STREAM_DEFECTS
 from tests.site_zone_defects import ZONE_DEFECTS
 
-DEFECT_TABLES = (DEFECTS, BUDGET_DEFECTS, ZONE_DEFECTS, COLD_DEFECTS)
+DEFECT_TABLES = (DEFECTS, BUDGET_DEFECTS, ZONE_DEFECTS, COLD_DEFECTS, STREAM_DEFECTS)
 ALL_DEFECTS = {name: defect for table in DEFECT_TABLES for name, defect in table.items()}
 
 
@@ -111,3 +112,17 @@
 
     def test_unmodified_code_passes_the_scenarios(self) -> None:
         self.check_scenarios_pass()
+
+
+class StreamsDetectedTest(DefectsTestCase):
+    defects = STREAM_DEFECTS
+
+    def test_defects_are_detected(self) -> None:
+        self.check_detected()
+
+
+class StreamsPassedTest(DefectsTestCase):
+    defects = STREAM_DEFECTS
+
+    def test_unmodified_code_passes_the_scenarios(self) -> None:
+        self.check_scenarios_pass()
