Versions of runners reach nodes past machines of the earlier build; a search with resumed streams

What callers would see after an upgrade: streams of runners that have not changed since are never resumed, since the saved catalog and the updates of a store of the earlier build name no version, and an entry of a known revision is not read again.

An entry now tells whether its version was left out (the wire field is absent, not empty). The registry's list adds what a saved catalog lacks, and a node that followed an earlier build gets the whole list again from a machine that knows all versions.

--- a/src/bendshed/catalog/codec.py
+++ b/src/bendshed/catalog/codec.py
@@ -147,7 +147,7 @@
 
 def _runner_to_wire(known: KnownRunner, cold_left_ms: int) -> wire.CatalogRunner:
     runner = known.runner
-    return wire.CatalogRunner(
+    row = wire.CatalogRunner(
         runner_id=runner.runner_id,
         service=runner.service,
         address=address_to_wire(runner.address),
@@ -156,8 +156,10 @@
         is_draining=runner.state is RunnerState.DRAINING,
         revision=known.revision,
         cold_left_ms=cold_left_ms,
-        software_version=runner.software_version,
     )
+    if known.has_version:
+        row.software_version = runner.software_version
+    return row
 
 
 def runner_from_wire(row: wire.CatalogRunner) -> KnownRunner:
@@ -173,7 +175,7 @@
         row.cold_left_ms,
         row.software_version,
     )
-    return KnownRunner(runner, row.revision)
+    return KnownRunner(runner, row.revision, row.HasField("software_version"))
 
 
 def _removal_to_wire(removal: Removal) -> wire.RemovedRunner:
--- a/src/bendshed/catalog/follower.py
+++ b/src/bendshed/catalog/follower.py
@@ -270,6 +270,7 @@
             is_replica=self._is_replica,
             is_cut_off=self._needs_relay(machine),
             num_dependent_fronts=self._num_dependent_fronts(),
+            lacks_software_versions=bool(self._intake.without_version),
         )
 
     def _wait_s(self, machine: Address) -> float:
--- a/src/bendshed/catalog/messages.py
+++ b/src/bendshed/catalog/messages.py
@@ -38,6 +38,7 @@
         is_replica: it is a replica machine and relays nothing.
         is_cut_off: it reaches the machine only through relays, so it is no relay for others.
         num_dependent_fronts: number of fronts that depend on it, if it is a replica machine.
+        lacks_software_versions: it knows runners only as a machine of an earlier build sent them.
 
     """
 
@@ -51,6 +52,7 @@
     is_replica: bool
     is_cut_off: bool
     num_dependent_fronts: int
+    lacks_software_versions: bool = False
 
 
 def encode_request(request: ReadRequest) -> bytes:
@@ -65,6 +67,7 @@
         zones_at=request.zones_at,
         is_cut_off=request.is_cut_off,
         num_behind=request.num_dependent_fronts,
+        lacks_software_versions=request.lacks_software_versions,
     ).SerializeToString()
 
 
@@ -82,6 +85,7 @@
         request.is_replica,
         request.is_cut_off,
         request.num_behind,
+        request.lacks_software_versions,
     )
 
 
--- a/src/bendshed/catalog/server.py
+++ b/src/bendshed/catalog/server.py
@@ -66,14 +66,21 @@
             return True
         if request.runners_at > catalog.runners_at:
             return False
+        if self._adds_versions(request):
+            return True
         changes = catalog.changes_since(request.runners_at)
         return bool(changes.runners or changes.removed)
 
+    def _adds_versions(self, request: ReadRequest) -> bool:
+        """Whether a node needs the whole list again, for the versions of runners that it knows."""
+        return request.lacks_software_versions and not self._catalog.catalog.lacks_software_versions
+
     def _has_directory_changed(self, request: ReadRequest) -> bool:
         return self._directory.digest() != request.directory_digest
 
     def _reply(self, request: ReadRequest) -> wire.CatalogReply:
-        reply = make_reply(self._catalog.catalog, request.runners_at, request.document_version)
+        since = 0 if self._adds_versions(request) else request.runners_at
+        reply = make_reply(self._catalog.catalog, since, request.document_version)
         now_s = asyncio.get_running_loop().time()
         add_zones(reply, self._catalog.zones.record.make_update(now_s), request.zones_at)
         reply.age_ms = self._catalog.confirmations.age_ms()
--- a/src/bendshed/catalog/state.py
+++ b/src/bendshed/catalog/state.py
@@ -20,10 +20,17 @@
 
 @dataclass(frozen=True, slots=True)
 class KnownRunner:
-    """A runner and the revision of its last change."""
+    """A runner and the revision of its last change.
+
+    Attributes:
+        has_version: ``False``: the entry passed through a machine of an earlier build, which reads
+            no software version.
+
+    """
 
     runner: ServiceRunner
     revision: int
+    has_version: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +83,7 @@
     _runners: dict[str, KnownRunner] = field(default_factory=dict)
     _ready: dict[str, dict[str, ServiceRunner]] = field(default_factory=dict)
     _removed: "OrderedDict[str, Removal]" = field(default_factory=OrderedDict)
+    _without_version: set[str] = field(default_factory=set)
     _history_from: int = 0
     _encoded: bytes = b""
     _encoded_version: int = -1
@@ -98,6 +106,11 @@
         """Identities of all listed runners, ready or not."""
         return self._runners.keys()
 
+    @property
+    def lacks_software_versions(self) -> bool:
+        """Whether runners are known only as machines of an earlier build sent them."""
+        return bool(self._without_version)
+
     def software_version_of(self, runner_id: str) -> str:
         """Software version of a listed runner; empty: it is not listed, or names none."""
         known = self._runners.get(runner_id)
@@ -153,7 +166,7 @@
         """Apply one runner's state; ``False``: it is not newer."""
         runner_id = known.runner.runner_id
         current = self._runners.get(runner_id)
-        if current is not None and current.revision >= known.revision:
+        if current is not None and not _is_newer(known, current):
             if current.revision == known.revision:
                 self.cold.note_confirmed(known.runner)
             return False
@@ -162,6 +175,9 @@
         self._runners[runner_id] = known
         self._set_ready(known.runner, known.runner.state is RunnerState.READY)
         self._removed.pop(runner_id, None)
+        self._without_version.discard(runner_id)
+        if not known.has_version:
+            self._without_version.add(runner_id)
         self.cold.note_listed(known.runner)
         return True
 
@@ -178,6 +194,7 @@
         if current is None:
             return False
         self._set_ready(current.runner, False)
+        self._without_version.discard(runner_id)
         self.cold.note_removed(runner_id)
         self._removed[runner_id] = Removal(runner_id, revision, is_trusted)
         while len(self._removed) > MAX_REMOVED:
@@ -202,3 +219,10 @@
         runners = tuple(known for known in self._runners.values() if known.revision > since)
         removed = tuple(removal for removal in self._removed.values() if removal.revision > since)
         return RunnerChanges(since, self.runners_at, runners, removed)
+
+
+def _is_newer(known: KnownRunner, current: KnownRunner) -> bool:
+    """Whether a runner's state is of a later revision, or adds the version that was left out."""
+    if known.revision == current.revision:
+        return known.has_version and not current.has_version
+    return known.revision > current.revision
--- a/src/bendshed/catalog/update_intake.py
+++ b/src/bendshed/catalog/update_intake.py
@@ -42,6 +42,8 @@
         version: version of the configuration that the node knows.
         runners_at: revision up to which the node knows the runners.
         zones_at: revision up to which the node knows the closed zones.
+        without_version: ids of runners that a machine of an earlier build sent, without their
+            software version.
 
     """
 
@@ -49,6 +51,7 @@
         self.version = 0
         self.runners_at = 0
         self.zones_at = 0
+        self.without_version: set[str] = set()
         self._sink = sink
         self._times = times
 
@@ -99,6 +102,7 @@
         if changes is None or changes.revision < self.runners_at:
             return False
         if changes.since == 0:
+            self.without_version.clear()
             self._replace_runners(changes, update)
         elif changes.since == self.runners_at:
             for known in changes.runners:
@@ -107,9 +111,19 @@
                 self._sink.remove_runner(removal.runner_id, removal.revision, removal.is_trusted)
         else:
             return False
+        self._note_versions(changes)
         self.runners_at = changes.revision
         return True
 
+    def _note_versions(self, changes: RunnerUpdate) -> None:
+        for known in changes.runners:
+            runner_id = known.runner.runner_id
+            if known.has_version:
+                self.without_version.discard(runner_id)
+            else:
+                self.without_version.add(runner_id)
+        self.without_version.difference_update(row.runner_id for row in changes.removed)
+
     def _replace_runners(self, changes: RunnerUpdate, update: CatalogUpdate) -> None:
         is_first = self.runners_at == 0
         is_trusted = update.age_s < self._times.max_age_s
--- a/src/bendshed/cli/rehearse.py
+++ b/src/bendshed/cli/rehearse.py
@@ -117,6 +117,7 @@
         *search_options(),
         option("worlds", None, "Worlds to play", flag=False, default="20"),
         option("regions", None, "Sites of two regions", flag=True),
+        option("streams", None, "Two software versions serve, streams are resumed", flag=True),
         option("closings", None, "Sites that lose power as a whole at their end", flag=True),
     ]
 
@@ -129,7 +130,12 @@
             from bendshed.rehearsal.site.closings import CLOSINGS, STEPS_PER_CLOSING
 
             return self.search(CLOSINGS, int(self.option("worlds")) * STEPS_PER_CLOSING)
-        game = REGIONS if self.option("regions") else SITE
+        if self.option("streams"):
+            from bendshed.rehearsal.site.stream_steps import STREAMS, STREAMS_OF_TWO_REGIONS
+
+            game = STREAMS_OF_TWO_REGIONS if self.option("regions") else STREAMS
+        else:
+            game = REGIONS if self.option("regions") else SITE
         return self.search(game, int(self.option("worlds")) * STEPS_PER_WORLD)
 
 
--- a/src/bendshed/rehearsal/site/actions.py
+++ b/src/bendshed/rehearsal/site/actions.py
@@ -55,9 +55,15 @@
     CLOSE_ZONE = "operators close a zone"
     OPEN_ZONES = "operators open all zones"
     CLOSE_ZONE_IN_THE_DARK = "all start with a closed zone while the metadata store is down"
+    START_STREAMS = "start programs that resume their streams"
+    RELEASE = "a runner of another version takes the place of one"
+    CUT_STREAMS = "all runners cut streams"
 
 
 CALM = (Action.ADVANCE, Action.START_PROGRAM, Action.HEAL, Action.RESTART, Action.RESUME)
 BETWEEN_REGIONS = (Action.SPLIT_REGIONS, Action.KILL_REGION_LEADER, Action.START_HALVES)
 """What only a site of several regions knows."""
-WITHIN_A_REGION = tuple(action for action in Action if action not in BETWEEN_REGIONS)
+OF_STREAMS = (Action.START_STREAMS, Action.RELEASE, Action.CUT_STREAMS)
+"""What only searches with resumed streams draw, so that the others keep their worlds."""
+OF_REGIONS = tuple(action for action in Action if action not in OF_STREAMS)
+WITHIN_A_REGION = tuple(action for action in OF_REGIONS if action not in BETWEEN_REGIONS)
--- a/src/bendshed/rehearsal/site/fuzz.py
+++ b/src/bendshed/rehearsal/site/fuzz.py
@@ -5,7 +5,7 @@
 from functools import partial
 
 from bendshed.rehearsal.search import Game, Step
-from bendshed.rehearsal.site.actions import CALM, WITHIN_A_REGION, Action
+from bendshed.rehearsal.site.actions import CALM, OF_REGIONS, WITHIN_A_REGION, Action
 from bendshed.rehearsal.site.documents import GUEST, NARROW, WIDE
 from bendshed.rehearsal.site.layout import TWO_REGIONS, TWO_REGIONS_WITH_TENANTS
 from bendshed.rehearsal.site.oracle import Violation
@@ -393,4 +393,4 @@
     return SiteWorld.started(seed, TWO_REGION_SITES[seed % 2])
 
 
-REGIONS = replace(SITE, start=start_in_two_regions, actions=(*Action, *CALM * 3))
+REGIONS = replace(SITE, start=start_in_two_regions, actions=(*OF_REGIONS, *CALM * 3))
--- /dev/null
+++ b/src/bendshed/rehearsal/site/stream_steps.py
@@ -0,0 +1,72 @@
+"""Random releases beside random failures, while clients resume their streams."""
+
+from dataclasses import replace
+
+from bendshed.model.runner import RunnerState
+from bendshed.rehearsal.search import Game, Step
+from bendshed.rehearsal.site.actions import CALM, OF_STREAMS, WITHIN_A_REGION, Action
+from bendshed.rehearsal.site.documents import STREAM_SERVICE
+from bendshed.rehearsal.site.fuzz import MAX_PROGRAMS, SITE, SiteFuzzer, start_in_two_regions
+from bendshed.rehearsal.site.oracle import Violation
+from bendshed.rehearsal.site.programs import ProgramPlan
+from bendshed.rehearsal.site.sim_world import SiteWorld
+
+STREAMS_PER_PROGRAM = 4
+MAX_RUNNERS = 12
+"""Releases stop once as many runners have been started."""
+CUT_SHARE = 0.6
+
+
+def apply_step(world: SiteWorld, step: Step[Action]) -> None:
+    """Carry one step out and let a little time pass."""
+    match step.action:
+        case Action.START_STREAMS:
+            _start_streams(world)
+        case Action.RELEASE:
+            _release(world, step)
+        case Action.CUT_STREAMS:
+            _cut_streams(world, step)
+        case _:
+            SiteFuzzer(world).apply(step)
+            return
+    world.run_for(0.05 + step.amount * 0.4)
+
+
+def _start_streams(world: SiteWorld) -> None:
+    if len(world.programs) < MAX_PROGRAMS:
+        plan = ProgramPlan(turns=0, tools=0, streams=STREAMS_PER_PROGRAM)
+        for _ in range(2):
+            world.start_program(plan)
+
+
+def _release(world: SiteWorld, step: Step[Action]) -> None:
+    """Start a runner of a new or an old version; the oldest one that serves leaves."""
+    serving = [
+        row
+        for row in world.listed.values()
+        if row.service == STREAM_SERVICE and row.state is RunnerState.READY
+    ]
+    if len(world.runners) >= MAX_RUNNERS or world.registry.is_down or len(serving) < 2:
+        return
+    world.count("release")
+    oldest = serving[0]
+    version = f"v{1 + step.which % 3}"
+    name = f"{STREAM_SERVICE}-{len(world.runners) + 1}"
+    world.add_runner(name, STREAM_SERVICE, oldest.slots, oldest.zone, software_version=version)
+    world.drain_runner(oldest.runner_id)
+
+
+def _cut_streams(world: SiteWorld, step: Step[Action]) -> None:
+    world.count("all runners cut streams")
+    for runner in world.runners.values():
+        runner.troubles.cut = CUT_SHARE * step.amount
+
+
+STREAMS: Game[Action, SiteWorld, Violation] = replace(
+    SITE, apply=apply_step, actions=(*WITHIN_A_REGION, *CALM * 2, *OF_STREAMS * 8)
+)
+STREAMS_OF_TWO_REGIONS = replace(
+    STREAMS,
+    start=start_in_two_regions,
+    actions=(*STREAMS.actions, Action.SPLIT_REGIONS, Action.KILL_REGION_LEADER),
+)
