Record what a begin of the earlier build did not expect; tests of a front's resumed streams

A leader of the earlier build hands a begin on without the version of its placement and names no origin in the reply; replicas of this build store what the front expected. If another version answered, the front now records it as it does otherwise, so that such a replica, once it leads, does not name a wrong one. Found by reading; shown by test_turn_begun_at_an_earlier_build_records_what_the_begin_did_not_expect (red before).

--- a/src/bendshed/services/stream_origins.py
+++ b/src/bendshed/services/stream_origins.py
@@ -139,16 +139,17 @@
         """Confirm the origin of a turn before its first event; ``False``: no event may be sent.
 
         Args:
-            begun: reply to the turn's begin; a replica of an earlier build names no origin in it,
-                and then none is recorded.
+            begun: reply to the turn's begin. A leader of an earlier build names no origin in it,
+                but hands the expected one on to replicas that record it.
             group: group that committed the begin.
             version: of the runner that answered; empty: not known.
 
         """
         if not self._is_bound_to(version):
             return False
-        recorded_version = begun.origin.software_version
-        if not begun.HasField("origin") or recorded_version == version:
+        recorded = begun.origin if begun.HasField("origin") else self.expected
+        recorded_version = recorded.software_version
+        if recorded_version == version:
             return True
         is_recorded = await self._record(version, group)
         return is_recorded or not recorded_version
