--- a/src/bendshed/services/stream_origins.py
+++ b/src/bendshed/services/stream_origins.py
@@ -18,10 +18,9 @@
 from bendshed.turns.group_locator import GroupLocator
 from bendshed.wire import turns_pb2 as wire
 
-FIND_TIMEOUT_S = 1.5
-"""Timeout of reading an origin; outlasts an election of the group."""
-RECORD_TIMEOUT_S = 0.6
-"""Timeout of recording an origin, which delays the first event."""
+ORIGIN_TIMEOUT_S = 0.6
+"""Timeout of reading or recording an origin; outlasts an election of the group. Both delay the
+first event, and a caller that is refused soon can begin again from the start."""
 MAX_TTL_MS = 600_000
 """Upper bound on the time for which an origin is remembered, whatever a caller states."""
 
@@ -58,7 +57,7 @@
             return Refusal(ErrorKind.BAD_REQUEST, detail)
         if self.client.is_isolated:
             return Refusal(ErrorKind.TURN_LOG_UNAVAILABLE, "no other node answers this one")
-        timeout_s = min(FIND_TIMEOUT_S, left_s)
+        timeout_s = min(ORIGIN_TIMEOUT_S, left_s)
         find = wire.FindOrigin(tenant=tenant, request_id=request.resumes)
         first = self.group_locator.group_of(tenant, request.program_id, "")
         num_silent = 0
@@ -82,7 +81,7 @@
         """Record the origin of a stream; ``False``: not known to be recorded in time."""
         record = wire.RecordOrigin(tenant=tenant, request_id=request_id, origin=origin)
         command = wire.TurnCommand(record_origin=record, group=group)
-        return await self._commit(command, request_id, RECORD_TIMEOUT_S) is not None
+        return await self._commit(command, request_id, ORIGIN_TIMEOUT_S) is not None
 
     async def _commit(
         self, command: wire.TurnCommand, request_id: str, timeout_s: float
--- a/src/bendshed/turns/stream_origins.py
+++ b/src/bendshed/turns/stream_origins.py
@@ -3,6 +3,7 @@
 Replicated as a part of the turn log's state; time is the log's clock.
 """
 
+import sys
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Self
@@ -10,6 +11,9 @@
 from bendshed.turns.methods import TenantScopedId
 from bendshed.wire import turns_pb2 as wire
 
+ORIGINS_PER_PART = 256
+"""Origins in one part of a snapshot; bounds the memory of a part."""
+
 
 @dataclass(frozen=True, slots=True)
 class StoredOrigin:
@@ -60,7 +64,11 @@
         self, stream: TenantScopedId, origin: wire.StreamOrigin, is_confirmed: bool, now_ms: int
     ) -> None:
         self._origins[stream] = StoredOrigin(
-            origin.service, origin.software_version, is_confirmed, now_ms, now_ms + origin.ttl_ms
+            sys.intern(origin.service),  # few distinct texts, thousands of entries
+            sys.intern(origin.software_version),
+            is_confirmed,
+            now_ms,
+            now_ms + origin.ttl_ms,
         )
 
     def add_to_reply(self, reply: wire.TurnReply, stream: TenantScopedId, now_ms: int) -> None:
@@ -82,21 +90,26 @@
         }
 
     def snapshot_parts(self) -> Iterator[wire.TurnLogSnapshot]:
-        """Yield one snapshot part for each origin."""
+        """Yield snapshot parts of up to ``ORIGINS_PER_PART`` origins."""
+        part = wire.TurnLogSnapshot()
         for (tenant, request_id), stored in self._origins.items():
             origin = wire.StreamOrigin(
                 service=stored.service,
                 software_version=stored.software_version,
                 ttl_ms=stored.expires_ms - stored.recorded_ms,
             )
-            row = wire.StoredOrigin(
+            part.origins.add(
                 tenant=tenant,
                 request_id=request_id,
                 origin=origin,
                 is_confirmed=stored.is_confirmed,
                 recorded_ms=stored.recorded_ms,
             )
-            yield wire.TurnLogSnapshot(origins=[row])
+            if len(part.origins) == ORIGINS_PER_PART:
+                yield part
+                part = wire.TurnLogSnapshot()
+        if part.origins:
+            yield part
 
     @classmethod
     def from_snapshot(cls, snapshot: wire.TurnLogSnapshot) -> Self:
