--- a/src/bendshed/operators/explanation.py
+++ b/src/bendshed/operators/explanation.py
@@ -91,6 +91,7 @@
 ZONE_DEPENDENT_REFUSALS = frozenset({"no_runner", "overloaded", "deadline_exceeded"})
 """Kinds of refusals that a closed zone may have caused."""
 DISPATCHED_MESSAGE = "forward: request dispatched"
+BOUND_MESSAGE = "origins: stream bound to its version"
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,11 +197,11 @@
             cause = f"{CAUSES.get(kind, f'Refused as {kind}.')} Detail: {detail}."
             if closed and kind in ZONE_DEPENDENT_REFUSALS:
                 cause += f" Operators had closed {', '.join(closed)}: runners there get nothing."
-            return cause
+            return cause + _describe_origin(request_lines)
     texts = {line.text for line in request_lines}
     for text, cause in ENDS.items():
         if text in texts:
-            return cause + _describe_cold_runners(request_lines)
+            return cause + _describe_cold_runners(request_lines) + _describe_origin(request_lines)
     return f"No line tells its end; the last one is: {request_lines[-1].text}."
 
 
@@ -214,5 +215,19 @@
     return f" It was sent to a cold runner: {', '.join(cold)}." if cold else ""
 
 
+def _describe_origin(request_lines: list[LogLine]) -> str:
+    """Tell which version a resumed stream was bound to, and where that was known from."""
+    for line in request_lines:
+        if line.text == BOUND_MESSAGE:
+            fields = line.fields
+            version = fields.get("software_version") or "(not known)"
+            return (
+                f" It resumed the stream of {fields.get('resumes')}, begun at version {version} of"
+                f" {fields.get('service')} (recorded {fields.get('age_ms')} ms before, from the"
+                f" {fields.get('source')})."
+            )
+    return ""
+
+
 def _is_cold(line: LogLine) -> bool:
     return line.fields.get("is_cold") is True
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -56,6 +56,23 @@
         self.assertIn(same, explanation.lines)
         self.assertNotIn(other, explanation.lines)
 
+    def test_version_of_a_resumed_stream_is_named(self) -> None:
+        bound = line(
+            10.0,
+            "front-2",
+            "origins: stream bound to its version",
+            request="r3",
+            resumes="r1",
+            service="modelos",
+            software_version="v1.1",
+            source="placement",
+            age_ms=140,
+        )
+        answered = line(10.4, "front-2", "stream: stream answered", request="r3")
+        cause = explain("r3", [bound, answered]).cause
+        self.assertIn("stream of r1, begun at version v1.1 of modelos", cause)
+        self.assertIn("140 ms before, from the placement", cause)
+
     def test_closed_zone_is_named_as_cause(self) -> None:
         closed = line(1.0, "front-1", "zones: zone closed", zone="a", revision=7)
         opened = line(4.0, "front-1", "zones: zone open again", zone="a", revision=9)
--- a/tests/test_log_table.py
+++ b/tests/test_log_table.py
@@ -7,6 +7,7 @@
 
 from bendshed.errors import ErrorKind
 from bendshed.operators.explanation import (
+    BOUND_MESSAGE,
     CAUSES,
     CONTEXT_MESSAGES,
     DISPATCHED_MESSAGE,
@@ -61,7 +62,8 @@
 
     def test_explanation_uses_only_existing_messages_and_kinds(self) -> None:
         self.assertLessEqual(
-            {*CONTEXT_MESSAGES, *ENDS, REFUSED_MESSAGE, DISPATCHED_MESSAGE}, all_log_messages()
+            {*CONTEXT_MESSAGES, *ENDS, REFUSED_MESSAGE, DISPATCHED_MESSAGE, BOUND_MESSAGE},
+            all_log_messages(),
         )
         self.assertLessEqual(set(CAUSES), {kind.value for kind in ErrorKind})
 
