A resumed stream that is not named goes on where all streams of its service share a version

Their stream cannot be looked up by attempt. The state of the turn log now counts its origins by service and version: while all streams of the service have one version, in every group, any of them began at it; else the request is refused.

Tests: test_stream_that_is_not_named_goes_on_where_all_streams_share_a_version, test_streams_of_a_service_share_an_origin_only_if_it_is_one (both red before).

--- a/src/bendshed/services/forwarder.py
+++ b/src/bendshed/services/forwarder.py
@@ -156,11 +156,10 @@
             wait_ms = min(wait_ms, request.wait_ms)
         deadline_s = request.arrived_s + wait_ms / 1000
         sticky_key = self._sticky_key(request, route)
-        origin = await self._find_origin(request, route, principal, deadline_s)
+        service = choose_target(route, sticky_key or request.request_id)
+        origin = await self._find_origin(request, route, principal, service, deadline_s)
         if isinstance(origin, Refusal):
             return origin
-        if origin is None:
-            origin = StreamOrigin(choose_target(route, sticky_key or request.request_id), "")
         admit = partial(self._admit_call, request, principal, deadline_s)
         regions = allowed_regions(route, principal)
         placement = RunnerPlacement(
@@ -184,16 +183,22 @@
             return refusal_of(timed_out, history)
 
     async def _find_origin(
-        self, request: ServiceRequest, route: Route, principal: Principal, deadline_s: float
-    ) -> StreamOrigin | Refusal | None:
-        """Return where a resumed stream must go on; ``None``: the request begins a new one.
+        self,
+        request: ServiceRequest,
+        route: Route,
+        principal: Principal,
+        service: str,
+        deadline_s: float,
+    ) -> StreamOrigin | Refusal:
+        """Return where a resumed stream must go on; a new one may begin at any version.
 
-        Without a turn log, as on the own interface, runners have no versions to tell apart.
+        ``service`` is the one that the split of the route gives. Without a turn log, as on the own
+        interface, runners have no versions to tell apart.
         """
         if self._turn_ports is None or not is_resumed(request, route):
-            return None
+            return StreamOrigin(service, "")
         left_s = deadline_s - asyncio.get_running_loop().time()
-        origin = await self._turn_ports.origins.find(request, principal.name, left_s)
+        origin = await self._turn_ports.origins.find(request, principal.name, service, left_s)
         if isinstance(origin, Refusal):
             return origin
         if all(target.service != origin.service for target in route.targets):
--- a/src/bendshed/services/stream_origins.py
+++ b/src/bendshed/services/stream_origins.py
@@ -6,6 +6,7 @@
 resumed. Source: docs/design/0013.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from bendshed.consensus.group_client import GroupUnavailable
@@ -45,35 +46,35 @@
     group_locator: GroupLocator
 
     async def find(
-        self, request: ServiceRequest, tenant: str, left_s: float
+        self, request: ServiceRequest, tenant: str, service: str, left_s: float
     ) -> StreamOrigin | Refusal:
         """Return the origin of the stream that a request resumes.
 
-        Kinds: ``BAD_REQUEST`` if it does not name the stream; ``STREAM_UNKNOWN``;
-        ``TURN_LOG_UNAVAILABLE`` if a group that may know it did not answer in time.
+        A caller that does not name the stream gets the origin that all streams of ``service``
+        share, if they share one.
+
+        Kinds: ``STREAM_UNKNOWN``; ``TURN_LOG_UNAVAILABLE`` if a group that may know it did not
+        answer in time.
         """
-        if not request.resumes:
-            detail = "an event id without the attempt that brought the first event: send both"
-            return Refusal(ErrorKind.BAD_REQUEST, detail)
         if self.client.is_isolated:
             return Refusal(ErrorKind.TURN_LOG_UNAVAILABLE, "no other node answers this one")
-        timeout_s = min(ORIGIN_TIMEOUT_S, left_s)
         find = wire.FindOrigin(tenant=tenant, request_id=request.resumes)
+        if not request.resumes:
+            find.service = service
+        found: set[StreamOrigin] = set()
         first = self.group_locator.group_of(tenant, request.program_id, "")
-        num_silent = 0
         for group in (first, *self.group_locator.others(tenant, first)):
             command = wire.TurnCommand(find_origin=find, group=group)
+            timeout_s = min(ORIGIN_TIMEOUT_S, left_s)
             reply = await self._commit(command, request.request_id, timeout_s)
-            num_silent += reply is None
-            if reply is not None and reply.HasField("origin"):
-                return _origin_of(reply, request, group)
-        if num_silent:
-            return Refusal(
-                ErrorKind.TURN_LOG_UNAVAILABLE, "a group that may know the stream is silent"
-            )
-        return Refusal(
-            ErrorKind.STREAM_UNKNOWN, f"nothing is known of the stream {request.resumes}"
-        )
+            if reply is None:
+                detail = "a group that may know the stream is silent"
+                return Refusal(ErrorKind.TURN_LOG_UNAVAILABLE, detail)
+            if reply.HasField("origin"):
+                found.add(_origin_of(reply, request, group))
+            if found and request.resumes:
+                break
+        return _sole_origin(found)
 
     async def record(
         self, request_id: str, tenant: str, group: int, origin: wire.StreamOrigin
@@ -99,22 +100,30 @@
             return None
 
 
-def _origin_of(
-    reply: wire.TurnReply, request: ServiceRequest, group: int
-) -> StreamOrigin | Refusal:
+def _origin_of(reply: wire.TurnReply, request: ServiceRequest, group: int) -> StreamOrigin:
     origin = StreamOrigin(reply.origin.service, reply.origin.software_version)
+    source = "answer" if reply.is_origin_confirmed else "placement"
     log.say(
         "stream bound to its version",
         request=request.request_id,
         resumes=request.resumes,
         service=origin.service,
         software_version=origin.software_version,
-        source="answer" if reply.is_origin_confirmed else "placement",
+        source=source if request.resumes else "all streams",
         age_ms=reply.origin_age_ms,
         group=group,
     )
-    if not origin.software_version:
-        return Refusal(ErrorKind.STREAM_UNKNOWN, "the version that began the stream is not known")
+    return origin
+
+
+def _sole_origin(found: Collection[StreamOrigin]) -> StreamOrigin | Refusal:
+    """The origin that was found, if it is one and names a version."""
+    if not found:
+        return Refusal(ErrorKind.STREAM_UNKNOWN, "nothing is known of the stream")
+    origin = next(iter(found))
+    if len(found) > 1 or not origin.software_version:
+        detail = "the software version that began the stream is not known"
+        return Refusal(ErrorKind.STREAM_UNKNOWN, detail)
     return origin
 
 
--- a/src/bendshed/turns/state.py
+++ b/src/bendshed/turns/state.py
@@ -261,7 +261,10 @@
 
     def _find_origin(self, request: wire.FindOrigin) -> wire.TurnReply:
         reply = wire.TurnReply()
-        self.origins.add_to_reply(reply, (request.tenant, request.request_id), self.clock_ms)
+        if request.request_id:
+            self.origins.add_to_reply(reply, (request.tenant, request.request_id), self.clock_ms)
+        else:
+            self.origins.add_common_to_reply(reply, request.service)
         return reply
 
     # --- finish --------------------------------------------------------------------------
--- a/src/bendshed/turns/stream_origins.py
+++ b/src/bendshed/turns/stream_origins.py
@@ -4,6 +4,7 @@
 """
 
 import sys
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Self
@@ -43,6 +44,7 @@
 
     def __init__(self) -> None:
         self._origins: dict[TenantScopedId, StoredOrigin] = {}
+        self._num_by_version: dict[str, Counter[str]] = {}
 
     def __len__(self) -> int:
         return len(self._origins)
@@ -63,13 +65,25 @@
     def _put(
         self, stream: TenantScopedId, origin: wire.StreamOrigin, is_confirmed: bool, now_ms: int
     ) -> None:
-        self._origins[stream] = StoredOrigin(
+        self._remove(stream)
+        stored = StoredOrigin(
             sys.intern(origin.service),  # few distinct texts, thousands of entries
             sys.intern(origin.software_version),
             is_confirmed,
             now_ms,
             now_ms + origin.ttl_ms,
         )
+        self._origins[stream] = stored
+        self._num_by_version.setdefault(stored.service, Counter())[stored.software_version] += 1
+
+    def _remove(self, stream: TenantScopedId) -> None:
+        stored = self._origins.pop(stream, None)
+        if stored is None:
+            return
+        versions = self._num_by_version[stored.service]
+        versions[stored.software_version] -= 1
+        if not versions[stored.software_version]:
+            del versions[stored.software_version]
 
     def add_to_reply(self, reply: wire.TurnReply, stream: TenantScopedId, now_ms: int) -> None:
         """Add a stream's origin to a reply; without one, the reply names none."""
@@ -81,13 +95,21 @@
         reply.is_origin_confirmed = found.is_confirmed
         reply.origin_age_ms = now_ms - found.recorded_ms
 
+    def add_common_to_reply(self, reply: wire.TurnReply, service: str) -> None:
+        """Add the origin that all streams of a service share; none: no stream is recorded.
+
+        A reply without a version says that there are several, or one that is not known.
+        """
+        versions = self._num_by_version.get(service)
+        if versions:
+            reply.origin.service = service
+            reply.origin.software_version = next(iter(versions)) if len(versions) == 1 else ""
+
     def sweep(self, now_ms: int) -> None:
         """Remove expired origins."""
-        self._origins = {
-            stream: origin
-            for stream, origin in self._origins.items()
-            if origin.expires_ms >= now_ms
-        }
+        expired = [name for name, stored in self._origins.items() if stored.expires_ms < now_ms]
+        for stream in expired:
+            self._remove(stream)
 
     def snapshot_parts(self) -> Iterator[wire.TurnLogSnapshot]:
         """Yield snapshot parts of up to ``ORIGINS_PER_PART`` origins."""
--- a/tests/site_stream_defects.py
+++ b/tests/site_stream_defects.py
@@ -147,6 +147,6 @@
         Rule.RESUMED, streams_are_cut, patch(StreamOriginClient, "find", _refuse_to_find)
     ),
     "origins are not stored": Defect(
-        Rule.RESUMED, streams_are_cut, patch(StreamOrigins, "record_expected", lambda *_: None)
+        Rule.RESUMED, streams_are_cut, patch(StreamOrigins, "_put", lambda *_: None)
     ),
 }
--- a/tests/test_dispatch_restrictions.py
+++ b/tests/test_dispatch_restrictions.py
@@ -199,6 +199,7 @@
         turn: TurnDetails | None = None,
         resumes: str = "",
         credential: str = "",
+        is_named: bool = True,
     ) -> RecordingCaller:
         """Send one request with its own session."""
         request = ServiceRequest(
@@ -216,7 +217,7 @@
             turn,
             asyncio.get_running_loop().time(),
             credential,
-            resumes="r-first" if resumes else "",
+            resumes="r-first" if resumes and is_named else "",
         )
         caller = RecordingCaller()
         await self.forwarder.serve(request, caller)
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -105,6 +105,13 @@
         self.front.put(replace(RESUMABLE, targets=(other,)))
         self.assertEqual(await self.refusal(), ErrorKind.VERSION_GONE)
 
+    # Guards against clients that are refused since they name no attempt, where one version serves.
+    async def test_stream_that_is_not_named_goes_on_where_all_streams_share_a_version(self) -> None:
+        await self.front.send(1, resumes="3", is_named=False)
+        self.assertEqual(self.front.runners.sent, [NEW_RUNNER])
+        (find,) = [c.find_origin for c in self.commands if c.HasField("find_origin")]
+        self.assertEqual((find.request_id, find.service), ("", "s"))
+
     async def test_event_id_is_ignored_where_streams_are_not_resumed(self) -> None:
         self.front.put(STREAM)
         await self.resume()
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -118,7 +118,9 @@
         return self.apply(record_origin=record)
 
     def find(self, request_id: str = "t", tenant: str = "") -> str | None:
-        reply = self.apply(find_origin=wire.FindOrigin(request_id=request_id, tenant=tenant))
+        reply = self.apply(
+            find_origin=wire.FindOrigin(request_id=request_id, tenant=tenant, service="s")
+        )
         return reply.origin.software_version if reply.HasField("origin") else None
 
     def test_begin_records_the_expected_origin(self) -> None:
@@ -143,6 +145,22 @@
         self.apply(begin=begin)
         self.assertIsNone(self.find())
 
+    # Guards against a version that is guessed for a stream which its caller does not name.
+    def test_streams_of_a_service_share_an_origin_only_if_it_is_one(self) -> None:
+        self.assertIsNone(self.find(""))
+        self.begin("v1")
+        self.assertEqual(self.find(""), "v1")
+        self.apply(record_origin=wire.RecordOrigin(request_id="u", origin=self.origin("v2")))
+        self.assertEqual(self.find(""), "")
+        self.record("v2")
+        self.assertEqual(self.find(""), "v2")
+        self.apply(record_origin=wire.RecordOrigin(request_id="u", origin=self.origin("")))
+        self.assertEqual(self.find(""), "")
+        restored = TurnLogState()
+        restored.restore(self.state.snapshot())
+        self.state = restored
+        self.assertEqual(self.find(""), "")
+
     def test_origin_is_forgotten_after_its_time(self) -> None:
         self.begin("v1")
         self.now_ms = self.TTL_MS
