--- a/src/bendshed/rehearsal/site/stream_steps.py
+++ b/src/bendshed/rehearsal/site/stream_steps.py
@@ -1,6 +1,7 @@
 """Random releases beside random failures, while clients resume their streams."""
 
 from dataclasses import replace
+from functools import partial
 
 from bendshed.model.runner import RunnerState
 from bendshed.rehearsal.search import Game, Step
@@ -19,6 +20,8 @@
 
 def apply_step(world: SiteWorld, step: Step[Action]) -> None:
     """Carry one step out and let a little time pass."""
+    for program in world.programs:
+        program.pick_node = partial(_pick_front, world)
     match step.action:
         case Action.START_STREAMS:
             _start_streams(world)
@@ -32,11 +35,25 @@
     world.run_for(0.05 + step.amount * 0.4)
 
 
+def _pick_front(world: SiteWorld) -> str:
+    """Any front but those that drain, which get no new clients.
+
+    Clients that never rest would otherwise keep a draining front busy until it is killed.
+    """
+    names = [
+        name
+        for name, machine in sorted(world.fronts.items())
+        if machine.front is None or not machine.front.is_draining
+    ]
+    return world.rng.choice(names or sorted(world.fronts))
+
+
 def _start_streams(world: SiteWorld) -> None:
     if len(world.programs) < MAX_PROGRAMS:
         plan = ProgramPlan(turns=0, tools=0, streams=STREAMS_PER_PROGRAM)
         for _ in range(2):
-            world.start_program(plan)
+            program = world.start_program(plan)
+            program.pick_node = partial(_pick_front, world)
 
 
 def _release(world: SiteWorld, step: Step[Action]) -> None:
