--- a/tests/site_stream_defects.py
+++ b/tests/site_stream_defects.py
@@ -2,7 +2,6 @@
 
 import contextlib
 from collections.abc import Iterator
-from unittest import mock
 
 from bendshed.errors import ErrorKind, Refusal
 from bendshed.model.stream_origin import StreamOrigin
@@ -10,7 +9,6 @@
 from bendshed.rehearsal.site.oracle import Rule, Violation
 from bendshed.rehearsal.site.programs import ProgramPlan
 from bendshed.rehearsal.site.sim_world import FIRST_SOFTWARE_VERSION, SiteWorld
-from bendshed.services.attempts import OpenResponse
 from bendshed.services.stream_origins import OriginRecorder, StreamOriginClient
 from bendshed.turns.stream_origins import StreamOrigins
 from tests.site_defects import Defect, patch
@@ -20,6 +18,8 @@
 RELEASE_S = 4.0
 """By then every front has applied the new list, and all machines are in touch."""
 CUT_SHARE = 0.4
+HEARTBEAT_S = 1.2
+"""A runner's entry names its new version up to so long after its start."""
 
 
 @contextlib.contextmanager
@@ -95,7 +95,7 @@
         for number in range(12):
             name = f"released-{1 + number % 4}"
             version = f"v{3 + number}"
-            site.restart_runner(name, version, unlisted_for_s=0.03)
+            site.restart_runner(name, version, unlisted_for_s=HEARTBEAT_S)
             start_streams(site, 3)
             site.run_for(1.0)
         return site.settle()
@@ -123,11 +123,6 @@
     return True
 
 
-def _claim_unchanged() -> contextlib.AbstractContextManager[object]:
-    listed_at_dispatch = property(lambda response: response.software_version)
-    return mock.patch.object(OpenResponse, "confirmed_version", listed_at_dispatch)
-
-
 STREAM_DEFECTS: dict[str, Defect] = {
     "a resumed stream is placed like a new one": Defect(
         Rule.VERSION, fronts_are_killed, patch(StreamOriginClient, "find", _find_without_version)
@@ -140,9 +135,6 @@
         runners_reject_what_was_placed,
         patch(OriginRecorder, "_record", _claim_recorded),
     ),
-    "a runner that restarts counts as of its former version": Defect(
-        Rule.VERSION, runners_restart_with_another_version, _claim_unchanged
-    ),
     "every resumed stream is rejected": Defect(
         Rule.RESUMED, streams_are_cut, patch(StreamOriginClient, "find", _refuse_to_find)
     ),
--- a/tests/test_dispatch_restrictions.py
+++ b/tests/test_dispatch_restrictions.py
@@ -95,6 +95,7 @@
         behaviour = self._runners.behaviour.get(self._runner_id, "")
         if behaviour == "loses":
             raise ResponseBroken("reset")
+        self._runners.before_answer()
         if behaviour == "sheds":
             return ResponseHead(503, [(NOT_RUN, b"1")], True)
         return ResponseHead(200, [], True)
@@ -116,6 +117,7 @@
         self.sent: list[str] = []
         self.behaviour: dict[str, str] = {}
         self.before_connecting: Callable[[str], None] = lambda _runner_id: None
+        self.before_answer: Callable[[], None] = lambda: None
 
     async def acquire(self, address: Address) -> RunnerConnection:
         await asyncio.sleep(0)
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -147,6 +147,20 @@
         caller = await self.front.send(2, TURN)
         self.assertIsNone(caller.refusal)
 
+    # Guards against a runner whose entry changes between the dispatch and the first event.
+    async def test_version_that_changed_since_the_dispatch_counts_as_unknown(self) -> None:
+        self.front.preferred_runner = "open-1"
+        self.front.runners.before_answer = lambda: self.front.table.put(
+            replace(listed("open-1"), software_version="v3")
+        )
+        await self.front.send(1, TURN)
+        (record,) = [c.record_origin for c in self.commands if c.HasField("record_origin")]
+        self.assertEqual(record.origin.software_version, "")
+        self.answers["find_origin"] = reply("v3")
+        self.front.runners.before_answer = lambda: self.front.table.put(listed("open-1"))
+        caller = await self.resume()
+        self.assertEqual((caller.body, caller.refusal is not None), (b"", True))
+
     # Guards against a wrong version that a leader of the earlier build hands on unseen.
     async def test_turn_begun_at_an_earlier_build_records_what_the_begin_did_not_expect(
         self,
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -3,10 +3,19 @@
 import logging
 import unittest
 
+from bendshed.rehearsal.search import STEPS_PER_WORLD
 from bendshed.rehearsal.site.oracle import Violation
-from tests.site_stream_defects import fronts_are_killed, leaders_are_killed
+from bendshed.rehearsal.site.stream_steps import STREAMS, STREAMS_OF_TWO_REGIONS
+from tests.site_stream_defects import (
+    fronts_are_killed,
+    leaders_are_killed,
+    runners_restart_with_another_version,
+)
 
 SEEDS = range(1, 4)
+WORLD_SEEDS = range(6)
+REGION_SEEDS = (1, 2, 126)
+"""With the world in which clients kept a draining front busy."""
 
 
 class StreamVersionsTest(unittest.TestCase):
@@ -27,3 +36,15 @@
         for seed in SEEDS:
             found += leaders_are_killed(seed)
         self.assertEqual(found, [])
+
+    # Guards against streams of two versions where a runner keeps its id over a restart.
+    def test_runners_that_keep_their_id_begin_streams_of_their_new_version(self) -> None:
+        self.assertEqual(runners_restart_with_another_version(1), [])
+
+    # Guards against mixed or neglected streams under random releases and failures.
+    def test_seeded_worlds_with_releases(self) -> None:
+        for game, seeds in ((STREAMS, WORLD_SEEDS), (STREAMS_OF_TWO_REGIONS, REGION_SEEDS)):
+            for seed in seeds:
+                world, violations = game.run(seed, game.random_steps(seed, STEPS_PER_WORLD))
+                world.close()
+                self.assertEqual(violations, [], seed)
