--- a/src/bendshed/rehearsal/site/http_client.py
+++ b/src/bendshed/rehearsal/site/http_client.py
@@ -56,7 +56,10 @@
         (EVENTS_HEADER, str(request.most_events).encode()),
         (names.AUTHORIZATION, f"{names.CREDENTIAL_SCHEME} {key_of(request.tenant)}".encode()),
     ]
-    if request.kind is Kind.TURN:
+    if request.after_event:
+        headers.append((names.LAST_EVENT_ID, str(request.after_event).encode()))
+        headers.append((names.RESUMES, request.resumes.encode()))
+    if request.kind in (Kind.TURN, Kind.RESUMABLE_TURN):
         counts = f"{len(request.body)},{tokens_of(request.most_events)}"
         headers.append((names.TOKEN_COUNTS, counts.encode()))
         headers.append((names.TOKEN_BUDGET, str(request.budget_tokens).encode()))
--- a/src/bendshed/rehearsal/site/http_runner.py
+++ b/src/bendshed/rehearsal/site/http_runner.py
@@ -223,4 +223,5 @@
         body=body,
         num_events=int(fields.get(EVENTS_HEADER, b"0")),
         tenant=fields.get(names.TENANT, b"").decode(),
+        after_event=int(fields.get(names.LAST_EVENT_ID, b"0")),
     )
--- a/src/bendshed/rehearsal/site/installation.py
+++ b/src/bendshed/rehearsal/site/installation.py
@@ -23,7 +23,7 @@
 from bendshed.rehearsal.site.http_runner import RunnerServer
 from bendshed.rehearsal.site.metadata import MetadataModel, MetadataServer
 from bendshed.rehearsal.site.records import SiteRecords, SiteRequest
-from bendshed.rehearsal.site.runner import SiteRunner
+from bendshed.rehearsal.site.runner import FIRST_SOFTWARE_VERSION, SiteRunner
 
 HOST = "127.0.0.1"
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -102,8 +102,8 @@
         """Start everything and wait until all fronts are ready and the turn log is bootstrapped."""
         await self._start_metadata()
         for number in range(2):
-            await self._add_runner(f"engine-{number + 1}", "engines", ZONES[number])
-            await self._add_runner(f"tool-{number + 1}", "tools", ZONES[number])
+            await self.add_runner(f"engine-{number + 1}", "engines", ZONES[number])
+            await self.add_runner(f"tool-{number + 1}", "tools", ZONES[number])
         self.publish(1)
         for number in range(num_stores):
             self._plan(f"store-{number + 1}", "store", ZONES[number % 3], self.stores)
@@ -135,12 +135,17 @@
         serve = self._store_server.serve(sockets=[listener])
         self._store_serving = asyncio.get_running_loop().create_task(serve)
 
-    async def _add_runner(self, name: str, service: str, zone: str) -> None:
-        runner = SiteRunner(name, service, zone, 8, random.Random(name), self.seen.runs)
+    async def add_runner(
+        self, name: str, service: str, zone: str, version: str = FIRST_SOFTWARE_VERSION
+    ) -> None:
+        """Start a runner and list it."""
+        runner = SiteRunner(name, service, zone, 8, random.Random(name), self.seen.runs, version)
         server = await RunnerServer.start(runner, HOST)
         self.runners.append(server)
         self.seen.zones_of[name] = zone
-        listed = ServiceRunner(name, service, server.address, zone, 8, RunnerState.READY)
+        listed = ServiceRunner(
+            name, service, server.address, zone, 8, RunnerState.READY, software_version=version
+        )
         self.metadata.put(names.RUNNER_KIND, name, write_runner(listed))
 
     def publish(self, version: int) -> None:
--- a/src/bendshed/rehearsal/site/runner.py
+++ b/src/bendshed/rehearsal/site/runner.py
@@ -13,6 +13,7 @@
 PREFILL_BYTES_PER_S = 130_000.0
 WORK_S = 0.05
 QUEUE_FACTOR = 3
+FIRST_SOFTWARE_VERSION = "v1"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -26,7 +26,7 @@
 from bendshed.rehearsal.site.oracle import Violation, check_all
 from bendshed.rehearsal.site.programs import AgentProgram, ProgramPlan
 from bendshed.rehearsal.site.records import Departure, Kind, SiteRecords, SiteRequest
-from bendshed.rehearsal.site.runner import SiteRunner
+from bendshed.rehearsal.site.runner import FIRST_SOFTWARE_VERSION, SiteRunner
 from bendshed.rehearsal.site.sim_caller import (
     CALLER_LATENCY_S,
     CALLER_TIMEOUT_S,
@@ -56,7 +56,6 @@
 """Operators wait this long for a store to be emptied, then take the wish back."""
 RETIREMENT_CHECK_S = 0.1
 BUDGET_TOKENS = 600
-FIRST_SOFTWARE_VERSION = "v1"
 TENANTS = (WIDE, NARROW)
 
 
--- a/tests/site_stream_defects.py
+++ b/tests/site_stream_defects.py
@@ -8,7 +8,8 @@
 from bendshed.rehearsal.site.documents import STREAM_SERVICE
 from bendshed.rehearsal.site.oracle import Rule, Violation
 from bendshed.rehearsal.site.programs import ProgramPlan
-from bendshed.rehearsal.site.sim_world import FIRST_SOFTWARE_VERSION, SiteWorld
+from bendshed.rehearsal.site.runner import FIRST_SOFTWARE_VERSION
+from bendshed.rehearsal.site.sim_world import SiteWorld
 from bendshed.services.stream_origins import OriginRecorder, StreamOriginClient
 from bendshed.turns.stream_origins import StreamOrigins
 from tests.site_defects import Defect, patch
