--- a/src/bendshed/services/turn_reservation.py
+++ b/src/bendshed/services/turn_reservation.py
@@ -37,9 +37,9 @@
         attempts: dispatches to runners, which follow the placement of the preview.
         deadline_s: loop time after which the turn is no longer begun.
         group: id of the turn log's group that commits the turn.
+        origin: expected origin of a stream that may be resumed; ``None``: it may not.
         needs_finish: the turn's end must be committed: a reservation may exist, or a runner may
             have run it without one.
-        origin: expected origin of a stream that may be resumed; ``None``: it may not.
         transcript: the chain that precedes the turn's own input.
         begun: reply to the committed begin; ``None``: not committed yet.
 
