Expect a stream's version by a count kept per service, not by a look at all runners

The table of runners now counts versions as the list changes. What is expected decides nothing: the leader's placement replaces it, and the front corrects it before the first event.

The check that a route still leads to a stream's service moves beside the lookup.

--- a/src/bendshed/services/forwarder.py
+++ b/src/bendshed/services/forwarder.py
@@ -190,7 +190,7 @@
         service: str,
         deadline_s: float,
     ) -> StreamOrigin | Refusal:
-        """Return where a resumed stream must go on; a new one may begin at any version.
+        """Return where a request may run: a resumed stream at its origin, others at any version.
 
         ``service`` is the one that the split of the route gives. Without a turn log, as on the own
         interface, runners have no versions to tell apart.
@@ -198,13 +198,8 @@
         if self._turn_ports is None or not is_resumed(request, route):
             return StreamOrigin(service, "")
         left_s = deadline_s - asyncio.get_running_loop().time()
-        origin = await self._turn_ports.origins.find(request, principal.name, service, left_s)
-        if isinstance(origin, Refusal):
-            return origin
-        if all(target.service != origin.service for target in route.targets):
-            detail = f"the route does not lead to {origin.service} any more"
-            return Refusal(ErrorKind.VERSION_GONE, detail)
-        return origin
+        origins = self._turn_ports.origins
+        return await origins.find_on_route(request, route, principal.name, service, left_s)
 
     async def _serve_attempts(
         self,
--- a/src/bendshed/services/runner_placement.py
+++ b/src/bendshed/services/runner_placement.py
@@ -103,12 +103,8 @@
         return bool(self.software_version) and not self._eligible(now_s)
 
     def expected_version(self) -> str:
-        """Software version that the request will run at; empty: runners of several are eligible."""
-        if self.software_version:
-            return self.software_version
-        now_s = asyncio.get_running_loop().time()
-        versions = {record.listed.software_version for record in self._eligible(now_s)}
-        return versions.pop() if len(versions) == 1 else ""
+        """Software version that the request will run at; empty: the service has several."""
+        return self.software_version or self.ports.table.sole_version(self.service)
 
     def runner_report(self) -> RunnerReport:
         """Report on the service's runners to a leader that places the request."""
--- a/src/bendshed/services/runners.py
+++ b/src/bendshed/services/runners.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
@@ -56,6 +57,7 @@
     work_times: WorkTimes = field(default_factory=WorkTimes)
     filter: RunnerFilter = field(default_factory=RunnerFilter)
     cold: ColdRunnerTracker = field(default_factory=ColdRunnerTracker)
+    _num_by_version: dict[str, Counter[str]] = field(default_factory=dict)
 
     def put(self, runner: ServiceRunner) -> None:
         """Add or update a listed runner."""
@@ -66,8 +68,11 @@
             record = _LoggedRecord(runner)
             self.has_runners.set()
             self.by_id[runner.runner_id] = record
-        elif record.listed.service != runner.service:
-            self._by_service(record.listed.service).pop(runner.runner_id, None)
+        else:
+            self._count_version(record.listed, -1)
+            if record.listed.service != runner.service:
+                self._by_service(record.listed.service).pop(runner.runner_id, None)
+        self._count_version(runner, 1)
         record.listed = runner
         record.unlisted_at_s = None
         self.cold.note_listed(runner)
@@ -102,9 +107,21 @@
             record.unlisted_at_s = now_s
 
     def _drop(self, record: RunnerRecord) -> None:
+        self._count_version(record.listed, -1)
         del self.by_id[record.listed.runner_id]
         self._by_service(record.listed.service).pop(record.listed.runner_id, None)
 
+    def _count_version(self, runner: ServiceRunner, change: int) -> None:
+        versions = self._num_by_version.setdefault(runner.service, Counter())
+        versions[runner.software_version] += change
+        if not versions[runner.software_version]:
+            del versions[runner.software_version]
+
+    def sole_version(self, service: str) -> str:
+        """Software version of all runners of a service; empty: there are several, or none known."""
+        versions = self._num_by_version.get(service, ())
+        return next(iter(versions)) if len(versions) == 1 else ""
+
     def count(self, view: ObservedState) -> int:
         """Count the runners in a state."""
         return sum(1 for record in self.by_id.values() if record.observed_state is view)
--- a/src/bendshed/services/stream_origins.py
+++ b/src/bendshed/services/stream_origins.py
@@ -45,6 +45,18 @@
     client: TurnClient
     group_locator: GroupLocator
 
+    async def find_on_route(
+        self, request: ServiceRequest, route: Route, tenant: str, service: str, left_s: float
+    ) -> StreamOrigin | Refusal:
+        """``find``; ``VERSION_GONE`` if the route does not lead to the service any more."""
+        origin = await self.find(request, tenant, service, left_s)
+        if isinstance(origin, Refusal):
+            return origin
+        if all(target.service != origin.service for target in route.targets):
+            detail = f"the route does not lead to {origin.service} any more"
+            return Refusal(ErrorKind.VERSION_GONE, detail)
+        return origin
+
     async def find(
         self, request: ServiceRequest, tenant: str, service: str, left_s: float
     ) -> StreamOrigin | Refusal:
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -175,6 +175,18 @@
         await self.front.send(2, TURN)
         self.assertNotIn("record_origin", self.sent_commands())
 
+    async def test_version_of_a_service_is_counted_over_changes_of_the_list(self) -> None:
+        table = self.front.table
+        self.assertEqual(table.sole_version("s"), "")
+        table.put(replace(listed(NEW_RUNNER), state=RunnerState.DRAINING))
+        self.assertEqual(table.sole_version("s"), "v1")
+        table.put(replace(listed("other"), software_version="v3"))
+        self.assertEqual(table.sole_version("s"), "")
+        table.put(replace(listed("other"), service="t", software_version="v3"))
+        self.assertEqual((table.sole_version("s"), table.sole_version("t")), ("v1", "v3"))
+        table.remove("other", 0.0, is_trusted=True)
+        self.assertEqual((table.sole_version("s"), table.sole_version("t")), ("v1", ""))
+
     async def test_stream_that_is_no_turn_records_its_version(self) -> None:
         await self.front.send(1)
         self.assertEqual(self.sent_commands(), ["record_origin"])
