--- a/tests/test_stream_processes.py
+++ b/tests/test_stream_processes.py
@@ -15,6 +15,7 @@
 
 STREAMS = ProgramPlan(turns=0, tools=0, streams=3)
 NUM_PROGRAMS = 8
+MAX_BATCHES = 10
 CUT_SHARE = 0.5
 BUDGET_TOKENS = 5_000
 BOUND_MESSAGE = "origins: stream bound to its version"
@@ -43,25 +44,36 @@
             server.runner.troubles.cut = CUT_SHARE
 
     async def _run_programs(self, site: SiteInstallation) -> None:
-        programs = [
-            make_program(site, f"program-{number}", STREAMS) for number in range(NUM_PROGRAMS)
-        ]
-        for program in programs:
-            program.budget_tokens = BUDGET_TOKENS
-        running = [asyncio.create_task(program.run()) for program in programs]
+        """Kill a front under the first programs; then run more until both versions went on.
+
+        Until the restarted front is told of the new runners, it begins no streams there.
+        """
+        running = self._start_programs(site, 0)
         await site.wait_until(lambda: any(request.resumes for request in site.seen.requests))
         await site.fronts["front-1"].end(signal.SIGKILL)
         await site.fronts["front-1"].start()
         await asyncio.gather(*running)
+        for batch in range(1, MAX_BATCHES):
+            if _resumed_versions(site) == {"v1", "v2"}:
+                return
+            await asyncio.gather(*self._start_programs(site, batch))
+
+    def _start_programs(self, site: SiteInstallation, batch: int) -> "list[asyncio.Task[None]]":
+        tasks = []
+        for number in range(NUM_PROGRAMS):
+            program = make_program(site, f"program-{batch}-{number}", STREAMS)
+            program.budget_tokens = BUDGET_TOKENS
+            tasks.append(asyncio.create_task(program.run()))
+        return tasks
 
     def _check_resumptions(self, site: SiteInstallation) -> None:
-        resumed = [request for request in site.seen.requests if request.resumes]
-        versions = {
-            run.software_version
-            for run in site.seen.runs
-            if run.request_id in {request.request_id for request in resumed}
-        }
-        self.assertEqual(versions, {"v1", "v2"})
+        self.assertEqual(_resumed_versions(site), {"v1", "v2"})
         logs = "".join(front.log.read_text() for front in site.fronts.values())
         self.assertIn(BOUND_MESSAGE, logs)
         self.assertNotIn(names.AUTHORIZATION.decode(), logs)
+
+
+def _resumed_versions(site: SiteInstallation) -> set[str]:
+    """Versions at which resumed streams went on."""
+    resumed = {request.request_id for request in site.seen.requests if request.resumes}
+    return {run.software_version for run in site.seen.runs if run.request_id in resumed}
