--- a/src/bendshed/catalog/codec.py
+++ b/src/bendshed/catalog/codec.py
@@ -159,6 +159,8 @@
     )
     if known.has_version:
         row.software_version = runner.software_version
+    if runner.born_ms is not None:
+        row.born_ms = runner.born_ms
     return row
 
 
@@ -174,6 +176,7 @@
         state,
         row.cold_left_ms,
         row.software_version,
+        row.born_ms if row.HasField("born_ms") else None,
     )
     return KnownRunner(runner, row.revision, row.HasField("software_version"))
 
--- a/src/bendshed/catalog/follower.py
+++ b/src/bendshed/catalog/follower.py
@@ -270,7 +270,8 @@
             is_replica=self._is_replica,
             is_cut_off=self._needs_relay(machine),
             num_dependent_fronts=self._num_dependent_fronts(),
-            lacks_software_versions=bool(self._intake.without_version),
+            lacks_software_versions=bool(self._intake.gaps.without_version),
+            lacks_births=bool(self._intake.gaps.without_birth),
         )
 
     def _wait_s(self, machine: Address) -> float:
--- a/src/bendshed/catalog/messages.py
+++ b/src/bendshed/catalog/messages.py
@@ -39,6 +39,7 @@
         is_cut_off: it reaches the machine only through relays, so it is no relay for others.
         num_dependent_fronts: number of fronts that depend on it, if it is a replica machine.
         lacks_software_versions: it knows runners only as a machine of an earlier build sent them.
+        lacks_births: the same for the times at which runners started.
 
     """
 
@@ -53,6 +54,7 @@
     is_cut_off: bool
     num_dependent_fronts: int
     lacks_software_versions: bool = False
+    lacks_births: bool = False
 
 
 def encode_request(request: ReadRequest) -> bytes:
@@ -68,6 +70,7 @@
         is_cut_off=request.is_cut_off,
         num_behind=request.num_dependent_fronts,
         lacks_software_versions=request.lacks_software_versions,
+        lacks_births=request.lacks_births,
     ).SerializeToString()
 
 
@@ -86,6 +89,7 @@
         request.is_cut_off,
         request.num_behind,
         request.lacks_software_versions,
+        request.lacks_births,
     )
 
 
--- a/src/bendshed/catalog/server.py
+++ b/src/bendshed/catalog/server.py
@@ -72,8 +72,10 @@
         return bool(changes.runners or changes.removed)
 
     def _adds_versions(self, request: ReadRequest) -> bool:
-        """Whether a node needs the whole list again, for the versions of runners that it knows."""
-        return request.lacks_software_versions and not self._catalog.catalog.lacks_software_versions
+        """Whether a node needs the whole list again, for what its entries of runners lack."""
+        catalog = self._catalog.catalog
+        lacks_version = request.lacks_software_versions and not catalog.lacks_software_versions
+        return lacks_version or (request.lacks_births and not catalog.lacks_births)
 
     def _has_directory_changed(self, request: ReadRequest) -> bool:
         return self._directory.digest() != request.directory_digest
--- a/src/bendshed/catalog/state.py
+++ b/src/bendshed/catalog/state.py
@@ -9,30 +9,18 @@
 from dataclasses import dataclass, field
 
 from bendshed.catalog.cold_runner_tracker import ColdRunnerTracker
+from bendshed.catalog.entry_gaps import EntryGaps, KnownRunner
 from bendshed.model.runner import RunnerState, ServiceRunner
 from bendshed.model.service_document import ServiceDocument
 from bendshed.placement.eligibility import may_continue_stream
 from bendshed.placement.zones import RunnerFilter
 
+__all__ = ["Catalog", "KnownRunner", "Removal", "RunnerChanges"]
+
 MAX_REMOVED = 1_000
 """Number of removals kept; a node that knows an older revision gets the whole list."""
 
 
-@dataclass(frozen=True, slots=True)
-class KnownRunner:
-    """A runner and the revision of its last change.
-
-    Attributes:
-        has_version: ``False``: the entry passed through a machine of an earlier build, which reads
-            no software version.
-
-    """
-
-    runner: ServiceRunner
-    revision: int
-    has_version: bool = True
-
-
 @dataclass(frozen=True, slots=True)
 class Removal:
     """A runner that is no longer listed.
@@ -83,7 +71,7 @@
     _runners: dict[str, KnownRunner] = field(default_factory=dict)
     _ready: dict[str, dict[str, ServiceRunner]] = field(default_factory=dict)
     _removed: "OrderedDict[str, Removal]" = field(default_factory=OrderedDict)
-    _without_version: set[str] = field(default_factory=set)
+    _gaps: EntryGaps = field(default_factory=EntryGaps)
     _history_from: int = 0
     _encoded: bytes = b""
     _encoded_version: int = -1
@@ -109,7 +97,12 @@
     @property
     def lacks_software_versions(self) -> bool:
         """Whether runners are known only as machines of an earlier build sent them."""
-        return bool(self._without_version)
+        return bool(self._gaps.without_version)
+
+    @property
+    def lacks_births(self) -> bool:
+        """The same for the times at which runners started."""
+        return bool(self._gaps.without_birth)
 
     def software_version_of(self, runner_id: str) -> str:
         """Software version of a listed runner; empty: it is not listed, or names none."""
@@ -166,7 +159,7 @@
         """Apply one runner's state; ``False``: it is not newer."""
         runner_id = known.runner.runner_id
         current = self._runners.get(runner_id)
-        if current is not None and not _is_newer(known, current):
+        if current is not None and not known.is_newer_than(current):
             if current.revision == known.revision:
                 self.cold.note_confirmed(known.runner)
             return False
@@ -175,9 +168,7 @@
         self._runners[runner_id] = known
         self._set_ready(known.runner, known.runner.state is RunnerState.READY)
         self._removed.pop(runner_id, None)
-        self._without_version.discard(runner_id)
-        if not known.has_version:
-            self._without_version.add(runner_id)
+        self._gaps.note(known)
         self.cold.note_listed(known.runner)
         return True
 
@@ -194,7 +185,7 @@
         if current is None:
             return False
         self._set_ready(current.runner, False)
-        self._without_version.discard(runner_id)
+        self._gaps.forget((runner_id,))
         self.cold.note_removed(runner_id)
         self._removed[runner_id] = Removal(runner_id, revision, is_trusted)
         while len(self._removed) > MAX_REMOVED:
@@ -219,10 +210,3 @@
         runners = tuple(known for known in self._runners.values() if known.revision > since)
         removed = tuple(removal for removal in self._removed.values() if removal.revision > since)
         return RunnerChanges(since, self.runners_at, runners, removed)
-
-
-def _is_newer(known: KnownRunner, current: KnownRunner) -> bool:
-    """Whether a runner's state is of a later revision, or adds the version that was left out."""
-    if known.revision == current.revision:
-        return known.has_version and not current.has_version
-    return known.revision > current.revision
--- a/src/bendshed/catalog/update_intake.py
+++ b/src/bendshed/catalog/update_intake.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 from bendshed.catalog.codec import DocumentDecodeError, decode_document
+from bendshed.catalog.entry_gaps import EntryGaps
 from bendshed.catalog.messages import CatalogUpdate, RunnerUpdate
 from bendshed.catalog.state import KnownRunner
 from bendshed.catalog.times import CatalogTimes
@@ -42,8 +43,7 @@
         version: version of the configuration that the node knows.
         runners_at: revision up to which the node knows the runners.
         zones_at: revision up to which the node knows the closed zones.
-        without_version: ids of runners that a machine of an earlier build sent, without their
-            software version.
+        gaps: runners that a machine of an earlier build passed on, with less than this one reads.
 
     """
 
@@ -51,10 +51,15 @@
         self.version = 0
         self.runners_at = 0
         self.zones_at = 0
-        self.without_version: set[str] = set()
+        self.gaps = EntryGaps()
         self._sink = sink
         self._times = times
 
+    @property
+    def without_version(self) -> set[str]:
+        """Ids of runners whose software version was not passed on."""
+        return self.gaps.without_version
+
     def apply(self, update: CatalogUpdate) -> bool:
         """Apply what is newer; ``False``: the machine knows less than this node.
 
@@ -102,7 +107,7 @@
         if changes is None or changes.revision < self.runners_at:
             return False
         if changes.since == 0:
-            self.without_version.clear()
+            self.gaps.clear()
             self._replace_runners(changes, update)
         elif changes.since == self.runners_at:
             for known in changes.runners:
@@ -111,19 +116,12 @@
                 self._sink.remove_runner(removal.runner_id, removal.revision, removal.is_trusted)
         else:
             return False
-        self._note_versions(changes)
+        for known in changes.runners:
+            self.gaps.note(known)
+        self.gaps.forget(row.runner_id for row in changes.removed)
         self.runners_at = changes.revision
         return True
 
-    def _note_versions(self, changes: RunnerUpdate) -> None:
-        for known in changes.runners:
-            runner_id = known.runner.runner_id
-            if known.has_version:
-                self.without_version.discard(runner_id)
-            else:
-                self.without_version.add(runner_id)
-        self.without_version.difference_update(row.runner_id for row in changes.removed)
-
     def _replace_runners(self, changes: RunnerUpdate, update: CatalogUpdate) -> None:
         is_first = self.runners_at == 0
         is_trusted = update.age_s < self._times.max_age_s
--- a/src/bendshed/cli/rehearse.py
+++ b/src/bendshed/cli/rehearse.py
@@ -118,6 +118,7 @@
         option("worlds", None, "Worlds to play", flag=False, default="20"),
         option("regions", None, "Sites of two regions", flag=True),
         option("streams", None, "Two software versions serve, streams are resumed", flag=True),
+        option("restarts", None, "With --streams: runners start again under their ids", flag=True),
         option("closings", None, "Sites that lose power as a whole at their end", flag=True),
     ]
 
@@ -131,9 +132,13 @@
 
             return self.search(CLOSINGS, int(self.option("worlds")) * STEPS_PER_CLOSING)
         if self.option("streams"):
-            from bendshed.rehearsal.site.stream_steps import STREAMS, STREAMS_OF_TWO_REGIONS
+            from bendshed.rehearsal.site import stream_steps
 
-            game = STREAMS_OF_TWO_REGIONS if self.option("regions") else STREAMS
+            if self.option("restarts"):
+                one, two = stream_steps.STREAMS_WITH_RESTARTS, stream_steps.RESTARTS_IN_TWO_REGIONS
+            else:
+                one, two = stream_steps.STREAMS, stream_steps.STREAMS_OF_TWO_REGIONS
+            game = two if self.option("regions") else one
         else:
             game = REGIONS if self.option("regions") else SITE
         return self.search(game, int(self.option("worlds")) * STEPS_PER_WORLD)
--- a/src/bendshed/model/stream_origin.py
+++ b/src/bendshed/model/stream_origin.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from bendshed.model.runner import RunnerProcess
+
 
 @dataclass(frozen=True, slots=True)
 class StreamOrigin:
@@ -11,8 +13,11 @@
 
     Attributes:
         software_version: empty: not known, so that no runner may continue the stream.
+        process: the process that began the stream, where its version was not proven then; its entry
+            may prove it later.
 
     """
 
     service: str
     software_version: str
+    process: RunnerProcess | None = None
--- a/src/bendshed/operators/explanation.py
+++ b/src/bendshed/operators/explanation.py
@@ -60,6 +60,7 @@
     "no_room": "Every runner that may take it was cold, and had got what it bears for the moment.",
     "stream_unknown": "Nobody knows which software version began the stream, so none may go on.",
     "version_gone": "No runner that may take it is of the version that began the stream.",
+    "version_unproven": "Runners of its version are listed, but none is proven to run it now.",
     "overloaded": "Every runner that was asked turned the request away unrun.",
     "deadline_exceeded": "The time was over before a runner could begin.",
     "outcome_unknown": "A runner got the request and gave no answer in time; it may have run.",
--- a/src/bendshed/placement/runner_record.py
+++ b/src/bendshed/placement/runner_record.py
@@ -14,6 +14,8 @@
 FULL_AVOID_S = 0.15
 """The same for a runner that rejected a request without running it, since it was full. Shorter than
 a turn (0.25 s), so a slot may be free again."""
+DOUBT_S = 4.0
+"""Time, in seconds, that covers a heartbeat of the runner and the list's way."""
 NEWEST_WORK_TIME_WEIGHT = 0.1
 """Weight of the newest request in a route's typical time: a change shows after about 10
 requests."""
@@ -38,6 +40,10 @@
         failures: consecutive failures: broken answers, and connections that could not be opened.
         avoid_until_s: loop time until which it gets work only if no other can take it.
         unlisted_at_s: loop time at which it vanished from an untrusted list; ``None``: listed.
+        doubted_until_s: loop time until which streams that may be resumed avoid it, since another
+            process than the one that wrote its entry reported; ``None``: none has.
+        no_report_until_s: loop time until which its reports are not requested, since one was not
+            answered.
         health: work times observed by this node, in units of each route's typical one.
 
     """
@@ -48,6 +54,8 @@
     failures: int = 0
     avoid_until_s: float = 0.0
     unlisted_at_s: float | None = None
+    doubted_until_s: float | None = None
+    no_report_until_s: float = 0.0
 
     @property
     def observed_state(self) -> ObservedState:
@@ -60,6 +68,19 @@
         """Whether the runner was full, broken or unreachable recently."""
         return now_s < self.avoid_until_s
 
+    def doubt_entry(self, now_s: float) -> None:
+        """Record that another process than the one that wrote the entry reported.
+
+        Its own entry is due within a heartbeat. A runner whose entry and reports never agree is
+        used again after ``DOUBT_S``; its streams are not resumed.
+        """
+        if self.doubted_until_s is None:
+            self.doubted_until_s = now_s + DOUBT_S
+
+    def is_doubted(self, now_s: float) -> bool:
+        """Whether its entry is expected to be replaced soon."""
+        return self.doubted_until_s is not None and now_s < self.doubted_until_s
+
     def note_success(self) -> None:
         """Record a complete answer."""
         self.failures = 0
--- a/src/bendshed/platform/encode.py
+++ b/src/bendshed/platform/encode.py
@@ -95,6 +95,7 @@
         "version": runner.software_version,
         "coldLeftMs": runner.cold_left_ms,
         "seq": 1,
+        **({"born": runner.born_ms} if runner.born_ms else {}),
     }
 
 
--- a/src/bendshed/platform/names.py
+++ b/src/bendshed/platform/names.py
@@ -47,6 +47,9 @@
 WAIT_MS = "waitMs"
 STALE = "stale=1"
 
+# Runners.
+REPORT_PATH = b"/report"
+
 # Object kinds in the metadata store.
 RUNNER_KIND = "servers"
 CONFIGURATION_KIND = "config"
--- a/src/bendshed/platform/runner_protocol.py
+++ b/src/bendshed/platform/runner_protocol.py
@@ -1,6 +1,10 @@
 """The platform's protocol towards runners."""
 
+import orjson
+
+from bendshed.model.runner import ServiceRunner
 from bendshed.platform import names
+from bendshed.platform.translate import read_birth_ms
 from bendshed.ports.http_messages import ClientRequest, ResponseHead
 from bendshed.ports.runner import ResponseClass, RunnerDispatch, RunnerProtocol, ServiceRequest
 
@@ -27,6 +31,18 @@
             request.method, request.target, headers, body, lambda head: _matches(head, expected)
         )
 
+    def build_report_request(self, runner: ServiceRunner) -> ClientRequest:
+        """Build a request for the runner's report on itself, which takes no slot."""
+        headers = [(b"host", str(runner.address).encode())]
+        return ClientRequest(b"GET", names.REPORT_PATH, headers, b"", lambda _head: True)
+
+    def read_birth_ms(self, report: bytes) -> int:
+        """Unix time, in ms, of the start that a report names; 0: it names none."""
+        try:
+            return read_birth_ms(orjson.loads(report))
+        except orjson.JSONDecodeError:
+            return 0
+
     def classify(self, head: ResponseHead) -> ResponseClass:
         """Classify the response by status and headers that prove the request was not run."""
         if head.status == names.OTHER_RUNNER_STATUS:
--- a/src/bendshed/platform/translate.py
+++ b/src/bendshed/platform/translate.py
@@ -18,6 +18,9 @@
 from bendshed.ports.objects import StoredObject
 from bendshed.ports.registry import ReplicaNode, Retirement
 
+MAX_TIME_MS = 2**63 - 1
+"""Larger numbers are no times, and do not fit the messages between nodes."""
+
 
 def read_document(spec: Any) -> ServiceDocument:
     """Parse the configuration; raise ``KeyError``, ``ValueError`` or ``TypeError``."""
@@ -114,9 +117,18 @@
         state=RunnerState.READY if row.get("state") == "ready" else RunnerState.DRAINING,
         cold_left_ms=int(row.get("coldLeftMs") or 0),
         software_version=row["version"] if isinstance(row.get("version"), str) else "",
+        born_ms=read_birth_ms(row),
     )
 
 
+def read_birth_ms(row: Any) -> int:
+    """Unix time, in ms, of a runner's start, from its entry or its report; 0: it names none."""
+    born = row.get("born") if isinstance(row, dict) else None
+    if not isinstance(born, int) or isinstance(born, bool):
+        return 0
+    return born if 0 < born <= MAX_TIME_MS else 0
+
+
 def write_replica(node: ReplicaNode) -> dict[str, str]:
     """Encode a replica machine's announcement."""
     return {"nodeId": node.node_id, "addr": str(node.address), "zone": node.zone}
--- a/src/bendshed/ports/runner.py
+++ b/src/bendshed/ports/runner.py
@@ -134,6 +134,14 @@
     ) -> ClientRequest:
         """Build the request for one runner."""
 
+    def build_report_request(self, runner: ServiceRunner) -> ClientRequest | None:
+        """Build a request for a runner's report on itself; ``None``: it gives none."""
+        return None
+
+    def read_birth_ms(self, report: bytes) -> int:
+        """Unix time, in ms, of the start that a report names; 0: it names none."""
+        return 0
+
     @abstractmethod
     def classify(self, head: ResponseHead) -> ResponseClass:
         """Determine from a response whether the request was run."""
--- a/src/bendshed/ports/runner_connections.py
+++ b/src/bendshed/ports/runner_connections.py
@@ -4,11 +4,24 @@
 from collections.abc import AsyncIterator
 
 from bendshed.model.address import Address
+from bendshed.model.runner import NO_REPORT, ReportedBirth
 from bendshed.ports.http_messages import ClientRequest, ResponseHead
 
 
 class RunnerConnection(ABC):
-    """One connection, which carries one request at a time."""
+    """One connection, which carries one request at a time.
+
+    Attributes:
+        reported: what the process behind it reported of its start.
+
+    """
+
+    reported: ReportedBirth = NO_REPORT
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another request may be sent."""
+        return False
 
     @abstractmethod
     async def send(self, request: ClientRequest) -> ResponseHead:
--- a/src/bendshed/rehearsal/site/actions.py
+++ b/src/bendshed/rehearsal/site/actions.py
@@ -58,6 +58,8 @@
     START_STREAMS = "start programs that resume their streams"
     RELEASE = "a runner of another version takes the place of one"
     CUT_STREAMS = "all runners cut streams"
+    RESTART_RUNNER = "a runner starts again under its id with another version"
+    RESTART_RUNNERS = "all runners start again under their ids"
 
 
 CALM = (Action.ADVANCE, Action.START_PROGRAM, Action.HEAL, Action.RESTART, Action.RESUME)
@@ -65,5 +67,7 @@
 """What only a site of several regions knows."""
 OF_STREAMS = (Action.START_STREAMS, Action.RELEASE, Action.CUT_STREAMS)
 """What only searches with resumed streams draw, so that the others keep their worlds."""
-OF_REGIONS = tuple(action for action in Action if action not in OF_STREAMS)
+OF_RESTARTS = (Action.RESTART_RUNNER, Action.RESTART_RUNNERS)
+"""What only searches with restarts draw."""
+OF_REGIONS = tuple(action for action in Action if action not in (*OF_STREAMS, *OF_RESTARTS))
 WITHIN_A_REGION = tuple(action for action in OF_REGIONS if action not in BETWEEN_REGIONS)
--- a/src/bendshed/rehearsal/site/http_runner.py
+++ b/src/bendshed/rehearsal/site/http_runner.py
@@ -9,6 +9,7 @@
 from enum import StrEnum
 
 import httptools
+import orjson
 
 from bendshed.adapters.sockets import bind
 from bendshed.model.address import Address
@@ -36,6 +37,9 @@
     EARLY = "early"
     """Long requests are turned away unrun before their body is read; the connection stays."""
 
+    NO_REPORT = "no report"
+    """Reports are not answered."""
+
 
 @dataclass(slots=True)
 class RunnerServer:
@@ -90,6 +94,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._fields: dict[bytes, bytes] = {}
         self._body: list[bytes] = []
+        self._target = b""
         self._is_answered = False
         self._serving: asyncio.Task[None] | None = None
 
@@ -129,6 +134,11 @@
     def on_message_begin(self) -> None:
         """A request begins."""
         self._fields, self._body, self._is_answered = {}, [], False
+        self._target = b""
+
+    def on_url(self, target: bytes) -> None:
+        """Keep the target."""
+        self._target += target
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header."""
@@ -147,10 +157,19 @@
 
     def on_message_complete(self) -> None:
         """Serve the request."""
-        if not self._is_answered:
+        if self._target == names.REPORT_PATH:
+            self._write_report()
+        elif not self._is_answered:
             call = _read_call(self._fields, b"".join(self._body))
             self._serving = asyncio.get_running_loop().create_task(self._serve(call))
 
+    def _write_report(self) -> None:
+        if self._server.spoil is Spoil.NO_REPORT:
+            return
+        report = orjson.dumps(self._server.runner.report())
+        head = b"HTTP/1.1 200 Report\r\ncontent-type: application/json\r\n"
+        self._write(head + b"content-length: %d\r\n\r\n" % len(report) + report)
+
     # --- answers ---------------------------------------------------------------------------
 
     async def _serve(self, call: RunnerCall) -> None:
--- a/src/bendshed/rehearsal/site/installation.py
+++ b/src/bendshed/rehearsal/site/installation.py
@@ -144,7 +144,14 @@
         self.runners.append(server)
         self.seen.zones_of[name] = zone
         listed = ServiceRunner(
-            name, service, server.address, zone, 8, RunnerState.READY, software_version=version
+            name,
+            service,
+            server.address,
+            zone,
+            8,
+            RunnerState.READY,
+            software_version=version,
+            born_ms=runner.born_ms,
         )
         self.metadata.put(names.RUNNER_KIND, name, write_runner(listed))
 
--- a/src/bendshed/rehearsal/site/runner.py
+++ b/src/bendshed/rehearsal/site/runner.py
@@ -14,6 +14,8 @@
 WORK_S = 0.05
 QUEUE_FACTOR = 3
 FIRST_SOFTWARE_VERSION = "v1"
+FIRST_BIRTH_MS = 1_700_000_000_000
+"""Unix time at which simulated sites begin."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,9 +101,12 @@
 
 @dataclass(slots=True)
 class SiteRunner:
-    """One incarnation of a runner.
+    """A runner, which may start again under its id.
 
     Attributes:
+        born_ms: Unix time, in ms, of its latest start.
+        report_birth: what its report names as that time; another type: not a time; ``None``: its
+            report names none.
         runs: every request that it began to work on.
 
     """
@@ -114,10 +119,22 @@
     runs: list[RunRecord]
     software_version: str = ""
     troubles: RunnerTroubles = field(default_factory=RunnerTroubles)
+    born_ms: int = FIRST_BIRTH_MS
+    report_birth: object = FIRST_BIRTH_MS
     num_present: int = 0
     is_dead: bool = False
     _slots: asyncio.Semaphore = field(init=False)
 
+    def start_again(self, software_version: str, born_ms: int, report_birth: object) -> None:
+        """Start again under the same id; whoever drives it closes the connections."""
+        self.software_version, self.born_ms = software_version, born_ms
+        self.report_birth = report_birth
+
+    def report(self) -> dict[str, object]:
+        """What it says of itself; takes no slot."""
+        told = {} if self.report_birth is None else {"born": self.report_birth}
+        return {"running": self.num_present, **told}
+
     def __post_init__(self) -> None:
         self._slots = asyncio.Semaphore(self.slots)
 
--- a/src/bendshed/rehearsal/site/sim_runners.py
+++ b/src/bendshed/rehearsal/site/sim_runners.py
@@ -1,10 +1,14 @@
 """Connections to runners in the simulated network."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 from dataclasses import dataclass, field
 
+import orjson
+
 from bendshed.model.address import Address
+from bendshed.model.runner import ServiceRunner
+from bendshed.platform.translate import read_birth_ms
 from bendshed.ports.http_messages import (
     ClientRequest,
     ConnectFailed,
@@ -28,6 +32,7 @@
 HANG_S = 4.0
 REQUEST_ID, WANTED, PROGRAM, EVENTS, NOT_RUN = b"id", b"wanted", b"program", b"events", b"not-run"
 TENANT, AFTER_EVENT = b"tenant", b"after-event"
+REPORT_TARGET = b"/report"
 
 
 class SimRunnerProtocol(RunnerProtocol):
@@ -44,6 +49,14 @@
         ]
         return ClientRequest(request.method, request.target, headers, body, lambda _head: True)
 
+    def build_report_request(self, runner: ServiceRunner) -> ClientRequest:
+        """Build a request for a report."""
+        return ClientRequest(b"GET", REPORT_TARGET, [], b"", lambda _head: True)
+
+    def read_birth_ms(self, report: bytes) -> int:
+        """Read the time of the start."""
+        return read_birth_ms(orjson.loads(report))
+
     def classify(self, head: ResponseHead) -> ResponseClass:
         """Read the proof."""
         if head.status == 421:
@@ -81,10 +94,15 @@
 
 
 class SimConnection(RunnerConnection):
-    """One connection; the runner's work goes on in the runners' process."""
+    """One connection; the runner's work goes on in the runners' process.
+
+    It does not outlive the runner's process: after a restart it is reset at its next use.
+    """
 
     def __init__(self, net: SimRunnerNet, owner: SimProcess, host: str, runner: SiteRunner) -> None:
         self.runner = runner
+        self._born_ms = runner.born_ms
+        self._is_broken = False
         self._net = net
         self._owner = owner
         self._host = host
@@ -98,6 +116,8 @@
     async def send(self, request: ClientRequest) -> ResponseHead:
         """Send after the network's latency."""
         self._net.open.setdefault(self._owner.name, set()).add(self)
+        if request.target == REPORT_TARGET:
+            return await self._send_to(self._report())
         fields = dict(request.headers)
         call = RunnerCall(
             request_id=fields[REQUEST_ID].decode(),
@@ -108,16 +128,35 @@
             tenant=fields[TENANT].decode(),
             after_event=int(fields.get(AFTER_EVENT, b"0")),
         )
+        return await self._send_to(self._serve(call))
+
+    async def _send_to(self, work: Coroutine[None, None, None]) -> ResponseHead:
         self._head = self._loop.create_future()
-        self._work = self._net.runner_process.spawn(self._loop, self._serve(call))
+        self._work = self._net.runner_process.spawn(self._loop, work)
         return await self._head
 
-    async def _serve(self, call: RunnerCall) -> None:
-        """At the runner: work and send pieces back."""
-        sent_s = self._loop.time()
+    async def _report(self) -> None:
+        """At the runner: report at once, whatever else it does."""
+        if await self._arrives():
+            self._send_back(Head(200))
+            self._send_back(Chunk(orjson.dumps(self.runner.report())))
+            self._send_back(None)
+
+    async def _arrives(self) -> bool:
+        """Whether a request reaches the process that the connection leads to."""
         await asyncio.sleep(self._latency_s())
         if self.runner.is_dead or self._net.network.is_cut(self._host, self.runner.runner_id):
             self._later(HANG_S, self.break_now)
+            return False
+        if self.runner.born_ms != self._born_ms:
+            self._later(self._latency_s(), self.break_now)
+            return False
+        return True
+
+    async def _serve(self, call: RunnerCall) -> None:
+        """At the runner: work and send pieces back."""
+        sent_s = self._loop.time()
+        if not await self._arrives():
             return
         runner_id = self.runner.runner_id
         if call.wanted_runner == runner_id:
@@ -163,6 +202,7 @@
 
     def break_now(self) -> None:
         """The connection was reset."""
+        self._is_broken = True
         broken = ResponseBroken("reset")
         if self._head is not None and not self._head.done():
             self._head.set_exception(broken)
@@ -179,8 +219,13 @@
                 raise piece
             yield piece
 
+    @property
+    def is_reusable(self) -> bool:
+        """Whether the runner has not reset it."""
+        return not self._is_broken
+
     def finish(self) -> None:
-        """No connection stays open without a request."""
+        """No connection stays open without a request, but a report's serves the next one."""
         self.abort()
 
     def abort(self) -> None:
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -26,7 +26,7 @@
 from bendshed.rehearsal.site.oracle import Violation, check_all
 from bendshed.rehearsal.site.programs import AgentProgram, ProgramPlan
 from bendshed.rehearsal.site.records import Departure, Kind, SiteRecords, SiteRequest
-from bendshed.rehearsal.site.runner import FIRST_SOFTWARE_VERSION, SiteRunner
+from bendshed.rehearsal.site.runner import FIRST_BIRTH_MS, FIRST_SOFTWARE_VERSION, SiteRunner
 from bendshed.rehearsal.site.sim_caller import (
     CALLER_LATENCY_S,
     CALLER_TIMEOUT_S,
@@ -59,6 +59,23 @@
 TENANTS = (WIDE, NARROW)
 
 
+@dataclass(frozen=True, slots=True)
+class ToldBirths:
+    """Where a runner that starts again tells when it did so.
+
+    Attributes:
+        instead: what its report names if not the time; ``None``: nothing.
+
+    """
+
+    in_entry: bool = True
+    in_report: bool = True
+    instead: object = None
+
+
+BOTH_BIRTHS = ToldBirths()
+
+
 @dataclass(slots=True)
 class SimMachine:
     """A front or a replica machine over all its incarnations."""
@@ -168,6 +185,7 @@
         address = Address(f"10.0.3.{number}", 80)
         rng = random.Random(self.seed * 100 + number)
         runner = SiteRunner(name, service, zone, slots, rng, self.seen.runs, software_version)
+        runner.start_again(software_version, self._unix_ms(), self._unix_ms())
         self.runners[name] = runner
         self.seen.zones_of[name] = zone
         self.network.regions[name] = self.layout.places.region(zone)
@@ -181,6 +199,7 @@
             RunnerState.READY,
             int(1000 * cold_s),
             software_version,
+            runner.born_ms,
         )
         self._note_cold(name, 0.0, cold_s)
 
@@ -551,16 +570,33 @@
         version = runner.software_version
         self.add_runner(name, runner.service, runner.slots, runner.zone, COLD_START_S, version)
 
-    def restart_runner(self, name: str, software_version: str, unlisted_for_s: float) -> None:
-        """A runner starts again under its id; its entry names the new version only later."""
+    def _unix_ms(self) -> int:
+        return FIRST_BIRTH_MS + int(self.loop.time() * 1000)
+
+    def restart_runner(
+        self,
+        name: str,
+        software_version: str,
+        unlisted_for_s: float,
+        births: ToldBirths = BOTH_BIRTHS,
+    ) -> None:
+        """A runner starts again under its id; its entry names the new process only later.
+
+        ``births``: where the runner tells of its start.
+        """
         runner = self.runners[name]
         self.count("runner restarts under its id")
         self.net.reset_runner(runner)
-        runner.software_version = software_version
+        born_ms = self._unix_ms()
+        report_birth = born_ms if births.in_report else births.instead
+        runner.start_again(software_version, born_ms, report_birth)
+        listed_ms = born_ms if births.in_entry else 0
 
         def update_entry() -> None:
             if name in self.listed and not runner.is_dead:
-                self.listed[name] = replace(self.listed[name], software_version=software_version)
+                self.listed[name] = replace(
+                    self.listed[name], software_version=software_version, born_ms=listed_ms
+                )
 
         self.loop.call_later(unlisted_for_s, update_entry)
 
--- a/src/bendshed/rehearsal/site/stream_steps.py
+++ b/src/bendshed/rehearsal/site/stream_steps.py
@@ -3,19 +3,30 @@
 from dataclasses import replace
 from functools import partial
 
-from bendshed.model.runner import RunnerState
+from bendshed.model.runner import RunnerState, ServiceRunner
 from bendshed.rehearsal.search import Game, Step
-from bendshed.rehearsal.site.actions import CALM, OF_STREAMS, WITHIN_A_REGION, Action
+from bendshed.rehearsal.site.actions import CALM, OF_RESTARTS, OF_STREAMS, WITHIN_A_REGION, Action
 from bendshed.rehearsal.site.documents import STREAM_SERVICE
 from bendshed.rehearsal.site.fuzz import MAX_PROGRAMS, SITE, SiteFuzzer, start_in_two_regions
 from bendshed.rehearsal.site.oracle import Violation
 from bendshed.rehearsal.site.programs import ProgramPlan
-from bendshed.rehearsal.site.sim_world import SiteWorld
+from bendshed.rehearsal.site.sim_world import BOTH_BIRTHS, SiteWorld, ToldBirths
 
 STREAMS_PER_PROGRAM = 4
 MAX_RUNNERS = 12
 """Releases stop once as many runners have been started."""
 CUT_SHARE = 0.6
+MAX_ENTRY_DELAY_S = 1.2
+"""A runner's entry names its new process up to a heartbeat after its start."""
+TOLD_BIRTHS = (
+    BOTH_BIRTHS,
+    BOTH_BIRTHS,
+    BOTH_BIRTHS,
+    ToldBirths(in_entry=False),
+    ToldBirths(in_report=False),
+    ToldBirths(in_report=False, instead="soon"),
+)
+"""By the step: most runners tell their births as they should."""
 
 
 def apply_step(world: SiteWorld, step: Step[Action]) -> None:
@@ -29,6 +40,10 @@
             _release(world, step)
         case Action.CUT_STREAMS:
             _cut_streams(world, step)
+        case Action.RESTART_RUNNER:
+            _restart(world, step, _serving(world)[step.which % 2 :: 2])
+        case Action.RESTART_RUNNERS:
+            _restart(world, step, _serving(world))
         case _:
             SiteFuzzer(world).apply(step)
             return
@@ -58,11 +73,7 @@
 
 def _release(world: SiteWorld, step: Step[Action]) -> None:
     """Start a runner of a new or an old version; the oldest one that serves leaves."""
-    serving = [
-        row
-        for row in world.listed.values()
-        if row.service == STREAM_SERVICE and row.state is RunnerState.READY
-    ]
+    serving = _serving(world)
     if len(world.runners) >= MAX_RUNNERS or world.registry.is_down or len(serving) < 2:
         return
     world.count("release")
@@ -73,6 +84,24 @@
     world.drain_runner(oldest.runner_id)
 
 
+def _serving(world: SiteWorld) -> list[ServiceRunner]:
+    return [
+        row
+        for row in world.listed.values()
+        if row.service == STREAM_SERVICE and row.state is RunnerState.READY
+    ]
+
+
+def _restart(world: SiteWorld, step: Step[Action], rows: list[ServiceRunner]) -> None:
+    """Start runners again under their ids, each with one of three versions."""
+    for number, row in enumerate(rows):
+        if not world.runners[row.runner_id].is_dead:
+            version = f"v{1 + (step.which + number) % 3}"
+            births = TOLD_BIRTHS[(step.which + number) % len(TOLD_BIRTHS)]
+            delay_s = MAX_ENTRY_DELAY_S * step.amount
+            world.restart_runner(row.runner_id, version, delay_s, births)
+
+
 def _cut_streams(world: SiteWorld, step: Step[Action]) -> None:
     world.count("all runners cut streams")
     for runner in world.runners.values():
@@ -82,8 +111,12 @@
 STREAMS: Game[Action, SiteWorld, Violation] = replace(
     SITE, apply=apply_step, actions=(*WITHIN_A_REGION, *CALM * 2, *OF_STREAMS * 8)
 )
+STREAMS_WITH_RESTARTS = replace(STREAMS, actions=(*STREAMS.actions, *OF_RESTARTS * 6))
 STREAMS_OF_TWO_REGIONS = replace(
     STREAMS,
     start=start_in_two_regions,
     actions=(*STREAMS.actions, Action.SPLIT_REGIONS, Action.KILL_REGION_LEADER),
 )
+RESTARTS_IN_TWO_REGIONS = replace(
+    STREAMS_OF_TWO_REGIONS, actions=(*STREAMS_OF_TWO_REGIONS.actions, *OF_RESTARTS * 6)
+)
--- a/src/bendshed/retries/decisions.py
+++ b/src/bendshed/retries/decisions.py
@@ -38,6 +38,8 @@
     """No eligible runner is left that was not tried, or too many attempts were not run."""
     NO_PERMIT = "no_permit"
     """All remaining runners are cold, and no permit can be used here."""
+    VERSION_UNPROVEN = "version_unproven"
+    """No process that may continue the resumed stream is proven to run its version."""
     NOT_REPEATABLE = "not_repeatable"
     """The request may have run, and its route allows no further run."""
     ANSWER_BROKEN = "answer_broken"
@@ -121,6 +123,8 @@
             kind = ErrorKind.DEADLINE_EXCEEDED
         case GiveUpReason.NO_RUNNER:
             kind = ErrorKind.OVERLOADED if history.num_not_run else ErrorKind.NO_RUNNER
+        case GiveUpReason.VERSION_UNPROVEN:
+            kind = ErrorKind.VERSION_UNPROVEN
         case GiveUpReason.NO_PERMIT:
             kind = ErrorKind.NO_RUNNER
         case (
--- a/src/bendshed/retries/history.py
+++ b/src/bendshed/retries/history.py
@@ -16,6 +16,8 @@
         num_not_run: attempts that certainly did not run it: the runner was unreachable or rejected
             it, or the permit expired before the dispatch.
         tried: ids of runners that are not chosen again.
+        has_unproven_version: a runner of the resumed stream's version was not used, since its
+            process is not proven to run that version.
         failed: ids of runners that were unreachable or gave no answer, in order; reported to the
             leader of the turn log.
 
@@ -26,6 +28,7 @@
     num_admitted_runs: int = 1
     num_not_run: int = 0
     tried: set[str] = field(default_factory=set)
+    has_unproven_version: bool = False
     failed: list[str] = field(default_factory=list)
 
     @property
@@ -47,6 +50,11 @@
         self.num_not_run += 1
         self.tried.discard(runner_id)
 
+    def record_unproven_version(self) -> None:
+        """Record that the resumed stream was not sent to a process of an unproven version."""
+        self.num_not_run += 1
+        self.has_unproven_version = True
+
     def record_dispatch(self) -> None:
         """Record that the request is about to be sent to a runner."""
         self.num_possible_runs += 1
--- a/src/bendshed/services/attempts.py
+++ b/src/bendshed/services/attempts.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
+from itertools import count
 from typing import assert_never
 
 from bendshed.errors import ErrorKind, Refusal
@@ -15,6 +16,7 @@
 from bendshed.model.service_document import Route
 from bendshed.placement.allowed_regions import describe_regions
 from bendshed.placement.node_choice import Choice
+from bendshed.placement.proven_version import UNPROVEN, DispatchedVersion
 from bendshed.ports.http_messages import (
     ClientRequest,
     ConnectFailed,
@@ -34,7 +36,9 @@
 )
 from bendshed.retries.history import AttemptHistory
 from bendshed.services.metrics import AttemptResult
-from bendshed.services.runner_placement import RunnerPlacement, RunnerPorts
+from bendshed.services.runner_placement import RunnerPlacement
+from bendshed.services.runner_ports import RunnerPorts
+from bendshed.services.runner_reports import MAX_REPORTS, request_report
 from bendshed.services.runners import RunnerRecord
 
 __all__ = ["Attempts", "OpenResponse", "RunnerPorts"]
@@ -50,7 +54,7 @@
 
     Attributes:
         sent_s: loop time at which the request was dispatched.
-        software_version: of the runner, as listed when the request was dispatched.
+        dispatched_version: what was known of the process's software version at the dispatch.
 
     """
 
@@ -59,14 +63,12 @@
     connection: RunnerConnection
     pool: RunnerConnections
     sent_s: float
-    software_version: str = ""
+    dispatched_version: DispatchedVersion = UNPROVEN
     _closed: bool = False
 
-    @property
-    def confirmed_version(self) -> str:
-        """Version of the runner's software; empty: it is not listed with one all the while."""
-        is_unchanged = self.record.listed.software_version == self.software_version
-        return self.software_version if is_unchanged else ""
+    def proven_version(self, are_births_listed: bool) -> str:
+        """Version of the process that responds; empty: not proven by what is known now."""
+        return self.dispatched_version.confirm(self.record.listed, are_births_listed)
 
     async def body(self) -> AsyncIterator[bytes]:
         """Yield the body in chunks; raise ``ResponseBroken`` if it breaks off."""
@@ -203,7 +205,7 @@
         record, runner = choice.record, choice.record.listed
         was_connected = self.ports.is_connected(record)
         try:
-            connection = await self.ports.pool.acquire(runner.address)
+            connection = await self._connect(record)
         except ConnectFailed as error:
             self.history.record_unreachable(runner.runner_id)
             self._count_result(AttemptResult.UNREACHABLE)
@@ -213,21 +215,48 @@
         if not self.placement.may_dispatch_to(record, choice.permit, loop.time()):
             self._withdraw_dispatch(choice, connection)
             return None
+        version = self.placement.proven_version(record, connection.reported)
+        if not version and self._withdraw_unproven(choice, connection):
+            return None
         left_ms = max(1, int((self.history.deadline_s - loop.time()) * 1000))
         message = self.ports.protocol.build_request(
             self.request, body, self._runner_dispatch(choice, left_ms)
         )
         self.history.record_dispatch()
-        self._log_dispatch(choice, was_connected, left_ms)
-        return await self._dispatch(choice, connection, message)
+        self._log_dispatch(choice, was_connected, left_ms, version)
+        return await self._dispatch(
+            choice, connection, message, DispatchedVersion(version, connection.reported)
+        )
+
+    async def _connect(self, record: RunnerRecord) -> RunnerConnection:
+        """Connect to a runner, where its version matters to a process that has reported.
+
+        Raise ``ConnectFailed``.
+        """
+        address = record.listed.address
+        for num_lost in count():
+            connection = await self.ports.pool.acquire(address)
+            may_report = self.placement.proves_version and num_lost < MAX_REPORTS
+            if not may_report or await self._has_reported(record, connection):
+                return connection
+            self.ports.pool.release(address, connection)
+        raise AssertionError("unreachable")
+
+    async def _has_reported(self, record: RunnerRecord, connection: RunnerConnection) -> bool:
+        """Whether a connection can be used after the process behind it was asked to report."""
+        left_s = self.history.deadline_s - asyncio.get_running_loop().time()
+        return await request_report(connection, record, self.ports, left_s)
 
     async def _dispatch(
-        self, choice: Choice, connection: RunnerConnection, message: ClientRequest
+        self,
+        choice: Choice,
+        connection: RunnerConnection,
+        message: ClientRequest,
+        version: DispatchedVersion,
     ) -> OpenResponse | None:
         loop = asyncio.get_running_loop()
         record = choice.record
         sent_s = loop.time()
-        software_version = record.listed.software_version
         try:
             head = await connection.send(message)
         except ResponseBroken as error:
@@ -241,7 +270,7 @@
             # Includes cancellation: the response may still arrive, so do not reuse the connection.
             connection.abort()
             raise
-        return OpenResponse(head, record, connection, self.ports.pool, sent_s, software_version)
+        return OpenResponse(head, record, connection, self.ports.pool, sent_s, version)
 
     def _runner_dispatch(self, choice: Choice, left_ms: int) -> RunnerDispatch:
         principal = self.principal
@@ -287,6 +316,25 @@
             reason="the runner is cold and the permit expired or is missing",
         )
 
+    def _withdraw_unproven(self, choice: Choice, connection: RunnerConnection) -> bool:
+        """Withdraw a dispatch to a process of an unproven version; ``False``: it is sent there.
+
+        A resumed stream is never sent there, a new one only if no other runner can take it.
+        """
+        placement, now_s = self.placement, asyncio.get_running_loop().time()
+        if placement.software_version:
+            self.history.record_unproven_version()
+        elif not placement.leaves_for_proven_version(choice.record, self.history.tried, now_s):
+            return False
+        connection.finish()
+        self.ports.pool.release(choice.record.listed.address, connection)
+        self._say(
+            "dispatch withdrawn: software version not proven",
+            choice,
+            reason="the runner may have started again since its entry was written",
+        )
+        return True
+
     async def _drain_not_run_response(self, response: OpenResponse, reason: str) -> None:
         """Read the rest of a response which proves that the request was not run."""
         self.history.record_not_run()
@@ -311,7 +359,9 @@
     def _count_result(self, result: AttemptResult) -> None:
         self.ports.metrics.attempts.labels(result.value).inc()
 
-    def _log_dispatch(self, choice: Choice, was_connected: bool, left_ms: int) -> None:
+    def _log_dispatch(
+        self, choice: Choice, was_connected: bool, left_ms: int, proven_version: str
+    ) -> None:
         runner_id = choice.record.listed.runner_id
         log.say(
             "request dispatched",
@@ -325,6 +375,7 @@
             attempt=self.history.num_possible_runs,
             is_cold=self.ports.table.cold.is_cold(runner_id),
             software_version=choice.record.listed.software_version,
+            is_version_proven=bool(proven_version),
             **self._describe_resumption(),
         )
 
--- a/src/bendshed/services/forwarder.py
+++ b/src/bendshed/services/forwarder.py
@@ -169,6 +169,7 @@
             sticky_key,
             regions,
             origin.software_version,
+            proves_version=self._turn_ports is not None and route.is_resumable,
         )
         history = AttemptHistory(deadline_s)
         attempts = Attempts(request, route, principal, placement, history, admit)
@@ -199,7 +200,9 @@
             return StreamOrigin(service, "")
         left_s = deadline_s - asyncio.get_running_loop().time()
         origins = self._turn_ports.origins
-        return await origins.find_on_route(request, route, principal.name, service, left_s)
+        return await origins.find_on_route(
+            request, route, principal.name, service, left_s, self._runner_ports.table.entry_of
+        )
 
     async def _serve_attempts(
         self,
--- a/src/bendshed/services/metrics.py
+++ b/src/bendshed/services/metrics.py
@@ -40,6 +40,17 @@
     UNANSWERED = "unanswered"
 
 
+class ReportResult(StrEnum):
+    """What the process behind a connection reported of its start."""
+
+    LISTED = "listed"
+    """It is the process that wrote the entry."""
+    OTHER_PROCESS = "other_process"
+    """The entry was written by another process under the same id."""
+    WITHOUT_BIRTH = "without_birth"
+    UNANSWERED = "unanswered"
+
+
 CALLER_LEFT = "caller_left"
 NO_ROUTE = "none"
 """Route kind of requests that match no route."""
@@ -56,6 +67,7 @@
         attempts: attempts at runners by outcome.
         quota_calls: requests of limited tenants that are not turns, by outcome of the admission.
         permit_requests: requests without a warm runner, by the answer of the turn log's leader.
+        reports: reports of the processes behind new connections, by result.
         turn_begin_s, turn_end_s: time that a turn waited for the turn log, in seconds.
         first_event_s: time from a turn's arrival to its first event, in seconds.
 
@@ -87,6 +99,12 @@
             ["end"],
             registry=registry,
         )
+        self.reports = Counter(
+            "bendshed_runner_reports",
+            "Reports of processes behind connections to runners",
+            ["result"],
+            registry=registry,
+        )
         self.turn_begin_s = self._histogram(
             "bendshed_turn_begin_seconds", "Time until a turn may be sent", ["previewed"]
         )
--- a/src/bendshed/services/runner_placement.py
+++ b/src/bendshed/services/runner_placement.py
@@ -5,49 +5,21 @@
 """
 
 import asyncio
-import random
 from collections.abc import Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from bendshed.errors import Refusal
 from bendshed.model.permit import NO_PERMIT, TimedPermit
-from bendshed.model.places import Places
+from bendshed.model.runner import ReportedBirth
 from bendshed.placement.eligibility import may_continue_stream
 from bendshed.placement.node_choice import Choice, NodeView, choose_runner
-from bendshed.policy import ALL_ENABLED, Policy
-from bendshed.ports.runner import RunnerProtocol, ServiceRequest
-from bendshed.ports.runner_connections import RunnerConnections
+from bendshed.placement.proven_version import proven_version
+from bendshed.ports.runner import ServiceRequest
 from bendshed.retries.decisions import GiveUp, GiveUpReason, may_choose_runner
 from bendshed.retries.history import AttemptHistory
-from bendshed.services.metrics import ServiceMetrics
-from bendshed.services.permit_client import PermitClient, RunnerReport, build_turn_demand
-from bendshed.services.runners import RunnerRecord, RunnerTable
-
-
-@dataclass(frozen=True, slots=True)
-class RunnerPorts:
-    """Dependencies of attempts on the node.
-
-    Attributes:
-        zone, node: the node's zone and its unique name.
-        permit_client: requests permits for cold runners; ``None``: no permits are available.
-
-    """
-
-    table: RunnerTable
-    pool: RunnerConnections
-    protocol: RunnerProtocol
-    zone: str
-    node: str
-    rng: random.Random
-    metrics: ServiceMetrics
-    policy: Policy = ALL_ENABLED
-    permit_client: PermitClient | None = None
-    places: Places = field(default_factory=Places)
-
-    def is_connected(self, record: RunnerRecord) -> bool:
-        """Whether an idle connection to a runner is open."""
-        return self.pool.has_idle(record.listed.address)
+from bendshed.services.permit_client import RunnerReport, build_turn_demand
+from bendshed.services.runner_ports import RunnerPorts
+from bendshed.services.runners import RunnerRecord
 
 
 @dataclass(slots=True)
@@ -61,6 +33,8 @@
         sticky_key: session or affinity key that requests share; empty: none.
         regions: where the runners may be located; ``None``: anywhere.
         software_version: version that began the stream which the request resumes; empty: any.
+        proves_version: the version of the process that responds must be known, since the stream may
+            be resumed.
 
     """
 
@@ -70,6 +44,7 @@
     sticky_key: str
     regions: frozenset[str] | None = None
     software_version: str = ""
+    proves_version: bool = False
     _preferred_runner: str = ""
     _preferred_permit: TimedPermit = NO_PERMIT
 
@@ -109,13 +84,12 @@
     def runner_report(self) -> RunnerReport:
         """Report on the service's runners to a leader that places the request."""
         now_s = asyncio.get_running_loop().time()
-        eligible = self._eligible(now_s)
+        eligible = self._listed_eligible(now_s)
         connected: list[str] = []
         if self.ports.policy.kept_connections:
             connected = [r.listed.runner_id for r in eligible if self.ports.is_connected(r)]
-        return RunnerReport(
-            connected, [r.listed.runner_id for r in eligible if r.is_avoided(now_s)]
-        )
+        avoided = [r for r in eligible if r.is_avoided(now_s) or self._is_doubted(r, now_s)]
+        return RunnerReport(connected, [r.listed.runner_id for r in avoided])
 
     async def find_runner(self, history: AttemptHistory) -> Choice | GiveUp | Refusal:
         """Find the runner of the next attempt; ``Refusal``: the leader granted no permit."""
@@ -126,6 +100,8 @@
                 return choice
             if self._has_untried_cold(history.tried, now_s):
                 return await self._request_permit(history)
+        if history.has_unproven_version:
+            return GiveUp(GiveUpReason.VERSION_UNPROVEN, self.describe_no_runner())
         return GiveUp(GiveUpReason.NO_RUNNER, self.describe_no_runner())
 
     def choose(self, tried: Collection[str], now_s: float) -> Choice | None:
@@ -164,7 +140,33 @@
         """Whether a runner is of the version of a resumed stream; of a new one, any is."""
         return may_continue_stream(record.listed, self.software_version)
 
+    def proven_version(self, record: RunnerRecord, reported: ReportedBirth) -> str:
+        """Version that the process behind a connection is proven to run; empty: not proven."""
+        return proven_version(record.listed, reported, self.ports.table.are_births_listed)
+
+    def leaves_for_proven_version(
+        self, record: RunnerRecord, tried: Collection[str], now_s: float
+    ) -> bool:
+        """Whether a new stream that may be resumed goes to another runner than a doubted one."""
+        if not self._is_doubted(record, now_s):
+            return False
+        others = self.ports.table.cold.filter_warm(self._listed_eligible(now_s))
+        return any(
+            other.listed.runner_id not in tried
+            and not other.is_avoided(now_s)
+            and not other.is_doubted(now_s)
+            for other in others
+        )
+
+    def _is_doubted(self, record: RunnerRecord, now_s: float) -> bool:
+        return self.proves_version and record.is_doubted(now_s)
+
     def _eligible(self, now_s: float) -> list[RunnerRecord]:
+        """Eligible runners; doubted ones only if there is no other."""
+        eligible = self._listed_eligible(now_s)
+        return [r for r in eligible if not self._is_doubted(r, now_s)] or eligible
+
+    def _listed_eligible(self, now_s: float) -> list[RunnerRecord]:
         return self.ports.table.eligible(self.service, now_s, self.regions, self.software_version)
 
     def _choose_preferred(
--- a/src/bendshed/services/runners.py
+++ b/src/bendshed/services/runners.py
@@ -58,6 +58,7 @@
     filter: RunnerFilter = field(default_factory=RunnerFilter)
     cold: ColdRunnerTracker = field(default_factory=ColdRunnerTracker)
     _num_by_version: dict[str, Counter[str]] = field(default_factory=dict)
+    _num_with_birth: int = 0
 
     def put(self, runner: ServiceRunner) -> None:
         """Add or update a listed runner."""
@@ -69,12 +70,13 @@
             self.has_runners.set()
             self.by_id[runner.runner_id] = record
         else:
-            self._count_version(record.listed, -1)
+            self._count(record.listed, -1)
             if record.listed.service != runner.service:
                 self._by_service(record.listed.service).pop(runner.runner_id, None)
-        self._count_version(runner, 1)
+        self._count(runner, 1)
         record.listed = runner
         record.unlisted_at_s = None
+        record.doubted_until_s = None
         self.cold.note_listed(runner)
         self._by_service(runner.service)[runner.runner_id] = record
         log.say(
@@ -84,6 +86,7 @@
             address=str(runner.address),
             state=runner.state.value,
             software_version=runner.software_version,
+            born_ms=runner.born_ms,
         )
 
     def remove(self, runner_id: str, now_s: float, is_trusted: bool) -> None:
@@ -107,21 +110,32 @@
             record.unlisted_at_s = now_s
 
     def _drop(self, record: RunnerRecord) -> None:
-        self._count_version(record.listed, -1)
+        self._count(record.listed, -1)
         del self.by_id[record.listed.runner_id]
         self._by_service(record.listed.service).pop(record.listed.runner_id, None)
 
-    def _count_version(self, runner: ServiceRunner, change: int) -> None:
+    def _count(self, runner: ServiceRunner, change: int) -> None:
+        self._num_with_birth += change * bool(runner.born_ms)
         versions = self._num_by_version.setdefault(runner.service, Counter())
         versions[runner.software_version] += change
         if not versions[runner.software_version]:
             del versions[runner.software_version]
 
+    @property
+    def are_births_listed(self) -> bool:
+        """Whether any entry names when its runner started."""
+        return self._num_with_birth > 0
+
     def sole_version(self, service: str) -> str:
         """Software version of all runners of a service; empty: there are several, or none known."""
         versions = self._num_by_version.get(service, ())
         return next(iter(versions)) if len(versions) == 1 else ""
 
+    def entry_of(self, runner_id: str) -> ServiceRunner | None:
+        """Entry of a runner; ``None``: it is not listed."""
+        record = self.by_id.get(runner_id)
+        return record.listed if record is not None else None
+
     def count(self, view: ObservedState) -> int:
         """Count the runners in a state."""
         return sum(1 for record in self.by_id.values() if record.observed_state is view)
--- a/src/bendshed/services/stream_exchange.py
+++ b/src/bendshed/services/stream_exchange.py
@@ -9,13 +9,14 @@
 
 from bendshed.errors import Refusal
 from bendshed.logs import PartLog
+from bendshed.model.runner import RunnerProcess
 from bendshed.ports.http_messages import ResponseBroken
 from bendshed.ports.runner import Caller, ServiceRequest
 from bendshed.retries.decisions import GiveUp, GiveUpReason, refusal_of
 from bendshed.services.attempts import Attempts, OpenResponse
 from bendshed.services.events import EventSplitter, StreamEvent
 from bendshed.services.metrics import ServedOutcome
-from bendshed.services.stream_origins import OriginRecorder
+from bendshed.services.stream_origins import AnsweringProcess, OriginRecorder
 from bendshed.services.turn_record import TurnRecord
 
 HTTP_OK = 200
@@ -93,10 +94,17 @@
 
     async def _confirm_origin(self, response: OpenResponse) -> bool:
         """Whether events may be sent: a later attempt finds the version that wrote them."""
-        version = response.confirmed_version
+        answering = self._answering_process(response)
         if self.record is not None:
-            return await self.record.confirm_origin(version)
-        return self.origin is None or await self.origin.confirm_of_call(version)
+            return await self.record.confirm_origin(answering)
+        return self.origin is None or await self.origin.confirm_of_call(answering)
+
+    def _answering_process(self, response: OpenResponse) -> AnsweringProcess:
+        version = response.proven_version(self.attempts.ports.table.are_births_listed)
+        born_ms = response.dispatched_version.reported.born_ms
+        if not born_ms:
+            return AnsweringProcess(version)
+        return AnsweringProcess(version, RunnerProcess(response.record.listed.runner_id, born_ms))
 
     async def _relay(self, response: OpenResponse) -> bool:
         """Relay the stream event by event; raise if it is incomplete."""
--- a/src/bendshed/services/stream_origins.py
+++ b/src/bendshed/services/stream_origins.py
@@ -6,14 +6,16 @@
 resumed. Source: docs/design/0013.
 """
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from bendshed.consensus.group_client import GroupUnavailable
 from bendshed.errors import ErrorKind, Refusal
 from bendshed.logs import PartLog
+from bendshed.model.runner import RunnerProcess, ServiceRunner
 from bendshed.model.service_document import Route
 from bendshed.model.stream_origin import StreamOrigin
+from bendshed.placement.proven_version import version_of_process
 from bendshed.ports.runner import ServiceRequest
 from bendshed.turns.client import TurnClient
 from bendshed.turns.group_locator import GroupLocator
@@ -25,9 +27,30 @@
 MAX_TTL_MS = 600_000
 """Upper bound on the time for which an origin is remembered, whatever a caller states."""
 
+UNKNOWN_VERSION = "the software version that began the stream is not known"
+
 log = PartLog("origins")
 
 
+@dataclass(frozen=True, slots=True)
+class AnsweringProcess:
+    """The process that responds to a request.
+
+    Attributes:
+        software_version: proven for it; empty: not proven.
+        process: which one it is; ``None``: it did not report its start.
+
+    """
+
+    software_version: str
+    process: RunnerProcess | None = None
+
+    @property
+    def origin_process(self) -> RunnerProcess | None:
+        """The process to record: only where its version is not proven."""
+        return None if self.software_version else self.process
+
+
 def is_resumed(request: ServiceRequest, route: Route) -> bool:
     """Whether a request continues a stream; other routes ignore the caller's event id."""
     return bool(request.last_event_id) and route.is_resumable
@@ -46,10 +69,25 @@
     group_locator: GroupLocator
 
     async def find_on_route(
-        self, request: ServiceRequest, route: Route, tenant: str, service: str, left_s: float
+        self,
+        request: ServiceRequest,
+        route: Route,
+        tenant: str,
+        service: str,
+        left_s: float,
+        find_entry: Callable[[str], ServiceRunner | None],
     ) -> StreamOrigin | Refusal:
-        """``find``; ``VERSION_GONE`` if the route does not lead to the service any more."""
-        origin = await self.find(request, tenant, service, left_s)
+        """Return the origin of the stream that a request resumes, with its version.
+
+        Args:
+            request, tenant, service, left_s: as for ``find``.
+            route: kind ``VERSION_GONE`` if it does not lead to the origin's service any more.
+            find_entry: entry of a runner; kind ``VERSION_UNPROVEN`` if that of the process which
+                began the stream is not written yet.
+
+        """
+        found = await self.find(request, tenant, service, left_s)
+        origin = found if isinstance(found, Refusal) else _with_version(found, find_entry)
         if isinstance(origin, Refusal):
             return origin
         if all(target.service != origin.service for target in route.targets):
@@ -112,8 +150,25 @@
             return None
 
 
+def _with_version(
+    origin: StreamOrigin, find_entry: Callable[[str], ServiceRunner | None]
+) -> StreamOrigin | Refusal:
+    """Add the version of the process that began a stream, if its entry names it by now."""
+    if origin.process is None:
+        return origin
+    version = version_of_process(origin.process, find_entry(origin.process.runner_id))
+    if version is None:
+        return Refusal(ErrorKind.STREAM_UNKNOWN, UNKNOWN_VERSION)
+    if not version:
+        detail = f"{origin.process.runner_id} has just started and is not listed with its version"
+        return Refusal(ErrorKind.VERSION_UNPROVEN, detail)
+    return StreamOrigin(origin.service, version)
+
+
 def _origin_of(reply: wire.TurnReply, request: ServiceRequest, group: int) -> StreamOrigin:
-    origin = StreamOrigin(reply.origin.service, reply.origin.software_version)
+    found = reply.origin
+    process = RunnerProcess(found.runner_id, found.born_ms) if found.runner_id else None
+    origin = StreamOrigin(found.service, found.software_version, process)
     source = "answer" if reply.is_origin_confirmed else "placement"
     log.say(
         "stream bound to its version",
@@ -121,6 +176,8 @@
         resumes=request.resumes,
         service=origin.service,
         software_version=origin.software_version,
+        runner=found.runner_id,
+        born_ms=found.born_ms,
         source=source if request.resumes else "all streams",
         age_ms=reply.origin_age_ms,
         group=group,
@@ -133,9 +190,8 @@
     if not found:
         return Refusal(ErrorKind.STREAM_UNKNOWN, "nothing is known of the stream")
     origin = next(iter(found))
-    if len(found) > 1 or not origin.software_version:
-        detail = "the software version that began the stream is not known"
-        return Refusal(ErrorKind.STREAM_UNKNOWN, detail)
+    if len(found) > 1 or not (origin.software_version or origin.process):
+        return Refusal(ErrorKind.STREAM_UNKNOWN, UNKNOWN_VERSION)
     return origin
 
 
@@ -155,42 +211,51 @@
     expected: wire.StreamOrigin
     bound_version: str
 
-    async def confirm_of_turn(self, begun: wire.TurnReply, group: int, version: str) -> bool:
+    async def confirm_of_turn(
+        self, begun: wire.TurnReply, group: int, answering: AnsweringProcess
+    ) -> bool:
         """Confirm the origin of a turn before its first event; ``False``: no event may be sent.
 
         Args:
             begun: reply to the turn's begin. A leader of an earlier build names no origin in it,
                 but hands the expected one on to replicas that record it.
             group: group that committed the begin.
-            version: of the runner that answered; empty: not known.
+            answering: the process that answered.
 
         """
+        version = answering.software_version
         if not self._is_bound_to(version):
             return False
         recorded = begun.origin if begun.HasField("origin") else self.expected
         recorded_version = recorded.software_version
-        if recorded_version == version:
+        if recorded_version == version and answering.origin_process is None:
             return True
-        is_recorded = await self._record(version, group)
+        is_recorded = await self._record(answering, group)
         return is_recorded or not recorded_version
 
-    async def confirm_of_call(self, version: str) -> bool:
-        """The same for a stream that is not a turn, of which nothing is recorded yet."""
-        if not self._is_bound_to(version):
+    async def confirm_of_call(self, answering: AnsweringProcess) -> bool:
+        """The same for a stream that is not a turn, of which nothing is recorded yet.
+
+        One of an unproven version is recorded too: a caller that names no attempt is bound to the
+        version of all recorded streams.
+        """
+        if not self._is_bound_to(answering.software_version):
             return False
-        is_log_reachable = self.origins.client.unreachable_since_s is None
-        if version and is_log_reachable:
+        if self.origins.client.unreachable_since_s is None:
             group = self.origins.group_locator.group_of(self.tenant, self.request.program_id, "")
-            await self._record(version, group)
+            await self._record(answering, group)
         return True
 
     def _is_bound_to(self, version: str) -> bool:
         return not self.bound_version or version == self.bound_version
 
-    async def _record(self, version: str, group: int) -> bool:
+    async def _record(self, answering: AnsweringProcess, group: int) -> bool:
+        version, process = answering.software_version, answering.origin_process
         origin = wire.StreamOrigin(
             service=self.expected.service, software_version=version, ttl_ms=self.expected.ttl_ms
         )
+        if process is not None:
+            origin.runner_id, origin.born_ms = process.runner_id, process.born_ms
         is_recorded = await self.origins.record(self.request.request_id, self.tenant, group, origin)
         log.say(
             "origin recorded: not the expected one" if is_recorded else "origin not recorded",
--- a/src/bendshed/services/turn_record.py
+++ b/src/bendshed/services/turn_record.py
@@ -14,7 +14,7 @@
 from bendshed.ports.runner import ServiceRequest
 from bendshed.services.attempts import Attempts
 from bendshed.services.events import StreamEvent
-from bendshed.services.stream_origins import OriginRecorder
+from bendshed.services.stream_origins import AnsweringProcess, OriginRecorder
 from bendshed.services.turn_codec import TurnCodec, TurnEnd
 from bendshed.services.turn_output import TurnOutput
 from bendshed.services.turn_ports import FINISH_TIMEOUT_S, TurnPorts
@@ -77,12 +77,12 @@
         """Wait until the reservation is committed; return the refusal if it is not."""
         return await self._reservation.confirm()
 
-    async def confirm_origin(self, software_version: str) -> bool:
+    async def confirm_origin(self, answering: AnsweringProcess) -> bool:
         """Confirm the version that answered, after ``confirm``; ``False``: send no event."""
         begun = self._reservation.begun
         if self.origin is None or begun is None:
             return True
-        return await self.origin.confirm_of_turn(begun, self._reservation.group, software_version)
+        return await self.origin.confirm_of_turn(begun, self._reservation.group, answering)
 
     def count(self, event: StreamEvent) -> None:
         """Count an event before it is sent."""
--- a/src/bendshed/turns/stream_origins.py
+++ b/src/bendshed/turns/stream_origins.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Self
 
+from bendshed.model.runner import RunnerProcess
 from bendshed.turns.methods import TenantScopedId
 from bendshed.wire import turns_pb2 as wire
 
@@ -25,6 +26,8 @@
         is_confirmed: the front reported the runner that answered; otherwise it is the runner that
             was expected when the turn began.
         recorded_ms, expires_ms: by the log's clock.
+        process: the process that began the stream, where its version was not proven; ``None``: not
+            recorded.
 
     """
 
@@ -33,6 +36,7 @@
     is_confirmed: bool
     recorded_ms: int
     expires_ms: int
+    process: RunnerProcess | None = None
 
 
 class StreamOrigins:
@@ -72,6 +76,7 @@
             is_confirmed,
             now_ms,
             now_ms + origin.ttl_ms,
+            RunnerProcess(origin.runner_id, origin.born_ms) if origin.runner_id else None,
         )
         self._origins[stream] = stored
         self._num_by_version.setdefault(stored.service, Counter())[stored.software_version] += 1
@@ -92,6 +97,7 @@
             return
         reply.origin.service = found.service
         reply.origin.software_version = found.software_version
+        _add_process(reply.origin, found.process)
         reply.is_origin_confirmed = found.is_confirmed
         reply.origin_age_ms = now_ms - found.recorded_ms
 
@@ -120,6 +126,7 @@
                 software_version=stored.software_version,
                 ttl_ms=stored.expires_ms - stored.recorded_ms,
             )
+            _add_process(origin, stored.process)
             part.origins.add(
                 tenant=tenant,
                 request_id=request_id,
@@ -141,3 +148,8 @@
             stream = (row.tenant, row.request_id)
             origins._put(stream, row.origin, row.is_confirmed, row.recorded_ms)
         return origins
+
+
+def _add_process(origin: wire.StreamOrigin, process: RunnerProcess | None) -> None:
+    if process is not None:
+        origin.runner_id, origin.born_ms = process.runner_id, process.born_ms
--- a/tests/run.py
+++ b/tests/run.py
@@ -38,6 +38,7 @@
 LONG_PARTS = (
     "test_smoke",
     "test_site_processes",
+    "test_stream_versions",
     "test_site_fuzz",
     "test_site_rules",
     "test_turn_groups",
@@ -45,7 +46,10 @@
     "test_promises",
 )
 """Modules whose parts begin first, so that none is left for the end."""
-SPLIT_CLASSES = ("tests.test_site_fuzz.SeededWorldsTest",)
+SPLIT_CLASSES = (
+    "tests.test_site_fuzz.SeededWorldsTest",
+    "tests.test_stream_versions.StreamVersionsTest",
+)
 """Classes whose tests are parts of their own, since together they take longest."""
 
 
--- a/tests/site_stream_defects.py
+++ b/tests/site_stream_defects.py
@@ -4,12 +4,15 @@
 from collections.abc import Iterator
 
 from bendshed.errors import ErrorKind, Refusal
+from bendshed.model.runner import ServiceRunner
 from bendshed.model.stream_origin import StreamOrigin
-from bendshed.rehearsal.site.documents import STREAM_SERVICE
+from bendshed.placement.proven_version import NOT_PROVEN
+from bendshed.rehearsal.site.documents import STREAM_SERVICE, WIDE
 from bendshed.rehearsal.site.oracle import Rule, Violation
 from bendshed.rehearsal.site.programs import ProgramPlan
 from bendshed.rehearsal.site.runner import FIRST_SOFTWARE_VERSION
-from bendshed.rehearsal.site.sim_world import SiteWorld
+from bendshed.rehearsal.site.sim_world import BOTH_BIRTHS, SiteWorld, ToldBirths
+from bendshed.services.runner_placement import RunnerPlacement
 from bendshed.services.stream_origins import OriginRecorder, StreamOriginClient
 from bendshed.turns.stream_origins import StreamOrigins
 from tests.site_defects import Defect, patch
@@ -102,6 +105,107 @@
         return site.settle()
 
 
+SEEN_SOON_S = 0.2
+"""An entry that names the new process soon after its start."""
+NO_BIRTH_IN_ENTRY = ToldBirths(in_entry=False)
+NO_BIRTH_IN_REPORT = ToldBirths(in_report=False)
+ODD_BIRTH_IN_REPORT = ToldBirths(in_report=False, instead="yesterday")
+
+
+def start_unlimited_streams(site: SiteWorld, count: int) -> None:
+    """Streams of a tenant without a quota, which would refuse some of those that are resumed."""
+    for _ in range(count):
+        site.start_program(STREAMS, tenant=WIDE)
+
+
+def _restart(
+    site: SiteWorld, number: int, version: str, seen_s: float, births: ToldBirths = BOTH_BIRTHS
+) -> None:
+    site.restart_runner(f"released-{1 + number % 4}", version, seen_s, births)
+
+
+def restarts_are_seen_soon(seed: int) -> list[Violation]:
+    with half_released_site(seed) as site:
+        for number in range(12):
+            _restart(site, number, f"v{3 + number}", SEEN_SOON_S)
+            start_unlimited_streams(site, 3)
+            site.run_for(0.6)
+        return site.settle()
+
+
+def runners_restart_twice_within_a_heartbeat(seed: int) -> list[Violation]:
+    """The entry of the first restart arrives after the second one."""
+    with half_released_site(seed) as site:
+        for number in range(8):
+            _restart(site, number, f"v{3 + number}", HEARTBEAT_S)
+            start_unlimited_streams(site, 3)
+            site.run_for(HEARTBEAT_S / 2)
+            _restart(site, number, f"v{30 + number}", HEARTBEAT_S)
+            start_unlimited_streams(site, 3)
+            site.run_for(1.0)
+        return site.settle()
+
+
+def runners_return_to_their_version(seed: int) -> list[Violation]:
+    with half_released_site(seed) as site:
+        for number in range(6):
+            for version in (f"v{3 + number}", FIRST_SOFTWARE_VERSION):
+                _restart(site, number, version, HEARTBEAT_S)
+                start_unlimited_streams(site, 3)
+                site.run_for(0.7)
+        return site.settle()
+
+
+def all_runners_restart(seed: int) -> list[Violation]:
+    """No runner of a proven version is left for a heartbeat."""
+    with half_released_site(seed) as site:
+        for turn in range(5):
+            for number in range(4):
+                _restart(site, number, f"v{3 + turn}-{number % 2}", HEARTBEAT_S)
+            start_unlimited_streams(site, 6)
+            site.run_for(2.5)
+        return site.settle()
+
+
+def fronts_are_killed_between_restart_and_entry(seed: int) -> list[Violation]:
+    with half_released_site(seed) as site:
+        for number in range(8):
+            _restart(site, number, f"v{3 + number}", HEARTBEAT_S)
+            start_unlimited_streams(site, 4)
+            site.run_for(0.4)
+            front = list(site.fronts.values())[number % len(site.fronts)]
+            site.kill(front)
+            site.run_for(0.3)
+            site.restart(front)
+            site.run_for(0.7)
+        return site.settle()
+
+
+def restarts_do_not_tell_their_births(seed: int) -> list[Violation]:
+    """Entries or reports name no start, or something that is no time."""
+    with half_released_site(seed) as site:
+        for number in range(12):
+            births = (NO_BIRTH_IN_ENTRY, NO_BIRTH_IN_REPORT, ODD_BIRTH_IN_REPORT)[number % 3]
+            _restart(site, number, f"v{3 + number}", HEARTBEAT_S, births)
+            start_unlimited_streams(site, 3)
+            site.run_for(1.0)
+        return site.settle()
+
+
+RESTARTS = (
+    restarts_are_seen_soon,
+    runners_restart_twice_within_a_heartbeat,
+    runners_return_to_their_version,
+    all_runners_restart,
+    fronts_are_killed_between_restart_and_entry,
+    restarts_do_not_tell_their_births,
+)
+
+
+def _trust_entry(entry: ServiceRunner, *_arguments: object) -> str:
+    return entry.software_version
+
+
 async def _find_without_version(
     _origins: StreamOriginClient, *_arguments: object
 ) -> StreamOrigin | Refusal:
@@ -139,6 +243,18 @@
     "every resumed stream is rejected": Defect(
         Rule.RESUMED, streams_are_cut, patch(StreamOriginClient, "find", _refuse_to_find)
     ),
+    "the version that an entry names counts as proven": Defect(
+        Rule.VERSION,
+        runners_restart_with_another_version,
+        patch(
+            RunnerPlacement, "proven_version", lambda _self, record, _: _trust_entry(record.listed)
+        ),
+    ),
+    "no version is ever proven": Defect(
+        Rule.RESUMED,
+        streams_are_cut,
+        patch(RunnerPlacement, "proven_version", lambda *_arguments: NOT_PROVEN),
+    ),
     "origins are not stored": Defect(
         Rule.RESUMED, streams_are_cut, patch(StreamOrigins, "_put", lambda *_: None)
     ),
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -5,14 +5,22 @@
 
 from bendshed.rehearsal.search import STEPS_PER_WORLD
 from bendshed.rehearsal.site.oracle import Violation
-from bendshed.rehearsal.site.stream_steps import STREAMS, STREAMS_OF_TWO_REGIONS
+from bendshed.rehearsal.site.stream_steps import (
+    RESTARTS_IN_TWO_REGIONS,
+    STREAMS,
+    STREAMS_OF_TWO_REGIONS,
+    STREAMS_WITH_RESTARTS,
+)
 from tests.site_stream_defects import (
+    RESTARTS,
     fronts_are_killed,
     leaders_are_killed,
     runners_restart_with_another_version,
 )
 
 SEEDS = range(1, 4)
+RESTART_SEEDS = range(1, 3)
+RESTART_WORLD_SEEDS = range(1, 4)
 WORLD_SEEDS = range(6)
 REGION_SEEDS = (1, 2, 126)
 """With the world in which clients kept a draining front busy."""
@@ -41,6 +49,12 @@
     def test_runners_that_keep_their_id_begin_streams_of_their_new_version(self) -> None:
         self.assertEqual(runners_restart_with_another_version(1), [])
 
+    # Guards against the same where entries come soon, late, out of order, or name no start.
+    def test_restarts_under_an_id_never_mix_versions(self) -> None:
+        for scenario in RESTARTS:
+            for seed in RESTART_SEEDS:
+                self.assertEqual(scenario(seed), [], (scenario.__name__, seed))
+
     # Guards against mixed or neglected streams under random releases and failures.
     def test_seeded_worlds_with_releases(self) -> None:
         for game, seeds in ((STREAMS, WORLD_SEEDS), (STREAMS_OF_TWO_REGIONS, REGION_SEEDS)):
@@ -48,3 +62,11 @@
                 world, violations = game.run(seed, game.random_steps(seed, STEPS_PER_WORLD))
                 world.close()
                 self.assertEqual(violations, [], seed)
+
+    # Guards against the same where runners also start again under their ids.
+    def test_seeded_worlds_with_restarts_under_an_id(self) -> None:
+        for game in (STREAMS_WITH_RESTARTS, RESTARTS_IN_TWO_REGIONS):
+            for seed in RESTART_WORLD_SEEDS:
+                world, violations = game.run(seed, game.random_steps(seed, STEPS_PER_WORLD))
+                world.close()
+                self.assertEqual(violations, [], seed)
