Stored turns outlast the waits of their callers: a turn continued in time is found

What callers saw: a turn continued within its retention got 404, which ends the program; where it was previewed in time, first 502 after a runner had run it.

Cause: the time is promised from the end of an answer at the client to when the client asks, and was kept from the commit of the turn's end to when the begin that continues it is applied.

Fix: the end of a turn asks for the retention, twice the time that its caller may wait, and 5 s for the time-outs of commands. The command carries it, so replicas of both builds decide alike. Cost: 73 s of storage where 60 s are promised and callers wait 4 s, for chains at rest.

--- a/src/bendshed/cli/rehearse.py
+++ b/src/bendshed/cli/rehearse.py
@@ -119,13 +119,14 @@
         option("regions", None, "Sites of two regions", flag=True),
         option("streams", None, "Two software versions serve, streams are resumed", flag=True),
         option("restarts", None, "With --streams: runners start again under their ids", flag=True),
+        option("returns", None, "Clients return just before a turn is forgotten", flag=True),
         option("closings", None, "Sites that lose power as a whole at their end", flag=True),
     ]
 
     def handle(self) -> int:
         """Search or replay."""
         from bendshed.rehearsal.search import STEPS_PER_WORLD
-        from bendshed.rehearsal.site.fuzz import REGIONS, SITE
+        from bendshed.rehearsal.site.fuzz import REGIONS, RETURNS, RETURNS_IN_TWO_REGIONS, SITE
 
         if self.option("closings"):
             from bendshed.rehearsal.site.closings import CLOSINGS, STEPS_PER_CLOSING
@@ -139,6 +140,8 @@
             else:
                 one, two = stream_steps.STREAMS, stream_steps.STREAMS_OF_TWO_REGIONS
             game = two if self.option("regions") else one
+        elif self.option("returns"):
+            game = RETURNS_IN_TWO_REGIONS if self.option("regions") else RETURNS
         else:
             game = REGIONS if self.option("regions") else SITE
         return self.search(game, int(self.option("worlds")) * STEPS_PER_WORLD)
--- a/src/bendshed/rehearsal/site/actions.py
+++ b/src/bendshed/rehearsal/site/actions.py
@@ -60,6 +60,7 @@
     CUT_STREAMS = "all runners cut streams"
     RESTART_RUNNER = "a runner starts again under its id with another version"
     RESTART_RUNNERS = "all runners start again under their ids"
+    RETURN_LATE = "a client returns just before a turn's retention is over"
 
 
 CALM = (Action.ADVANCE, Action.START_PROGRAM, Action.HEAL, Action.RESTART, Action.RESUME)
@@ -69,5 +70,9 @@
 """What only searches with resumed streams draw, so that the others keep their worlds."""
 OF_RESTARTS = (Action.RESTART_RUNNER, Action.RESTART_RUNNERS)
 """What only searches with restarts draw."""
-OF_REGIONS = tuple(action for action in Action if action not in (*OF_STREAMS, *OF_RESTARTS))
+OF_RETURNS = (Action.RETURN_LATE,)
+"""What only searches with late returns draw: each takes up to the retention."""
+OF_REGIONS = tuple(
+    action for action in Action if action not in (*OF_STREAMS, *OF_RESTARTS, *OF_RETURNS)
+)
 WITHIN_A_REGION = tuple(action for action in OF_REGIONS if action not in BETWEEN_REGIONS)
--- a/src/bendshed/rehearsal/site/fuzz.py
+++ b/src/bendshed/rehearsal/site/fuzz.py
@@ -5,11 +5,12 @@
 from functools import partial
 
 from bendshed.rehearsal.search import Game, Step
-from bendshed.rehearsal.site.actions import CALM, OF_REGIONS, WITHIN_A_REGION, Action
+from bendshed.rehearsal.site.actions import CALM, OF_REGIONS, OF_RETURNS, WITHIN_A_REGION, Action
 from bendshed.rehearsal.site.documents import GUEST, NARROW, WIDE
 from bendshed.rehearsal.site.layout import TWO_REGIONS, TWO_REGIONS_WITH_TENANTS
 from bendshed.rehearsal.site.oracle import Violation
 from bendshed.rehearsal.site.programs import ProgramPlan
+from bendshed.rehearsal.site.records import Kind
 from bendshed.rehearsal.site.runner import SiteRunner
 from bendshed.rehearsal.site.sim_world import CATCH_UP_S, SimMachine, SiteWorld
 from bendshed.rehearsal.site.sim_zones import RUNNER_ZONES, ZONE_CLOSE_S
@@ -20,6 +21,9 @@
 the other cannot tell from a cut. So the last two are neither emptied nor replaced."""
 
 MAX_COLD_S = 6.0
+MAX_EARLY_S = 1.0
+"""A client that returns late comes up to this long before the retention is over."""
+HTTP_OK = 200
 
 
 @dataclass(slots=True)
@@ -37,6 +41,7 @@
             Action.START_LOOP: self._start_loop,
             Action.CONTINUE_TURN: self._continue_turn,
             Action.CONTINUE_FOREIGN: self._continue_foreign,
+            Action.RETURN_LATE: self._return_late,
             Action.FLOOD: self._flood,
             Action.START_GUEST: lambda _s: self._start_guest(),
             Action.REMOVE_GUEST: lambda _s: self._remove_guest(),
@@ -113,6 +118,26 @@
             continues = turns[step.which % len(turns)]
             self.world.start_program(ProgramPlan(turns=2, tools=0), continues=continues)
 
+    def _return_late(self, step: Step[Action]) -> None:
+        """Continue the newest turn of a chain at the very end of the time for which it is found."""
+        world = self.world
+        continued = {row.previous for row in world.seen.requests}
+        turns = [
+            row
+            for row in world.seen.requests
+            if row.kind is Kind.TURN and row.is_whole and row.status == HTTP_OK
+            if row.request_id not in continued and row.tenant not in world.seen.removed_s
+        ]
+        if not turns or len(world.programs) >= MAX_PROGRAMS:
+            return
+        turn = turns[-1 - step.which % len(turns)]
+        early_s = MAX_EARLY_S * step.amount**4
+        return_s = turn.ended_s + world.seen.retention_s - early_s
+        if return_s > world.loop.time():
+            world.count("a client returns late")
+            world.run_for(return_s - world.loop.time())
+            world.start_program(ProgramPlan(turns=2, tools=0), continues=turn.request_id)
+
     def _continue_foreign(self, step: Step[Action]) -> None:
         turns = [program for program in self.world.programs if program.last_turn]
         if turns and len(self.world.programs) < MAX_PROGRAMS:
@@ -394,3 +419,5 @@
 
 
 REGIONS = replace(SITE, start=start_in_two_regions, actions=(*OF_REGIONS, *CALM * 3))
+RETURNS = replace(SITE, actions=(*SITE.actions, *OF_RETURNS * 8))
+RETURNS_IN_TWO_REGIONS = replace(REGIONS, actions=(*REGIONS.actions, *OF_RETURNS * 8))
--- a/src/bendshed/services/stream_origins.py
+++ b/src/bendshed/services/stream_origins.py
@@ -24,8 +24,6 @@
 ORIGIN_TIMEOUT_S = 0.6
 """Timeout of reading or recording an origin; outlasts an election of the group. Both delay the
 first event, and a caller that is refused soon can begin again from the start."""
-MAX_TTL_MS = 600_000
-"""Upper bound on the time for which an origin is remembered, whatever a caller states."""
 
 UNKNOWN_VERSION = "the software version that began the stream is not known"
 
@@ -56,11 +54,6 @@
     return bool(request.last_event_id) and route.is_resumable
 
 
-def ttl_ms(request: ServiceRequest, route: Route) -> int:
-    """How long a stream may be resumed: as long as its caller waits for the whole of it."""
-    return min(MAX_TTL_MS, max(request.wait_ms or 0, route.timeout_ms))
-
-
 @dataclass(frozen=True, slots=True)
 class StreamOriginClient:
     """Reads and records origins in the turn log."""
--- a/src/bendshed/services/turn_codec.py
+++ b/src/bendshed/services/turn_codec.py
@@ -6,9 +6,11 @@
 from bendshed.errors import ErrorKind, Refusal
 from bendshed.model.service_document import Route
 from bendshed.ports.runner import ServiceRequest, TurnDetails
+from bendshed.services.caller_wait import longest_wait_ms
 from bendshed.services.permit_client import no_room_refusal
 from bendshed.services.quota_client import quota_refusal_of
 from bendshed.services.turn_output import TurnOutput
+from bendshed.turns.retention import stored_ms
 from bendshed.wire import turns_pb2 as wire
 
 
@@ -67,6 +69,9 @@
     def encode_finish(self, group: int, output: TurnOutput, end: TurnEnd) -> wire.TurnCommand:
         """Encode the turn's end: its usage, its content to store, and its report on runners."""
         keep = end.is_complete and self.route.keeps_turns
+        retention_ms = self.route.retention_ms
+        if keep:
+            retention_ms = stored_ms(retention_ms, longest_wait_ms(self.request, self.route))
         finish = wire.FinishTurn(
             program_id=self.request.program_id,
             turn_id=self.request.request_id,
@@ -76,7 +81,7 @@
             keep=keep,
             input=self.request.body if keep else b"",
             output=output.content if keep else b"",
-            retention_ms=self.route.retention_ms,
+            retention_ms=retention_ms,
             runner_id=end.runner_id,
             tenant=self.tenant,
             was_sent=end.may_have_run,
--- /dev/null
+++ b/src/bendshed/turns/retention.py
@@ -0,0 +1,18 @@
+"""Decides how long a turn is stored. Pure.
+
+Callers count the retention from the end of an answer, as they receive it, to when they ask again.
+The turn log counts from the commit of the end to the commit of the end that continues it. What lies
+between the two is bounded by the callers' own waits and by the time-outs of commands.
+"""
+
+COMMIT_MARGIN_MS = 5_000
+"""Covers the time-outs that callers' waits do not: connecting to a front (1 s), a command that is
+under way (0.5 s), and the commit of the later turn's end (3.1 s after its deadline)."""
+
+
+def stored_ms(retention_ms: int, longest_wait_ms: int) -> int:
+    """Return how long a turn is stored from the commit of its end, so that it is found in time.
+
+    The caller may receive the end as late as it waits, and its next turn may run as long again.
+    """
+    return retention_ms + 2 * longest_wait_ms + COMMIT_MARGIN_MS
--- a/tests/site_defects.py
+++ b/tests/site_defects.py
@@ -21,6 +21,7 @@
 from bendshed.rehearsal.site.sim_runners import SimConnection
 from bendshed.rehearsal.site.sim_world import SiteWorld
 from bendshed.retries import decisions
+from bendshed.services import turn_codec
 from bendshed.services.attempts import Attempts, OpenResponse
 from bendshed.services.node import ServiceNode
 from bendshed.services.runners import RunnerTable
@@ -30,6 +31,8 @@
 from tests.region_defects import REGION_DEFECTS
 
 Scenario = Callable[[int], list[Violation]]
+ONE_TURN = ProgramPlan(turns=1, tools=0)
+JUST_BEFORE_S = 0.001
 
 
 @contextlib.contextmanager
@@ -55,6 +58,18 @@
         return site.settle()
 
 
+def clients_return_late(seed: int) -> list[Violation]:
+    """Programs continue from turns just before the time since their answers is over."""
+    with world(seed) as site:
+        site.start_program(ONE_TURN)
+        site.run_for(3.0)
+        turn = site.seen.requests[-1]
+        return_s = turn.ended_s + site.seen.retention_s - JUST_BEFORE_S
+        site.run_for(return_s - site.loop.time())
+        site.start_program(ONE_TURN, continues=turn.request_id)
+        return site.settle()
+
+
 def runners_truncate_answers(seed: int) -> list[Violation]:
     with world(seed) as site:
         for runner in site.runners.values():
@@ -339,6 +354,11 @@
     "the end of a turn is not stored": Defect(
         Rule.FOUND, no_faults, patch(TurnLogState, "_store_turn", lambda self, finish: None)
     ),
+    "a turn's time counts from the commit of its end": Defect(
+        Rule.FOUND,
+        clients_return_late,
+        patch(turn_codec, "stored_ms", lambda retention_ms, _longest_wait_ms: retention_ms),
+    ),
     "one replica is a majority": Defect(
         Rule.FOUND,
         leader_loses_its_disk_in_three_worlds,
