Turns never outlast the chain that they continue; reading a chain never fails

Cause: only the end of a turn extends its chain, and it may be applied after the chain has expired. The turn was then stored behind nothing, and reading the chain raised KeyError: in a preview, which fronts take for silence, and while a committed command was applied, at every replica and each replay.

Fix: leaders grant a begin or a preview only if the chain is stored until the turn's end is committed at the latest, which the front states. The refusal follows a commit, so no replaced leader gives it. The margin of stored turns covers this time, so that clients who return in time are not refused. Reading a chain that is not whole answers "unknown turn"; the stored state is as before, on both builds.

--- a/src/bendshed/rehearsal/site/documents.py
+++ b/src/bendshed/rehearsal/site/documents.py
@@ -18,6 +18,7 @@
 
 SITE_HOST = "site"
 STREAM_SERVICE = "engines"
+TURN_TIMEOUT_MS = 4_000
 RETENTION_MS = 60_000
 NARROW, WIDE, GUEST = "narrow", "wide", "guest"
 """Tenants: one with a limit that programs reach, one without, one whose key may be removed."""
@@ -50,7 +51,7 @@
         host=SITE_HOST,
         path_prefix="/turn/",
         kind=RouteKind.STREAM,
-        timeout_ms=4000,
+        timeout_ms=TURN_TIMEOUT_MS,
         target_ms=200,
         priority=1,
         targets=(WeightedService(STREAM_SERVICE, 1),),
--- a/src/bendshed/services/turn_reservation.py
+++ b/src/bendshed/services/turn_reservation.py
@@ -11,6 +11,7 @@
 from bendshed.errors import ErrorKind, Refusal
 from bendshed.logs import PartLog
 from bendshed.model.permit import TimedPermit
+from bendshed.retries.decisions import LATE_ANSWER_MARGIN_S
 from bendshed.services.attempts import Attempts
 from bendshed.services.group_search import GroupSearch
 from bendshed.services.permit_client import build_turn_demand
@@ -20,11 +21,15 @@
     refusal_of_begin,
     transcript_of,
 )
-from bendshed.services.turn_ports import BEGIN_TIMEOUT_S, TurnPorts, commit_begin
+from bendshed.services.turn_ports import BEGIN_TIMEOUT_S, FINISH_TIMEOUT_S, TurnPorts, commit_begin
 from bendshed.wire import turns_pb2 as wire
 
-UNCOMMITTED_ANSWERS = (wire.TURN_ANSWER_QUOTA_EXCEEDED, wire.TURN_ANSWER_NO_ROOM)
-"""Answers to commands that were rejected without being written to the log."""
+UNCOMMITTED_ANSWERS = (
+    wire.TURN_ANSWER_QUOTA_EXCEEDED,
+    wire.TURN_ANSWER_NO_ROOM,
+    wire.TURN_ANSWER_UNKNOWN_TURN,
+)
+"""Answers to commands that may have been rejected without being written to the log."""
 
 log = PartLog("turns")
 
@@ -121,7 +126,9 @@
         """Request the expected answer to the begin, and a placement; ``None``: no answer."""
         if not self.ports.policy.preview:
             return None
-        preview = wire.TurnPreview(begin=self._begin, group=self.group)
+        preview = wire.TurnPreview(
+            begin=self._begin, group=self.group, turn_left_ms=self._turn_left_ms()
+        )
         if self.ports.policy.shared_load:
             preview.demand.CopyFrom(self._placement_demand())
         requested_s = asyncio.get_running_loop().time()
@@ -155,16 +162,22 @@
         mark_reported = self.ports.add_call_report(self.attempts.principal, command)
         loop = asyncio.get_running_loop()
         timeout_s = min(BEGIN_TIMEOUT_S, self.deadline_s - loop.time())
-        report_dispatch = partial(self._report_dispatch, command.begin)
-        commit = commit_begin(self.ports.client, command, timeout_s, report_dispatch)
+        update = partial(self._update_before_attempt, command)
+        commit = commit_begin(self.ports.client, command, timeout_s, update)
         task = loop.create_task(commit)
         task.add_done_callback(lambda done: mark_reported() if _is_committed(done) else None)
         self.ports.run_in_background(task)
         return task
 
-    def _report_dispatch(self, begin: wire.BeginTurn) -> None:
+    def _update_before_attempt(self, command: wire.TurnCommand) -> None:
         """Report whether the turn was already dispatched on the preview of another leader."""
-        begin.has_left = self.attempts.may_have_run
+        command.begin.has_left = self.attempts.may_have_run
+        command.turn_left_ms = self._turn_left_ms()
+
+    def _turn_left_ms(self) -> int:
+        """Time until the turn's end is committed at the latest, in ms."""
+        left_s = self.deadline_s - asyncio.get_running_loop().time()
+        return max(1, int((left_s + LATE_ANSWER_MARGIN_S + FINISH_TIMEOUT_S) * 1000))
 
     async def _begin_without_preview(self, cached: bytes | None) -> Refusal | None:
         """Without a granted preview: wait for the commit, then request the preview again."""
--- a/src/bendshed/turns/service.py
+++ b/src/bendshed/turns/service.py
@@ -25,6 +25,7 @@
 from bendshed.turns.methods import PREVIEW_METHOD, QUOTA_METHOD, RUNNER_METHOD, TURN_METHOD
 from bendshed.turns.metrics import CommandOutcome, TurnLogMetrics
 from bendshed.turns.quota_counting import QuotaCounting
+from bendshed.turns.retention import PREVIEW_MARGIN_MS, expires_before
 from bendshed.turns.shares import ShareGatherer
 from bendshed.turns.state import TurnLogState
 from bendshed.turns.turn_placement import TurnPlacement
@@ -156,6 +157,9 @@
         refusal = self._rejected_by_preview(command.begin, state)
         if refusal is not None:
             return refusal
+        if await self._is_chain_expiring(group, command):
+            return wire.TurnReply(answer=wire.TURN_ANSWER_UNKNOWN_TURN)
+        command.ClearField("turn_left_ms")
         self._set_expected_version(command.begin)
         reply = await group.commit(command, answer_by_s)
         if _needs_gather(command, reply):
@@ -167,6 +171,17 @@
             self.shares.gather_later(command.group, command.begin)
         return reply
 
+    async def _is_chain_expiring(self, group: LedGroup, command: wire.TurnCommand) -> bool:
+        """Whether the turn that a begin continues may expire before the begun turn's end.
+
+        That is certain only after a commit: a leader that was replaced may not know a later turn
+        of the chain, which extends its storage.
+        """
+        if not _ends_too_late(command, group):
+            return False
+        await group.commit(wire.TurnCommand())
+        return _ends_too_late(command, group)
+
     def _set_expected_version(self, begin: wire.BeginTurn) -> None:
         """Set the software version of the runner where the preview placed the turn.
 
@@ -246,6 +261,9 @@
         now_ms = group.elapsed_ms()
         begin = preview.begin
         reply = state.preview(begin)
+        until_ms = now_ms + preview.turn_left_ms + PREVIEW_MARGIN_MS
+        if preview.turn_left_ms and expires_before(state.previous_expiry_ms(begin), until_ms):
+            return wire.TurnReply(answer=wire.TURN_ANSWER_UNKNOWN_TURN)
         if reply.answer not in (wire.TURN_ANSWER_GRANTED, wire.TURN_ANSWER_BUDGET_SPENT):
             return reply
         rejection = group.quotas.admit_turn(begin, state, term, now_ms, preview.demand.line)
@@ -333,6 +351,20 @@
             group.begin_term(asyncio.get_running_loop().time())
 
 
+def _ends_too_late(command: wire.TurnCommand, group: LedGroup) -> bool:
+    """Whether the end of a begun turn may come after its chain has expired.
+
+    One that was granted before, or dispatched on a preview, was found in time then.
+    """
+    begin = command.begin
+    state, _ = group.leader_state()
+    if not command.turn_left_ms or begin.has_left or state.is_reserved(begin):
+        return False
+    return expires_before(
+        state.previous_expiry_ms(begin), group.elapsed_ms() + command.turn_left_ms
+    )
+
+
 def _needs_gather(command: wire.TurnCommand, reply: wire.TurnReply) -> bool:
     """Whether this group must take over the other groups' shares for a begin."""
     is_other_group = reply.answer == wire.TURN_ANSWER_OTHER_GROUP
--- a/src/bendshed/turns/state.py
+++ b/src/bendshed/turns/state.py
@@ -36,7 +36,8 @@
 class TurnLogState:
     """State that one group of the turn log replicates.
 
-    Invariants: if a turn is stored, so is its whole chain; a turn id is granted at most once, and
+    Invariants: no command fails; if a turn is stored, so is its whole chain, unless a leader of an
+    earlier build granted a turn that outlasted its chain; a turn id is granted at most once, and
     never after it was closed.
     """
 
@@ -155,6 +156,11 @@
         previous = begin.previous_turn
         return bool(previous) and (begin.tenant, previous) not in self.turns
 
+    def previous_expiry_ms(self, begin: wire.BeginTurn) -> int | None:
+        """Return when the turn that a begin continues expires; ``None``: none is stored."""
+        turn = self.turns.get((begin.tenant, begin.previous_turn))
+        return turn.expires_ms if turn is not None else None
+
     def latest_runner_id(self, tenant: str, program_id: str) -> str:
         """Return the runner of a program's latest turn; empty if unknown."""
         program = self.programs.get((tenant, program_id))
@@ -171,11 +177,18 @@
         return program is not None and begin.turn_id in program.reserved
 
     def _add_uncached_chain(self, reply: wire.TurnReply, begin: wire.BeginTurn) -> None:
-        """Add the chain's transcripts, unless the requesting node has them cached."""
+        """Add the chain's transcripts, unless the requesting node has them cached.
+
+        A chain that is not whole counts as unknown.
+        """
         if begin.previous_turn and begin.held_turn == begin.previous_turn:
             reply.held_turn = begin.held_turn
+            return
+        chain = self._chain(begin.tenant, begin.previous_turn)
+        if chain is None:
+            reply.answer = wire.TURN_ANSWER_UNKNOWN_TURN
         else:
-            reply.chain.extend(self._chain(begin.tenant, begin.previous_turn))
+            reply.chain.extend(chain)
 
     def _reserve(self, program: ProgramBudget, begin: wire.BeginTurn) -> bool:
         return program.reserve(begin, self.group_id)
@@ -232,11 +245,17 @@
         program.shares_taken_ms = max(1, self.clock_ms)
         return self._reply(wire.TURN_ANSWER_GRANTED, program)
 
-    def _chain(self, tenant: str, turn_id: str) -> list[wire.TurnPiece]:
-        """Return the transcripts of a chain up to and including a turn, oldest first."""
+    def _chain(self, tenant: str, turn_id: str) -> list[wire.TurnPiece] | None:
+        """Return the transcripts of a chain up to and including a turn, oldest first.
+
+        ``None``: one of its turns is not stored. Leaders grant no begin that could lead to that,
+        but those of an earlier build do, and every replica must apply what they committed.
+        """
         pieces = []
         while turn_id:
-            turn = self.turns[tenant, turn_id]
+            turn = self.turns.get((tenant, turn_id))
+            if turn is None:
+                return None
             pieces.append(wire.TurnPiece(turn_id=turn_id, transcript=turn.transcript))
             turn_id = turn.previous_turn
         pieces.reverse()
