Stored turns: the route's time-out sizes their margin, not what callers say of their wait

A front holds a turn, and hands out its end, no longer than the route's time-out allows, so that time-out bounds both. The margin is the same where the two agree.

--- a/src/bendshed/services/forwarder.py
+++ b/src/bendshed/services/forwarder.py
@@ -24,11 +24,10 @@
 )
 from bendshed.retries.history import AttemptHistory
 from bendshed.services.attempts import Attempts, OpenResponse, RunnerPorts
-from bendshed.services.caller_wait import longest_wait_ms
 from bendshed.services.metrics import CALLER_LEFT, NO_ROUTE, ServedOutcome
 from bendshed.services.runner_placement import RunnerPlacement
 from bendshed.services.stream_exchange import StreamExchange
-from bendshed.services.stream_origins import OriginRecorder, is_resumed
+from bendshed.services.stream_origins import OriginRecorder, is_resumed, ttl_ms
 from bendshed.services.turn_ports import TurnPorts
 from bendshed.services.turn_record import TurnRecord
 from bendshed.wire import turns_pb2 as wire
@@ -257,7 +256,7 @@
         expected = wire.StreamOrigin(
             service=placement.service,
             software_version=placement.expected_version(),
-            ttl_ms=longest_wait_ms(request, attempts.route),
+            ttl_ms=ttl_ms(request, attempts.route),
         )
         return OriginRecorder(
             self._turn_ports.origins,
--- a/src/bendshed/services/stream_origins.py
+++ b/src/bendshed/services/stream_origins.py
@@ -25,11 +25,18 @@
 """Timeout of reading or recording an origin; outlasts an election of the group. Both delay the
 first event, and a caller that is refused soon can begin again from the start."""
 
+MAX_TTL_MS = 600_000
+"""Upper bound on the time for which an origin is remembered, whatever a caller states."""
 UNKNOWN_VERSION = "the software version that began the stream is not known"
 
 log = PartLog("origins")
 
 
+def ttl_ms(request: ServiceRequest, route: Route) -> int:
+    """How long a stream may be resumed: as long as its caller waits for the whole of it."""
+    return min(MAX_TTL_MS, max(request.wait_ms or 0, route.timeout_ms))
+
+
 @dataclass(frozen=True, slots=True)
 class AnsweringProcess:
     """The process that responds to a request.
--- a/src/bendshed/services/turn_codec.py
+++ b/src/bendshed/services/turn_codec.py
@@ -6,7 +6,6 @@
 from bendshed.errors import ErrorKind, Refusal
 from bendshed.model.service_document import Route
 from bendshed.ports.runner import ServiceRequest, TurnDetails
-from bendshed.services.caller_wait import longest_wait_ms
 from bendshed.services.permit_client import no_room_refusal
 from bendshed.services.quota_client import quota_refusal_of
 from bendshed.services.turn_output import TurnOutput
@@ -71,7 +70,7 @@
         keep = end.is_complete and self.route.keeps_turns
         retention_ms = self.route.retention_ms
         if keep:
-            retention_ms = stored_ms(retention_ms, longest_wait_ms(self.request, self.route))
+            retention_ms = stored_ms(retention_ms, self.route.timeout_ms)
         finish = wire.FinishTurn(
             program_id=self.request.program_id,
             turn_id=self.request.request_id,
--- a/tests/site_defects.py
+++ b/tests/site_defects.py
@@ -357,7 +357,7 @@
     "a turn's time counts from the commit of its end": Defect(
         Rule.FOUND,
         clients_return_late,
-        patch(turn_codec, "stored_ms", lambda retention_ms, _longest_wait_ms: retention_ms),
+        patch(turn_codec, "stored_ms", lambda retention_ms, _timeout_ms: retention_ms),
     ),
     "one replica is a majority": Defect(
         Rule.FOUND,
--- a/tests/test_late_returns.py
+++ b/tests/test_late_returns.py
@@ -8,15 +8,14 @@
 from bendshed.ports.runner import ServiceRequest, TurnDetails
 from bendshed.rehearsal.search import STEPS_PER_WORLD
 from bendshed.rehearsal.site.fuzz import RETURNS, RETURNS_IN_TWO_REGIONS
-from bendshed.services.caller_wait import MAX_WAIT_MS, longest_wait_ms
 from bendshed.services.turn_codec import TurnCodec, TurnEnd
 from bendshed.services.turn_output import TurnOutput
-from bendshed.turns.retention import COMMIT_MARGIN_MS, stored_ms
+from bendshed.turns.retention import COMMIT_MARGIN_MS
 from tests.test_dispatch_restrictions import STREAM
 
 WORLDS = ((RETURNS, (1,)), (RETURNS_IN_TWO_REGIONS, (1, 4)))
 """Seed 4 of two regions failed where the time counted from the commit of the end."""
-RETENTION_MS, WAIT_MS = 60_000, 4_000
+RETENTION_MS, TIMEOUT_MS = 60_000, 4_000
 
 
 class LateReturnsTest(unittest.TestCase):
@@ -30,19 +29,16 @@
                 world.close()
                 self.assertEqual(violations, [], seed)
 
-    # Guards against a time that ends while the answer, or the turn that continues it, is under way.
-    def test_stored_time_covers_the_waits_of_both_turns(self) -> None:
-        route = replace(STREAM, keeps_turns=True, retention_ms=RETENTION_MS, timeout_ms=WAIT_MS)
-        asked = stored_ms(RETENTION_MS, WAIT_MS)
-        self.assertEqual(asked, RETENTION_MS + 2 * WAIT_MS + COMMIT_MARGIN_MS)
-        self.assertEqual(self.retention_of(route, None), asked)
-        patient = stored_ms(RETENTION_MS, 2 * WAIT_MS)
-        self.assertEqual(self.retention_of(route, 2 * WAIT_MS), patient)
-        self.assertEqual(self.retention_of(route, WAIT_MS // 2), asked)
-        self.assertEqual(longest_wait_ms(_request(10 * MAX_WAIT_MS), route), MAX_WAIT_MS)
+    # Guards against a time that ends while the answer, or the turn that continues it, is under way,
+    # and against callers that size the store by the wait which they state.
+    def test_stored_time_covers_both_turns_as_long_as_their_route_allows(self) -> None:
+        route = replace(STREAM, keeps_turns=True, retention_ms=RETENTION_MS, timeout_ms=TIMEOUT_MS)
+        expected_ms = RETENTION_MS + 2 * TIMEOUT_MS + COMMIT_MARGIN_MS
+        for wait_ms in (None, TIMEOUT_MS // 2, 100 * TIMEOUT_MS):
+            self.assertEqual(self.retention_of(route, wait_ms), expected_ms)
 
     def test_turns_that_are_not_stored_ask_for_no_longer_time(self) -> None:
-        route = replace(STREAM, retention_ms=RETENTION_MS, timeout_ms=WAIT_MS)
+        route = replace(STREAM, retention_ms=RETENTION_MS, timeout_ms=TIMEOUT_MS)
         self.assertEqual(self.retention_of(route, None), RETENTION_MS)
 
     @staticmethod
