platform/ holds less: addresses, births and plain requests are the product's

What it read of a start is checked in the model now, addresses parse themselves, a plain GET is a request's own constructor, and a type that only wrapped a name is gone.

--- a/src/bendshed/catalog/watcher.py
+++ b/src/bendshed/catalog/watcher.py
@@ -162,9 +162,9 @@
         return self._is_lost
 
     @property
-    def failed_recently(self) -> bool:
-        """Whether the store failed within ``RECENT_FAILURE_S``."""
-        return asyncio.get_running_loop().time() - self.failed_at_s < RECENT_FAILURE_S
+    def is_trusted(self) -> bool:
+        """Whether what the store lists is complete: it has not failed for ``RECENT_FAILURE_S``."""
+        return asyncio.get_running_loop().time() - self.failed_at_s >= RECENT_FAILURE_S
 
     async def run(self) -> None:
         """Follow the kind until cancelled."""
--- a/src/bendshed/model/address.py
+++ b/src/bendshed/model/address.py
@@ -1,6 +1,7 @@
 """Network address of a node or runner."""
 
 from dataclasses import dataclass
+from typing import Self
 
 
 @dataclass(frozen=True, slots=True)
@@ -10,5 +11,11 @@
     host: str
     port: int
 
+    @classmethod
+    def parse(cls, text: str) -> Self:
+        """Parse ``ip:port``; raise ``ValueError``."""
+        host, _, port = text.rpartition(":")
+        return cls(host, int(port))
+
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
--- a/src/bendshed/model/runner.py
+++ b/src/bendshed/model/runner.py
@@ -5,6 +5,16 @@
 
 from bendshed.model.address import Address
 
+MAX_TIME_MS = 2**63 - 1
+"""Larger numbers are no times, and do not fit the messages between nodes."""
+
+
+def birth_ms(told: object) -> int:
+    """Return the time of a start that a runner tells, in Unix ms; 0: it is no such time."""
+    if not isinstance(told, int) or isinstance(told, bool):
+        return 0
+    return told if 0 < told <= MAX_TIME_MS else 0
+
 
 class RunnerState(StrEnum):
     """A runner's state as reported by the runner itself."""
--- a/src/bendshed/platform/front.py
+++ b/src/bendshed/platform/front.py
@@ -15,13 +15,14 @@
 from bendshed.catalog.zones import make_registry_update
 from bendshed.gateway.forwarding import ForwardingApplication
 from bendshed.logs import PartLog
+from bendshed.model.address import Address
 from bendshed.model.service_document import ServiceDocument
 from bendshed.platform import names
 from bendshed.platform.caller_protocol import PlatformCallerProtocol
 from bendshed.platform.listeners import Listeners
 from bendshed.platform.objects import ObjectApi
 from bendshed.platform.runner_protocol import PlatformRunnerProtocol
-from bendshed.platform.settings import SiteSettings, read_address
+from bendshed.platform.settings import SiteSettings
 from bendshed.platform.translate import read_document, read_replica, read_runner
 from bendshed.ports.objects import ObjectEvent, ObjectList, StoredObject
 from bendshed.ports.store import StoreUnavailable
@@ -54,7 +55,7 @@
         self._listeners = listeners
         self._rng = random.Random()
         self._transport = TcpTransport(settings.ip, settings.peer_address.port)
-        self._api = ObjectApi(read_address(settings.platform.addr))
+        self._api = ObjectApi(Address.parse(settings.platform.addr))
         self._connections = ConnectionPool(RUNNER_CONNECT_TIMEOUT_S)
         times = settings.catalog_times
         self._startup_wait_s = times.max_age_s
@@ -89,11 +90,7 @@
                 KindHandler.of_items(self._apply_configuration),
                 long_watch_s,
             ),
-            self._watch(
-                names.REPLICA_KIND,
-                KindHandler.of_items(self._put_replica),
-                long_watch_s,
-            ),
+            self._watch(names.REPLICA_KIND, KindHandler.of_items(self._put_replica), long_watch_s),
         ]
         if times.follows_zones:
             handler = KindHandler.of_names(self._apply_zones)
@@ -188,12 +185,11 @@
 
     def _set_runners(self, listed: ObjectList) -> None:
         runners = [read_runner(item) for item in listed.items]
-        self._node.replace_runners(runners, is_trusted=not self._runner_watch.failed_recently)
+        self._node.replace_runners(runners, is_trusted=self._runner_watch.is_trusted)
 
     def _on_runner(self, event: ObjectEvent) -> None:
         if event.is_deleted:
-            is_trusted = not self._runner_watch.failed_recently
-            self._node.remove_runner(event.object.name, is_trusted)
+            self._node.remove_runner(event.object.name, self._runner_watch.is_trusted)
         else:
             self._node.put_runner(read_runner(event.object))
 
--- a/src/bendshed/platform/listeners.py
+++ b/src/bendshed/platform/listeners.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 
 from bendshed.adapters.sockets import bind
-from bendshed.platform.settings import SiteSettings, read_address
+from bendshed.model.address import Address
+from bendshed.platform.settings import SiteSettings
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,7 +24,7 @@
 def listen(settings: SiteSettings) -> Listeners:
     """Bind and listen on the addresses of the settings."""
     texts = [settings.listen.front, settings.listen.ready]
-    addresses = [read_address(text) for text in texts if text is not None]
+    addresses = [Address.parse(text) for text in texts if text is not None]
     sockets = tuple(bind(address.host, address.port) for address in addresses)
     front = settings.listen.front
-    return Listeners(sockets, read_address(front).port if front is not None else 0)
+    return Listeners(sockets, Address.parse(front).port if front is not None else 0)
--- a/src/bendshed/platform/names.py
+++ b/src/bendshed/platform/names.py
@@ -40,6 +40,7 @@
 """Headers that only the system may set; they are removed from clients' requests."""
 
 OTHER_RUNNER_STATUS = 421
+REPORT_PATH = b"/report"
 MOST_URGENT, LEAST_URGENT = 0, 9
 
 # Fields and query parameters of the metadata store's API.
@@ -47,9 +48,6 @@
 WAIT_MS = "waitMs"
 STALE = "stale=1"
 
-# Runners.
-REPORT_PATH = b"/report"
-
 # Object kinds in the metadata store.
 RUNNER_KIND = "servers"
 CONFIGURATION_KIND = "config"
--- a/src/bendshed/platform/replica.py
+++ b/src/bendshed/platform/replica.py
@@ -17,11 +17,12 @@
 from bendshed.catalog.zones import make_registry_update
 from bendshed.consensus.sqlite_storage import open_or_replace
 from bendshed.logs import PartLog
+from bendshed.model.address import Address
 from bendshed.platform import names
 from bendshed.platform.objects import ObjectApi
 from bendshed.platform.registry import PlatformReplicaRegistry
-from bendshed.platform.settings import SiteSettings, read_address
-from bendshed.platform.translate import read_document, read_replica, read_retirement, read_runner
+from bendshed.platform.settings import SiteSettings
+from bendshed.platform.translate import read_document, read_replica, read_runner
 from bendshed.ports.objects import ObjectEvent, ObjectList, StoredObject
 from bendshed.tasks import start_loop
 from bendshed.turns.metrics import TurnLogMetrics
@@ -46,7 +47,7 @@
         self._settings = settings
         self._rng = random.Random()
         self._transport = TcpTransport(settings.ip, settings.peer_address.port)
-        self._api = ObjectApi(read_address(settings.platform.addr))
+        self._api = ObjectApi(Address.parse(settings.platform.addr))
         self._storage = open_or_replace(data_folder)
         catalog_storage = FileCatalogStorage(data_folder)
         replica_registry = PlatformReplicaRegistry(self._api)
@@ -139,13 +140,12 @@
 
     def _set_runners(self, listed: ObjectList) -> None:
         runners = [KnownRunner(read_runner(item), item.revision) for item in listed.items]
-        is_trusted = not self._runner_watch.failed_recently
-        self._node.catalog.replace_runners(runners, listed.revision, is_trusted)
+        self._node.catalog.replace_runners(runners, listed.revision, self._runner_watch.is_trusted)
 
     def _on_runner(self, event: ObjectEvent) -> None:
         item = event.object
         if event.is_deleted:
-            is_trusted = not self._runner_watch.failed_recently
+            is_trusted = self._runner_watch.is_trusted
             self._node.catalog.remove_runner(item.name, event.revision, is_trusted)
         else:
             self._node.catalog.put_runner(KnownRunner(read_runner(item), item.revision))
@@ -162,11 +162,10 @@
         self._node.directory.put(read_replica(item))
 
     def _replace_retirements(self, listed: ObjectList) -> None:
-        self._node.directory.set_retiring([read_retirement(item).name for item in listed.items])
+        self._node.directory.set_retiring([item.name for item in listed.items])
 
     def _on_retirement(self, event: ObjectEvent) -> None:
-        retirement = read_retirement(event.object)
         if event.is_deleted:
-            self._node.directory.remove_retiring(retirement.name)
+            self._node.directory.remove_retiring(event.object.name)
         else:
-            self._node.directory.add_retiring(retirement.name)
+            self._node.directory.add_retiring(event.object.name)
--- a/src/bendshed/platform/runner_protocol.py
+++ b/src/bendshed/platform/runner_protocol.py
@@ -2,9 +2,8 @@
 
 import orjson
 
-from bendshed.model.runner import ServiceRunner
+from bendshed.model.runner import ServiceRunner, birth_ms
 from bendshed.platform import names
-from bendshed.platform.translate import read_birth_ms
 from bendshed.ports.http_messages import ClientRequest, ResponseHead
 from bendshed.ports.runner import ResponseClass, RunnerDispatch, RunnerProtocol, ServiceRequest
 
@@ -33,14 +32,13 @@
 
     def build_report_request(self, runner: ServiceRunner) -> ClientRequest:
         """Build a request for the runner's report on itself, which takes no slot."""
-        headers = [(b"host", str(runner.address).encode())]
-        return ClientRequest(b"GET", names.REPORT_PATH, headers, b"", lambda _head: True)
+        return ClientRequest.get(runner.address, names.REPORT_PATH)
 
     def read_birth_ms(self, report: bytes) -> int:
         """Unix time, in ms, of the start that a report names; 0: it names none."""
         try:
-            return read_birth_ms(orjson.loads(report))
-        except orjson.JSONDecodeError:
+            return birth_ms(orjson.loads(report)["born"])
+        except (orjson.JSONDecodeError, LookupError, TypeError):
             return 0
 
     def classify(self, head: ResponseHead) -> ResponseClass:
--- a/src/bendshed/platform/settings.py
+++ b/src/bendshed/platform/settings.py
@@ -151,12 +151,6 @@
         return Address(self.ip, self.portRange[0])
 
 
-def read_address(text: str) -> Address:
-    """Parse ``ip:port``."""
-    host, _, port = text.rpartition(":")
-    return Address(host, int(port))
-
-
 def load_site_settings(environment: Mapping[str, str] = os.environ) -> SiteSettings:
     """Read and validate the file; raise ``SiteSettingsInvalid`` with a one-line message."""
     path = environment.get(SETTINGS_VARIABLE, "")
--- a/src/bendshed/platform/translate.py
+++ b/src/bendshed/platform/translate.py
@@ -3,7 +3,8 @@
 from typing import Any
 
 from bendshed.identifiers import credential_digest
-from bendshed.model.runner import RunnerState, ServiceRunner
+from bendshed.model.address import Address
+from bendshed.model.runner import RunnerState, ServiceRunner, birth_ms
 from bendshed.model.service_document import (
     ClientLimits,
     EngineFeatures,
@@ -14,12 +15,8 @@
     Tenant,
     WeightedService,
 )
-from bendshed.platform.settings import read_address
 from bendshed.ports.objects import StoredObject
-from bendshed.ports.registry import ReplicaNode, Retirement
-
-MAX_TIME_MS = 2**63 - 1
-"""Larger numbers are no times, and do not fit the messages between nodes."""
+from bendshed.ports.registry import ReplicaNode
 
 
 def read_document(spec: Any) -> ServiceDocument:
@@ -111,24 +108,16 @@
     return ServiceRunner(
         runner_id=item.name,
         service=str(row["service"]),
-        address=read_address(str(row["addr"])),
+        address=Address.parse(str(row["addr"])),
         zone=str(row.get("zone") or ""),
         slots=int(row.get("slots") or 1),
         state=RunnerState.READY if row.get("state") == "ready" else RunnerState.DRAINING,
         cold_left_ms=int(row.get("coldLeftMs") or 0),
         software_version=row["version"] if isinstance(row.get("version"), str) else "",
-        born_ms=read_birth_ms(row),
+        born_ms=birth_ms(row.get("born")),
     )
 
 
-def read_birth_ms(row: Any) -> int:
-    """Unix time, in ms, of a runner's start, from its entry or its report; 0: it names none."""
-    born = row.get("born") if isinstance(row, dict) else None
-    if not isinstance(born, int) or isinstance(born, bool):
-        return 0
-    return born if 0 < born <= MAX_TIME_MS else 0
-
-
 def write_replica(node: ReplicaNode) -> dict[str, str]:
     """Encode a replica machine's announcement."""
     return {"nodeId": node.node_id, "addr": str(node.address), "zone": node.zone}
@@ -138,10 +127,5 @@
     """Parse a replica machine's announcement."""
     row = item.spec
     return ReplicaNode(
-        item.name, str(row["nodeId"]), read_address(str(row["addr"])), str(row["zone"])
+        item.name, str(row["nodeId"]), Address.parse(str(row["addr"])), str(row["zone"])
     )
-
-
-def read_retirement(item: StoredObject) -> Retirement:
-    """Parse an operator's request to retire a replica machine."""
-    return Retirement(item.name)
--- a/src/bendshed/ports/http_messages.py
+++ b/src/bendshed/ports/http_messages.py
@@ -2,6 +2,9 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Self
+
+from bendshed.model.address import Address
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -67,6 +70,12 @@
     body: bytes
     matches: Callable[[ResponseHead], bool]
 
+    @classmethod
+    def get(cls, address: Address, target: bytes) -> Self:
+        """Build a plain ``GET`` that any response answers."""
+        headers = [(b"host", str(address).encode())]
+        return cls(b"GET", target, headers, b"", lambda _head: True)
+
     def encode(self) -> bytes:
         """Return the bytes on the wire; a body is always sent with its length."""
         lines = [self.method + b" " + self.target + b" HTTP/1.1"]
--- a/src/bendshed/ports/registry.py
+++ b/src/bendshed/ports/registry.py
@@ -23,13 +23,6 @@
     zone: str
 
 
-@dataclass(frozen=True, slots=True)
-class Retirement:
-    """An operator's request to move all replicas off a machine."""
-
-    name: str
-
-
 class RegistryUnavailable(Exception):
     """The registry did not answer. It is unknown whether a write took effect."""
 
--- a/src/bendshed/rehearsal/site/sim_runners.py
+++ b/src/bendshed/rehearsal/site/sim_runners.py
@@ -7,8 +7,7 @@
 import orjson
 
 from bendshed.model.address import Address
-from bendshed.model.runner import ServiceRunner
-from bendshed.platform.translate import read_birth_ms
+from bendshed.model.runner import ServiceRunner, birth_ms
 from bendshed.ports.http_messages import (
     ClientRequest,
     ConnectFailed,
@@ -51,11 +50,11 @@
 
     def build_report_request(self, runner: ServiceRunner) -> ClientRequest:
         """Build a request for a report."""
-        return ClientRequest(b"GET", REPORT_TARGET, [], b"", lambda _head: True)
+        return ClientRequest.get(runner.address, REPORT_TARGET)
 
     def read_birth_ms(self, report: bytes) -> int:
         """Read the time of the start."""
-        return read_birth_ms(orjson.loads(report))
+        return birth_ms(orjson.loads(report).get("born"))
 
     def classify(self, head: ResponseHead) -> ResponseClass:
         """Read the proof."""
--- a/tests/test_proven_version.py
+++ b/tests/test_proven_version.py
@@ -10,6 +10,7 @@
     RunnerProcess,
     RunnerState,
     ServiceRunner,
+    birth_ms,
 )
 from bendshed.placement.proven_version import (
     NOT_PROVEN,
@@ -18,7 +19,7 @@
     version_of_process,
 )
 from bendshed.placement.runner_record import DOUBT_S, RunnerRecord
-from bendshed.platform.translate import read_birth_ms
+from bendshed.platform.runner_protocol import PlatformRunnerProtocol
 from bendshed.services.runners import RunnerTable
 
 BORN_MS, LATER_MS = 1_000, 2_000
@@ -78,11 +79,13 @@
             self.assertIsNone(version_of_process(process, entry))
 
     def test_birth_of_another_type_counts_as_none(self) -> None:
-        self.assertEqual(read_birth_ms({"born": BORN_MS}), BORN_MS)
+        self.assertEqual(birth_ms(BORN_MS), BORN_MS)
         for odd in (None, "1000", 1000.0, True, -1, 0, 2**64, [BORN_MS]):
-            self.assertEqual(read_birth_ms({"born": odd}), 0)
-        for report in ({}, [], None, "born"):
-            self.assertEqual(read_birth_ms(report), 0)
+            self.assertEqual(birth_ms(odd), 0)
+        protocol = PlatformRunnerProtocol()
+        self.assertEqual(protocol.read_birth_ms(b'{"born": 1000}'), BORN_MS)
+        for report in (b"{}", b"[]", b"null", b'"born"', b"", b"no JSON", b'{"born": "1000"}'):
+            self.assertEqual(protocol.read_birth_ms(report), 0)
 
 
 class DoubtedRunnersTest(unittest.TestCase):
