--- a/src/bendshed/catalog/entry_gaps.py
+++ b/src/bendshed/catalog/known_runners.py
@@ -1,4 +1,4 @@
-"""Which runners a node knows only as machines of earlier builds passed them on, with less read."""
+"""Runners as a node knows them, and what machines of earlier builds left out of their entries."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -29,13 +29,8 @@
         """Whether this is of a later revision, or adds to the same one what was left out."""
         if self.revision != other.revision:
             return self.revision > other.revision
-        loses = (other.has_version and not self.has_version) or (
-            other.has_birth and not self.has_birth
-        )
-        adds = (self.has_version and not other.has_version) or (
-            self.has_birth and not other.has_birth
-        )
-        return adds and not loses
+        has, had = (self.has_version, self.has_birth), (other.has_version, other.has_birth)
+        return has != had and all(now >= before for now, before in zip(has, had, strict=True))
 
 
 @dataclass(slots=True)
--- a/src/bendshed/catalog/state.py
+++ b/src/bendshed/catalog/state.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from bendshed.catalog.cold_runner_tracker import ColdRunnerTracker
-from bendshed.catalog.entry_gaps import EntryGaps, KnownRunner
+from bendshed.catalog.known_runners import EntryGaps, KnownRunner
 from bendshed.model.runner import RunnerState, ServiceRunner
 from bendshed.model.service_document import ServiceDocument
 from bendshed.placement.eligibility import may_continue_stream
--- a/src/bendshed/catalog/update_intake.py
+++ b/src/bendshed/catalog/update_intake.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from bendshed.catalog.codec import DocumentDecodeError, decode_document
-from bendshed.catalog.entry_gaps import EntryGaps
+from bendshed.catalog.known_runners import EntryGaps
 from bendshed.catalog.messages import CatalogUpdate, RunnerUpdate
 from bendshed.catalog.state import KnownRunner
 from bendshed.catalog.times import CatalogTimes
