Log what tells the tries of one request: a fingerprint over all fronts

Each dispatch, failed attempt, broken answer and refusal names the first 32 bits of a digest of what a caller repeats unchanged (tenant, method, host, target, program, session, prompt parts, body). Until now nothing in the logs said that two client attempts send the same request, so a request that ends its runners looked like many that meet runners which end by themselves. An answer that broke before any of it was passed on had no line at all (forward: attempt failed: answer broke).

--- a/src/bendshed/services/attempts.py
+++ b/src/bendshed/services/attempts.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from itertools import count
 from typing import assert_never
 
@@ -34,6 +34,7 @@
     refusal_of,
     refusal_or_outcome_unknown,
 )
+from bendshed.retries.fingerprint import describe, fingerprint_of
 from bendshed.retries.history import AttemptHistory
 from bendshed.services.metrics import AttemptResult
 from bendshed.services.runner_placement import RunnerPlacement
@@ -100,6 +101,7 @@
         admit_second_run: charges the principal's quota for another run of a request that may have
             run; returns the refusal if the quota is used up. ``None``: no quota applies.
         answered_by: id of the runner whose response was accepted; empty: none yet.
+        fingerprint: the same for all tries of the caller; empty: they cannot be recognized.
 
     """
 
@@ -110,6 +112,10 @@
     history: AttemptHistory
     admit_second_run: Callable[[], Awaitable[Refusal | None]] | None = None
     answered_by: str = ""
+    fingerprint: bytes = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.fingerprint = fingerprint_of(self.request, self.principal.name)
 
     @property
     def ports(self) -> RunnerPorts:
@@ -376,6 +382,7 @@
             is_cold=self.ports.table.cold.is_cold(runner_id),
             software_version=choice.record.listed.software_version,
             is_version_proven=bool(proven_version),
+            fingerprint=describe(self.fingerprint),
             **self._describe_resumption(),
         )
 
@@ -395,4 +402,5 @@
             runner=choice.record.listed.runner_id,
             chosen_by=choice.reason,
             reason=reason,
+            fingerprint=describe(self.fingerprint),
         )
--- a/src/bendshed/services/forwarder.py
+++ b/src/bendshed/services/forwarder.py
@@ -22,6 +22,7 @@
     decide_after_broken_answer,
     refusal_of,
 )
+from bendshed.retries.fingerprint import describe, fingerprint_of
 from bendshed.retries.history import AttemptHistory
 from bendshed.services.attempts import Attempts, OpenResponse, RunnerPorts
 from bendshed.services.metrics import CALLER_LEFT, NO_ROUTE, ServedOutcome
@@ -289,6 +290,7 @@
             try:
                 is_complete = await _relay_response(response, caller)
             except ResponseBroken as error:
+                self._log_broken(attempts, response, error)
                 history, route = attempts.history, attempts.route
                 decision = decide_after_broken_answer(history, route, str(error))
                 if isinstance(decision, GiveUp):
@@ -305,9 +307,21 @@
                 runner=response.record.listed.runner_id,
                 status=response.head.status,
                 attempts=attempts.history.num_possible_runs,
+                fingerprint=describe(attempts.fingerprint),
             )
             return ServedOutcome.ANSWERED if is_complete else ServedOutcome.BROKEN_OFF
 
+    def _log_broken(
+        self, attempts: Attempts, response: OpenResponse, error: ResponseBroken
+    ) -> None:
+        log.say(
+            "attempt failed: answer broke",
+            request=attempts.request.request_id,
+            runner=response.record.listed.runner_id,
+            reason=str(error),
+            fingerprint=describe(attempts.fingerprint),
+        )
+
     async def _refuse(
         self,
         request: ServiceRequest,
@@ -323,6 +337,7 @@
             kind=refusal.kind.value,
             detail=refusal.detail,
             ran=refusal.answer.ran.value,
+            fingerprint=describe(fingerprint_of(request, tenant)),
             version=version,
             held_ms=int((asyncio.get_running_loop().time() - request.arrived_s) * 1000),
         )
--- a/src/bendshed/services/stream_exchange.py
+++ b/src/bendshed/services/stream_exchange.py
@@ -13,6 +13,7 @@
 from bendshed.ports.http_messages import ResponseBroken
 from bendshed.ports.runner import Caller, ServiceRequest
 from bendshed.retries.decisions import GiveUp, GiveUpReason, refusal_of
+from bendshed.retries.fingerprint import describe
 from bendshed.services.attempts import Attempts, OpenResponse
 from bendshed.services.events import EventSplitter, StreamEvent
 from bendshed.services.metrics import ServedOutcome
@@ -86,6 +87,7 @@
                 runner=response.record.listed.runner_id,
                 events=self.num_events,
                 reason=str(error),
+                fingerprint=describe(self.attempts.fingerprint),
             )
             self.caller.abort()
         finally:
