--- a/src/bendshed/rehearsal/site/oracle.py
+++ b/src/bendshed/rehearsal/site/oracle.py
@@ -8,6 +8,7 @@
 
 from bendshed.rehearsal.site.cold import overfull_seconds
 from bendshed.rehearsal.site.documents import NARROW, QUOTA_TERMS, narrow_most
+from bendshed.rehearsal.site.endings import runs_behind_endings
 from bendshed.rehearsal.site.records import Kind, SiteRecords, SiteRequest
 from bendshed.rehearsal.site.runner import EVENT_TOKENS, event_bytes, plain_answer, stream_output
 from bendshed.rehearsal.site.sim_streams import mixed_streams, neglected_resumptions
@@ -48,6 +49,7 @@
     COLD = "a cold runner gets no more in a second than it bears"
     VERSION = "a stream goes on only at the software version that began it"
     RESUMED = "streams go on while two runners of their version serve"
+    ENDED = "a request under which three runners ended is not sent again"
 
 
 @dataclass(frozen=True, slots=True)
@@ -289,6 +291,12 @@
         yield Violation(Rule.RESUMED, detail)
 
 
+def check_endings(seen: SiteRecords) -> Iterable[Violation]:
+    """No run begins after three runners ended under a request, over all tries of its client."""
+    for detail in runs_behind_endings(seen):
+        yield Violation(Rule.ENDED, detail)
+
+
 CHECKS = (
     check_once,
     check_refusals,
@@ -308,6 +316,7 @@
     check_cold,
     check_versions,
     check_resumed,
+    check_endings,
 )
 
 
--- a/src/bendshed/rehearsal/site/programs.py
+++ b/src/bendshed/rehearsal/site/programs.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from bendshed.rehearsal.site.records import Kind, SiteRequest
-from bendshed.rehearsal.site.runner import EVENT_TOKENS
+from bendshed.rehearsal.site.runner import EVENT_TOKENS, FatalInput
 
 ATTEMPTS = 2
 """Tries of one request that a client makes."""
@@ -32,6 +32,8 @@
         sub_agents: lines of two turns each, begun after the first turn.
         loops: starts sub-agents again and again until it is stopped.
         streams: turns before the main chain whose streams the client takes up again.
+        fatal: input of a request that the program sends first; ``None``: it sends none.
+        fatal_kind: kind of that request.
 
     """
 
@@ -40,6 +42,8 @@
     sub_agents: int = 0
     loops: bool = False
     streams: int = 0
+    fatal: FatalInput | None = None
+    fatal_kind: Kind = Kind.REPEATABLE
 
 
 @dataclass(slots=True)
@@ -67,6 +71,8 @@
 
     async def run(self, continues: str = "") -> None:
         """Do what is planned; end early on a final refusal."""
+        if self.plan.fatal is not None:
+            await self._send_fatal(self.plan.fatal.encode())
         for _ in range(self.plan.streams):
             await self._stream()
             await asyncio.sleep(THINK_S)
@@ -83,6 +89,21 @@
             await asyncio.sleep(THINK_S)
         self.finished = True
 
+    async def _send_fatal(self, fatal: bytes) -> None:
+        """Send a request under which runners end, as often as a program sends any that fails."""
+        match self.plan.fatal_kind:
+            case Kind.TURN:
+                await self._turn("", fatal)
+            case Kind.RESUMABLE_TURN:
+                for _ in range(SENDINGS):
+                    await self._stream(fatal)
+            case kind:
+                for _ in range(SENDINGS):
+                    await self._try_for(
+                        lambda: self._request(kind, body=fatal, operation=fatal.decode())
+                    )
+                    await asyncio.sleep(self.rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
+
     async def _start_sub_agents(self, parent: str) -> bool:
         while True:
             lines = [self._sub_agent(parent) for _ in range(self.plan.sub_agents)]
@@ -105,9 +126,9 @@
         request = await self._try_for(lambda: self._request(kind))
         return request.status == 200 and request.is_whole
 
-    async def _turn(self, previous: str) -> str | None:
+    async def _turn(self, previous: str, fatal: bytes = b"") -> str | None:
         """Run one turn; return its id, or ``None`` when the program must end."""
-        body = f"[{self.program_id} {self.rng.random():.6f}]".encode() * 8
+        body = fatal or f"[{self.program_id} {self.rng.random():.6f}]".encode() * 8
         events = self.rng.randint(2, 8)
         for _ in range(SENDINGS):
             request = await self._try_for(
@@ -120,13 +141,13 @@
             await asyncio.sleep(self.rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
         return None
 
-    async def _stream(self) -> None:
+    async def _stream(self, fatal: bytes = b"") -> None:
         """Run one turn whose stream is taken up again after the newest event that arrived.
 
         Each try names the attempt that brought the first event, not the latest one.
         """
         events = self.rng.randint(6, 14)
-        body = f"[{self.program_id} {self.rng.random():.6f}]".encode()
+        body = fatal or f"[{self.program_id} {self.rng.random():.6f}]".encode()
         resumes, after_event = "", 0
         for _ in range(STREAM_ATTEMPTS):
             request = self._request(Kind.RESUMABLE_TURN, body=body, events=events)
@@ -156,7 +177,12 @@
         raise AssertionError("unreachable")
 
     def _request(
-        self, kind: Kind, body: bytes = b"", previous: str = "", events: int = 0
+        self,
+        kind: Kind,
+        body: bytes = b"",
+        previous: str = "",
+        events: int = 0,
+        operation: str = "",
     ) -> SiteRequest:
         return SiteRequest(
             request_id=self.next_id(),
@@ -169,6 +195,7 @@
             previous=previous,
             budget_tokens=self.budget_tokens,
             most_events=events,
+            operation=f"{self.program_id} {operation or body.decode()}",
         )
 
 
--- a/src/bendshed/rehearsal/site/records.py
+++ b/src/bendshed/rehearsal/site/records.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 
 from bendshed.rehearsal.site.cold import ColdSpell, RunnerSending
-from bendshed.rehearsal.site.runner import RunRecord
+from bendshed.rehearsal.site.runner import RunnerEnding, RunRecord
 
 
 class Kind(StrEnum):
@@ -33,6 +33,8 @@
         after_event: id of the newest event that the client holds of that stream.
         is_serviceable: when it was sent, all machines were in touch, and two runners of the
             version that began the stream served; of a new stream: two runners served.
+        operation: the same for all attempts of a client to have one request served.
+        is_calm: when it was sent, all machines were in touch.
 
     """
 
@@ -56,6 +58,8 @@
     resumes: str = ""
     after_event: int = 0
     is_serviceable: bool = False
+    operation: str = ""
+    is_calm: bool = False
 
     @property
     def num_events(self) -> int:
@@ -111,6 +115,7 @@
         zones_of: zone by runner.
         cold_spells: when runners were cold.
         sendings: what runners were sent by all fronts.
+        endings: processes of runners that ended under a request.
 
     """
 
@@ -128,6 +133,7 @@
     zones_of: dict[str, str] = field(default_factory=dict)
     cold_spells: list[ColdSpell] = field(default_factory=list)
     sendings: list[RunnerSending] = field(default_factory=list)
+    endings: list[RunnerEnding] = field(default_factory=list)
 
     def end_cold(self, runner_id: str, now_s: float) -> None:
         """A runner's newer entry replaces what it reported before."""
--- a/src/bendshed/rehearsal/site/runner.py
+++ b/src/bendshed/rehearsal/site/runner.py
@@ -5,8 +5,10 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import NoReturn
 
 EVENT_TOKENS = 9
 EVENT_GAP_S = 0.03
@@ -62,6 +64,28 @@
     software_version: str = ""
 
 
+class FatalInput(StrEnum):
+    """Input under which any runner ends; the value marks it in a request's body."""
+
+    BEFORE_HEAD = "[fatal before the head]"
+    AFTER_HEAD = "[fatal after the head]"
+    AFTER_EVENT = "[fatal after an event]"
+
+    @classmethod
+    def in_body(cls, body: bytes) -> "FatalInput | None":
+        """The mark that a body contains; ``None``: it is harmless."""
+        return next((mark for mark in cls if mark.encode() in body), None)
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerEnding:
+    """A runner's process that ended under a request."""
+
+    request_id: str
+    runner_id: str
+    at_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Head:
     """Status of an answer; ``is_run`` false: proof that the request was not run."""
@@ -108,6 +132,7 @@
         report_birth: what its report names as that time; another type: not a time; ``None``: its
             report names none.
         runs: every request that it began to work on.
+        on_fatal_input: called as its process ends under a request, with that request's id.
 
     """
 
@@ -123,6 +148,7 @@
     report_birth: object = FIRST_BIRTH_MS
     num_present: int = 0
     is_dead: bool = False
+    on_fatal_input: Callable[["SiteRunner", str], None] = lambda _runner, _request_id: None
     _slots: asyncio.Semaphore = field(init=False)
 
     def start_again(self, software_version: str, born_ms: int, report_birth: object) -> None:
@@ -177,13 +203,18 @@
 
     async def _work(self, call: RunnerCall, record: RunRecord) -> AsyncIterator[Head | Chunk]:
         slow = self.troubles.slow
+        fatal = FatalInput.in_body(call.body)
         loses = self.rng.random() < self.troubles.lose_answer
         cuts = self.rng.random() < self.troubles.cut
         if call.num_events == 0:
             await asyncio.sleep(WORK_S * slow)
+            if fatal is FatalInput.BEFORE_HEAD:
+                self._end_under(call)
             if loses:
                 raise RunnerReset
             yield Head(200)
+            if fatal is not None:
+                self._end_under(call)
             content = plain_answer(call.request_id)
             yield Chunk(content[: len(content) // 2])
             if cuts:
@@ -191,9 +222,13 @@
             yield Chunk(content[len(content) // 2 :])
             return
         await asyncio.sleep((WORK_S + len(call.body) / PREFILL_BYTES_PER_S) * slow)
+        if fatal is FatalInput.BEFORE_HEAD:
+            self._end_under(call)
         if loses:
             raise RunnerReset
         yield Head(200)
+        if fatal is FatalInput.AFTER_HEAD:
+            self._end_under(call)
         cut_at = self.rng.randrange(call.num_events) if cuts else call.num_events
         for number in range(call.after_event, call.num_events):
             if number == cut_at:
@@ -203,6 +238,13 @@
             record.events += 1
             yield Chunk(event_bytes(call.request_id, number))
             await asyncio.sleep(EVENT_GAP_S * slow)
+            if fatal is FatalInput.AFTER_EVENT:
+                self._end_under(call)
+
+    def _end_under(self, call: RunnerCall) -> NoReturn:
+        """The process ends; whoever drives it closes the connections."""
+        self.on_fatal_input(self, call.request_id)
+        raise RunnerReset
 
 
 def plain_answer(request_id: str) -> bytes:
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -26,7 +26,12 @@
 from bendshed.rehearsal.site.oracle import Violation, check_all
 from bendshed.rehearsal.site.programs import AgentProgram, ProgramPlan
 from bendshed.rehearsal.site.records import Departure, Kind, SiteRecords, SiteRequest
-from bendshed.rehearsal.site.runner import FIRST_BIRTH_MS, FIRST_SOFTWARE_VERSION, SiteRunner
+from bendshed.rehearsal.site.runner import (
+    FIRST_BIRTH_MS,
+    FIRST_SOFTWARE_VERSION,
+    RunnerEnding,
+    SiteRunner,
+)
 from bendshed.rehearsal.site.sim_caller import (
     CALLER_LATENCY_S,
     CALLER_TIMEOUT_S,
@@ -56,6 +61,8 @@
 """Operators wait this long for a store to be emptied, then take the wish back."""
 RETIREMENT_CHECK_S = 0.1
 BUDGET_TOKENS = 600
+RESTARTED_ENTRY_S = 0.6
+"""The entry of a runner that started again by itself names its new process after this time."""
 TENANTS = (WIDE, NARROW)
 
 
@@ -125,6 +132,7 @@
     older_document: ServiceDocument = field(init=False)
     zones: SimZones = field(init=False)
     store_trouble_s: float = 0.0
+    restarts_ended_runners: bool = False
     _waiting: dict[str, asyncio.Event] = field(default_factory=dict)
     _served_by: dict[str, SimProcess] = field(default_factory=dict)
     _num_ids: int = 0
@@ -186,6 +194,7 @@
         rng = random.Random(self.seed * 100 + number)
         runner = SiteRunner(name, service, zone, slots, rng, self.seen.runs, software_version)
         runner.start_again(software_version, self._unix_ms(), self._unix_ms())
+        runner.on_fatal_input = self._end_runner
         self.runners[name] = runner
         self.seen.zones_of[name] = zone
         self.network.regions[name] = self.layout.places.region(zone)
@@ -432,7 +441,8 @@
     async def send(self, request: SiteRequest) -> None:
         """Send a request to its node and wait for its end."""
         self.seen.requests.append(request)
-        request.is_serviceable = self.is_calm() and has_two_runners(self, request)
+        request.is_calm = self.is_calm()
+        request.is_serviceable = request.is_calm and has_two_runners(self, request)
         over = asyncio.Event()
         self._waiting[request.request_id] = over
         await asyncio.sleep(CALLER_LATENCY_S)
@@ -570,6 +580,16 @@
         version = runner.software_version
         self.add_runner(name, runner.service, runner.slots, runner.zone, COLD_START_S, version)
 
+    def _end_runner(self, runner: SiteRunner, request_id: str) -> None:
+        """A runner's process ends under a request; it starts again, or another takes its place."""
+        self.count("a request ends its runner")
+        ending = RunnerEnding(request_id, runner.runner_id, self.loop.time())
+        self.seen.endings.append(ending)
+        if self.restarts_ended_runners:
+            self.restart_runner(runner.runner_id, runner.software_version, RESTARTED_ENTRY_S)
+        else:
+            self.replace_runner(runner.runner_id)
+
     def _unix_ms(self) -> int:
         return FIRST_BIRTH_MS + int(self.loop.time() * 1000)
 
--- a/tests/test_site_rules.py
+++ b/tests/test_site_rules.py
@@ -9,10 +9,18 @@
 from tests.site_budget_defects import BUDGET_DEFECTS
 from tests.site_cold_defects import COLD_DEFECTS
 from tests.site_defects import DEFECTS, Defect
+from tests.site_quarantine_defects import QUARANTINE_DEFECTS
 from tests.site_stream_defects import STREAM_DEFECTS
 from tests.site_zone_defects import ZONE_DEFECTS
 
-DEFECT_TABLES = (DEFECTS, BUDGET_DEFECTS, ZONE_DEFECTS, COLD_DEFECTS, STREAM_DEFECTS)
+DEFECT_TABLES = (
+    DEFECTS,
+    BUDGET_DEFECTS,
+    ZONE_DEFECTS,
+    COLD_DEFECTS,
+    STREAM_DEFECTS,
+    QUARANTINE_DEFECTS,
+)
 ALL_DEFECTS = {name: defect for table in DEFECT_TABLES for name, defect in table.items()}
 
 
@@ -100,6 +108,13 @@
         self.check_scenarios_pass()
 
 
+class QuarantineDetectedTest(DefectsTestCase):
+    defects = QUARANTINE_DEFECTS
+
+    def test_defects_are_detected(self) -> None:
+        self.check_detected()
+
+
 class BudgetsDetectedTest(DefectsTestCase):
     defects = BUDGET_DEFECTS
 
