--- a/src/bendshed/adapters/http_connection.py
+++ b/src/bendshed/adapters/http_connection.py
@@ -80,7 +80,7 @@
     async def send(self, request: ClientRequest) -> ResponseHead:
         """Send a request and wait for the response head; raise ``ResponseBroken``."""
         if self._transport is None or self._transport.is_closing():
-            raise ResponseBroken("the connection was closed")
+            raise ResponseBroken("the connection was closed", is_disconnected=False)
         self._request = request
         self._complete = False
         self._chunks.clear()
@@ -154,7 +154,7 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, ValueError) as error:
             if not self._complete:
-                self._fail(f"no HTTP answer: {error}")
+                self._fail(f"no HTTP answer: {error}", is_disconnected=False)
             self.abort()
 
     def eof_received(self) -> bool | None:
@@ -174,10 +174,10 @@
             self.on_silent()
         self._fail("the connection was reset" if exc is not None else "the connection closed")
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, reason: str, is_disconnected: bool = True) -> None:
         if self._complete or self._error is not None:
             return
-        self._error = ResponseBroken(reason)
+        self._error = ResponseBroken(reason, is_disconnected)
         if self._head_ready is not None and not self._head_ready.done():
             self._head_ready.set_exception(self._error)
             self._head_ready.exception()  # marks it as retrieved, also if send() was cancelled
--- a/src/bendshed/catalog/follower.py
+++ b/src/bendshed/catalog/follower.py
@@ -85,6 +85,8 @@
     Attributes:
         upstream: the machine that replied last.
         first_update: set once any machine has replied.
+        on_ends_version: called with the machine that replied and the version of the ends of runners
+            that it knows.
 
     """
 
@@ -117,6 +119,7 @@
         self.upstream = Upstream(host_locations, is_replica)
         self._freshness = Freshness(self.upstream)
         self.first_update = asyncio.Event()
+        self.on_ends_version: Callable[[Address, int], None] = lambda _machine, _version: None
         self._is_registry_lost = False
         self._is_reading_shared = False
         self._num_failed = 0
@@ -290,6 +293,7 @@
         self.upstream.machine = machine
         self.upstream.directory_digest = update.directory_digest
         self.first_update.set()
+        self.on_ends_version(machine, update.ends_version)
         self._apply_fronts(update)
         self.upstream.num_dependents = update.num_dependents
         self._is_reading_shared = self._may_share and is_reading_shared(update.num_dependents)
--- a/src/bendshed/catalog/messages.py
+++ b/src/bendshed/catalog/messages.py
@@ -144,6 +144,7 @@
         zones: only a revision, unless that is above the requesting node's.
         directory: ``None``: unchanged since the machine sent it last.
         fronts: some other fronts that requested the catalog recently.
+        ends_version: of the ends of runners that the machine knows; 0: it knows none.
 
     """
 
@@ -157,6 +158,7 @@
     directory: DirectoryUpdate | None
     directory_digest: int
     fronts: tuple[FrontLocation, ...]
+    ends_version: int = 0
 
     @property
     def age_s(self) -> float:
@@ -183,6 +185,7 @@
         _directory_from_wire(reply) if reply.has_directory else None,
         reply.directory_digest,
         fronts_from_wire(reply),
+        reply.ends_version,
     )
 
 
--- /dev/null
+++ b/src/bendshed/catalog/quarantine_server.py
@@ -0,0 +1,124 @@
+"""Collects the ends of runners that nodes report, and pushes them to all other nodes.
+
+A front reports to one replica machine, which forwards to the others; each pushes to the fronts that
+follow its catalog. Ends that arrive close together go out in one message.
+"""
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+from bendshed.catalog.demand import Demand
+from bendshed.catalog.quarantine_messages import (
+    ENDS_METHOD,
+    FORWARD_METHOD,
+    PUSH_METHOD,
+    EndsPush,
+    EndsReply,
+    EndsRequest,
+)
+from bendshed.consensus.directory import ReplicaDirectory
+from bendshed.logs import PartLog
+from bendshed.model.address import Address
+from bendshed.ports.transport import Transport
+from bendshed.retries.quarantine import Quarantine, RunnerEnd
+
+PUSH_INTERVAL_S = 0.02
+"""Shortest time between two pushes. A rack that fails ends runners under hundreds of requests, seen
+by as many fronts: each of those would otherwise cause a message to every front."""
+
+log = PartLog("quarantine")
+
+
+class QuarantineServer:
+    """The ends that a replica machine knows, and whom it tells."""
+
+    def __init__(
+        self,
+        transport: Transport,
+        directory: ReplicaDirectory,
+        demand: Demand,
+        own_address: Address,
+    ) -> None:
+        self._transport = transport
+        self._directory = directory
+        self._demand = demand
+        self._own_address = own_address
+        self._ledger = Quarantine()
+        # Differs over restarts, also of machines whose generators are seeded alike.
+        self._first_version = random.SystemRandom().getrandbits(31) << 32
+        self._num_changes = 0
+        self._to_fronts: list[RunnerEnd] = []
+        self._to_replicas: list[RunnerEnd] = []
+        self._pushed_version = 0
+        self._pushed_s = 0.0
+        self._pushing: asyncio.Task[None] | None = None
+
+    @property
+    def version(self) -> int:
+        """Changes with each end that is new here, and over a restart; 0: no ends are known."""
+        return self._first_version + self._num_changes if self._ledger else 0
+
+    def start(self) -> None:
+        """Begin to receive reports."""
+        self._transport.handlers[ENDS_METHOD] = self.handle
+        self._transport.one_way_handlers[FORWARD_METHOD] = self._receive_forwarded
+
+    async def handle(self, payload: bytes) -> bytes:
+        """Merge a report; reply once it has been pushed to the other nodes."""
+        request = EndsRequest.decode(payload)
+        self._to_replicas += self._merge(request.ends)
+        pushing = self._schedule_push()
+        if pushing is not None:
+            await asyncio.shield(pushing)
+        wanted = None if request.wants_all else {end.fingerprint for end in request.ends}
+        now_s = asyncio.get_running_loop().time()
+        ends = tuple(self._ledger.ends(now_s, wanted))
+        return EndsReply(ends, self.version).encode()
+
+    def apply_ends(self, ends: Sequence[RunnerEnd]) -> None:
+        """Apply ends of another replica machine, which has told the others itself."""
+        self._merge(ends)
+        self._schedule_push()
+
+    def all_ends(self) -> list[RunnerEnd]:
+        """All ends that this machine knows."""
+        return self._ledger.ends(asyncio.get_running_loop().time())
+
+    def _receive_forwarded(self, payload: bytes) -> None:
+        self.apply_ends(EndsPush.decode(payload).ends)
+
+    def _merge(self, ends: Sequence[RunnerEnd]) -> list[RunnerEnd]:
+        new = self._ledger.merge(ends, asyncio.get_running_loop().time())
+        self._num_changes += len(new)
+        self._to_fronts += new
+        return new
+
+    def _schedule_push(self) -> "asyncio.Task[None] | None":
+        """Push what is new, now or when the interval is over; ``None``: nothing is new."""
+        if not self._to_fronts:
+            return None
+        if self._pushing is None or self._pushing.done():
+            self._pushing = asyncio.get_running_loop().create_task(self._push())
+        return self._pushing
+
+    async def _push(self) -> None:
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(max(0.0, self._pushed_s + PUSH_INTERVAL_S - loop.time()))
+        self._pushed_s = loop.time()
+        to_fronts, self._to_fronts = self._to_fronts, []
+        to_replicas, self._to_replicas = self._to_replicas, []
+        before, self._pushed_version = self._pushed_version, self.version
+        fronts = list(self._demand.front_requested_at_s)
+        log.say("ends pushed", ends=len(to_fronts), fronts=len(fronts))
+        if to_replicas:
+            forwarded = self._message(to_replicas, before)
+            for node in self._directory.by_name.values():
+                if node.address != self._own_address:
+                    self._transport.send(node.address, FORWARD_METHOD, forwarded)
+        message = self._message(to_fronts, before)
+        for front in fronts:
+            self._transport.send(front, PUSH_METHOD, message)
+
+    def _message(self, ends: list[RunnerEnd], before: int) -> bytes:
+        return EndsPush(tuple(ends), self._own_address, before, self.version).encode()
--- a/src/bendshed/catalog/replica_parts.py
+++ b/src/bendshed/catalog/replica_parts.py
@@ -12,6 +12,8 @@
 from bendshed.catalog.follower import CatalogFollower, FollowerPaths
 from bendshed.catalog.front_exchange import FrontExchange
 from bendshed.catalog.persistence import CatalogPersistence
+from bendshed.catalog.quarantine_client import QuarantineClient
+from bendshed.catalog.quarantine_server import QuarantineServer
 from bendshed.catalog.relay_list import RelayList
 from bendshed.catalog.replica_catalog import ReplicaCatalog
 from bendshed.catalog.server import CatalogServer
@@ -91,6 +93,16 @@
             num_dependent_fronts=lambda: self.demand.num_fronts,
             is_replica=True,
         )
+        self._quarantine = QuarantineServer(
+            dependencies.transport,
+            dependencies.directory,
+            self.demand,
+            dependencies.own_address,
+        )
+        quarantine_client = QuarantineClient(
+            dependencies.transport, dependencies.transport, list, self._quarantine
+        )
+        self.follower.on_ends_version = quarantine_client.note_version
         self.server = CatalogServer(
             self.catalog,
             dependencies.directory,
@@ -98,6 +110,7 @@
             self._relay_list,
             dependencies.host_locations,
             self.follower.upstream,
+            lambda: self._quarantine.version,
         )
 
     def start(self) -> None:
@@ -114,6 +127,7 @@
         self.catalog.schedule_save()
         self.server.start(self._dependencies.transport)
         self._exchange.start()
+        self._quarantine.start()
         catalog, zones_at = self.catalog.catalog, self.catalog.zones.record.zones.revision
         log.say(
             "loaded at start",
--- a/src/bendshed/catalog/server.py
+++ b/src/bendshed/catalog/server.py
@@ -1,6 +1,7 @@
 """Answers nodes that request the catalog of a replica machine."""
 
 import asyncio
+from collections.abc import Callable
 
 from bendshed.catalog.codec import add_zones, make_reply
 from bendshed.catalog.demand import Demand
@@ -15,6 +16,8 @@
 from bendshed.wire import catalog_pb2 as wire
 
 CATALOG_METHOD = "catalog.read"
+NO_ENDS_VERSION = 0
+"""Version of the ends of runners at a machine that knows none."""
 
 
 class CatalogServer:
@@ -28,6 +31,7 @@
         relay_list: RelayList,
         host_locations: HostLocations,
         upstream: Upstream,
+        ends_version: Callable[[], int] = lambda: NO_ENDS_VERSION,
     ) -> None:
         self._catalog = catalog
         self._directory = directory
@@ -35,6 +39,7 @@
         self._relay_list = relay_list
         self._host_locations = host_locations
         self._upstream = upstream
+        self._ends_version = ends_version
 
     def start(self, transport: Transport) -> None:
         """Register the request handler."""
@@ -90,6 +95,7 @@
             self._demand.num_dependents, self._upstream.num_dependents_across_regions
         )
         reply.is_lost = self._is_lost_for(request)
+        reply.ends_version = self._ends_version()
         self._add_directory(reply, request)
         if not request.is_replica:
             reply.fronts.extend(self._relays_for(request.requester))
--- a/src/bendshed/cli/rehearse.py
+++ b/src/bendshed/cli/rehearse.py
@@ -120,6 +120,7 @@
         option("streams", None, "Two software versions serve, streams are resumed", flag=True),
         option("restarts", None, "With --streams: runners start again under their ids", flag=True),
         option("returns", None, "Clients return just before a turn is forgotten", flag=True),
+        option("fatal", None, "Requests under which runners end", flag=True),
         option("closings", None, "Sites that lose power as a whole at their end", flag=True),
     ]
 
@@ -140,6 +141,10 @@
             else:
                 one, two = stream_steps.STREAMS, stream_steps.STREAMS_OF_TWO_REGIONS
             game = two if self.option("regions") else one
+        elif self.option("fatal"):
+            from bendshed.rehearsal.site.fatal_steps import FATAL, FATAL_IN_TWO_REGIONS
+
+            game = FATAL_IN_TWO_REGIONS if self.option("regions") else FATAL
         elif self.option("returns"):
             game = RETURNS_IN_TWO_REGIONS if self.option("regions") else RETURNS
         else:
--- a/src/bendshed/errors.py
+++ b/src/bendshed/errors.py
@@ -33,6 +33,7 @@
     STREAM_UNKNOWN = "stream_unknown"
     VERSION_GONE = "version_gone"
     VERSION_UNPROVEN = "version_unproven"
+    QUARANTINED = "quarantined"
     GROUP_UNAVAILABLE = "group_unavailable"
     TURN_LOG_UNAVAILABLE = "turn_log_unavailable"
     ENGINE_LOST = "engine_lost"
@@ -96,6 +97,7 @@
     ErrorKind.STREAM_UNKNOWN: ErrorAnswer(503, False, _NO),
     ErrorKind.VERSION_GONE: ErrorAnswer(503, False, _NO),
     ErrorKind.VERSION_UNPROVEN: ErrorAnswer(503, True, _NO, 1),
+    ErrorKind.QUARANTINED: ErrorAnswer(503, False, _NO),
     ErrorKind.GROUP_UNAVAILABLE: ErrorAnswer(503, True, _UNKNOWN, 2),
     ErrorKind.TURN_LOG_UNAVAILABLE: ErrorAnswer(503, True, _NO, 1),
     ErrorKind.ENGINE_LOST: ErrorAnswer(502, True, _YES, 1),
--- a/src/bendshed/operators/explanation.py
+++ b/src/bendshed/operators/explanation.py
@@ -61,6 +61,7 @@
     "stream_unknown": "Nobody knows which software version began the stream, so none may go on.",
     "version_gone": "No runner that may take it is of the version that began the stream.",
     "version_unproven": "Runners of its version are listed, but none is proven to run it now.",
+    "quarantined": "Runners ended under earlier tries of the request, so no more of them get it.",
     "overloaded": "Every runner that was asked turned the request away unrun.",
     "deadline_exceeded": "The time was over before a runner could begin.",
     "outcome_unknown": "A runner got the request and gave no answer in time; it may have run.",
@@ -93,6 +94,9 @@
 """Kinds of refusals that a closed zone may have caused."""
 DISPATCHED_MESSAGE = "forward: request dispatched"
 BOUND_MESSAGE = "origins: stream bound to its version"
+QUARANTINED_MESSAGE = "forward: request is quarantined: runners ended under it"
+ENDED_MESSAGE = "quarantine: runner counted as ended under a request"
+"""Shown for all tries of the request that is explained, by their common fingerprint."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,7 +169,8 @@
         and from_s <= line.at_s <= to_s
         and (line.process_name in names or line.text.startswith(REPLICA_PARTS))
     ]
-    joined = sorted([*request_lines, *context], key=lambda line: line.at_s)
+    earlier = _ends_under_other_tries(request_lines, all_lines)
+    joined = sorted([*request_lines, *context, *earlier], key=lambda line: line.at_s)
     processes = {line.process for line in request_lines}
     closed = closed_zones(
         [line for line in all_lines if line.process in processes], request_lines[-1].at_s
@@ -173,6 +178,21 @@
     return Explanation(joined, find_cause(request_lines, closed))
 
 
+def _ends_under_other_tries(
+    request_lines: list[LogLine], all_lines: list[LogLine]
+) -> list[LogLine]:
+    """Lines of runners that ended under other tries of the same request, at any node."""
+    fingerprints = {line.fields.get("fingerprint") for line in request_lines} - {None, ""}
+    request_id = request_lines[0].request
+    return [
+        line
+        for line in all_lines
+        if line.text == ENDED_MESSAGE
+        and line.request != request_id
+        and line.fields.get("fingerprint") in fingerprints
+    ]
+
+
 def closed_zones(lines: Iterable[LogLine], at_s: float) -> list[str]:
     """Return the zones that were closed at ``at_s``, according to the given lines.
 
@@ -198,7 +218,7 @@
             cause = f"{CAUSES.get(kind, f'Refused as {kind}.')} Detail: {detail}."
             if closed and kind in ZONE_DEPENDENT_REFUSALS:
                 cause += f" Operators had closed {', '.join(closed)}: runners there get nothing."
-            return cause + _describe_origin(request_lines)
+            return cause + _describe_ended_runners(request_lines) + _describe_origin(request_lines)
     texts = {line.text for line in request_lines}
     for text, cause in ENDS.items():
         if text in texts:
@@ -216,6 +236,18 @@
     return f" It was sent to a cold runner: {', '.join(cold)}." if cold else ""
 
 
+def _describe_ended_runners(request_lines: list[LogLine]) -> str:
+    """Name the runners that ended under earlier tries, when, and which node saw it."""
+    for line in request_lines:
+        if line.text == QUARANTINED_MESSAGE:
+            ended = ", ".join(
+                f"{row['runner']} {row['ago_s']} s before (seen by {row['seen_by'] or 'this node'})"
+                for row in line.fields.get("ended", [])
+            )
+            return f" Ended: {ended}."
+    return ""
+
+
 def _describe_origin(request_lines: list[LogLine]) -> str:
     """Tell which version a resumed stream was bound to, and where that was known from."""
     for line in request_lines:
--- a/src/bendshed/placement/runner_record.py
+++ b/src/bendshed/placement/runner_record.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from bendshed.model.runner import ServiceRunner
+from bendshed.model.runner import ReportedBirth, ServiceRunner
 from bendshed.placement.runner_health import RunnerHealth
 
 FAILURES_TO_AVOID = 2
@@ -45,6 +45,8 @@
         no_report_until_s: loop time until which its reports are not requested, since one was not
             answered.
         health: work times observed by this node, in units of each route's typical one.
+        answered_s: loop time of the dispatch of the newest request that the process which wrote the
+            entry is known to have answered.
 
     """
 
@@ -56,6 +58,7 @@
     unlisted_at_s: float | None = None
     doubted_until_s: float | None = None
     no_report_until_s: float = 0.0
+    answered_s: float = 0.0
 
     @property
     def observed_state(self) -> ObservedState:
@@ -81,6 +84,14 @@
         """Whether its entry is expected to be replaced soon."""
         return self.doubted_until_s is not None and now_s < self.doubted_until_s
 
+    def note_answer(self, reported: ReportedBirth, sent_s: float) -> None:
+        """Record that a process answered a request that was sent at ``sent_s`` (loop time).
+
+        Where the entry names a birth, the process behind the connection must have reported it.
+        """
+        if not self.listed.born_ms or reported.born_ms == self.listed.born_ms:
+            self.answered_s = max(self.answered_s, sent_s)
+
     def note_success(self) -> None:
         """Record a complete answer."""
         self.failures = 0
--- a/src/bendshed/policy.py
+++ b/src/bendshed/policy.py
@@ -27,6 +27,7 @@
         programs_first: over quota, new programs are refused before turns of running programs.
         thing_affinity: plain requests with the same affinity key go to the same runner.
         regional_groups: the turn log has a group with its home in each region.
+        request_quarantine: a request under which several runners ended is not sent again.
         kept_connections: an idle connection lowers the cost of its runner when one is chosen.
 
     """
@@ -46,6 +47,7 @@
     programs_first: bool = True
     thing_affinity: bool = True
     regional_groups: bool = True
+    request_quarantine: bool = True
 
 
 ALL_ENABLED = Policy()
--- a/src/bendshed/ports/http_messages.py
+++ b/src/bendshed/ports/http_messages.py
@@ -90,4 +90,14 @@
 
 
 class ResponseBroken(Exception):
-    """The request was sent but no complete response arrived. It may have been run."""
+    """The request was sent but no complete response arrived. It may have been run.
+
+    Attributes:
+        is_disconnected: the peer's end of the connection broke, as when its process ends; otherwise
+            the peer sent a wrong response, or the connection was closed before the request.
+
+    """
+
+    def __init__(self, text: str, is_disconnected: bool = True) -> None:
+        super().__init__(text)
+        self.is_disconnected = is_disconnected
--- a/src/bendshed/rehearsal/site/records.py
+++ b/src/bendshed/rehearsal/site/records.py
@@ -116,6 +116,7 @@
         cold_spells: when runners were cold.
         sendings: what runners were sent by all fronts.
         endings: processes of runners that ended under a request.
+        kills: names of machines whose process was killed, and when.
 
     """
 
@@ -134,6 +135,7 @@
     cold_spells: list[ColdSpell] = field(default_factory=list)
     sendings: list[RunnerSending] = field(default_factory=list)
     endings: list[RunnerEnding] = field(default_factory=list)
+    kills: list[tuple[str, float]] = field(default_factory=list)
 
     def end_cold(self, runner_id: str, now_s: float) -> None:
         """A runner's newer entry replaces what it reported before."""
@@ -152,6 +154,11 @@
             if row.front == front:
                 row.to_s = min(row.to_s, now_s)
 
+    def was_stopped(self, machine: str, from_s: float, to_s: float) -> bool:
+        """Whether a machine was killed, or a front stood still, at any time of an interval."""
+        is_killed = any(name == machine and from_s <= at_s <= to_s for name, at_s in self.kills)
+        return is_killed or self.was_blind(machine, from_s, to_s)
+
     def was_blind(self, front: str, from_s: float, to_s: float) -> bool:
         """Whether a front was blind at any time of an interval."""
         return any(
--- a/src/bendshed/rehearsal/site/runner.py
+++ b/src/bendshed/rehearsal/site/runner.py
@@ -79,11 +79,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RunnerEnding:
-    """A runner's process that ended under a request."""
+    """A runner's process that ended under a request.
+
+    Attributes:
+        is_calm: all machines were in touch then.
+
+    """
 
     request_id: str
     runner_id: str
     at_s: float
+    is_calm: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bendshed/rehearsal/site/sim_runners.py
+++ b/src/bendshed/rehearsal/site/sim_runners.py
@@ -165,7 +165,8 @@
             async for piece in self.runner.serve(call):
                 self._send_back(piece)
         except RunnerReset:
-            self._later(self._latency_s(), self.break_now)
+            if not self.runner.is_dead:
+                self._later(self._latency_s(), self.break_now)
             return
         self._send_back(None)
 
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -61,6 +61,8 @@
 """Operators wait this long for a store to be emptied, then take the wish back."""
 RETIREMENT_CHECK_S = 0.1
 BUDGET_TOKENS = 600
+SILENT_S = 3.6
+"""A runner that fell silent leaves the list after three heartbeats."""
 RESTARTED_ENTRY_S = 0.6
 """The entry of a runner that started again by itself names its new process after this time."""
 TENANTS = (WIDE, NARROW)
@@ -133,6 +135,7 @@
     zones: SimZones = field(init=False)
     store_trouble_s: float = 0.0
     restarts_ended_runners: bool = False
+    ended_runners_are_silent: bool = False
     _waiting: dict[str, asyncio.Event] = field(default_factory=dict)
     _served_by: dict[str, SimProcess] = field(default_factory=dict)
     _num_ids: int = 0
@@ -441,8 +444,8 @@
     async def send(self, request: SiteRequest) -> None:
         """Send a request to its node and wait for its end."""
         self.seen.requests.append(request)
-        request.is_calm = self.is_calm()
-        request.is_serviceable = request.is_calm and has_two_runners(self, request)
+        request.is_calm = self.is_undisturbed()
+        request.is_serviceable = self.is_calm() and has_two_runners(self, request)
         over = asyncio.Event()
         self._waiting[request.request_id] = over
         await asyncio.sleep(CALLER_LATENCY_S)
@@ -501,6 +504,7 @@
             return
         if machine.disk is not None:
             self.store_trouble_s = self.loop.time()
+        self.seen.kills.append((machine.name, self.loop.time()))
         open_requests = self.open_requests(machine.process)
         machine.process.kill()
         machine.is_down = True
@@ -556,6 +560,11 @@
         is_blind = any(row.to_s > now_s - CATCH_UP_S for row in self.seen.blindness)
         return are_settled and not is_blind and self.stores_are_sound()
 
+    def is_undisturbed(self) -> bool:
+        """Whether all machines are in touch, and messages arrive as fast as ever."""
+        network = self.network
+        return self.is_calm() and not network.slow_s and not network.resend_share
+
     # --- runners and configuration -------------------------------------------------------
 
     def drain_runner(self, name: str) -> None:
@@ -583,13 +592,26 @@
     def _end_runner(self, runner: SiteRunner, request_id: str) -> None:
         """A runner's process ends under a request; it starts again, or another takes its place."""
         self.count("a request ends its runner")
-        ending = RunnerEnding(request_id, runner.runner_id, self.loop.time())
+        ending = RunnerEnding(request_id, runner.runner_id, self.loop.time(), self.is_undisturbed())
         self.seen.endings.append(ending)
-        if self.restarts_ended_runners:
+        others = [r for r in self.runners.values() if r is not runner and not r.is_dead]
+        if self.ended_runners_are_silent and others:
+            self._silence_runner(runner)
+        elif self.restarts_ended_runners:
             self.restart_runner(runner.runner_id, runner.software_version, RESTARTED_ENTRY_S)
         else:
             self.replace_runner(runner.runner_id)
 
+    def _silence_runner(self, runner: SiteRunner) -> None:
+        """A runner's machine is gone: connections hang; its entry lapses, another comes."""
+        runner.is_dead = True
+
+        def replace_it() -> None:
+            runner.is_dead = False
+            self.replace_runner(runner.runner_id)
+
+        self.loop.call_later(SILENT_S, replace_it)
+
     def _unix_ms(self) -> int:
         return FIRST_BIRTH_MS + int(self.loop.time() * 1000)
 
--- a/src/bendshed/retries/decisions.py
+++ b/src/bendshed/retries/decisions.py
@@ -6,6 +6,7 @@
 clients then repeat even a request that must not run twice.
 """
 
+import math
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import assert_never
@@ -13,6 +14,7 @@
 from bendshed.errors import ErrorKind, Refusal
 from bendshed.model.service_document import Route
 from bendshed.retries.history import AttemptHistory
+from bendshed.retries.quarantine import QuarantinedRequest
 
 MAX_NOT_RUN_ATTEMPTS = 4
 """Attempts that certainly did not run a request, before it is refused. Bounds the work that one
@@ -140,6 +142,18 @@
     return refusal_or_outcome_unknown(Refusal(kind, give_up.detail), history)
 
 
+def refusal_of_quarantined(quarantined: QuarantinedRequest, history: AttemptHistory) -> Refusal:
+    """The refusal of a request under which too many runners ended, over all tries of its caller.
+
+    A try that was not dispatched was not run, whatever became of earlier ones; the caller learns
+    when the request may be sent again.
+    """
+    detail = f"{len(quarantined.ends)} runners ended while they worked on the request"
+    if history.may_have_run:
+        return Refusal(ErrorKind.ENGINE_LOST, detail)
+    return Refusal(ErrorKind.QUARANTINED, detail, math.ceil(quarantined.retry_after_s))
+
+
 def refusal_or_outcome_unknown(refusal: Refusal, history: AttemptHistory) -> Refusal:
     """The same refusal, or ``outcome_unknown`` if the request may have run."""
     if history.may_have_run:
--- /dev/null
+++ b/src/bendshed/retries/quarantine.py
@@ -0,0 +1,171 @@
+"""Decides which requests are quarantined, since runners ended under them. Pure.
+
+A request may end the process of every runner that works on it (a query of death). Its caller sends
+it again under another id, through another node, so that no limit on the attempts of one try stops
+it. All nodes therefore share which runners ended under which request, by its fingerprint
+(``retries/fingerprint.py``).
+
+A connection that breaks counts as the end of the process behind it until that process answers
+another request: whether it ended shows seconds later, and the caller returns within milliseconds.
+"""
+
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass, field, replace
+
+from bendshed.model.runner import RunnerProcess
+
+MAX_ENDED_RUNNERS = 3
+"""A request is not sent again once so many runners have ended under it. With fewer, a request that
+met failing runners by chance would be rejected often; each one more costs a runner."""
+QUARANTINE_S = 600.0
+"""Time since the last end, in seconds, after which a request may be sent again. Covers the tries of
+a client and the retention of a program that returns."""
+MAX_REQUESTS = 4096
+"""Requests whose ends are stored, about 2 MB. Beyond that the ones with the fewest ends are
+forgotten first, so that many single ends do not push out a quarantined request."""
+EXPIRY_INTERVAL_S = 10.0
+
+HasAnswered = Callable[[RunnerProcess, float], bool]
+"""Whether a process answered a request that was sent after a loop time, in seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerEnd:
+    """The end of a runner's process while it worked on a request.
+
+    Attributes:
+        end_id: number that the node which saw it drew; the same end may be reported repeatedly.
+        process: the process; its start is 0 where the runner's entry names none.
+        reporter: address of the node which saw it, for logs.
+        age_s: how long ago it was seen.
+        is_cleared: the request was answered completely since, so the end does not count any more.
+
+    """
+
+    fingerprint: bytes
+    end_id: int
+    process: RunnerProcess
+    reporter: str = ""
+    age_s: float = 0.0
+    is_cleared: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantinedRequest:
+    """A request that must not be sent.
+
+    Attributes:
+        ends: the ends that count.
+        retry_after_s: time until it may be sent again.
+
+    """
+
+    ends: tuple[RunnerEnd, ...]
+    retry_after_s: float
+
+
+@dataclass(slots=True)
+class _StoredEnd:
+    """An end, when it was seen, and since when this node knows it (loop times)."""
+
+    end: RunnerEnd
+    seen_s: float
+    known_s: float
+
+    def at(self, now_s: float) -> RunnerEnd:
+        return replace(self.end, age_s=max(0.0, now_s - self.seen_s))
+
+
+@dataclass(slots=True)
+class Quarantine:
+    """Which runners ended under which requests, as one node knows it.
+
+    Invariant: merging is idempotent and independent of the order of reports; a cleared end never
+    counts again.
+    """
+
+    _by_request: dict[bytes, dict[int, _StoredEnd]] = field(default_factory=dict)
+    _next_expiry_s: float = 0.0
+
+    def __len__(self) -> int:
+        """Return the number of requests under which runners ended."""
+        return len(self._by_request)
+
+    def merge(self, ends: Iterable[RunnerEnd], now_s: float) -> list[RunnerEnd]:
+        """Add ends, or clear known ones; return those that told anything new."""
+        self._expire(now_s)
+        return [end for end in ends if self._merge_one(end, now_s)]
+
+    def _merge_one(self, end: RunnerEnd, now_s: float) -> bool:
+        if not end.fingerprint or end.age_s >= QUARANTINE_S:
+            return False
+        stored = self._by_request.setdefault(end.fingerprint, {})
+        known = stored.get(end.end_id)
+        if known is None:
+            stored[end.end_id] = _StoredEnd(end, now_s - end.age_s, now_s)
+            self._limit_size(keeps=end.fingerprint)
+            return True
+        if end.is_cleared and not known.end.is_cleared:
+            known.end = replace(known.end, is_cleared=True)
+            return True
+        return False
+
+    def clear(self, fingerprint: bytes, now_s: float) -> list[RunnerEnd]:
+        """Clear all ends of a request that was answered completely; return the changed ones."""
+        stored = self._by_request.get(fingerprint, {})
+        counted = [row.at(now_s) for row in stored.values() if not row.end.is_cleared]
+        return self.merge([replace(end, is_cleared=True) for end in counted], now_s)
+
+    def find(
+        self, fingerprint: bytes, now_s: float, has_answered: HasAnswered
+    ) -> QuarantinedRequest | None:
+        """Return why a request must not be sent now; ``None``: it may be sent."""
+        ends = self.counted_ends(fingerprint, now_s, has_answered)
+        if len(ends) < MAX_ENDED_RUNNERS:
+            return None
+        return QuarantinedRequest(ends, QUARANTINE_S - min(end.age_s for end in ends))
+
+    def counted_ends(
+        self, fingerprint: bytes, now_s: float, has_answered: HasAnswered
+    ) -> tuple[RunnerEnd, ...]:
+        """The ends that count: neither cleared, nor refuted by an answer, nor too old."""
+        counted = (
+            row
+            for row in self._by_request.get(fingerprint, {}).values()
+            if not row.end.is_cleared and not has_answered(row.end.process, row.known_s)
+        )
+        ends = tuple(row.at(now_s) for row in counted)
+        return ends if any(end.age_s < QUARANTINE_S for end in ends) else ()
+
+    def ends(self, now_s: float, fingerprints: Collection[bytes] | None = None) -> list[RunnerEnd]:
+        """All stored ends, or those of some requests, to be sent to another node."""
+        self._next_expiry_s = now_s
+        self._expire(now_s)
+        wanted = self._by_request if fingerprints is None else fingerprints
+        return [
+            row.at(now_s)
+            for fingerprint in wanted
+            for row in self._by_request.get(fingerprint, {}).values()
+        ]
+
+    def _expire(self, now_s: float) -> None:
+        if now_s < self._next_expiry_s:
+            return
+        self._next_expiry_s = now_s + EXPIRY_INTERVAL_S
+        oldest_s = now_s - QUARANTINE_S
+        for fingerprint in list(self._by_request):
+            rows = self._by_request[fingerprint].values()
+            if all(row.seen_s <= oldest_s for row in rows):
+                del self._by_request[fingerprint]
+
+    def _limit_size(self, keeps: bytes) -> None:
+        if len(self._by_request) <= MAX_REQUESTS:
+            return
+        others = (name for name in self._by_request if name != keeps)
+        del self._by_request[min(others, key=self._importance)]
+
+    def _importance(self, fingerprint: bytes) -> tuple[int, float]:
+        """Number of ends that count, then the time of the latest."""
+        rows = self._by_request[fingerprint].values()
+        num_counted = sum(1 for row in rows if not row.end.is_cleared)
+        return num_counted, max((row.seen_s for row in rows), default=0.0)
--- a/src/bendshed/services/attempts.py
+++ b/src/bendshed/services/attempts.py
@@ -13,6 +13,7 @@
 from bendshed.errors import ErrorKind, Refusal
 from bendshed.logs import PartLog
 from bendshed.model.principal import Principal
+from bendshed.model.runner import RunnerProcess
 from bendshed.model.service_document import Route
 from bendshed.placement.allowed_regions import describe_regions
 from bendshed.placement.node_choice import Choice
@@ -32,11 +33,14 @@
     TryRunner,
     decide_next_attempt,
     refusal_of,
+    refusal_of_quarantined,
     refusal_or_outcome_unknown,
 )
 from bendshed.retries.fingerprint import describe, fingerprint_of
 from bendshed.retries.history import AttemptHistory
+from bendshed.retries.quarantine import QuarantinedRequest
 from bendshed.services.metrics import AttemptResult
+from bendshed.services.request_quarantine import DispatchedRun
 from bendshed.services.runner_placement import RunnerPlacement
 from bendshed.services.runner_ports import RunnerPorts
 from bendshed.services.runner_reports import MAX_REPORTS, request_report
@@ -55,6 +59,7 @@
 
     Attributes:
         sent_s: loop time at which the request was dispatched.
+        run: tells the quarantine what becomes of the dispatch.
         dispatched_version: what was known of the process's software version at the dispatch.
 
     """
@@ -64,6 +69,7 @@
     connection: RunnerConnection
     pool: RunnerConnections
     sent_s: float
+    run: DispatchedRun
     dispatched_version: DispatchedVersion = UNPROVEN
     _closed: bool = False
 
@@ -73,8 +79,12 @@
 
     async def body(self) -> AsyncIterator[bytes]:
         """Yield the body in chunks; raise ``ResponseBroken`` if it breaks off."""
-        async for chunk in self.connection.body():
-            yield chunk
+        try:
+            async for chunk in self.connection.body():
+                yield chunk
+        except ResponseBroken as error:
+            await self.run.note_broken(error)
+            raise
 
     def close(self, is_complete: bool) -> None:
         """Return the connection to the pool if the response was read completely, else close it."""
@@ -82,6 +92,7 @@
             return
         self._closed = True
         self.record.in_flight -= 1
+        self.run.note_over(is_complete)
         if is_complete:
             self.record.note_success()
             self.connection.finish()
@@ -143,6 +154,9 @@
                     pass
                 case _:
                     assert_never(decision)
+            quarantined = self.find_quarantine()
+            if quarantined is not None:
+                return refusal_of_quarantined(quarantined, self.history)
             choice = await self.placement.find_runner(self.history)
             if isinstance(choice, GiveUp):
                 return refusal_of(choice, self.history)
@@ -159,6 +173,35 @@
         self.history.record_admitted_run()
         return True
 
+    def find_quarantine(self) -> QuarantinedRequest | None:
+        """Return why the request must not be sent, and log it; ``None``: it may be sent."""
+        if not self.ports.policy.request_quarantine:
+            return None
+        quarantined = self.ports.table.quarantine.find(self.fingerprint)
+        if quarantined is not None:
+            log.say(
+                "request is quarantined: runners ended under it",
+                request=self.request.request_id,
+                fingerprint=describe(self.fingerprint),
+                ended=[
+                    {
+                        "runner": end.process.runner_id,
+                        "ago_s": round(end.age_s, 1),
+                        "seen_by": end.reporter,
+                    }
+                    for end in quarantined.ends
+                ],
+                retry_after_s=round(quarantined.retry_after_s, 1),
+            )
+        return quarantined
+
+    def reject_if_quarantined(self) -> Refusal | None:
+        """Return a refusal if too many runners ended under earlier tries of the request."""
+        quarantined = self.find_quarantine()
+        if quarantined is None:
+            return None
+        return refusal_of_quarantined(quarantined, self.history)
+
     def reject_if_no_eligible_runner(self) -> Refusal | None:
         """Return a refusal if zones, regions or the stream's version exclude every runner."""
         regions, service = self.placement.regions, self.placement.service
@@ -194,9 +237,11 @@
         match self.ports.protocol.classify(response.head):
             case ResponseClass.ANSWERED:
                 self.answered_by = runner.runner_id
+                record.note_answer(response.connection.reported, response.sent_s)
                 self._count_result(AttemptResult.ANSWERED)
                 return response
             case ResponseClass.NOT_RUN:
+                record.note_answer(response.connection.reported, response.sent_s)
                 record.note_full(asyncio.get_running_loop().time())
                 await self._drain_not_run_response(
                     response, "runner rejected the request without running it"
@@ -221,6 +266,15 @@
         if not self.placement.may_dispatch_to(record, choice.permit, loop.time()):
             self._withdraw_dispatch(choice, connection)
             return None
+        if self.find_quarantine() is not None:
+            connection.finish()
+            self.ports.pool.release(runner.address, connection)
+            self._say(
+                "dispatch withdrawn: request quarantined",
+                choice,
+                reason="runners ended under it while connecting",
+            )
+            return None
         version = self.placement.proven_version(record, connection.reported)
         if not version and self._withdraw_unproven(choice, connection):
             return None
@@ -263,6 +317,7 @@
         loop = asyncio.get_running_loop()
         record = choice.record
         sent_s = loop.time()
+        run = self._begin_run(record, connection)
         try:
             head = await connection.send(message)
         except ResponseBroken as error:
@@ -271,12 +326,21 @@
             self._count_result(AttemptResult.NO_ANSWER)
             record.note_broken(loop.time())
             self._say("attempt failed: no answer", choice, reason=str(error))
+            await run.note_broken(error)
             return None
         except BaseException:
             # Includes cancellation: the response may still arrive, so do not reuse the connection.
             connection.abort()
+            run.note_over(is_complete=False)
             raise
-        return OpenResponse(head, record, connection, self.ports.pool, sent_s, version)
+        return OpenResponse(head, record, connection, self.ports.pool, sent_s, run, version)
+
+    def _begin_run(self, record: RunnerRecord, connection: RunnerConnection) -> DispatchedRun:
+        """Follow a dispatch to the process behind a connection."""
+        born_ms = connection.reported.born_ms or record.listed.born_ms or 0
+        process = RunnerProcess(record.listed.runner_id, born_ms)
+        quarantine = self.ports.table.quarantine
+        return DispatchedRun(quarantine, self.fingerprint, process, self.request.request_id)
 
     def _runner_dispatch(self, choice: Choice, left_ms: int) -> RunnerDispatch:
         principal = self.principal
@@ -343,6 +407,7 @@
 
     async def _drain_not_run_response(self, response: OpenResponse, reason: str) -> None:
         """Read the rest of a response which proves that the request was not run."""
+        response.run.note_not_run()
         self.history.record_not_run()
         self._count_result(AttemptResult.NOT_RUN)
         log.say(
--- a/src/bendshed/services/forwarder.py
+++ b/src/bendshed/services/forwarder.py
@@ -135,7 +135,7 @@
         if isinstance(outcome, ServedOutcome):
             return outcome.value
         version = index.document.version if index is not None else 0
-        await self._refuse(request, caller, outcome, version, principal.name if principal else "")
+        await self._refuse(request, caller, outcome, version, principal)
         return outcome.kind.value
 
     def _refuse_unknown(self, kind: ErrorKind, detail: str) -> Refusal:
@@ -174,7 +174,7 @@
         )
         history = AttemptHistory(deadline_s)
         attempts = Attempts(request, route, principal, placement, history, admit)
-        refusal = attempts.reject_if_no_eligible_runner()
+        refusal = attempts.reject_if_quarantined() or attempts.reject_if_no_eligible_runner()
         if refusal is not None:
             return refusal
         try:
@@ -328,8 +328,10 @@
         caller: Caller,
         refusal: Refusal,
         version: int,
-        tenant: str,
+        principal: Principal | None,
     ) -> None:
+        tenant = principal.name if principal is not None else ""
+        fingerprint = fingerprint_of(request, tenant) if principal is not None else b""
         log.say(
             "request refused",
             request=request.request_id,
@@ -337,7 +339,7 @@
             kind=refusal.kind.value,
             detail=refusal.detail,
             ran=refusal.answer.ran.value,
-            fingerprint=describe(fingerprint_of(request, tenant)),
+            fingerprint=describe(fingerprint),
             version=version,
             held_ms=int((asyncio.get_running_loop().time() - request.arrived_s) * 1000),
         )
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -8,6 +8,8 @@
 
 from bendshed.catalog.cold_runner_tracker import ColdRunnerTracker
 from bendshed.catalog.follower import CatalogFollower, FollowerPaths
+from bendshed.catalog.quarantine_client import QuarantineClient
+from bendshed.catalog.quarantine_messages import ENDS_METHOD
 from bendshed.catalog.server import CATALOG_METHOD
 from bendshed.catalog.state import KnownRunner
 from bendshed.catalog.times import CatalogTimes
@@ -46,7 +48,7 @@
 clients use other nodes."""
 PROBE_INTERVAL_S = 0.4
 RELAYED_METHODS = frozenset(
-    {TURN_METHOD, PREVIEW_METHOD, QUOTA_METHOD, RUNNER_METHOD, CATALOG_METHOD}
+    {TURN_METHOD, PREVIEW_METHOD, QUOTA_METHOD, RUNNER_METHOD, CATALOG_METHOD, ENDS_METHOD}
 )
 """Idempotent methods, whose requests may also be relayed through another node."""
 
@@ -114,6 +116,7 @@
             transport, rng, self._other_nodes, RELAYED_METHODS, self.host_locations
         )
         self.catalog = self._build_follower(transport, location, times, rng)
+        self._share_quarantine(transport, location)
         self._turn_ports = self._build_turn_ports(location, rng, metrics)
         self.quotas = self._turn_ports.quotas
         self.forwarder = Forwarder(
@@ -145,6 +148,22 @@
         self.zones.on_zone_opened.append(table.cold.note_zone_reopened)
         return table
 
+    def _share_quarantine(self, transport: Transport, location: NodeLocation) -> None:
+        """Exchange with other nodes under which requests runners ended."""
+        quarantine = self._table.quarantine
+        quarantine.own_address = str(location.address)
+        client = QuarantineClient(
+            self._relayed_requests, transport, self._replicas_for_reports, quarantine
+        )
+        quarantine.reporter = client
+        self.catalog.on_ends_version = client.note_version
+
+    def _replicas_for_reports(self) -> list[Address]:
+        """Replica machines, the one that this node follows first, since all others follow it."""
+        followed = self.catalog.upstream.machine
+        addresses = [node.address for node in self.directory.by_name.values()]
+        return sorted(addresses, key=lambda address: address != followed)
+
     def _build_turn_ports(
         self, location: NodeLocation, rng: random.Random, metrics: ServiceMetrics
     ) -> TurnPorts:
@@ -221,6 +240,10 @@
         runners = metrics.labelled_gauge("bendshed_runners", "Runners by state", "state")
         for state in ObservedState:
             runners.labels(state.value).set_function(partial(self._table.count, state))
+        ended = metrics.gauge(
+            "bendshed_requests_with_ended_runners", "Requests under which runners ended, as known"
+        )
+        ended.set_function(lambda: float(len(self._table.quarantine.ledger)))
         cold = metrics.gauge("bendshed_cold_runners", "Listed runners that are cold")
         cold.set_function(lambda: float(self._table.cold.num_cold))
 
--- /dev/null
+++ b/src/bendshed/services/request_quarantine.py
@@ -0,0 +1,218 @@
+"""A node's quarantine: follows its dispatches, and rejects requests under which runners ended.
+
+``retries/quarantine.py`` decides; this module observes the runs of this node, logs, and passes what
+it sees on to other nodes.
+"""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Coroutine, Iterable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from bendshed.logs import PartLog
+from bendshed.model.runner import RunnerProcess, RunnerState, ServiceRunner
+from bendshed.ports.http_messages import ResponseBroken
+from bendshed.retries.fingerprint import describe
+from bendshed.retries.quarantine import (
+    MAX_ENDED_RUNNERS,
+    HasAnswered,
+    Quarantine,
+    QuarantinedRequest,
+    RunnerEnd,
+)
+
+ABANDONED_S = 10.0
+"""A runner that leaves the list without notice within this time of a run that was given up has
+ended under that run. Covers three heartbeats of a silent runner and the list's way."""
+MAX_ABANDONED_PER_RUNNER = 64
+_END_IDS = random.SystemRandom()
+"""Ids that no two nodes draw, also if their other generators are seeded alike."""
+
+log = PartLog("quarantine")
+
+
+class EndReporter(Protocol):
+    """Passes ends on to other nodes."""
+
+    async def report(self, ends: list[RunnerEnd], waits: bool) -> None:
+        """Report ends; ``waits``: return once others know them, or after a limited time."""
+
+
+class NoReporter:
+    """For a node that shares nothing with others."""
+
+    async def report(self, ends: list[RunnerEnd], waits: bool) -> None:
+        """Do nothing."""
+
+
+@dataclass(slots=True)
+class _AbandonedRun:
+    process: RunnerProcess
+    request_id: str
+    at_s: float
+
+
+@dataclass(slots=True)
+class RequestQuarantine:
+    """Requests under which runners ended, and the runs of this node that may end further ones.
+
+    Attributes:
+        has_answered: whether a process answered a request that was sent after a loop time.
+        reporter: passes what this node sees on to other nodes.
+        own_address: names this node to others.
+
+    """
+
+    has_answered: HasAnswered
+    reporter: EndReporter = field(default_factory=NoReporter)
+    own_address: str = ""
+    ledger: Quarantine = field(default_factory=Quarantine)
+    _abandoned: dict[str, dict[bytes, _AbandonedRun]] = field(default_factory=dict)
+    _tasks: set["asyncio.Task[None]"] = field(default_factory=set)
+
+    def find(self, fingerprint: bytes) -> QuarantinedRequest | None:
+        """Return why a request must not be sent now; ``None``: it may be sent."""
+        if not self.ledger:
+            return None
+        now_s = asyncio.get_running_loop().time()
+        return self.ledger.find(fingerprint, now_s, self.has_answered)
+
+    # --- what this node sees -----------------------------------------------------------------
+
+    async def note_end(
+        self, fingerprint: bytes, process: RunnerProcess, request_id: str, reason: str
+    ) -> None:
+        """Count the end of a runner under a request, and tell other nodes.
+
+        Once the request is quarantined, return only when others know it, or after a limited time:
+        its caller returns to any of them as soon as this try fails.
+        """
+        if not fingerprint:
+            return
+        now_s = asyncio.get_running_loop().time()
+        end = RunnerEnd(fingerprint, _END_IDS.getrandbits(63), process, self.own_address)
+        self.ledger.merge([end], now_s)
+        num_ended = len(self.ledger.counted_ends(fingerprint, now_s, self.has_answered))
+        log.say(
+            "runner counted as ended under a request",
+            request=request_id,
+            runner=process.runner_id,
+            fingerprint=describe(fingerprint),
+            reason=reason,
+            num_ended=num_ended,
+        )
+        await self.reporter.report([end], waits=num_ended >= MAX_ENDED_RUNNERS)
+
+    def note_complete(self, fingerprint: bytes, request_id: str) -> None:
+        """Clear the ends of a request that was answered completely."""
+        if not self.ledger:
+            return
+        cleared = self.ledger.clear(fingerprint, asyncio.get_running_loop().time())
+        if cleared:
+            log.say(
+                "ends cleared: request answered completely",
+                request=request_id,
+                fingerprint=describe(fingerprint),
+                runners=sorted(end.process.runner_id for end in cleared),
+            )
+            self._spawn_report(cleared)
+
+    def note_abandoned(self, fingerprint: bytes, process: RunnerProcess, request_id: str) -> None:
+        """Remember a run that was given up before its runner answered completely.
+
+        A runner that ends without closing its connections shows only later that it has ended.
+        """
+        if not fingerprint:
+            return
+        now_s = asyncio.get_running_loop().time()
+        runs = self._abandoned.setdefault(process.runner_id, {})
+        for old in [key for key, run in runs.items() if run.at_s < now_s - ABANDONED_S]:
+            del runs[old]
+        if len(runs) < MAX_ABANDONED_PER_RUNNER:
+            runs[fingerprint] = _AbandonedRun(process, request_id, now_s)
+
+    def note_runner_gone(self, runner: ServiceRunner) -> None:
+        """Count the end of a process that left the list without notice, or started again."""
+        process = process_of(runner)
+        runs = self._abandoned.pop(runner.runner_id, {})
+        if not runs or runner.state is RunnerState.DRAINING:
+            return
+        now_s = asyncio.get_running_loop().time()
+        for fingerprint, run in runs.items():
+            is_recent = run.process == process and run.at_s >= now_s - ABANDONED_S
+            if is_recent and not self.has_answered(process, run.at_s):
+                reason = "the runner left the list after the request was given up"
+                self._spawn(self.note_end(fingerprint, process, run.request_id, reason))
+
+    # --- what other nodes saw ----------------------------------------------------------------
+
+    def apply_ends(self, ends: Iterable[RunnerEnd]) -> None:
+        """Apply ends that other nodes reported."""
+        new = self.ledger.merge(ends, asyncio.get_running_loop().time())
+        new.sort(key=lambda end: end.fingerprint)
+        for fingerprint, rows in itertools.groupby(new, key=lambda end: end.fingerprint):
+            received = list(rows)
+            log.say(
+                "ends received from other nodes",
+                fingerprint=describe(fingerprint),
+                runners=sorted(end.process.runner_id for end in received),
+                cleared=sum(end.is_cleared for end in received),
+                reporters=sorted({end.reporter for end in received}),
+            )
+
+    def all_ends(self) -> list[RunnerEnd]:
+        """All ends that this node knows, for a node that may know fewer."""
+        return self.ledger.ends(asyncio.get_running_loop().time()) if self.ledger else []
+
+    def _spawn_report(self, ends: list[RunnerEnd]) -> None:
+        self._spawn(self.reporter.report(ends, waits=False))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+@dataclass(slots=True)
+class DispatchedRun:
+    """One dispatch of a request to a runner, until its outcome is known.
+
+    Attributes:
+        fingerprint: empty: the request cannot be recognized, so nothing is counted.
+        process: the process that got the request.
+
+    """
+
+    quarantine: RequestQuarantine
+    fingerprint: bytes
+    process: RunnerProcess
+    request_id: str
+    _is_over: bool = False
+
+    async def note_broken(self, error: ResponseBroken) -> None:
+        """The response broke off, or never began; a process that misbehaves has not ended."""
+        if self._is_over or not error.is_disconnected:
+            return
+        self._is_over = True
+        await self.quarantine.note_end(self.fingerprint, self.process, self.request_id, str(error))
+
+    def note_over(self, is_complete: bool) -> None:
+        """The run is over: answered completely, or given up by the caller or this node."""
+        if self._is_over:
+            return
+        self._is_over = True
+        if is_complete:
+            self.quarantine.note_complete(self.fingerprint, self.request_id)
+        else:
+            self.quarantine.note_abandoned(self.fingerprint, self.process, self.request_id)
+
+    def note_not_run(self) -> None:
+        """The runner proved that it did not run the request."""
+        self._is_over = True
+
+
+def process_of(runner: ServiceRunner) -> RunnerProcess:
+    """The process that wrote a runner's entry."""
+    return RunnerProcess(runner.runner_id, runner.born_ms or 0)
--- a/src/bendshed/services/runners.py
+++ b/src/bendshed/services/runners.py
@@ -11,7 +11,7 @@
 
 from bendshed.catalog.cold_runner_tracker import ColdRunnerTracker
 from bendshed.logs import PartLog
-from bendshed.model.runner import ServiceRunner
+from bendshed.model.runner import RunnerProcess, ServiceRunner
 from bendshed.placement.eligibility import (
     RunnerFilter,
     are_all_excluded,
@@ -20,6 +20,7 @@
     may_continue_stream,
 )
 from bendshed.placement.runner_record import AVOID_S, ObservedState, RunnerRecord, WorkTimes
+from bendshed.services.request_quarantine import RequestQuarantine, process_of
 
 __all__ = ["ObservedState", "RunnerRecord", "RunnerTable"]
 
@@ -48,6 +49,7 @@
         work_times: work times of each route over all runners.
         filter: zones and regions where requests may run.
         cold: runners that get no request from this node without a permit.
+        quarantine: requests under which runners ended.
 
     """
 
@@ -57,9 +59,13 @@
     work_times: WorkTimes = field(default_factory=WorkTimes)
     filter: RunnerFilter = field(default_factory=RunnerFilter)
     cold: ColdRunnerTracker = field(default_factory=ColdRunnerTracker)
+    quarantine: RequestQuarantine = field(init=False)
     _num_by_version: dict[str, Counter[str]] = field(default_factory=dict)
     _num_with_birth: int = 0
 
+    def __post_init__(self) -> None:
+        self.quarantine = RequestQuarantine(self._has_answered)
+
     def put(self, runner: ServiceRunner) -> None:
         """Add or update a listed runner."""
         record = self.by_id.get(runner.runner_id)
@@ -71,6 +77,8 @@
             self.by_id[runner.runner_id] = record
         else:
             self._count(record.listed, -1)
+            if record.listed.born_ms != runner.born_ms:
+                self.quarantine.note_runner_gone(record.listed)
             if record.listed.service != runner.service:
                 self._by_service(record.listed.service).pop(runner.runner_id, None)
         self._count(runner, 1)
@@ -109,7 +117,15 @@
         elif record.unlisted_at_s is None:
             record.unlisted_at_s = now_s
 
+    def _has_answered(self, process: RunnerProcess, after_s: float) -> bool:
+        """Whether a process answered a request of this node that was sent after a loop time."""
+        record = self.by_id.get(process.runner_id)
+        if record is None or process_of(record.listed) != process:
+            return False
+        return record.answered_s > after_s
+
     def _drop(self, record: RunnerRecord) -> None:
+        self.quarantine.note_runner_gone(record.listed)
         self._count(record.listed, -1)
         del self.by_id[record.listed.runner_id]
         self._by_service(record.listed.service).pop(record.listed.runner_id, None)
--- a/tests/run.py
+++ b/tests/run.py
@@ -39,6 +39,7 @@
     "test_smoke",
     "test_site_processes",
     "test_stream_versions",
+    "test_ended_runners",
     "test_site_fuzz",
     "test_site_rules",
     "test_turn_groups",
--- a/tests/site_quarantine_defects.py
+++ b/tests/site_quarantine_defects.py
@@ -2,15 +2,25 @@
 
 import contextlib
 from collections.abc import Iterator
+from dataclasses import replace
 
+from bendshed.catalog.quarantine_client import QuarantineClient
+from bendshed.catalog.quarantine_server import QuarantineServer
+from bendshed.model.address import Address
+from bendshed.ports.runner import ServiceRequest
 from bendshed.rehearsal.site.documents import WIDE
 from bendshed.rehearsal.site.layout import ONE_REGION, SiteLayout
 from bendshed.rehearsal.site.oracle import Rule, Violation
 from bendshed.rehearsal.site.programs import ProgramPlan
-from bendshed.rehearsal.site.records import Kind
+from bendshed.rehearsal.site.records import Kind, SiteRequest
 from bendshed.rehearsal.site.runner import FatalInput
-from bendshed.rehearsal.site.sim_world import CATCH_UP_S, SiteWorld
-from tests.site_defects import Defect
+from bendshed.rehearsal.site.sim_world import CATCH_UP_S, SILENT_S, SiteWorld
+from bendshed.retries.fingerprint import fingerprint_of
+from bendshed.retries.quarantine import Quarantine
+from bendshed.services import attempts
+from bendshed.services.request_quarantine import RequestQuarantine
+from bendshed.services.runners import RunnerTable
+from tests.site_defects import Defect, patch
 
 NUM_BYSTANDERS = 4
 FATAL_KINDS = (Kind.TURN, Kind.RESUMABLE_TURN, Kind.REPEATABLE)
@@ -49,8 +59,126 @@
     return runners_end_under_one_request(seed, Kind.REPEATABLE, FatalInput.BEFORE_HEAD)
 
 
+def a_stream_ends_runners(seed: int) -> list[Violation]:
+    return runners_end_under_one_request(seed, Kind.RESUMABLE_TURN, FatalInput.AFTER_EVENT)
+
+
+def send_fatal(site: SiteWorld, front: str) -> SiteRequest:
+    """Send one try of a request under which runners end, by a program of its own."""
+    request = SiteRequest(
+        request_id=site._next_id(),
+        kind=Kind.REPEATABLE,
+        program_id="fatal",
+        sent_s=site.loop.time(),
+        node=front,
+        tenant=WIDE,
+        body=FatalInput.BEFORE_HEAD.encode(),
+        operation="fatal",
+    )
+    site.clients.spawn(site.loop, site.send(request))
+    site.run_for(0.5)
+    return request
+
+
+def fronts_restart_behind_endings(seed: int) -> list[Violation]:
+    """Every front that saw an end loses its memory; the caller returns to fronts just started."""
+    with calm_site(seed) as site:
+        for front in list(site.fronts):
+            send_fatal(site, front)
+        for machine in list(site.fronts.values()):
+            site.kill(machine)
+            site.restart(machine)
+        site.run_for(CATCH_UP_S + 0.5)
+        for front in list(site.fronts):
+            send_fatal(site, front)
+        return site.settle()
+
+
+def stores_restart_behind_endings(seed: int) -> list[Violation]:
+    """All replica machines lose their memory, then all fronts one after the other."""
+    with calm_site(seed) as site:
+        for front in list(site.fronts):
+            send_fatal(site, front)
+        for machine in list(site.stores.values()):
+            site.kill(machine)
+            site.restart(machine)
+        site.run_for(CATCH_UP_S + 0.5)
+        for machine in list(site.fronts.values()):
+            site.kill(machine)
+            site.restart(machine)
+            site.run_for(CATCH_UP_S + 0.5)
+        for front in list(site.fronts):
+            send_fatal(site, front)
+        return site.settle()
+
+
+def runners_fall_silent(seed: int) -> list[Violation]:
+    """Runners end without closing their connections; callers give up waiting and return."""
+    with calm_site(seed) as site:
+        site.ended_runners_are_silent = True
+        for front in list(site.fronts) * 2:
+            request = send_fatal(site, front)
+            site.leave(request)
+            site.run_for(SILENT_S + 0.5)
+        return site.settle()
+
+
+SCENARIOS = (
+    a_call_ends_runners,
+    a_stream_ends_runners,
+    fronts_restart_behind_endings,
+    stores_restart_behind_endings,
+    runners_fall_silent,
+)
+
+
+async def _tell_nobody(_client: QuarantineClient, *_arguments: object) -> None:
+    """Ends stay at the front that saw them."""
+
+
+_REAL_NOTE_VERSION = QuarantineClient.note_version
+
+
+def _ignore_machines_without_ends(client: QuarantineClient, machine: Address, version: int) -> None:
+    if version:
+        _REAL_NOTE_VERSION(client, machine, version)
+
+
+def _fingerprint_of_try(request: ServiceRequest, tenant: str) -> bytes:
+    return fingerprint_of(replace(request, body=request.request_id.encode()), tenant)
+
+
 QUARANTINE_DEFECTS: dict[str, Defect] = {
-    "runners that ended count for one try": Defect(
-        Rule.ENDED, a_call_ends_runners, contextlib.nullcontext
+    "no request is quarantined": Defect(
+        Rule.ENDED, a_call_ends_runners, patch(Quarantine, "find", lambda *_: None)
+    ),
+    "ends count at the front that saw them alone": Defect(
+        Rule.ENDED, a_call_ends_runners, patch(QuarantineClient, "report", _tell_nobody)
+    ),
+    "each try has a fingerprint of its own": Defect(
+        Rule.ENDED, a_stream_ends_runners, patch(attempts, "fingerprint_of", _fingerprint_of_try)
+    ),
+    "any answer refutes an end": Defect(
+        Rule.ENDED, a_call_ends_runners, patch(RunnerTable, "_has_answered", lambda *_: True)
+    ),
+    "replica machines push nothing": Defect(
+        Rule.ENDED,
+        a_stream_ends_runners,
+        patch(QuarantineServer, "_schedule_push", lambda _server: None),
+    ),
+    "a front that starts learns of no earlier ends": Defect(
+        Rule.ENDED,
+        fronts_restart_behind_endings,
+        patch(QuarantineClient, "note_version", lambda *_: None),
+    ),
+    "replica machines that restart are told nothing": Defect(
+        Rule.ENDED,
+        stores_restart_behind_endings,
+        patch(QuarantineClient, "note_version", _ignore_machines_without_ends),
+    ),
+    "runners that fall silent are not counted": Defect(
+        Rule.ENDED,
+        runners_fall_silent,
+        patch(RequestQuarantine, "note_runner_gone", lambda *_: None),
     ),
 }
--- a/tests/test_ended_runners.py
+++ b/tests/test_ended_runners.py
@@ -3,10 +3,18 @@
 import logging
 import unittest
 
+from bendshed.rehearsal.search import STEPS_PER_WORLD
+from bendshed.rehearsal.site.fatal_steps import FATAL, FATAL_IN_TWO_REGIONS
 from bendshed.rehearsal.site.runner import FatalInput
-from tests.site_quarantine_defects import FATAL_KINDS, runners_end_under_one_request
+from tests.site_quarantine_defects import (
+    FATAL_KINDS,
+    SCENARIOS,
+    runners_end_under_one_request,
+)
 
 SEEDS = (1, 2)
+SCENARIO_SEEDS = (2, 3)
+WORLD_SEEDS = range(1, 6)
 
 
 class EndedRunnersTest(unittest.TestCase):
@@ -23,3 +31,18 @@
                     for seed in SEEDS:
                         found = runners_end_under_one_request(seed, kind, fatal, restarts)
                         self.assertEqual(found, [], (kind, fatal, restarts, seed))
+
+    # Guards against the same where fronts or replica machines lose their memory, or runners fall
+    # silent instead of closing their connections.
+    def test_ended_runners_outlive_the_memory_of_nodes(self) -> None:
+        for scenario in SCENARIOS:
+            for seed in SCENARIO_SEEDS:
+                self.assertEqual(scenario(seed), [], (scenario.__name__, seed))
+
+    # Guards against the same under random failures.
+    def test_seeded_worlds_with_requests_that_end_runners(self) -> None:
+        for game in (FATAL, FATAL_IN_TWO_REGIONS):
+            for seed in WORLD_SEEDS:
+                world, violations = game.run(seed, game.random_steps(seed, STEPS_PER_WORLD))
+                world.close()
+                self.assertEqual(violations, [], seed)
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -73,6 +73,44 @@
         self.assertIn("stream of r1, begun at version v1.1 of modelos", cause)
         self.assertIn("140 ms before, from the placement", cause)
 
+    def test_runners_that_ended_under_earlier_tries_are_named(self) -> None:
+        ended = line(
+            4.0,
+            "front-2",
+            "quarantine: runner counted as ended under a request",
+            request="r0",
+            runner="i-1",
+            fingerprint="aa",
+        )
+        other = line(
+            4.0,
+            "front-2",
+            "quarantine: runner counted as ended under a request",
+            request="r9",
+            runner="i-2",
+            fingerprint="bb",
+        )
+        quarantined = line(
+            10.0,
+            "front-1",
+            "forward: request is quarantined: runners ended under it",
+            request="r1",
+            fingerprint="aa",
+            ended=[{"runner": "i-1", "ago_s": 6.0, "seen_by": "10.0.2.2:7000"}],
+        )
+        refused = line(
+            10.0,
+            "front-1",
+            "forward: request refused",
+            request="r1",
+            fingerprint="aa",
+            kind="quarantined",
+            detail="1 runners ended",
+        )
+        explanation = explain("r1", [quarantined, other, refused, ended])
+        self.assertEqual(explanation.lines, [ended, quarantined, refused])
+        self.assertIn("Ended: i-1 6.0 s before (seen by 10.0.2.2:7000).", explanation.cause)
+
     def test_closed_zone_is_named_as_cause(self) -> None:
         closed = line(1.0, "front-1", "zones: zone closed", zone="a", revision=7)
         opened = line(4.0, "front-1", "zones: zone open again", zone="a", revision=9)
--- a/tests/test_log_table.py
+++ b/tests/test_log_table.py
@@ -11,7 +11,9 @@
     CAUSES,
     CONTEXT_MESSAGES,
     DISPATCHED_MESSAGE,
+    ENDED_MESSAGE,
     ENDS,
+    QUARANTINED_MESSAGE,
     REFUSED_MESSAGE,
 )
 
@@ -62,7 +64,15 @@
 
     def test_explanation_uses_only_existing_messages_and_kinds(self) -> None:
         self.assertLessEqual(
-            {*CONTEXT_MESSAGES, *ENDS, REFUSED_MESSAGE, DISPATCHED_MESSAGE, BOUND_MESSAGE},
+            {
+                *CONTEXT_MESSAGES,
+                *ENDS,
+                REFUSED_MESSAGE,
+                DISPATCHED_MESSAGE,
+                BOUND_MESSAGE,
+                QUARANTINED_MESSAGE,
+                ENDED_MESSAGE,
+            },
             all_log_messages(),
         )
         self.assertLessEqual(set(CAUSES), {kind.value for kind in ErrorKind})
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,119 @@
+"""The ledger of requests under which runners ended, as a pure state."""
+
+import random
+import unittest
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bendshed.model.runner import RunnerProcess
+from bendshed.retries import quarantine
+from bendshed.retries.quarantine import (
+    MAX_ENDED_RUNNERS,
+    QUARANTINE_S,
+    Quarantine,
+    RunnerEnd,
+)
+
+REQUEST, OTHER = b"r" * 16, b"o" * 16
+
+
+def end(number: int, fingerprint: bytes = REQUEST, age_s: float = 0.0) -> RunnerEnd:
+    return RunnerEnd(fingerprint, number, RunnerProcess(f"i-{number}", 0), "front", age_s)
+
+
+def never(_process: RunnerProcess, _since_s: float) -> bool:
+    return False
+
+
+class QuarantineTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.ledger = Quarantine()
+
+    def is_quarantined(self, now_s: float, fingerprint: bytes = REQUEST) -> bool:
+        return self.ledger.find(fingerprint, now_s, never) is not None
+
+    def add(self, count: int, now_s: float = 0.0, fingerprint: bytes = REQUEST) -> None:
+        self.ledger.merge([end(number, fingerprint) for number in range(count)], now_s)
+
+    def test_the_third_end_quarantines_a_request_and_no_other(self) -> None:
+        self.add(MAX_ENDED_RUNNERS - 1)
+        self.assertFalse(self.is_quarantined(1.0))
+        self.add(MAX_ENDED_RUNNERS)
+        self.assertTrue(self.is_quarantined(1.0))
+        self.assertFalse(self.is_quarantined(1.0, OTHER))
+
+    def test_one_end_that_is_reported_again_counts_once(self) -> None:
+        for _ in range(MAX_ENDED_RUNNERS):
+            self.ledger.merge([end(1)], 0.0)
+        self.assertFalse(self.is_quarantined(1.0))
+
+    def test_the_time_to_come_back_runs_from_the_latest_end(self) -> None:
+        self.ledger.merge([end(1, age_s=50.0), end(2, age_s=20.0), end(3, age_s=70.0)], 100.0)
+        found = self.ledger.find(REQUEST, 130.0, never)
+        assert found is not None
+        self.assertEqual(found.retry_after_s, QUARANTINE_S - 50.0)
+
+    def test_it_ends_at_the_time_that_callers_are_told(self) -> None:
+        self.add(MAX_ENDED_RUNNERS)
+        self.assertTrue(self.is_quarantined(QUARANTINE_S - 0.1))
+        self.assertFalse(self.is_quarantined(QUARANTINE_S))
+        self.assertEqual(self.ledger.ends(QUARANTINE_S), [])
+        self.assertEqual(len(self.ledger), 0)
+
+    # Guards against requests that are rejected, since answers of live runners broke.
+    def test_a_process_that_answered_later_has_not_ended(self) -> None:
+        self.add(MAX_ENDED_RUNNERS, now_s=5.0)
+
+        def answered(process: RunnerProcess, since_s: float) -> bool:
+            self.assertEqual(since_s, 5.0)
+            return process.runner_id == "i-0"
+
+        self.assertIsNone(self.ledger.find(REQUEST, 6.0, answered))
+
+    def test_a_complete_answer_clears_the_ends_for_all_nodes(self) -> None:
+        self.add(MAX_ENDED_RUNNERS)
+        cleared = self.ledger.clear(REQUEST, 1.0)
+        self.assertFalse(self.is_quarantined(1.0))
+        other = Quarantine()
+        other.merge(cleared, 1.0)
+        other.merge([end(number) for number in range(MAX_ENDED_RUNNERS)], 1.0)
+        self.assertIsNone(other.find(REQUEST, 1.0, never))
+        self.assertEqual(self.ledger.clear(REQUEST, 2.0), [])
+
+    def test_ends_too_old_or_without_a_fingerprint_are_not_stored(self) -> None:
+        self.assertEqual(self.ledger.merge([end(1, age_s=QUARANTINE_S), end(2, b"")], 0.0), [])
+        self.assertEqual(len(self.ledger), 0)
+
+    # Guards against a flood of single ends that sets a quarantined request free.
+    def test_many_single_ends_do_not_push_out_a_quarantined_request(self) -> None:
+        self.add(MAX_ENDED_RUNNERS)
+        for number in range(quarantine.MAX_REQUESTS + 50):
+            self.ledger.merge([end(number, number.to_bytes(16, "big"))], 1.0 + number / 1e4)
+        self.assertEqual(len(self.ledger), quarantine.MAX_REQUESTS)
+        self.assertTrue(self.is_quarantined(2.0))
+
+    @given(
+        st.lists(st.tuples(st.integers(0, 5), st.booleans(), st.booleans()), max_size=12),
+        st.randoms(use_true_random=False),
+    )
+    def test_nodes_agree_whatever_the_order_of_reports(
+        self, reports: list[tuple[int, bool, bool]], rng: random.Random
+    ) -> None:
+        ends = [
+            replace(end(number, OTHER if is_other else REQUEST), is_cleared=is_cleared)
+            for number, is_cleared, is_other in reports
+        ]
+        shuffled = [*ends, *ends]
+        rng.shuffle(shuffled)
+        one, other = Quarantine(), Quarantine()
+        one.merge(ends, 0.0)
+        for report in shuffled:
+            other.merge([report], 0.0)
+        for fingerprint in (REQUEST, OTHER):
+            counted = [
+                {row.end_id for row in ledger.counted_ends(fingerprint, 1.0, never)}
+                for ledger in (one, other)
+            ]
+            self.assertEqual(*counted)
--- /dev/null
+++ b/tests/test_request_quarantine.py
@@ -0,0 +1,253 @@
+"""A front counts the runners that end under its requests, and sends no quarantined request."""
+
+import asyncio
+import unittest
+from collections.abc import AsyncIterator
+from dataclasses import replace
+from unittest import mock
+
+from bendshed.errors import ErrorKind
+from bendshed.model.runner import ReportedBirth, RunnerProcess, RunnerState
+from bendshed.platform.caller_protocol import PlatformCallerProtocol
+from bendshed.ports.http_messages import ResponseBroken, ResponseHead
+from bendshed.rehearsal.site.runner import event_bytes
+from bendshed.retries.quarantine import MAX_ENDED_RUNNERS, QUARANTINE_S, RunnerEnd
+from bendshed.services.forwarder import MAX_BUFFERED_BODY_BYTES
+from bendshed.services.request_quarantine import ABANDONED_S
+from tests.test_dispatch_restrictions import (
+    CLOSED_RUNNERS,
+    OPEN_RUNNERS,
+    ROUTE,
+    STREAM,
+    TURN,
+    FakeConnection,
+    FrontFixture,
+    listed,
+)
+from tests.test_dispatch_restrictions import NO_ZONE_CLOSED as ALL_OPEN
+
+RUNNERS = (*OPEN_RUNNERS, *CLOSED_RUNNERS)
+ONE_RUNNER_A_TRY = replace(ROUTE, max_attempts=1)
+RESUMABLE = replace(STREAM, is_resumable=True)
+
+
+class RequestQuarantineTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.front = FrontFixture(ALL_OPEN, (), has_turns=True)
+        self.front.put(ONE_RUNNER_A_TRY)
+        self.quarantine = self.front.table.quarantine
+
+    def behave(self, behaviour: str) -> None:
+        self.front.runners.behaviour = dict.fromkeys(RUNNERS, behaviour)
+
+    async def end_runners(self, count: int) -> None:
+        """Let tries of one request fail one after the other."""
+        self.behave("loses")
+        for _ in range(count):
+            caller = await self.front.send()
+            assert caller.refusal is not None
+            self.assertIs(caller.refusal.kind, ErrorKind.ENGINE_LOST)
+
+    # Guards against a request that ends one runner after the other over the tries of its caller.
+    async def test_a_try_after_three_ended_runners_is_not_sent(self) -> None:
+        await self.end_runners(MAX_ENDED_RUNNERS)
+        self.assertEqual(len(self.front.runners.sent), MAX_ENDED_RUNNERS)
+        self.behave("")
+        self.front.before_quota = mock.Mock()
+        caller = await self.front.send()
+        self.assertEqual(len(self.front.runners.sent), MAX_ENDED_RUNNERS)
+        self.front.before_quota.assert_not_called()
+        assert caller.refusal is not None
+        self.assertIs(caller.refusal.kind, ErrorKind.QUARANTINED)
+        answer = PlatformCallerProtocol().response_for(caller.refusal)
+        self.assertEqual((answer.status, answer.retry_after), (503, str(int(QUARANTINE_S))))
+
+    async def end_runners_midway(self) -> None:
+        """Let tries of one request fail behind the head, each at another runner, which is gone."""
+        for _ in range(MAX_ENDED_RUNNERS):
+            self.assertTrue((await self.front.send()).is_broken)
+            now_s = asyncio.get_running_loop().time()
+            self.front.table.remove(self.front.runners.sent[-1], now_s, is_trusted=True)
+
+    async def test_other_requests_are_sent(self) -> None:
+        await self.end_runners(MAX_ENDED_RUNNERS)
+        self.behave("")
+        caller = await self.front.send(1)
+        self.assertIsNone(caller.refusal)
+
+    async def test_one_try_stops_at_the_third_end(self) -> None:
+        self.front.put(replace(ROUTE, max_attempts=len(RUNNERS)))
+        self.behave("loses")
+        caller = await self.front.send()
+        self.assertEqual(len(self.front.runners.sent), MAX_ENDED_RUNNERS)
+        assert caller.refusal is not None
+        self.assertIs(caller.refusal.kind, ErrorKind.ENGINE_LOST)
+
+    async def test_a_turn_is_rejected_before_it_reserves_anything(self) -> None:
+        self.front.put(RESUMABLE)
+        self.behave("loses")
+        for _ in range(MAX_ENDED_RUNNERS):
+            await self.front.send(turn=TURN)
+        num_begun = len(self.front.demands)
+        caller = await self.front.send(turn=TURN, resumes="3")
+        self.assertEqual(len(self.front.demands), num_begun)
+        assert caller.refusal is not None
+        self.assertIs(caller.refusal.kind, ErrorKind.QUARANTINED)
+
+    # Guards against streams that end runners after their heads were passed on.
+    async def test_a_stream_that_breaks_off_midway_counts(self) -> None:
+        self.front.put(RESUMABLE)
+        with mock.patch.object(FakeConnection, "body", broken_body(event_bytes("x", 0))):
+            await self.end_runners_midway()
+        caller = await self.front.send()
+        assert caller.refusal is not None
+        self.assertIs(caller.refusal.kind, ErrorKind.QUARANTINED)
+
+    # Guards against the same where the end of its connection ends a stream.
+    async def test_a_stream_without_a_length_that_ends_within_an_event_counts(self) -> None:
+        self.front.put(RESUMABLE)
+
+        async def partial(_connection: FakeConnection) -> AsyncIterator[bytes]:
+            yield event_bytes("x", 0)[:5]
+
+        head = mock.AsyncMock(side_effect=lambda _request: ResponseHead(200, [], False))
+        with (
+            mock.patch.object(FakeConnection, "send", head),
+            mock.patch.object(FakeConnection, "body", partial),
+        ):
+            self.assertTrue((await self.front.send()).is_broken)
+        self.assertEqual(len(self.quarantine.all_ends()), 1)
+
+    async def test_a_large_answer_that_breaks_off_midway_counts(self) -> None:
+        large = b"x" * (MAX_BUFFERED_BODY_BYTES + 1)
+        with mock.patch.object(FakeConnection, "body", broken_body(large)):
+            await self.end_runners_midway()
+        caller = await self.front.send()
+        assert caller.refusal is not None
+        self.assertIs(caller.refusal.kind, ErrorKind.QUARANTINED)
+
+    # Guards against runners that send wrong bytes and count as ended.
+    async def test_a_wrong_response_is_no_end(self) -> None:
+        wrong = ResponseBroken("no HTTP answer", is_disconnected=False)
+        with mock.patch.object(FakeConnection, "send", mock.AsyncMock(side_effect=wrong)):
+            for _ in range(MAX_ENDED_RUNNERS + 1):
+                caller = await self.front.send()
+                assert caller.refusal is not None
+                self.assertIs(caller.refusal.kind, ErrorKind.ENGINE_LOST)
+
+    # Guards against rejections after answers that were lost on a bad network.
+    async def test_a_runner_that_answers_later_has_not_ended(self) -> None:
+        await self.end_runners(MAX_ENDED_RUNNERS)
+        self.behave("")
+        for number in range(1, 20):
+            await self.front.send(number)
+        caller = await self.front.send()
+        self.assertIsNone(caller.refusal)
+
+    async def test_a_process_that_started_again_does_not_answer_for_the_former_one(self) -> None:
+        for name in RUNNERS:
+            self.front.table.put(replace(listed(name), born_ms=1))
+        await self.end_runners(MAX_ENDED_RUNNERS)
+        for name in RUNNERS:
+            self.front.table.put(replace(listed(name), born_ms=2))
+        self.behave("")
+        with mock.patch.object(FakeConnection, "reported", ReportedBirth(2)):
+            for number in range(1, 20):
+                await self.front.send(number)
+        caller = await self.front.send()
+        assert caller.refusal is not None
+        self.assertIs(caller.refusal.kind, ErrorKind.QUARANTINED)
+
+    async def test_a_complete_answer_clears_earlier_ends(self) -> None:
+        await self.end_runners(MAX_ENDED_RUNNERS - 1)
+        self.behave("")
+        self.assertIsNone((await self.front.send()).refusal)
+        await self.end_runners(MAX_ENDED_RUNNERS)
+
+    async def test_requests_without_a_session_are_not_counted(self) -> None:
+        self.behave("loses")
+        await self.quarantine.note_end(b"", RunnerProcess("i", 0), "r", "closed")
+        self.assertEqual(self.quarantine.all_ends(), [])
+
+    # Guards against a request that is sent although another node's report came while it connected.
+    async def test_a_request_that_is_quarantined_while_connecting_is_withdrawn(self) -> None:
+        await self.end_runners(1)
+        (seen,) = self.quarantine.all_ends()
+        reported = [replace(seen, end_id=seen.end_id ^ number) for number in (1, 2)]
+        self.front.runners.before_connecting = lambda _runner: self.quarantine.apply_ends(reported)
+        self.behave("")
+        caller = await self.front.send()
+        self.assertEqual(len(self.front.runners.sent), 1)
+        assert caller.refusal is not None
+        self.assertIs(caller.refusal.kind, ErrorKind.QUARANTINED)
+
+
+class AbandonedRunsTest(unittest.IsolatedAsyncioTestCase):
+    """Runners that end without a word: requests hang there until they are given up."""
+
+    def setUp(self) -> None:
+        self.front = FrontFixture(ALL_OPEN, (), has_turns=True)
+        self.front.put(ONE_RUNNER_A_TRY)
+        self.quarantine = self.front.table.quarantine
+
+    async def abandon(self) -> str:
+        """Send a request, and give it up at its runner."""
+        self.front.runners.sent.clear()
+        hanging = mock.AsyncMock(side_effect=asyncio.CancelledError)
+        with (
+            mock.patch.object(FakeConnection, "send", hanging),
+            self.assertRaises(asyncio.CancelledError),
+        ):
+            await self.front.send()
+        (runs,) = self.quarantine._abandoned.items()
+        return runs[0]
+
+    async def remove(self, runner_id: str) -> list[RunnerEnd]:
+        now_s = asyncio.get_running_loop().time()
+        self.front.table.remove(runner_id, now_s, is_trusted=True)
+        for _ in range(3):
+            await asyncio.sleep(0)
+        return self.quarantine.all_ends()
+
+    # Guards against requests that end runners which fall silent instead of closing connections.
+    async def test_a_runner_that_leaves_the_list_without_notice_has_ended(self) -> None:
+        runner_id = await self.abandon()
+        (end,) = await self.remove(runner_id)
+        self.assertEqual(end.process.runner_id, runner_id)
+
+    async def test_one_that_starts_again_has_ended(self) -> None:
+        for name in RUNNERS:
+            self.front.table.put(replace(listed(name), born_ms=1))
+        runner_id = await self.abandon()
+        self.front.table.put(replace(listed(runner_id), born_ms=2))
+        for _ in range(3):
+            await asyncio.sleep(0)
+        (end,) = self.quarantine.all_ends()
+        self.assertEqual(end.process, RunnerProcess(runner_id, 1))
+
+    async def test_one_that_drained_has_not(self) -> None:
+        runner_id = await self.abandon()
+        self.front.table.put(replace(listed(runner_id), state=RunnerState.DRAINING))
+        self.assertEqual(await self.remove(runner_id), [])
+
+    async def test_one_that_answered_since_has_not(self) -> None:
+        runner_id = await self.abandon()
+        for other in {*RUNNERS} - {runner_id}:
+            await self.remove(other)
+        await self.front.send(1)
+        self.assertEqual(await self.remove(runner_id), [])
+
+    async def test_one_that_leaves_much_later_has_not(self) -> None:
+        runner_id = await self.abandon()
+        loop = asyncio.get_running_loop()
+        later_s = loop.time() + ABANDONED_S + 1.0
+        with mock.patch.object(loop, "time", lambda: later_s):
+            self.assertEqual(await self.remove(runner_id), [])
+
+
+def broken_body(first: bytes) -> object:
+    async def body(_connection: FakeConnection) -> AsyncIterator[bytes]:
+        yield first
+        raise ResponseBroken("reset")
+
+    return body
--- a/tests/test_site_rules.py
+++ b/tests/test_site_rules.py
@@ -115,6 +115,13 @@
         self.check_detected()
 
 
+class QuarantinePassedTest(DefectsTestCase):
+    defects = QUARANTINE_DEFECTS
+
+    def test_unmodified_code_passes_the_scenarios(self) -> None:
+        self.check_scenarios_pass()
+
+
 class BudgetsDetectedTest(DefectsTestCase):
     defects = BUDGET_DEFECTS
 
