Quarantine: one process ends once; runs that were given up are bounded over all runners

Where entries name no starts, an id names one process (PROTOCOL, runners), which ends once: ends count by process there, and each by itself where entries name starts, since a runner starts again under its id before its entry says so. Abandoned runs: 1,024 a node instead of 64 a runner, which was 200,000 before 3,100 runners. A withdrawn dispatch logs one line.

--- a/src/bendshed/retries/decisions.py
+++ b/src/bendshed/retries/decisions.py
@@ -14,7 +14,7 @@
 from bendshed.errors import ErrorKind, Refusal
 from bendshed.model.service_document import Route
 from bendshed.retries.history import AttemptHistory
-from bendshed.retries.quarantine import QuarantinedRequest
+from bendshed.retries.quarantine import QuarantinedRequest, num_ended_runners
 
 MAX_NOT_RUN_ATTEMPTS = 4
 """Attempts that certainly did not run a request, before it is refused. Bounds the work that one
@@ -148,7 +148,8 @@
     A try that was not dispatched was not run, whatever became of earlier ones; the caller learns
     when the request may be sent again.
     """
-    detail = f"{len(quarantined.ends)} runners ended while they worked on the request"
+    num_ended = num_ended_runners(quarantined.ends)
+    detail = f"{num_ended} runners ended while they worked on the request"
     if history.may_have_run:
         return Refusal(ErrorKind.ENGINE_LOST, detail)
     return Refusal(ErrorKind.QUARANTINED, detail, math.ceil(quarantined.retry_after_s))
--- a/src/bendshed/retries/quarantine.py
+++ b/src/bendshed/retries/quarantine.py
@@ -23,6 +23,8 @@
 MAX_REQUESTS = 4096
 """Requests whose ends are stored, about 2 MB. Beyond that the ones with the fewest ends are
 forgotten first, so that many single ends do not push out a quarantined request."""
+MAX_ENDS_PER_REQUEST = 16
+"""Further ends of one request tell nothing new."""
 EXPIRY_INTERVAL_S = 10.0
 
 HasAnswered = Callable[[RunnerProcess, float], bool]
@@ -64,6 +66,16 @@
     retry_after_s: float
 
 
+def num_ended_runners(ends: Iterable[RunnerEnd]) -> int:
+    """Count the processes that ended.
+
+    Where entries name no starts, each start of a runner has an id of its own, and a process ends
+    once. Elsewhere a runner starts again under its id before its entry names the new process, so
+    that each end counts.
+    """
+    return len({end.end_id if end.process.born_ms else end.process for end in ends})
+
+
 @dataclass(slots=True)
 class _StoredEnd:
     """An end, when it was seen, and since when this node knows it (loop times)."""
@@ -102,6 +114,8 @@
         stored = self._by_request.setdefault(end.fingerprint, {})
         known = stored.get(end.end_id)
         if known is None:
+            if len(stored) >= MAX_ENDS_PER_REQUEST:
+                return False
             stored[end.end_id] = _StoredEnd(end, now_s - end.age_s, now_s)
             self._limit_size(keeps=end.fingerprint)
             return True
@@ -121,7 +135,7 @@
     ) -> QuarantinedRequest | None:
         """Return why a request must not be sent now; ``None``: it may be sent."""
         ends = self.counted_ends(fingerprint, now_s, has_answered)
-        if len(ends) < MAX_ENDED_RUNNERS:
+        if num_ended_runners(ends) < MAX_ENDED_RUNNERS:
             return None
         return QuarantinedRequest(ends, QUARANTINE_S - min(end.age_s for end in ends))
 
--- a/src/bendshed/services/attempts.py
+++ b/src/bendshed/services/attempts.py
@@ -154,9 +154,9 @@
                     pass
                 case _:
                     assert_never(decision)
-            quarantined = self.find_quarantine()
-            if quarantined is not None:
-                return refusal_of_quarantined(quarantined, self.history)
+            refusal = self.reject_if_quarantined()
+            if refusal is not None:
+                return refusal
             choice = await self.placement.find_runner(self.history)
             if isinstance(choice, GiveUp):
                 return refusal_of(choice, self.history)
@@ -173,35 +173,32 @@
         self.history.record_admitted_run()
         return True
 
-    def find_quarantine(self) -> QuarantinedRequest | None:
-        """Return why the request must not be sent, and log it; ``None``: it may be sent."""
-        if not self.ports.policy.request_quarantine:
-            return None
-        quarantined = self.ports.table.quarantine.find(self.fingerprint)
-        if quarantined is not None:
-            log.say(
-                "request is quarantined: runners ended under it",
-                request=self.request.request_id,
-                fingerprint=describe(self.fingerprint),
-                ended=[
-                    {
-                        "runner": end.process.runner_id,
-                        "ago_s": round(end.age_s, 1),
-                        "seen_by": end.reporter,
-                    }
-                    for end in quarantined.ends
-                ],
-                retry_after_s=round(quarantined.retry_after_s, 1),
-            )
-        return quarantined
-
     def reject_if_quarantined(self) -> Refusal | None:
-        """Return a refusal if too many runners ended under earlier tries of the request."""
-        quarantined = self.find_quarantine()
+        """Return a refusal if too many runners ended under the tries of the request; log them."""
+        quarantined = self._find_quarantine()
         if quarantined is None:
             return None
+        log.say(
+            "request is quarantined: runners ended under it",
+            request=self.request.request_id,
+            fingerprint=describe(self.fingerprint),
+            ended=[
+                {
+                    "runner": end.process.runner_id,
+                    "ago_s": round(end.age_s, 1),
+                    "seen_by": end.reporter,
+                }
+                for end in quarantined.ends
+            ],
+            retry_after_s=round(quarantined.retry_after_s, 1),
+        )
         return refusal_of_quarantined(quarantined, self.history)
 
+    def _find_quarantine(self) -> QuarantinedRequest | None:
+        if not self.ports.policy.request_quarantine:
+            return None
+        return self.ports.table.quarantine.find(self.fingerprint)
+
     def reject_if_no_eligible_runner(self) -> Refusal | None:
         """Return a refusal if zones, regions or the stream's version exclude every runner."""
         regions, service = self.placement.regions, self.placement.service
@@ -266,7 +263,7 @@
         if not self.placement.may_dispatch_to(record, choice.permit, loop.time()):
             self._withdraw_dispatch(choice, connection)
             return None
-        if self.find_quarantine() is not None:
+        if self._find_quarantine() is not None:
             connection.finish()
             self.ports.pool.release(runner.address, connection)
             self._say(
--- a/src/bendshed/services/request_quarantine.py
+++ b/src/bendshed/services/request_quarantine.py
@@ -21,12 +21,14 @@
     Quarantine,
     QuarantinedRequest,
     RunnerEnd,
+    num_ended_runners,
 )
 
 ABANDONED_S = 10.0
 """A runner that leaves the list without notice within this time of a run that was given up has
 ended under that run. Covers three heartbeats of a silent runner and the list's way."""
-MAX_ABANDONED_PER_RUNNER = 64
+MAX_ABANDONED = 1024
+"""Abandoned runs that are remembered, about 0.3 MB; the oldest are forgotten first."""
 _END_IDS = random.SystemRandom()
 """Ids that no two nodes draw, also if their other generators are seeded alike."""
 
@@ -69,7 +71,7 @@
     reporter: EndReporter = field(default_factory=NoReporter)
     own_address: str = ""
     ledger: Quarantine = field(default_factory=Quarantine)
-    _abandoned: dict[str, dict[bytes, _AbandonedRun]] = field(default_factory=dict)
+    _abandoned: dict[bytes, _AbandonedRun] = field(default_factory=dict)
     _tasks: set["asyncio.Task[None]"] = field(default_factory=set)
 
     def find(self, fingerprint: bytes) -> QuarantinedRequest | None:
@@ -94,7 +96,8 @@
         now_s = asyncio.get_running_loop().time()
         end = RunnerEnd(fingerprint, _END_IDS.getrandbits(63), process, self.own_address)
         self.ledger.merge([end], now_s)
-        num_ended = len(self.ledger.counted_ends(fingerprint, now_s, self.has_answered))
+        ends = self.ledger.counted_ends(fingerprint, now_s, self.has_answered)
+        num_ended = num_ended_runners(ends)
         log.say(
             "runner counted as ended under a request",
             request=request_id,
@@ -127,23 +130,27 @@
         if not fingerprint:
             return
         now_s = asyncio.get_running_loop().time()
-        runs = self._abandoned.setdefault(process.runner_id, {})
-        for old in [key for key, run in runs.items() if run.at_s < now_s - ABANDONED_S]:
-            del runs[old]
-        if len(runs) < MAX_ABANDONED_PER_RUNNER:
-            runs[fingerprint] = _AbandonedRun(process, request_id, now_s)
+        self._abandoned.pop(fingerprint, None)  # entries stay in order of time
+        self._abandoned[fingerprint] = _AbandonedRun(process, request_id, now_s)
+        while len(self._abandoned) > MAX_ABANDONED or self._oldest_abandoned_s() < now_s:
+            del self._abandoned[next(iter(self._abandoned))]
+
+    def _oldest_abandoned_s(self) -> float:
+        """Time until which the oldest abandoned run is remembered."""
+        return next(iter(self._abandoned.values())).at_s + ABANDONED_S
 
     def note_runner_gone(self, runner: ServiceRunner) -> None:
         """Count the end of a process that left the list without notice, or started again."""
-        process = process_of(runner)
-        runs = self._abandoned.pop(runner.runner_id, {})
-        if not runs or runner.state is RunnerState.DRAINING:
+        if not self._abandoned or runner.state is RunnerState.DRAINING:
             return
-        now_s = asyncio.get_running_loop().time()
-        for fingerprint, run in runs.items():
-            is_recent = run.process == process and run.at_s >= now_s - ABANDONED_S
-            if is_recent and not self.has_answered(process, run.at_s):
-                reason = "the runner left the list after the request was given up"
+        process = process_of(runner)
+        oldest_s = asyncio.get_running_loop().time() - ABANDONED_S
+        reason = "the runner left the list after the request was given up"
+        for fingerprint, run in list(self._abandoned.items()):
+            if run.process != process:
+                continue
+            del self._abandoned[fingerprint]
+            if run.at_s >= oldest_s and not self.has_answered(process, run.at_s):
                 self._spawn(self.note_end(fingerprint, process, run.request_id, reason))
 
     # --- what other nodes saw ----------------------------------------------------------------
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -49,6 +49,20 @@
             self.ledger.merge([end(1)], 0.0)
         self.assertFalse(self.is_quarantined(1.0))
 
+    # Guards against requests that are rejected, since one live runner broke its answers repeatedly.
+    def test_a_process_ends_once(self) -> None:
+        runner = RunnerProcess("i-1", 0)
+        ends = [replace(end(number), process=runner) for number in range(MAX_ENDED_RUNNERS)]
+        self.ledger.merge(ends, 0.0)
+        self.assertFalse(self.is_quarantined(1.0))
+
+    # Guards against runners that end repeatedly before their entry names the new process.
+    def test_a_runner_that_starts_again_under_its_id_ends_repeatedly(self) -> None:
+        runner = RunnerProcess("i-1", 1_700_000_000_000)
+        ends = [replace(end(number), process=runner) for number in range(MAX_ENDED_RUNNERS)]
+        self.ledger.merge(ends, 0.0)
+        self.assertTrue(self.is_quarantined(1.0))
+
     def test_the_time_to_come_back_runs_from_the_latest_end(self) -> None:
         self.ledger.merge([end(1, age_s=50.0), end(2, age_s=20.0), end(3, age_s=70.0)], 100.0)
         found = self.ledger.find(REQUEST, 130.0, never)
