Own interface: a call taken over from a lost executor keeps its limit of attempts

Callers of the own interface: a call whose executors were lost one after the other was granted ever more attempts.

Cause, of the class of incident BUDGET: a limit that is counted on one path and promised for the whole. Attempts are numbered by the group, over all executors, but only the executor that itself saw an engine fail compared the number with MAX_ATTEMPTS; one that took the call over asked for the next attempt without a look. Found by reading, while looking for the same class; no record shows it.

--- a/src/bendshed/dispatch/attempt_sender.py
+++ b/src/bendshed/dispatch/attempt_sender.py
@@ -28,7 +28,8 @@
 from bendshed.wire import programs_pb2 as wire
 
 MAX_ATTEMPTS = 4
-"""Maximum attempts of one call; bounds the work that a call may cost while engines fail."""
+"""Maximum attempts of one call, over all its executors; bounds the work that a call may cost while
+engines fail."""
 MAX_RESUMES = 3
 """Maximum times that a stream is resumed at its engine before the engine counts as lost."""
 
@@ -246,7 +247,9 @@
             )
         if not cancelled:
             run.failed_runners.add(orphan.runner)
-        runner = await self._steps.wait_for_runner(run, "")
+        runner = ""
+        if orphan.attempt < MAX_ATTEMPTS:
+            runner = await self._steps.wait_for_runner(run, "")
         if not runner:
             return await self._steps.finish(
                 run,
