A try that fails answers once other nodes know which runners ended under it

Only the try with the third end waited for its report. Its caller's next try may reach another front within milliseconds, so that one which had not heard of the first two ends counted from none: four or five runners instead of three, when a push took longer than the caller. Found while writing the test with real processes, whose verdict would have depended on that race.

Every try that fails after an end now waits until the store has pushed what was reported, 0.1 s at most; one that is answered after all, by a retry at the same front, does not wait. tests/test_request_quarantine.py shows both orders; tests/test_quarantine_processes.py: real fronts and stores send such a call to three runners, over two tries and to a restarted front.

--- a/src/bendshed/catalog/quarantine_client.py
+++ b/src/bendshed/catalog/quarantine_client.py
@@ -31,8 +31,8 @@
 MAX_PENDING = 1024
 """Ends that wait for a replica machine that answers; the oldest are dropped beyond that."""
 MAX_WAIT_S = 0.1
-"""Time for which the answer to a request waits until others know that it is quarantined. Some round
-trips within a region; an isolated node must not delay its callers by more."""
+"""Time for which the answer to a request waits until others know which runners ended under it. Some
+round trips within a region; an isolated node must not delay its callers by more."""
 
 log = PartLog("quarantine")
 
@@ -75,12 +75,15 @@
         self._exchanging: asyncio.Task[None] | None = None
         transport.one_way_handlers[PUSH_METHOD] = self._receive_push
 
-    async def report(self, ends: list[RunnerEnd], waits: bool) -> None:
-        """Report ends; ``waits``: until a machine has pushed them, for ``MAX_WAIT_S`` at most."""
+    def report(self, ends: list[RunnerEnd]) -> None:
+        """Report ends in the background."""
         self._pending = [*self._pending, *ends][-MAX_PENDING:]
         if self._reporting is None or self._reporting.done():
             self._reporting = asyncio.get_running_loop().create_task(self._report_pending())
-        if waits:
+
+    async def wait_reported(self) -> None:
+        """Wait until a machine has pushed what was reported, for ``MAX_WAIT_S`` at most."""
+        if self._reporting is not None and not self._reporting.done():
             await asyncio.wait([self._reporting], timeout=MAX_WAIT_S)
 
     async def _report_pending(self) -> None:
--- a/src/bendshed/retries/quarantine.py
+++ b/src/bendshed/retries/quarantine.py
@@ -21,7 +21,7 @@
 """Time since the last end, in seconds, after which a request may be sent again. Covers the tries of
 a client and the retention of a program that returns."""
 MAX_REQUESTS = 4096
-"""Requests whose ends are stored, about 2 MB. Beyond that the ones with the fewest ends are
+"""Requests whose ends are stored, 3 to 7 MB. Beyond that the ones with the fewest ends are
 forgotten first, so that many single ends do not push out a quarantined request."""
 MAX_ENDS_PER_REQUEST = 16
 """Further ends of one request tell nothing new."""
--- a/src/bendshed/services/attempts.py
+++ b/src/bendshed/services/attempts.py
@@ -83,7 +83,8 @@
             async for chunk in self.connection.body():
                 yield chunk
         except ResponseBroken as error:
-            await self.run.note_broken(error)
+            self.run.note_broken(error)
+            await self.run.wait_shared()
             raise
 
     def close(self, is_complete: bool) -> None:
@@ -124,6 +125,7 @@
     admit_second_run: Callable[[], Awaitable[Refusal | None]] | None = None
     answered_by: str = ""
     fingerprint: bytes = field(init=False)
+    _broken_run: DispatchedRun | None = None
 
     def __post_init__(self) -> None:
         self.fingerprint = fingerprint_of(self.request, self.principal.name)
@@ -140,6 +142,12 @@
 
     async def open(self, body: bytes) -> OpenResponse | Refusal:
         """Send the request until a runner responds; return the refusal if none does."""
+        response = await self._open(body)
+        if isinstance(response, Refusal) and self._broken_run is not None:
+            await self._broken_run.wait_shared()
+        return response
+
+    async def _open(self, body: bytes) -> OpenResponse | Refusal:
         loop = asyncio.get_running_loop()
         while True:
             decision = decide_next_attempt(self.history, self.route, loop.time())
@@ -323,7 +331,8 @@
             self._count_result(AttemptResult.NO_ANSWER)
             record.note_broken(loop.time())
             self._say("attempt failed: no answer", choice, reason=str(error))
-            await run.note_broken(error)
+            run.note_broken(error)
+            self._broken_run = run
             return None
         except BaseException:
             # Includes cancellation: the response may still arrive, so do not reuse the connection.
--- a/src/bendshed/services/request_quarantine.py
+++ b/src/bendshed/services/request_quarantine.py
@@ -7,16 +7,15 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Coroutine, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import Any, Protocol
+from typing import Protocol
 
 from bendshed.logs import PartLog
 from bendshed.model.runner import RunnerProcess, RunnerState, ServiceRunner
 from bendshed.ports.http_messages import ResponseBroken
 from bendshed.retries.fingerprint import describe
 from bendshed.retries.quarantine import (
-    MAX_ENDED_RUNNERS,
     HasAnswered,
     Quarantine,
     QuarantinedRequest,
@@ -38,14 +37,20 @@
 class EndReporter(Protocol):
     """Passes ends on to other nodes."""
 
-    async def report(self, ends: list[RunnerEnd], waits: bool) -> None:
-        """Report ends; ``waits``: return once others know them, or after a limited time."""
+    def report(self, ends: list[RunnerEnd]) -> None:
+        """Report ends in the background."""
+
+    async def wait_reported(self) -> None:
+        """Wait until others know what was reported, for a limited time."""
 
 
 class NoReporter:
     """For a node that shares nothing with others."""
 
-    async def report(self, ends: list[RunnerEnd], waits: bool) -> None:
+    def report(self, ends: list[RunnerEnd]) -> None:
+        """Do nothing."""
+
+    async def wait_reported(self) -> None:
         """Do nothing."""
 
 
@@ -72,7 +77,6 @@
     own_address: str = ""
     ledger: Quarantine = field(default_factory=Quarantine)
     _abandoned: dict[bytes, _AbandonedRun] = field(default_factory=dict)
-    _tasks: set["asyncio.Task[None]"] = field(default_factory=set)
 
     def find(self, fingerprint: bytes) -> QuarantinedRequest | None:
         """Return why a request must not be sent now; ``None``: it may be sent."""
@@ -83,14 +87,10 @@
 
     # --- what this node sees -----------------------------------------------------------------
 
-    async def note_end(
+    def note_end(
         self, fingerprint: bytes, process: RunnerProcess, request_id: str, reason: str
     ) -> None:
-        """Count the end of a runner under a request, and tell other nodes.
-
-        Once the request is quarantined, return only when others know it, or after a limited time:
-        its caller returns to any of them as soon as this try fails.
-        """
+        """Count the end of a runner under a request, and tell other nodes."""
         if not fingerprint:
             return
         now_s = asyncio.get_running_loop().time()
@@ -106,7 +106,7 @@
             reason=reason,
             num_ended=num_ended,
         )
-        await self.reporter.report([end], waits=num_ended >= MAX_ENDED_RUNNERS)
+        self.reporter.report([end])
 
     def note_complete(self, fingerprint: bytes, request_id: str) -> None:
         """Clear the ends of a request that was answered completely."""
@@ -120,7 +120,7 @@
                 fingerprint=describe(fingerprint),
                 runners=sorted(end.process.runner_id for end in cleared),
             )
-            self._spawn_report(cleared)
+            self.reporter.report(cleared)
 
     def note_abandoned(self, fingerprint: bytes, process: RunnerProcess, request_id: str) -> None:
         """Remember a run that was given up before its runner answered completely.
@@ -151,7 +151,7 @@
                 continue
             del self._abandoned[fingerprint]
             if run.at_s >= oldest_s and not self.has_answered(process, run.at_s):
-                self._spawn(self.note_end(fingerprint, process, run.request_id, reason))
+                self.note_end(fingerprint, process, run.request_id, reason)
 
     # --- what other nodes saw ----------------------------------------------------------------
 
@@ -173,14 +173,6 @@
         """All ends that this node knows, for a node that may know fewer."""
         return self.ledger.ends(asyncio.get_running_loop().time()) if self.ledger else []
 
-    def _spawn_report(self, ends: list[RunnerEnd]) -> None:
-        self._spawn(self.reporter.report(ends, waits=False))
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 @dataclass(slots=True)
 class DispatchedRun:
@@ -198,12 +190,19 @@
     request_id: str
     _is_over: bool = False
 
-    async def note_broken(self, error: ResponseBroken) -> None:
+    def note_broken(self, error: ResponseBroken) -> None:
         """The response broke off, or never began; a process that misbehaves has not ended."""
         if self._is_over or not error.is_disconnected:
             return
         self._is_over = True
-        await self.quarantine.note_end(self.fingerprint, self.process, self.request_id, str(error))
+        self.quarantine.note_end(self.fingerprint, self.process, self.request_id, str(error))
+
+    async def wait_shared(self) -> None:
+        """Wait, for a limited time, until other nodes know an end that this node has seen.
+
+        The caller of a try that fails returns to any of them at once.
+        """
+        await self.quarantine.reporter.wait_reported()
 
     def note_over(self, is_complete: bool) -> None:
         """The run is over: answered completely, or given up by the caller or this node."""
--- a/src/bendshed/services/stream_exchange.py
+++ b/src/bendshed/services/stream_exchange.py
@@ -134,7 +134,8 @@
         if splitter.has_partial_event:
             if not response.head.is_framed:
                 # Without a framing, the end of the runner's process looks like the end of the body.
-                await response.run.note_broken(ResponseBroken("the connection closed midway"))
+                response.run.note_broken(ResponseBroken("the connection closed midway"))
+                await response.run.wait_shared()
             raise StreamBroken("the stream ended in the middle of an event")
         if is_stream and self.record is not None and not await self.record.finish_complete():
             raise StreamBroken("the turn's end could not be committed")
--- a/tests/site_quarantine_defects.py
+++ b/tests/site_quarantine_defects.py
@@ -132,8 +132,9 @@
 )
 
 
-async def _tell_nobody(_client: QuarantineClient, *_arguments: object) -> None:
+async def _reach_nobody(_client: QuarantineClient, *_arguments: object, **_only: object) -> bool:
     """Ends stay at the front that saw them."""
+    return False
 
 
 _REAL_NOTE_VERSION = QuarantineClient.note_version
@@ -153,7 +154,7 @@
         Rule.ENDED, a_call_ends_runners, patch(Quarantine, "find", lambda *_: None)
     ),
     "ends count at the front that saw them alone": Defect(
-        Rule.ENDED, a_call_ends_runners, patch(QuarantineClient, "report", _tell_nobody)
+        Rule.ENDED, a_stream_ends_runners, patch(QuarantineClient, "_exchange", _reach_nobody)
     ),
     "each try has a fingerprint of its own": Defect(
         Rule.ENDED, a_stream_ends_runners, patch(attempts, "fingerprint_of", _fingerprint_of_try)
--- a/tests/test_quarantine_exchange.py
+++ b/tests/test_quarantine_exchange.py
@@ -78,15 +78,17 @@
     async def test_a_report_goes_to_the_first_machine_that_answers(self) -> None:
         self.sender.silent = {STORE}
         self.sender.reply = EndsReply((end(2),), 7)
-        await self.client.report([end(1)], waits=True)
+        self.client.report([end(1)])
+        await self.client.wait_reported()
         self.assertEqual(self.sender.requests, [(OTHER_STORE, EndsRequest((end(1),), False))])
         self.assertEqual(self.sink.received, [end(2)])
 
     async def test_ends_that_come_while_a_report_is_under_way_go_together(self) -> None:
-        await self.client.report([end(1)], waits=False)
+        self.client.report([end(1)])
         await asyncio.sleep(0)
-        await self.client.report([end(2)], waits=False)
-        await self.client.report([end(3)], waits=True)
+        self.client.report([end(2)])
+        self.client.report([end(3)])
+        await self.client.wait_reported()
         sent = [[row.end_id for row in request.ends] for _peer, request in self.sender.requests]
         self.assertEqual(sent, [[1], [2, 3]])
 
@@ -97,12 +99,13 @@
             mock.patch.object(quarantine_client, "MAX_WAIT_S", 0.0),
             mock.patch.object(quarantine_client, "RETRY_S", 0.0),
         ):
-            await self.client.report([end(1)], waits=True)
+            self.client.report([end(1)])
+            await self.client.wait_reported()
             reporting = self.client._reporting
             assert reporting is not None
             self.assertFalse(reporting.done())
             self.sender.silent.clear()
-            await self.client.report([end(2)], waits=False)
+            self.client.report([end(2)])
             await reporting
         reported = [row.end_id for _peer, request in self.sender.requests for row in request.ends]
         self.assertEqual(reported, [1, 2])
@@ -208,6 +211,7 @@
     async def test_reports_that_come_close_together_are_pushed_together(self) -> None:
         await self.report(end(0))
         self.sent.clear()
-        await asyncio.gather(*(self.report(end(number)) for number in range(1, 50)))
+        ends = [end(number, number.to_bytes(16, "big")) for number in range(1, 50)]
+        await asyncio.gather(*(self.report(row) for row in ends))
         (push,) = [push for peer, _method, push in self.sent if peer == FRONTS[0]]
         self.assertEqual({row.end_id for row in push.ends}, set(range(1, 50)))
--- /dev/null
+++ b/tests/test_quarantine_processes.py
@@ -0,0 +1,65 @@
+"""Real front and store processes: a request under which runners end is sent to three of them."""
+
+import signal
+import tempfile
+import unittest
+from pathlib import Path
+
+from bendshed.operators.explanation import QUARANTINED_MESSAGE
+from bendshed.platform import names
+from bendshed.rehearsal.site.demo import make_program
+from bendshed.rehearsal.site.http_runner import RunnerServer
+from bendshed.rehearsal.site.installation import SiteInstallation
+from bendshed.rehearsal.site.programs import ProgramPlan
+from bendshed.rehearsal.site.records import Kind
+from bendshed.rehearsal.site.runner import FatalInput
+from bendshed.retries.quarantine import MAX_ENDED_RUNNERS
+
+FATAL = ProgramPlan(turns=0, tools=0, fatal=FatalInput.BEFORE_HEAD, fatal_kind=Kind.REPEATABLE)
+EXCHANGED_MESSAGE = "quarantine: ends received from other nodes"
+
+
+class QuarantineProcessesTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against tries that pass unrecognized through real headers, messages and restarts.
+    async def test_fronts_share_which_runners_ended(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            site = SiteInstallation(Path(folder))
+            try:
+                await site.start()
+                for server in site.runners:
+                    server.runner.on_fatal_input = lambda *_, server=server: break_all(server)
+                await make_program(site, "p", FATAL).run()
+                self._check(site)
+                await self._return_to_a_restarted_front(site)
+                self._check(site)
+                calm = make_program(site, "calm", ProgramPlan(turns=1, tools=2))
+                await calm.run()
+                self.assertTrue(calm.finished)
+            finally:
+                await site.stop()
+
+    async def _return_to_a_restarted_front(self, site: SiteInstallation) -> None:
+        front = site.fronts["front-1"]
+        num_before = front.log.read_text().count(EXCHANGED_MESSAGE)
+        await front.end(signal.SIGKILL)
+        await front.start()
+        await site.wait_ready(front)
+        await site.wait_for_line(front, EXCHANGED_MESSAGE, num_before + 1)
+        num_sent = len(site.seen.requests)
+        await make_program(site, "p", FATAL, [front.name]).run()
+        self.assertEqual({r.status for r in site.seen.requests[num_sent:]}, {503})
+
+    def _check(self, site: SiteInstallation) -> None:
+        fatal = [run for run in site.seen.runs if run.body == FATAL.fatal.encode()]
+        self.assertEqual(len(fatal), MAX_ENDED_RUNNERS)
+        statuses = [request.status for request in site.seen.requests if request.program_id == "p"]
+        self.assertIn(503, statuses)
+        logs = "".join(front.log.read_text() for front in site.fronts.values())
+        self.assertIn(QUARANTINED_MESSAGE, logs)
+        self.assertNotIn(names.AUTHORIZATION.decode(), logs)
+
+
+def break_all(server: RunnerServer) -> None:
+    """The runner's process ends, and another starts in its place at once."""
+    for connection in list(server._connections):
+        connection.close()
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -77,6 +77,37 @@
             self.assertTrue((await self.front.send()).is_broken)
             self.avoid_last_runner()
 
+    # Guards against a caller that returns to another node before that one knows what it ended.
+    async def test_a_try_fails_once_other_nodes_know_the_ends(self) -> None:
+        told: list[str] = []
+        reporter = mock.Mock()
+        reporter.report = lambda ends: told.extend("end" for _ in ends)
+        reporter.wait_reported = mock.AsyncMock(side_effect=lambda: told.append("shared"))
+        self.quarantine.reporter = reporter
+        self.front.put(replace(ROUTE, max_attempts=2))
+        self.behave("loses")
+        caller = await self.front.send()
+        assert caller.refusal is not None
+        self.assertEqual(told, ["end", "end", "shared"])
+        told.clear()
+        self.front.put(RESUMABLE)
+        with mock.patch.object(FakeConnection, "body", broken_body(event_bytes("x", 0))):
+            self.behave("")
+            self.assertTrue((await self.front.send(1)).is_broken)
+        self.assertEqual(told, ["end", "shared"])
+
+    async def test_a_try_that_is_answered_does_not_wait(self) -> None:
+        reporter = mock.Mock()
+        reporter.wait_reported = mock.AsyncMock()
+        self.quarantine.reporter = reporter
+        self.front.put(replace(ROUTE, max_attempts=len(RUNNERS)))
+        self.front.runners.behaviour = dict.fromkeys(CLOSED_RUNNERS, "loses")
+        for number in range(8):
+            self.avoid_none()
+            self.assertIsNone((await self.front.send(number)).refusal)
+        reporter.report.assert_called()  # runners of the front's own zone come first
+        reporter.wait_reported.assert_not_awaited()
+
     async def test_other_requests_are_sent(self) -> None:
         await self.end_runners(MAX_ENDED_RUNNERS)
         self.behave("")
@@ -177,7 +208,7 @@
 
     async def test_requests_without_a_session_are_not_counted(self) -> None:
         self.behave("loses")
-        await self.quarantine.note_end(b"", RunnerProcess("i", 0), "r", "closed")
+        self.quarantine.note_end(b"", RunnerProcess("i", 0), "r", "closed")
         self.assertEqual(self.quarantine.all_ends(), [])
 
     # Guards against a request that is sent although another node's report came while it connected.
@@ -219,8 +250,6 @@
     async def remove(self, runner_id: str) -> list[RunnerEnd]:
         now_s = asyncio.get_running_loop().time()
         self.front.table.remove(runner_id, now_s, is_trusted=True)
-        for _ in range(3):
-            await asyncio.sleep(0)
         return self.quarantine.all_ends()
 
     # Guards against requests that end runners which fall silent instead of closing connections.
@@ -234,8 +263,6 @@
             self.front.table.put(replace(listed(name), born_ms=1))
         runner_id = await self.abandon()
         self.front.table.put(replace(listed(runner_id), born_ms=2))
-        for _ in range(3):
-            await asyncio.sleep(0)
         (end,) = self.quarantine.all_ends()
         self.assertEqual(end.process, RunnerProcess(runner_id, 1))
 
