A runner that refuses connections has ended under the runs that were given up there

The second end counted when its entry lapsed, 3.6 s later; meanwhile the same front was refused a connection to that runner, and sent the request to one more. A failed connection now counts the runs that this front gave up there in the last 10 s, until the runner answers.

Ends that break connections count at once, as before. test_one_that_refuses_connections_has_ended failed before.

--- a/src/bendshed/rehearsal/site/runner.py
+++ b/src/bendshed/rehearsal/site/runner.py
@@ -82,7 +82,9 @@
     """A runner's process that ended under a request.
 
     Attributes:
-        is_calm: all machines were in touch then.
+        at_s: when the platform shows that it ended: its connections break at once, or, if it fell
+            silent, its entry lapses later.
+        is_calm: all machines were in touch when it ended.
 
     """
 
--- a/src/bendshed/services/attempts.py
+++ b/src/bendshed/services/attempts.py
@@ -266,6 +266,7 @@
             self.history.record_unreachable(runner.runner_id)
             self._count_result(AttemptResult.UNREACHABLE)
             record.note_unreachable(loop.time())
+            self.ports.table.quarantine.note_unreachable(runner)
             self._say("attempt failed: runner unreachable", choice, reason=str(error))
             return None
         if not self.placement.may_dispatch_to(record, choice.permit, loop.time()):
--- a/src/bendshed/services/request_quarantine.py
+++ b/src/bendshed/services/request_quarantine.py
@@ -24,8 +24,9 @@
 )
 
 ABANDONED_S = 10.0
-"""A runner that leaves the list without notice within this time of a run that was given up has
-ended under that run. Covers three heartbeats of a silent runner and the list's way."""
+"""A runner that leaves the list without notice, or refuses connections, within this time of a run
+that was given up has ended under that run. Covers three heartbeats of a silent runner and the
+list's way."""
 MAX_ABANDONED = 1024
 """Abandoned runs that are remembered, about 0.3 MB; the oldest are forgotten first."""
 _END_IDS = random.SystemRandom()
@@ -141,11 +142,22 @@
 
     def note_runner_gone(self, runner: ServiceRunner) -> None:
         """Count the end of a process that left the list without notice, or started again."""
-        if not self._abandoned or runner.state is RunnerState.DRAINING:
+        if runner.state is not RunnerState.DRAINING:
+            self._count_abandoned(
+                process_of(runner), "the runner left the list after the request was given up"
+            )
+
+    def note_unreachable(self, runner: ServiceRunner) -> None:
+        """Count the end of a process to which no connection can be opened any more."""
+        self._count_abandoned(
+            process_of(runner), "no connection could be opened after the request was given up"
+        )
+
+    def _count_abandoned(self, process: RunnerProcess, reason: str) -> None:
+        """Count the end of a process under the runs that were given up there lately."""
+        if not self._abandoned:
             return
-        process = process_of(runner)
         oldest_s = asyncio.get_running_loop().time() - ABANDONED_S
-        reason = "the runner left the list after the request was given up"
         for fingerprint, run in list(self._abandoned.items()):
             if run.process != process:
                 continue
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -258,6 +258,17 @@
         (end,) = await self.remove(runner_id)
         self.assertEqual(end.process.runner_id, runner_id)
 
+    # Guards against a silent runner that counts only once its entry has lapsed, seconds later.
+    async def test_one_that_refuses_connections_has_ended(self) -> None:
+        runner_id = await self.abandon()
+        self.assertEqual(self.quarantine.all_ends(), [])
+        self.front.runners.behaviour = {runner_id: "refuses"}
+        for other in {*RUNNERS} - {runner_id}:
+            await self.remove(other)
+        await self.front.send(1)
+        (end,) = self.quarantine.all_ends()
+        self.assertEqual(end.process.runner_id, runner_id)
+
     async def test_one_that_starts_again_has_ended(self) -> None:
         for name in RUNNERS:
             self.front.table.put(replace(listed(name), born_ms=1))
