Quarantine: what a review of the diff found

- A try that broke with wrong bytes, or of a request that cannot be recognized, does not wait for reports of other requests.
- An entry whose start only becomes known (from a build that passes none on) is no restart of its runner.
- An address that another runner uses shows that the former one has ended, as a refused connection does.
- The switch `request_quarantine` also stops counting.
- Names and comments in the terms of the glossary.

--- a/src/bendshed/catalog/quarantine_client.py
+++ b/src/bendshed/catalog/quarantine_client.py
@@ -121,16 +121,16 @@
     def note_version(self, machine: Address, version: int) -> None:
         """Exchange all ends with a machine that knows another version of them than this node.
 
-        A machine that knows none, since it has just started, is told what this node knows.
+        A machine that knows none, since it has just started, receives what this node knows.
         """
-        if version == self._known_version.get(machine, 0) and not self._must_tell(version):
+        if version == self._known_version.get(machine, 0) and not self._knows_more(version):
             return
         loop = asyncio.get_running_loop()
         if loop.time() >= self._next_exchange_s:
             self._next_exchange_s = loop.time() + EXCHANGE_INTERVAL_S
             self._exchanging = loop.create_task(self._exchange_all(machine))
 
-    def _must_tell(self, version: int) -> bool:
+    def _knows_more(self, version: int) -> bool:
         return version == 0 and bool(self._sink.all_ends())
 
     async def _exchange_all(self, machine: Address) -> None:
--- a/src/bendshed/catalog/quarantine_server.py
+++ b/src/bendshed/catalog/quarantine_server.py
@@ -31,7 +31,7 @@
 
 
 class QuarantineServer:
-    """The ends that a replica machine knows, and whom it tells."""
+    """The ends that a replica machine knows, and the nodes that it notifies."""
 
     def __init__(
         self,
@@ -77,7 +77,7 @@
         return EndsReply(ends, self.version).encode()
 
     def apply_ends(self, ends: Sequence[RunnerEnd]) -> None:
-        """Apply ends of another replica machine, which has told the others itself."""
+        """Apply ends of another replica machine, which notifies the other ones itself."""
         self._merge(ends)
         self._schedule_push()
 
--- a/src/bendshed/retries/quarantine.py
+++ b/src/bendshed/retries/quarantine.py
@@ -24,7 +24,7 @@
 """Requests whose ends are stored, 3 to 7 MB. Beyond that the ones with the fewest ends are
 forgotten first, so that many single ends do not push out a quarantined request."""
 MAX_ENDS_PER_REQUEST = 16
-"""Further ends of one request tell nothing new."""
+"""Further ends of one request do not change the decision."""
 EXPIRY_INTERVAL_S = 10.0
 
 HasAnswered = Callable[[RunnerProcess, float], bool]
@@ -104,7 +104,7 @@
         return len(self._by_request)
 
     def merge(self, ends: Iterable[RunnerEnd], now_s: float) -> list[RunnerEnd]:
-        """Add ends, or clear known ones; return those that told anything new."""
+        """Add ends, or clear known ones; return those that were new."""
         self._expire(now_s)
         return [end for end in ends if self._merge_one(end, now_s)]
 
--- a/src/bendshed/services/attempts.py
+++ b/src/bendshed/services/attempts.py
@@ -36,7 +36,7 @@
     refusal_of_quarantined,
     refusal_or_outcome_unknown,
 )
-from bendshed.retries.fingerprint import describe, fingerprint_of
+from bendshed.retries.fingerprint import NO_FINGERPRINT, describe, fingerprint_of
 from bendshed.retries.history import AttemptHistory
 from bendshed.retries.quarantine import QuarantinedRequest
 from bendshed.services.metrics import AttemptResult
@@ -59,7 +59,7 @@
 
     Attributes:
         sent_s: loop time at which the request was dispatched.
-        run: tells the quarantine what becomes of the dispatch.
+        run: reports the outcome of the dispatch to the quarantine.
         dispatched_version: what was known of the process's software version at the dispatch.
 
     """
@@ -253,6 +253,7 @@
                 )
             case ResponseClass.OTHER_RUNNER:
                 record.note_unreachable(asyncio.get_running_loop().time())
+                self.ports.table.quarantine.note_unreachable(runner)
                 await self._drain_not_run_response(response, "another runner uses the address")
         return None
 
@@ -346,8 +347,10 @@
         """Follow a dispatch to the process behind a connection."""
         born_ms = connection.reported.born_ms or record.listed.born_ms or 0
         process = RunnerProcess(record.listed.runner_id, born_ms)
+        is_counted = self.ports.policy.request_quarantine
+        fingerprint = self.fingerprint if is_counted else NO_FINGERPRINT
         quarantine = self.ports.table.quarantine
-        return DispatchedRun(quarantine, self.fingerprint, process, self.request.request_id)
+        return DispatchedRun(quarantine, fingerprint, process, self.request.request_id)
 
     def _runner_dispatch(self, choice: Choice, left_ms: int) -> RunnerDispatch:
         principal = self.principal
--- a/src/bendshed/services/request_quarantine.py
+++ b/src/bendshed/services/request_quarantine.py
@@ -91,7 +91,7 @@
     def note_end(
         self, fingerprint: bytes, process: RunnerProcess, request_id: str, reason: str
     ) -> None:
-        """Count the end of a runner under a request, and tell other nodes."""
+        """Count the end of a runner under a request, and report it to other nodes."""
         if not fingerprint:
             return
         now_s = asyncio.get_running_loop().time()
@@ -201,20 +201,23 @@
     process: RunnerProcess
     request_id: str
     _is_over: bool = False
+    _has_ended_runner: bool = False
 
     def note_broken(self, error: ResponseBroken) -> None:
         """The response broke off, or never began; a process that misbehaves has not ended."""
         if self._is_over or not error.is_disconnected:
             return
         self._is_over = True
+        self._has_ended_runner = bool(self.fingerprint)
         self.quarantine.note_end(self.fingerprint, self.process, self.request_id, str(error))
 
     async def wait_shared(self) -> None:
-        """Wait, for a limited time, until other nodes know an end that this node has seen.
+        """Wait, for a limited time, until other nodes know the end of the runner, if it ended.
 
         The caller of a try that fails returns to any of them at once.
         """
-        await self.quarantine.reporter.wait_reported()
+        if self._has_ended_runner:
+            await self.quarantine.reporter.wait_reported()
 
     def note_over(self, is_complete: bool) -> None:
         """The run is over: answered completely, or given up by the caller or this node."""
--- a/src/bendshed/services/runners.py
+++ b/src/bendshed/services/runners.py
@@ -77,7 +77,7 @@
             self.by_id[runner.runner_id] = record
         else:
             self._count(record.listed, -1)
-            if record.listed.born_ms != runner.born_ms:
+            if record.listed.born_ms and runner.born_ms not in (None, record.listed.born_ms):
                 self.quarantine.note_runner_gone(record.listed)
             if record.listed.service != runner.service:
                 self._by_service(record.listed.service).pop(runner.runner_id, None)
--- a/tests/site_quarantine_defects.py
+++ b/tests/site_quarantine_defects.py
@@ -172,7 +172,7 @@
         fronts_restart_behind_endings,
         patch(QuarantineClient, "note_version", lambda *_: None),
     ),
-    "replica machines that restart are told nothing": Defect(
+    "replica machines that restart learn nothing": Defect(
         Rule.ENDED,
         stores_restart_behind_endings,
         patch(QuarantineClient, "note_version", _ignore_machines_without_ends),
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -206,6 +206,13 @@
         self.assertIsNone((await self.front.send()).refusal)
         await self.end_runners(MAX_ENDED_RUNNERS)
 
+    async def test_nothing_is_counted_while_the_rule_is_switched_off(self) -> None:
+        ports = self.front.forwarder._runner_ports
+        switched_off = replace(ports, policy=replace(ports.policy, request_quarantine=False))
+        self.front.forwarder._runner_ports = switched_off
+        await self.end_runners(MAX_ENDED_RUNNERS + 1)
+        self.assertEqual(self.quarantine.all_ends(), [])
+
     async def test_requests_without_a_session_are_not_counted(self) -> None:
         self.behave("loses")
         self.quarantine.note_end(b"", RunnerProcess("i", 0), "r", "closed")
@@ -277,6 +284,21 @@
         (end,) = self.quarantine.all_ends()
         self.assertEqual(end.process, RunnerProcess(runner_id, 1))
 
+    # Guards against runners that count as ended, since their starts became known.
+    async def test_one_whose_start_becomes_known_has_not(self) -> None:
+        runner_id = await self.abandon()
+        self.front.table.put(replace(listed(runner_id), born_ms=2))
+        self.assertEqual(self.quarantine.all_ends(), [])
+
+    async def test_one_whose_address_another_runner_uses_has_ended(self) -> None:
+        runner_id = await self.abandon()
+        for other in {*RUNNERS} - {runner_id}:
+            await self.remove(other)
+        other_runner = mock.AsyncMock(side_effect=lambda _request: ResponseHead(421, [], True))
+        with mock.patch.object(FakeConnection, "send", other_runner):
+            await self.front.send(1)
+        self.assertEqual(len(self.quarantine.all_ends()), 1)
+
     async def test_one_that_drained_has_not(self) -> None:
         runner_id = await self.abandon()
         self.front.table.put(replace(listed(runner_id), state=RunnerState.DRAINING))
