--- a/review/standins/loopback_site.py
+++ b/review/standins/loopback_site.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import time
+import zlib
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -381,11 +382,13 @@
         head += "X-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
         writer.write((head + "Transfer-Encoding: chunked\r\n\r\n").encode())
         first = int(request.get("last-event-id", "0") or 0)
+        prompt = f"{zlib.crc32(request.body):08x}"
         for number in range(first + 1, self.num_events + 1):
             if self.in_stream is not None and await self.in_stream(self, request, number, writer):
                 run.state = f"broken off before event {number}"
                 return
-            event = f"id: {number}\ndata: {run.request_id} says {number}\n\n".encode()
+            # The same prompt gives the same words, at any runner and from any event on.
+            event = f"id: {number}\ndata: {prompt} word {number}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
             await asyncio.sleep(self.event_gap_s)
