--- a/review/standins/loopback_site.py
+++ b/review/standins/loopback_site.py
@@ -183,6 +183,7 @@
         self.changed = asyncio.Event()
         self.delay_s: Callable[[str, Request], float] = lambda _peer, _request: 0.004
         self.refuse: Callable[[str, Request], int] = lambda _peer, _request: 0
+        self.connections: list[dict] = []
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str) -> None:
@@ -217,21 +218,28 @@
         self.changed = asyncio.Event()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        peer = writer.get_extra_info("peername")[0]
+        peer, port = writer.get_extra_info("peername")[:2]
+        connection = {"port": port, "target": "", "since_s": 0.0, "is_silent": False}
+        self.connections.append(connection)
         try:
             while True:
                 request = await read_request(reader)
+                connection |= {"target": request.target, "since_s": time.monotonic()}
                 status = self.refuse(peer, request)
                 content: object = {}
                 if not status:
                     status, content = await self._answer(request)
                 await asyncio.sleep(self.delay_s(peer, request))
+                if connection["is_silent"]:
+                    await reader.read()  # nothing comes from here any more; it stays open
+                    return
                 headers = {"Content-Type": "application/json"}
                 writer.write(encode_answer(status, headers, json.dumps(content).encode()))
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # the process left, or the case is over
         finally:
+            self.connections.remove(connection)
             writer.close()
 
     async def _answer(self, request: Request) -> tuple[int, object]:
@@ -564,6 +572,22 @@
         answer = await send((front.ip, READY_PORT), "GET", "/ready", {}, timeout_s=1.0)
         return answer.status == 200
 
+    def connections_of(self, process: Process) -> list[dict]:
+        """A process's open connections to the platform's store, told by their ports."""
+        assert process.popen is not None
+        inodes = set()
+        for link in Path(f"/proc/{process.popen.pid}/fd").iterdir():
+            try:
+                inodes.add(os.readlink(link).removeprefix("socket:[").removesuffix("]"))
+            except OSError:
+                continue
+        ports = set()
+        for row in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            fields = row.split()
+            if fields[9] in inodes:
+                ports.add(int(fields[1].split(":")[1], 16))
+        return [row for row in self.platform.connections if row["port"] in ports]
+
     def leader(self) -> str:
         """Name of the store that said last that it leads; for the choice of whom to strike."""
         found: tuple[float, str] = (0.0, "")
