Review: report; case 3 silences the connection that waits

Cause: the stand-in of case 3 could silence an idle connection in place of the one that waits, so that some plays held.

--- a/review/standins/loopback_site.py
+++ b/review/standins/loopback_site.py
@@ -236,6 +236,7 @@
                 headers = {"Content-Type": "application/json"}
                 writer.write(encode_answer(status, headers, json.dumps(content).encode()))
                 await writer.drain()
+                connection["target"] = ""  # nothing is asked on it now
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # the process left, or the case is over
         finally:
