Watches of the registry are the product's own; the platform names and decodes the objects

Cause: which kinds a front or a store watches, for how long and what a change does to the node stood in platform/front.py and platform/replica.py, which cannot run without sockets, so no simulated site played them.

Change: services/registry_watches.py (FrontWatches) and turns/registry_watches.py (ReplicaWatches) hold the watches; the platform passes a RegistryFormat with its names and decoders.

--- a/src/bendshed/platform/front.py
+++ b/src/bendshed/platform/front.py
@@ -10,24 +10,19 @@
 from bendshed.adapters.connection_pool import ConnectionPool
 from bendshed.adapters.http_server import make_server
 from bendshed.adapters.tcp_transport import TcpTransport
-from bendshed.catalog.reading import RegistryReading
-from bendshed.catalog.watcher import MAX_RETRY_GROWTH, KindHandler, KindWatcher
-from bendshed.catalog.zones import make_registry_update
 from bendshed.gateway.forwarding import ForwardingApplication
 from bendshed.logs import PartLog
 from bendshed.model.address import Address
 from bendshed.model.service_document import ServiceDocument
-from bendshed.platform import names
 from bendshed.platform.caller_protocol import PlatformCallerProtocol
 from bendshed.platform.listeners import Listeners
 from bendshed.platform.objects import ObjectApi
 from bendshed.platform.runner_protocol import PlatformRunnerProtocol
 from bendshed.platform.settings import SiteSettings
-from bendshed.platform.translate import read_document, read_replica, read_runner
-from bendshed.ports.objects import ObjectEvent, ObjectList, StoredObject
-from bendshed.ports.store import StoreUnavailable
+from bendshed.platform.translate import REGISTRY_FORMAT
 from bendshed.services.metrics import ServiceMetrics
 from bendshed.services.node import NodeLocation, ServiceNode
+from bendshed.services.registry_watches import FrontWatches
 from bendshed.tasks import start_loop
 
 RUNNER_CONNECT_TIMEOUT_S = 0.6
@@ -58,7 +53,6 @@
         self._api = ObjectApi(Address.parse(settings.platform.addr))
         self._connections = ConnectionPool(RUNNER_CONNECT_TIMEOUT_S)
         times = settings.catalog_times
-        self._startup_wait_s = times.max_age_s
         self._node = ServiceNode(
             self._transport,
             self._connections,
@@ -78,38 +72,23 @@
             self._node.forwarder, PlatformCallerProtocol(), lambda: self._node.is_isolated
         )
         self._server = make_server(self._application)
-        self._runner_watch = self._watch(
-            names.RUNNER_KIND,
-            KindHandler(self._set_runners, self._on_runner, self._node.catalog.note_registry_read),
-            self._short_watch_s(),
+        self._watches = FrontWatches(
+            self._api,
+            REGISTRY_FORMAT,
+            self._node,
+            times,
+            self._rng,
+            SHORT_WATCH_SHARE * (settings.bounds.contactMs + settings.bounds.applyMs) / 1000,
+            BATCH_INTERVAL_SHARE * settings.apply_s,
         )
-        long_watch_s = times.idle_wait_s
-        self._other_watches = [
-            self._watch(
-                names.CONFIGURATION_KIND,
-                KindHandler.of_items(self._apply_configuration),
-                long_watch_s,
-            ),
-            self._watch(names.REPLICA_KIND, KindHandler.of_items(self._put_replica), long_watch_s),
-        ]
-        if times.follows_zones:
-            handler = KindHandler.of_names(self._apply_zones)
-            zones = self._watch(names.CLOSED_ZONE_KIND, handler, times.zones_wait_s)
-            zones.is_first_watch_short = True
-            self._other_watches.append(zones)
-        self._reading = RegistryReading(self._node.catalog, self._runner_watch, self._other_watches)
-        self._node.forwarder.is_current = self._is_configuration_current
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve until ``stopping`` is set, then drain."""
         await self._transport.start()
-        watchers = [self._runner_watch, *self._other_watches]
-        tasks = [start_loop(watcher.run(), "platform") for watcher in watchers]
+        tasks = self._watches.start()
         tasks.append(start_loop(self._node.watch_turn_log(), "turns"))
         tasks.append(start_loop(self._node.catalog.run(), "catalog"))
         tasks.append(start_loop(self._node.quotas.report_until_cancelled(), "quota"))
-        waiting = self._reading.wait_for_update(self._load_replicas, self._startup_wait_s)
-        tasks.append(start_loop(waiting, "registry"))
         sockets = list(self._listeners.sockets)
         server_task = asyncio.get_running_loop().create_task(self._server.serve(sockets=sockets))
         log.say("started", name=self._settings.nodeName, zone=self._settings.zone)
@@ -154,52 +133,6 @@
             is_ready = self._node.is_ready
             await send_text(send, READY_STATUS if is_ready else NOT_READY_STATUS, b"")
 
-    def _is_configuration_current(self) -> bool:
-        """Return whether replica machines or the store keep the configuration current."""
-        return self._node.catalog.is_fresh or not self._reading.is_lost
-
     def _apply_limits(self, document: ServiceDocument) -> None:
         idle_s = document.limits.idle_timeout_ms // 1000 + IDLE_TIMEOUT_MARGIN_S
         self._server.config.timeout_keep_alive = idle_s
-
-    # --- changes read from the store -----------------------------------------------------
-
-    def _short_watch_s(self) -> float:
-        bounds = self._settings.bounds
-        return SHORT_WATCH_SHARE * (bounds.contactMs + bounds.applyMs) / 1000
-
-    def _watch(self, kind: str, handler: KindHandler, wait_s: float) -> KindWatcher:
-        pace_s = BATCH_INTERVAL_SHARE * self._settings.apply_s
-        return KindWatcher(self._api, kind, handler, wait_s, self._rng, pace_s, MAX_RETRY_GROWTH)
-
-    async def _load_replicas(self) -> bool:
-        """Read the list of replica machines; a list that is seconds old is sufficient."""
-        try:
-            listed = await self._api.list(names.REPLICA_KIND, may_be_stale=True)
-        except StoreUnavailable as error:
-            log.say("replica machines unknown: registry unavailable", reason=str(error))
-            return False
-        for item in listed.items:
-            self._put_replica(item)
-        return bool(self._node.directory.by_name)
-
-    def _set_runners(self, listed: ObjectList) -> None:
-        runners = [read_runner(item) for item in listed.items]
-        self._node.replace_runners(runners, is_trusted=self._runner_watch.is_trusted)
-
-    def _on_runner(self, event: ObjectEvent) -> None:
-        if event.is_deleted:
-            self._node.remove_runner(event.object.name, self._runner_watch.is_trusted)
-        else:
-            self._node.put_runner(read_runner(event.object))
-
-    def _apply_configuration(self, item: StoredObject) -> None:
-        if item.name == names.CONFIGURATION_NAME:
-            self._node.apply_document(read_document(item.spec))
-
-    def _apply_zones(self, zones: frozenset[str], revision: int, deleted: frozenset[str]) -> None:
-        self._node.apply_zones(make_registry_update(zones, revision, deleted))
-        self._node.zones.confirm(0.0)
-
-    def _put_replica(self, item: StoredObject) -> None:
-        self._node.directory.put(read_replica(item))
--- a/src/bendshed/platform/translate.py
+++ b/src/bendshed/platform/translate.py
@@ -15,8 +15,10 @@
     Tenant,
     WeightedService,
 )
+from bendshed.platform import names
 from bendshed.ports.objects import StoredObject
 from bendshed.ports.registry import ReplicaNode
+from bendshed.ports.registry_objects import RegistryFormat
 
 
 def read_document(spec: Any) -> ServiceDocument:
@@ -129,3 +131,16 @@
     return ReplicaNode(
         item.name, str(row["nodeId"]), Address.parse(str(row["addr"])), str(row["zone"])
     )
+
+
+REGISTRY_FORMAT = RegistryFormat(
+    names.RUNNER_KIND,
+    names.CONFIGURATION_KIND,
+    names.CONFIGURATION_NAME,
+    names.REPLICA_KIND,
+    names.RETIREMENT_KIND,
+    names.CLOSED_ZONE_KIND,
+    read_document,
+    read_runner,
+    read_replica,
+)
--- /dev/null
+++ b/src/bendshed/services/registry_watches.py
@@ -0,0 +1,128 @@
+"""A front's watches of the registry: runners, configuration, replica machines, closed zones."""
+
+import asyncio
+import random
+
+from bendshed.catalog.reading import RegistryReading
+from bendshed.catalog.times import CatalogTimes
+from bendshed.catalog.watcher import MAX_RETRY_GROWTH, KindHandler, KindWatcher
+from bendshed.catalog.zones import make_registry_update
+from bendshed.logs import PartLog
+from bendshed.ports.objects import ObjectEvent, ObjectList, ObjectSource, StoredObject
+from bendshed.ports.registry_objects import RegistryFormat
+from bendshed.ports.store import StoreUnavailable
+from bendshed.services.node import ServiceNode
+from bendshed.tasks import start_loop
+
+log = PartLog("front")
+
+
+class FrontWatches:
+    """Passes what the registry holds on to a ``ServiceNode``, while no machine reads for it.
+
+    Args:
+        source: read access to the registry.
+        registry_format: names and encoding of its objects.
+        node: gets all changes.
+        times: waits and pauses of the watches.
+        runner_wait_s: longest wait of the watch of runners, in seconds.
+        pause_s: pause between two watches of a kind, in seconds.
+
+    Attributes:
+        reading: pauses and resumes the watches.
+
+    """
+
+    def __init__(
+        self,
+        source: ObjectSource,
+        registry_format: RegistryFormat,
+        node: ServiceNode,
+        times: CatalogTimes,
+        rng: random.Random,
+        runner_wait_s: float,
+        pause_s: float,
+    ) -> None:
+        self._source = source
+        self._format = registry_format
+        self._node = node
+        self._times = times
+        self._rng = rng
+        self._pause_s = pause_s
+        self._runners = self._watch(
+            registry_format.runner_kind,
+            KindHandler(self._set_runners, self._on_runner, node.catalog.note_registry_read),
+            runner_wait_s,
+        )
+        others = [
+            self._watch(
+                registry_format.configuration_kind,
+                KindHandler.of_items(self._apply_configuration),
+                times.idle_wait_s,
+            ),
+            self._watch(
+                registry_format.replica_kind,
+                KindHandler.of_items(self._put_replica),
+                times.idle_wait_s,
+            ),
+        ]
+        if times.follows_zones:
+            others.append(self._watch_zones())
+        self._watches = [self._runners, *others]
+        self.reading = RegistryReading(node.catalog, self._runners, others)
+        node.forwarder.is_current = self._is_configuration_current
+
+    def _watch(self, kind: str, handler: KindHandler, wait_s: float) -> KindWatcher:
+        return KindWatcher(
+            self._source, kind, handler, wait_s, self._rng, self._pause_s, MAX_RETRY_GROWTH
+        )
+
+    def _watch_zones(self) -> KindWatcher:
+        handler = KindHandler.of_names(self._apply_zones)
+        zones = self._watch(self._format.closed_zone_kind, handler, self._times.zones_wait_s)
+        zones.is_first_watch_short = True
+        return zones
+
+    def start(self) -> "list[asyncio.Task[None]]":
+        """Start the watches; they begin to read once other machines had time to send updates."""
+        tasks = [start_loop(watcher.run(), "platform") for watcher in self._watches]
+        waiting = self.reading.wait_for_update(self._load_replicas, self._times.max_age_s)
+        return [*tasks, start_loop(waiting, "registry")]
+
+    def _is_configuration_current(self) -> bool:
+        """Return whether replica machines or the registry keep the configuration current."""
+        return self._node.catalog.is_fresh or not self.reading.is_lost
+
+    async def _load_replicas(self) -> bool:
+        """Read the list of replica machines; a list that is seconds old is sufficient."""
+        try:
+            listed = await self._source.list(self._format.replica_kind, may_be_stale=True)
+        except StoreUnavailable as error:
+            log.say("replica machines unknown: registry unavailable", reason=str(error))
+            return False
+        for item in listed.items:
+            self._put_replica(item)
+        return bool(self._node.directory.by_name)
+
+    # --- changes -----------------------------------------------------------------------------
+
+    def _set_runners(self, listed: ObjectList) -> None:
+        runners = [self._format.read_runner(item) for item in listed.items]
+        self._node.replace_runners(runners, is_trusted=self._runners.is_trusted)
+
+    def _on_runner(self, event: ObjectEvent) -> None:
+        if event.is_deleted:
+            self._node.remove_runner(event.object.name, self._runners.is_trusted)
+        else:
+            self._node.put_runner(self._format.read_runner(event.object))
+
+    def _apply_configuration(self, item: StoredObject) -> None:
+        if item.name == self._format.configuration_name:
+            self._node.apply_document(self._format.read_document(item.spec))
+
+    def _apply_zones(self, zones: frozenset[str], revision: int, deleted: frozenset[str]) -> None:
+        self._node.apply_zones(make_registry_update(zones, revision, deleted))
+        self._node.zones.confirm(0.0)
+
+    def _put_replica(self, item: StoredObject) -> None:
+        self._node.directory.put(self._format.read_replica(item))
--- /dev/null
+++ b/src/bendshed/turns/registry_watches.py
@@ -0,0 +1,146 @@
+"""A replica machine's watches of the registry, at the pace that its dependent nodes need."""
+
+import asyncio
+import random
+from functools import partial
+
+from bendshed.catalog.confirmations import CatalogPart
+from bendshed.catalog.reading import RegistryReading
+from bendshed.catalog.state import KnownRunner
+from bendshed.catalog.times import ReadingPace
+from bendshed.catalog.watcher import KindHandler, KindWatcher
+from bendshed.catalog.zones import make_registry_update
+from bendshed.ports.objects import ObjectEvent, ObjectList, ObjectSource, StoredObject
+from bendshed.ports.registry_objects import RegistryFormat
+from bendshed.tasks import start_loop
+from bendshed.turns.node import TurnLogNode
+
+WATCH_WAIT_S = 8.0
+MAX_RETRY_GROWTH = 2.0
+"""Limit of retry interval growth for a lost store; the first replica to reach it informs all."""
+REPLICA_BATCH_INTERVAL_S = 0.25
+"""Changes within this interval, such as many replicas starting at once, are fetched in one call;
+the first change after an idle period is delivered immediately."""
+
+
+class ReplicaWatches:
+    """Passes what the registry holds on to a ``TurnLogNode``.
+
+    Args:
+        source: read access to the registry.
+        registry_format: names and encoding of its objects.
+        node: gets all changes; its demand sets the pace.
+        follows_zones: whether operators close zones in this installation.
+
+    Attributes:
+        reading: pauses and resumes the watches.
+
+    """
+
+    def __init__(
+        self,
+        source: ObjectSource,
+        registry_format: RegistryFormat,
+        node: TurnLogNode,
+        follows_zones: bool,
+        rng: random.Random,
+    ) -> None:
+        self._source = source
+        self._format = registry_format
+        self._node = node
+        self._rng = rng
+        self._runners = self._watch(
+            registry_format.runner_kind,
+            KindHandler(self._set_runners, self._on_runner, self._confirm_runners),
+        )
+        confirm_document = partial(node.catalog.confirm, CatalogPart.DOCUMENT)
+        self._configuration = self._watch(
+            registry_format.configuration_kind,
+            KindHandler.of_items(self._put_configuration, confirm_document),
+        )
+        self._zones = self._watch(
+            registry_format.closed_zone_kind, KindHandler.of_names(self._on_zones)
+        )
+        self._zones.is_first_watch_short = True
+        others = [self._configuration, *self._watch_replica_machines()]
+        if follows_zones:
+            others.append(self._zones)
+        self._watches = [self._runners, *others]
+        self.reading = RegistryReading(node.follower, self._runners, others, node.set_registry_lost)
+        node.demand.on_pace_change.append(self._set_pace)
+
+    def _watch(self, kind: str, handler: KindHandler) -> KindWatcher:
+        pace = self._node.demand.pace
+        return KindWatcher(
+            self._source, kind, handler, pace.wait_s, self._rng, pace.pause_s, MAX_RETRY_GROWTH
+        )
+
+    def _watch_replica_machines(self) -> list[KindWatcher]:
+        replicas = KindWatcher(
+            self._source,
+            self._format.replica_kind,
+            KindHandler.of_items(self._put_replica),
+            WATCH_WAIT_S,
+            self._rng,
+            REPLICA_BATCH_INTERVAL_S,
+            MAX_RETRY_GROWTH,
+        )
+        retirements = KindWatcher(
+            self._source,
+            self._format.retirement_kind,
+            KindHandler(self._replace_retirements, self._on_retirement),
+            WATCH_WAIT_S,
+            self._rng,
+        )
+        return [replicas, retirements]
+
+    def start(self) -> "list[asyncio.Task[None]]":
+        """Start the watches."""
+        return [start_loop(watcher.run(), "platform") for watcher in self._watches]
+
+    def _set_pace(self, pace: ReadingPace) -> None:
+        for watcher in (self._runners, self._configuration):
+            watcher.set_pace(pace.wait_s, pace.pause_s)
+        self._zones.set_pace(pace.zones_wait_s, pace.pause_s)
+
+    # --- changes -----------------------------------------------------------------------------
+
+    def _confirm_runners(self, revision: int) -> None:
+        self._node.catalog.confirm(CatalogPart.RUNNERS, revision)
+        self._node.follower.note_registry_read(revision)
+
+    def _set_runners(self, listed: ObjectList) -> None:
+        runners = [
+            KnownRunner(self._format.read_runner(item), item.revision) for item in listed.items
+        ]
+        self._node.catalog.replace_runners(runners, listed.revision, self._runners.is_trusted)
+
+    def _on_runner(self, event: ObjectEvent) -> None:
+        item = event.object
+        if event.is_deleted:
+            is_trusted = self._runners.is_trusted
+            self._node.catalog.remove_runner(item.name, event.revision, is_trusted)
+        else:
+            known = KnownRunner(self._format.read_runner(item), item.revision)
+            self._node.catalog.put_runner(known)
+
+    def _put_configuration(self, item: StoredObject) -> None:
+        if item.name == self._format.configuration_name:
+            document = self._format.read_document(item.spec)
+            self._node.catalog.apply_document(document)
+            self._node.follower.note_revisions(document.version, 0)
+
+    def _on_zones(self, zones: frozenset[str], revision: int, deleted: frozenset[str]) -> None:
+        self._node.apply_zones(make_registry_update(zones, revision, deleted))
+
+    def _put_replica(self, item: StoredObject) -> None:
+        self._node.directory.put(self._format.read_replica(item))
+
+    def _replace_retirements(self, listed: ObjectList) -> None:
+        self._node.directory.set_retiring([item.name for item in listed.items])
+
+    def _on_retirement(self, event: ObjectEvent) -> None:
+        if event.is_deleted:
+            self._node.directory.remove_retiring(event.object.name)
+        else:
+            self._node.directory.add_retiring(event.object.name)
