Logs and metrics that tell how old each kind of object is at a node

Cause: a front that serves an older configuration logged nothing that tells whether its own watch hangs, whether the store that it follows is as old, or whether it received the version and did not apply it.

Change: - "registry: platform store lost: call failed" has confirmed_ago_s. - "catalog: configuration applied" at stores, as "node: configuration in force" at fronts. - bendshed_registry_age_seconds by kind, at fronts and stores. - bendshed explain names the version that the front served and since when, if another front had a newer one in force by then.

--- a/src/bendshed/catalog/reading.py
+++ b/src/bendshed/catalog/reading.py
@@ -2,7 +2,12 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Awaitable, Callable, Sequence
+from functools import partial
+from typing import Protocol
+
+from prometheus_client import Gauge
 
 from bendshed.catalog.follower import CatalogFollower
 from bendshed.catalog.watcher import KindWatcher
@@ -14,9 +19,19 @@
 """A node that has no update this long after its start reads the registry itself. Updates usually
 arrive within a few round trips, and when all nodes start at once each own read costs a call."""
 
+NEVER_READ = -1.0
+"""Age in the metrics of a kind that this process has not read."""
+
 log = PartLog("registry")
 
 
+class LabelledGaugeFactory(Protocol):
+    """Creates gauges among the metrics of a process."""
+
+    def labelled_gauge(self, name: str, text: str, label: str) -> Gauge:
+        """Add a gauge with one label."""
+
+
 class RegistryReading:
     """Pauses and resumes a node's watches.
 
@@ -51,6 +66,14 @@
         """
         return self._primary.is_lost
 
+    def add_gauges(self, metrics: LabelledGaugeFactory) -> None:
+        """Add a gauge of the age of each kind."""
+        ages = metrics.labelled_gauge(
+            "bendshed_registry_age_seconds", "Since the store last replied to the watch", "kind"
+        )
+        for watcher in (self._primary, *self._others):
+            ages.labels(watcher.kind).set_function(partial(_read_age_s, watcher))
+
     async def wait_for_update(
         self, discover: Callable[[], Awaitable[bool]], settle_s: float
     ) -> None:
@@ -100,3 +123,7 @@
                 watcher.restart()
                 watcher.resume()
         self._on_change(self.is_lost)
+
+
+def _read_age_s(watcher: KindWatcher) -> float:
+    return watcher.age_s if watcher.confirmed_at_s > -math.inf else NEVER_READ
--- a/src/bendshed/catalog/replica_catalog.py
+++ b/src/bendshed/catalog/replica_catalog.py
@@ -8,10 +8,13 @@
 from bendshed.catalog.state import KnownRunner
 from bendshed.catalog.times import CatalogTimes
 from bendshed.catalog.zones import ClosedZoneTracker
+from bendshed.logs import PartLog
 from bendshed.model.places import Places
 from bendshed.model.service_document import ServiceDocument
 from bendshed.placement.zones import ZoneUpdate
 
+log = PartLog("catalog")
+
 
 class ReplicaCatalog:
     """What one replica machine knows; each change is saved and wakes waiting requests.
@@ -43,8 +46,10 @@
 
     def apply_document(self, document: ServiceDocument) -> bool:
         """Apply a configuration; ``False``: it is not newer."""
+        before = self.catalog.version
         is_newer = self.catalog.apply_document(document)
         if is_newer:
+            log.say("configuration applied", version=document.version, before=before)
             self.notify_change()
         return is_newer
 
--- a/src/bendshed/catalog/watcher.py
+++ b/src/bendshed/catalog/watcher.py
@@ -1,6 +1,7 @@
 """Follows all objects of one kind in the registry."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -121,6 +122,7 @@
             ``LOST_WAIT_S``, so that missed changes, or a dead connection, are detected at once; it
             costs a call.
         failed_at_s: loop time of the last failed call.
+        confirmed_at_s: loop time of the store's last reply.
         on_loss_change: called when the store is lost and when it answers again: a watch begun in
             between may hang on a dead connection.
 
@@ -136,7 +138,7 @@
         pause_s: float = WATCH_PAUSE_S,
         max_retry_growth: float = 1.0,
     ) -> None:
-        self.failed_at_s = float("-inf")
+        self.failed_at_s = self.confirmed_at_s = -math.inf
         self.on_loss_change: list[Callable[[], None]] = []
         self.is_first_watch_short = False
         self._is_next_watch_short = False
@@ -153,6 +155,7 @@
         self._listed: dict[str, int] = {}
         self._call: asyncio.Task[None] | None = None
         self._is_lost = False
+        self._clock: Callable[[], float] = lambda: math.inf  # the loop's clock once it runs
         self._is_active = asyncio.Event()
         self._is_active.set()
 
@@ -161,6 +164,16 @@
         """Whether the last call failed."""
         return self._is_lost
 
+    @property
+    def age_s(self) -> float:
+        """Time since the store last replied to this watch, in seconds; infinite: never."""
+        return self._clock() - self.confirmed_at_s
+
+    @property
+    def kind(self) -> str:
+        """Kind of the objects that are followed."""
+        return self._kind
+
     @property
     def is_trusted(self) -> bool:
         """Whether what the store lists is complete: it has not failed for ``RECENT_FAILURE_S``."""
@@ -169,6 +182,7 @@
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         loop = asyncio.get_running_loop()
+        self._clock = loop.time
         while True:
             await self._is_active.wait()
             self._call = loop.create_task(self._call_store())
@@ -224,7 +238,7 @@
             self._revision = listed.revision
             self._listed = {item.name: item.revision for item in listed.items}
             self._handler.on_list(listed)
-            self._handler.on_confirmed(listed.revision)
+            self._note_confirmed(listed.revision)
             return
         wait_s = LOST_WAIT_S if self._is_lost or self._is_next_watch_short else self.wait_s
         changes = await self._source.watch(self._kind, self._revision, wait_s)
@@ -233,7 +247,11 @@
         for event in changes.events:
             if not self._is_outdated(event):
                 self._handler.on_event(event)
-        self._handler.on_confirmed(changes.revision)
+        self._note_confirmed(changes.revision)
+
+    def _note_confirmed(self, revision: int) -> None:
+        self.confirmed_at_s = self._clock()
+        self._handler.on_confirmed(revision)
 
     def _is_outdated(self, event: ObjectEvent) -> bool:
         """Whether an event is older than the listed state of its object.
@@ -246,7 +264,13 @@
         self.failed_at_s = asyncio.get_running_loop().time()
         self._num_failed += 1
         if not self._is_lost:
-            log.say("platform store lost: call failed", kind=self._kind, reason=str(error))
+            age_s = round(self.age_s, 3) if self.confirmed_at_s > -math.inf else None
+            log.say(
+                "platform store lost: call failed",
+                kind=self._kind,
+                confirmed_ago_s=age_s,
+                reason=str(error),
+            )
             self._is_lost = True
             self._notify_loss_change()
 
--- a/src/bendshed/operators/explanation.py
+++ b/src/bendshed/operators/explanation.py
@@ -21,6 +21,7 @@
         "turns: turn log regained: a replica answered",
         "paths: relayed path in use: direct path timed out",
         "paths: direct path in use again",
+        "catalog: configuration applied",
         "catalog: configuration received",
         "catalog: not fresh: this node reads the registry itself",
         "zones: zone closed",
@@ -89,6 +90,7 @@
 }
 """Cause by a request's final log message; the first entry that occurs is used."""
 REFUSED_MESSAGE = "forward: request refused"
+CONFIGURATION_MESSAGE = "node: configuration in force"
 ZONE_CLOSED_MESSAGE, ZONE_OPEN_MESSAGE = "zones: zone closed", "zones: zone open again"
 ZONE_DEPENDENT_REFUSALS = frozenset({"no_runner", "overloaded", "deadline_exceeded"})
 """Kinds of refusals that a closed zone may have caused."""
@@ -175,7 +177,8 @@
     closed = closed_zones(
         [line for line in all_lines if line.process in processes], request_lines[-1].at_s
     )
-    return Explanation(joined, find_cause(request_lines, closed))
+    cause = find_cause(request_lines, closed)
+    return Explanation(joined, cause + _describe_configuration(request_lines, all_lines))
 
 
 def _ends_under_other_tries(
@@ -226,6 +229,30 @@
     return f"No line tells its end; the last one is: {request_lines[-1].text}."
 
 
+def _describe_configuration(request_lines: list[LogLine], all_lines: list[LogLine]) -> str:
+    """Name the configuration that the front served, if another front had a newer one by then."""
+    at_s = request_lines[0].at_s
+    in_force = {
+        line.process: line
+        for line in sorted(all_lines, key=lambda line: line.at_s)
+        if line.text == CONFIGURATION_MESSAGE and line.at_s <= at_s
+    }
+    processes = [line.process for line in request_lines if line.process in in_force]
+    own = in_force[processes[0]] if processes else None
+    newest = max(in_force.values(), key=_version_of, default=None)
+    if own is None or newest is None or _version_of(newest) <= _version_of(own):
+        return ""
+    return (
+        f" The front served configuration {_version_of(own)}, in force there for"
+        f" {at_s - own.at_s:.1f} s; {newest.process_name} had had {_version_of(newest)} for"
+        f" {at_s - newest.at_s:.1f} s."
+    )
+
+
+def _version_of(line: LogLine) -> int:
+    return int(line.fields.get("version", 0))
+
+
 def _describe_cold_runners(request_lines: list[LogLine]) -> str:
     """Name the cold runners that the request was sent to, since they are slow."""
     cold = [
--- a/src/bendshed/platform/front.py
+++ b/src/bendshed/platform/front.py
@@ -53,6 +53,7 @@
         self._api = ObjectApi(Address.parse(settings.platform.addr))
         self._connections = ConnectionPool(RUNNER_CONNECT_TIMEOUT_S)
         times = settings.catalog_times
+        metrics = self._make_metrics(registry)
         self._node = ServiceNode(
             self._transport,
             self._connections,
@@ -60,7 +61,7 @@
             NodeLocation(settings.zone, settings.peer_address, settings.places),
             times,
             self._rng,
-            self._make_metrics(registry),
+            metrics,
             settings.policy,
             settings.turn_groups,
         )
@@ -81,6 +82,7 @@
             SHORT_WATCH_SHARE * (settings.bounds.contactMs + settings.bounds.applyMs) / 1000,
             BATCH_INTERVAL_SHARE * settings.apply_s,
         )
+        self._watches.reading.add_gauges(metrics)
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve until ``stopping`` is set, then drain."""
--- a/src/bendshed/platform/replica.py
+++ b/src/bendshed/platform/replica.py
@@ -35,6 +35,7 @@
         self._storage = open_or_replace(data_folder)
         catalog_storage = FileCatalogStorage(data_folder)
         replica_registry = PlatformReplicaRegistry(self._api)
+        metrics = TurnLogMetrics(registry)
         self._node = TurnLogNode(
             ReplicaPlace(settings.nodeName, settings.zone, settings.peer_address, settings.places),
             ReplicaPorts(self._storage, catalog_storage, self._transport, replica_registry),
@@ -48,7 +49,7 @@
                 settings.placement,
             ),
             self._rng,
-            TurnLogMetrics(registry),
+            metrics,
         )
         self._transport.traffic.distance = self._node.host_locations.distance
         self._transport.traffic.add_to(registry)
@@ -59,6 +60,7 @@
             settings.catalog_times.follows_zones,
             self._rng,
         )
+        self._watches.reading.add_gauges(metrics)
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve until ``stopping`` is set."""
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -56,6 +56,21 @@
         self.assertIn(same, explanation.lines)
         self.assertNotIn(other, explanation.lines)
 
+    def test_older_configuration_than_at_other_fronts_is_named(self) -> None:
+        in_force = "node: configuration in force"
+        rows = [
+            line(2.0, "front-1", in_force, version=1),
+            line(2.1, "front-2", in_force, version=1),
+            line(7.0, "front-2", in_force, version=2),
+            line(11.0, "front-3", in_force, version=3),
+        ]
+        self.assertIn(
+            "served configuration 1, in force there for 8.0 s; front-2 had had 2 for 3.0 s",
+            explain("r1", [*rows, *LOST_RUNNER]).cause,
+        )
+        applied = line(9.0, "front-1", in_force, version=2)
+        self.assertNotIn("configuration", explain("r1", [*rows, applied, *LOST_RUNNER]).cause)
+
     def test_version_of_a_resumed_stream_is_named(self) -> None:
         bound = line(
             10.0,
