Rehearsal: sites whose connections to the platform's store become silent

Cause: the simulated site gave each node the registry's state directly every 0.1 s, so no search could find a watch that hangs.

Single watches, shares of all connections, all of them and series of them become silent, among changes of the configuration, of runners and of closed zones, killed processes and outages of the store. It is judged when each front and store knows each change: within its bound, once the machine is in touch.

--- a/src/bendshed/cli/rehearse.py
+++ b/src/bendshed/cli/rehearse.py
@@ -122,6 +122,7 @@
         option("returns", None, "Clients return just before a turn is forgotten", flag=True),
         option("fatal", None, "Requests under which runners end", flag=True),
         option("closings", None, "Sites that lose power as a whole at their end", flag=True),
+        option("silences", None, "Connections to the platform's store become silent", flag=True),
     ]
 
     def handle(self) -> int:
@@ -133,6 +134,10 @@
             from bendshed.rehearsal.site.closings import CLOSINGS, STEPS_PER_CLOSING
 
             return self.search(CLOSINGS, int(self.option("worlds")) * STEPS_PER_CLOSING)
+        if self.option("silences"):
+            from bendshed.rehearsal.site.silences import SILENCES, STEPS_PER_SILENCE
+
+            return self.search(SILENCES, int(self.option("worlds")) * STEPS_PER_SILENCE)
         if self.option("streams"):
             from bendshed.rehearsal.site import stream_steps
 
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -53,6 +53,8 @@
 FOLLOW_S = 0.1
 APPLY_S = 2.0
 HISTORY_S = 20.0
+CONTACT_S = 3.0
+"""A machine is in touch once nothing has disturbed it for this long."""
 TIMES = CatalogTimes.within(APPLY_S, HISTORY_S, ZONE_CLOSE_S)
 START_LIMIT_S = 20.0
 QUIET_S = 40.0
