A silent connection to the registry is replaced within the time to be in touch

Cause: only an answer that is overdue shows that a connection is silent, and the wait of a watch was derived from the registry's history (0.75 x historyS = 15 s; 8 s for replica machines and retirements), not from the time within which a change must be known. Only a front's watch of the runners was shorter. The store that the front asks each second would have told it, but hung on a watch of the same kind.

Change: - CatalogTimes: a watch waits so long that a connection which became silent while it was idle is given up and the kind read again within contactMs, or within the bound of a change if that is longer. All kinds at fronts and stores wait no longer than that. - A watch without any answer in time (StoreSilent) begins again at once, on a new connection; a store that refuses keeps its retry delays. - ConnectionPool: connections to the store that were idle for 0.5 s are not reused, since they may have become silent.

Why it works: silence while idle 0.5 s + wait 1.6 s + margin 0.6 s + reading again 0.3 s = 3 s = contactMs, for each kind and each connection by itself.

Tests: tests/test_silences.py, and cases in test_watcher, test_zones and test_platform_store.

--- a/src/bendshed/adapters/connection_pool.py
+++ b/src/bendshed/adapters/connection_pool.py
@@ -1,6 +1,7 @@
 """Pool of persistent connections to many peers, reused in most-recently-used order."""
 
 import asyncio
+import math
 from functools import partial
 
 from bendshed.adapters.http_connection import HttpConnection, open_connection
@@ -19,19 +20,24 @@
 class ConnectionPool(RunnerConnections):
     """Idle connections by address.
 
+    Args:
+        connect_timeout_s: limit of the time to open a connection, in seconds.
+        max_idle_s: a connection that was idle for longer is not reused, even if its peer keeps it.
+
     Attributes:
         num_opened: number of connections opened since start.
         traffic: bytes of requests and responses, counted when their connection is released.
 
     """
 
-    def __init__(self, connect_timeout_s: float) -> None:
+    def __init__(self, connect_timeout_s: float, max_idle_s: float = math.inf) -> None:
         self.num_opened = 0
         self.traffic = TrafficCounter(
             "bendshed_runner_bytes", "Bytes to and from runners by direction and distance"
         )
         self._round_trips: RoundTrips[Address] = RoundTrips()
         self._connect_timeout_s = connect_timeout_s
+        self._max_idle_s = max_idle_s
         self._idle: dict[Address, list[HttpConnection]] = {}
 
     async def acquire(self, address: Address) -> HttpConnection:
@@ -78,6 +84,8 @@
         self.traffic.record(REQUEST, address.host, num_sent)
         self.traffic.record(ANSWER, address.host, num_received)
         if connection.is_reusable and len(idle) < MAX_IDLE_PER_PEER:
+            until_s = asyncio.get_running_loop().time() + self._max_idle_s
+            connection.reusable_until_s = min(connection.reusable_until_s, until_s)
             idle.append(connection)
         else:
             connection.abort()
--- a/src/bendshed/catalog/times.py
+++ b/src/bendshed/catalog/times.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from bendshed.ports.objects import MAX_IDLE_S, WATCH_MARGIN_S
+
 INTERVAL_SHARE = 0.2
 MAX_AGE_SHARE = 0.55
 """Shares of the time within which a change must be applied. The registry is read every 0.2 of it. A
@@ -10,6 +12,8 @@
 HISTORY_SHARE = 0.75
 """A watch waits for this share of the time for which the registry keeps changes: after a longer one
 everything would have to be listed again."""
+REREAD_S = 0.3
+"""Allowance for reading a kind again on a new connection after a watch that was not answered."""
 IDLE_PAUSE_S = 2.0
 """Pause between two watches of a machine with few dependent nodes: a burst of changes costs one
 call in this time."""
@@ -42,6 +46,8 @@
             requests.
         max_age_s: with an older catalog a node reads the registry itself.
         idle_wait_s: longest wait of a watch on which no other node depends.
+        silence_s: a connection to the registry may be silent for this long before the node knows
+            the registry's state again.
         zones_lag_s: closed zones may be older than the rest by this and count as equally old;
             ``None``: operators close no zones, and the registry is not read for closed zones.
 
@@ -50,28 +56,40 @@
     interval_s: float
     max_age_s: float
     idle_wait_s: float
+    silence_s: float
     zones_lag_s: float | None = None
 
     @classmethod
     def within(
-        cls, apply_s: float, history_s: float, zone_close_s: float | None = None
+        cls,
+        apply_s: float,
+        history_s: float,
+        zone_close_s: float | None = None,
+        contact_s: float = 0.0,
     ) -> "CatalogTimes":
         """Derive times such that a change is applied within ``apply_s``, even if updates stop.
 
-        A watch ends while the registry still keeps the changes since it began (``history_s``).
+        A watch ends while the registry still keeps the changes since it began (``history_s``). Its
+        wait also limits how long a silent connection goes unnoticed: the connection may have become
+        silent while it was idle, the watch then waits in vain, is given up, and the kind is read
+        again, all within ``contact_s`` or the bound of a change, whichever is longer.
 
         Args:
             apply_s: bound for the configuration and runners, in seconds.
             history_s: how long the registry keeps changes, in seconds.
             zone_close_s: bound for closed zones, in seconds; ``None``: operators close no zones. If
                 shorter than ``apply_s`` it applies to everything; a longer one saves calls.
+            contact_s: a node must know the registry's state this long after a disruption of its
+                connections, in seconds.
 
         """
         bound_s = min(apply_s, zone_close_s or apply_s)
         lag_s = MAX_AGE_SHARE * (zone_close_s - bound_s) if zone_close_s is not None else None
-        return cls(
-            INTERVAL_SHARE * bound_s, MAX_AGE_SHARE * bound_s, HISTORY_SHARE * history_s, lag_s
-        )
+        interval_s = INTERVAL_SHARE * bound_s
+        silence_s = max(bound_s, contact_s)
+        detected_wait_s = silence_s - MAX_IDLE_S - WATCH_MARGIN_S - REREAD_S
+        idle_wait_s = max(interval_s, min(detected_wait_s, HISTORY_SHARE * history_s))
+        return cls(interval_s, MAX_AGE_SHARE * bound_s, idle_wait_s, silence_s, lag_s)
 
     @property
     def follows_zones(self) -> bool:
--- a/src/bendshed/catalog/watcher.py
+++ b/src/bendshed/catalog/watcher.py
@@ -14,7 +14,7 @@
     ObjectSource,
     StoredObject,
 )
-from bendshed.ports.store import StoreUnavailable
+from bendshed.ports.store import StoreSilent, StoreUnavailable
 
 INITIAL_RETRY_MIN_S = 0.15
 INITIAL_RETRY_MAX_S = 0.4
@@ -195,7 +195,7 @@
                 self._revision = None
             except (StoreUnavailable, KeyError, ValueError, TypeError) as error:
                 self._note_failure(error)
-                await asyncio.sleep(self._retry_s())
+                await asyncio.sleep(self._retry_s(error))
             except asyncio.CancelledError:
                 current = asyncio.current_task()
                 if current is not None and current.cancelling():
@@ -209,7 +209,10 @@
         if is_shorter:
             self.restart()
 
-    def _retry_s(self) -> float:
+    def _retry_s(self, error: Exception) -> float:
+        """Delay of the next call: none after a silent connection, since a new one may work."""
+        if isinstance(error, StoreSilent) and self._num_failed == 1:
+            return 0.0
         if self._revision is None and not self.has_peer_updates:
             return self._rng.uniform(INITIAL_RETRY_MIN_S, INITIAL_RETRY_MAX_S)
         growth = min(self._max_retry_growth, 2.0 ** (self._num_failed - 1))
--- a/src/bendshed/platform/front.py
+++ b/src/bendshed/platform/front.py
@@ -26,9 +26,6 @@
 from bendshed.tasks import start_loop
 
 RUNNER_CONNECT_TIMEOUT_S = 0.6
-SHORT_WATCH_SHARE = 0.6
-"""The short watch lasts this fraction of contactMs + applyMs, so that a dead connection to the
-store is detected before a node must apply the store's state after the network recovers."""
 BATCH_INTERVAL_SHARE = 0.15
 """Changes within this fraction of the apply time limit are fetched in one call."""
 READINESS_DETECTION_S = 2.6
@@ -79,7 +76,6 @@
             self._node,
             times,
             self._rng,
-            SHORT_WATCH_SHARE * (settings.bounds.contactMs + settings.bounds.applyMs) / 1000,
             BATCH_INTERVAL_SHARE * settings.apply_s,
         )
         self._watches.reading.add_gauges(metrics)
--- a/src/bendshed/platform/objects.py
+++ b/src/bendshed/platform/objects.py
@@ -11,6 +11,8 @@
 from bendshed.platform import names
 from bendshed.ports.http_messages import ClientRequest, ConnectFailed, ResponseBroken
 from bendshed.ports.objects import (
+    MAX_IDLE_S,
+    WATCH_MARGIN_S,
     HistoryExpired,
     ObjectEvent,
     ObjectEvents,
@@ -18,10 +20,9 @@
     ObjectSource,
     StoredObject,
 )
-from bendshed.ports.store import StoreUnavailable, VersionConflict
+from bendshed.ports.store import StoreSilent, StoreUnavailable, VersionConflict
 
 CALL_TIMEOUT_S = 1.0
-WATCH_MARGIN_S = 0.6
 CONNECT_TIMEOUT_S = 0.5
 JSON_TYPE = (b"content-type", b"application/json")
 
@@ -38,7 +39,7 @@
         self.num_calls = 0
         self._address = address
         self._call_timeout_s = call_timeout_s
-        self._pool = ConnectionPool(CONNECT_TIMEOUT_S)
+        self._pool = ConnectionPool(CONNECT_TIMEOUT_S, MAX_IDLE_S)
 
     def close(self) -> None:
         """Close idle connections."""
@@ -121,7 +122,7 @@
         except TimeoutError as error:
             # Pooled connections stall together; each would cost another call its full timeout.
             self._pool.close_idle(self._address)
-            raise StoreUnavailable(f"{method.decode()} {target}: {error!r}") from error
+            raise StoreSilent(f"{method.decode()} {target}: {error!r}") from error
         except (ConnectFailed, ResponseBroken) as error:
             raise StoreUnavailable(f"{method.decode()} {target}: {error!r}") from error
         if status in (200, 201, 404, 409, 410):
--- a/src/bendshed/platform/replica.py
+++ b/src/bendshed/platform/replica.py
@@ -57,7 +57,7 @@
             self._api,
             REGISTRY_FORMAT,
             self._node,
-            settings.catalog_times.follows_zones,
+            settings.catalog_times,
             self._rng,
         )
         self._watches.reading.add_gauges(metrics)
--- a/src/bendshed/platform/settings.py
+++ b/src/bendshed/platform/settings.py
@@ -143,7 +143,10 @@
     @property
     def catalog_times(self) -> CatalogTimes:
         """Polling intervals of the store, derived from the time limits."""
-        return CatalogTimes.within(self.apply_s, self.platform.historyS, self.bounds.zone_close_s)
+        bounds = self.bounds
+        return CatalogTimes.within(
+            self.apply_s, self.platform.historyS, bounds.zone_close_s, bounds.contactMs / 1000
+        )
 
     @property
     def peer_address(self) -> Address:
--- a/src/bendshed/ports/objects.py
+++ b/src/bendshed/ports/objects.py
@@ -4,6 +4,11 @@
 from dataclasses import dataclass
 from typing import Any
 
+WATCH_MARGIN_S = 0.6
+"""A watch without an answer this long after the end of its wait is given up."""
+MAX_IDLE_S = 0.5
+"""A connection that was idle for longer is not used again: only a call shows that one is dead."""
+
 
 class HistoryExpired(Exception):
     """A watch requested a revision whose history has expired; list the objects again."""
@@ -52,7 +57,8 @@
 class ObjectSource(ABC):
     """Read access to the store.
 
-    Each call raises ``StoreUnavailable`` if no valid reply arrives in time.
+    Each call raises ``StoreUnavailable`` without a valid reply, and ``StoreSilent`` without any
+    reply in time; the next call is then made on a new connection.
     """
 
     @abstractmethod
@@ -61,4 +67,7 @@
 
     @abstractmethod
     async def watch(self, kind: str, after_revision: int, wait_s: float) -> ObjectEvents:
-        """Wait for changes after a revision; raise ``HistoryExpired``."""
+        """Wait for changes after a revision; raise ``HistoryExpired``.
+
+        ``StoreSilent`` is raised ``WATCH_MARGIN_S`` after ``wait_s``.
+        """
--- a/src/bendshed/ports/store.py
+++ b/src/bendshed/ports/store.py
@@ -8,6 +8,10 @@
     """The store did not answer. It is unknown whether a write took effect."""
 
 
+class StoreSilent(StoreUnavailable):
+    """No answer arrived in time: the store is away, or only this connection is dead."""
+
+
 class VersionConflict(Exception):
     """The object does not have the expected version, or it exists already on creation."""
 
--- a/src/bendshed/rehearsal/site/silence_world.py
+++ b/src/bendshed/rehearsal/site/silence_world.py
@@ -23,8 +23,6 @@
 
 MIRROR_INTERVAL_S = 0.02
 CHECK_INTERVAL_S = 0.05
-RUNNER_WAIT_S, PAUSE_S = 3.0, 0.3
-"""Longest wait of a front's watch of runners, and the pause between two watches of a kind."""
 SERVED_WITHIN_S = 5.0
 LARGE = SiteLayout(front_zones=SMALL.front_zones * 3, store_zones=SMALL.store_zones, num_voters=3)
 """Enough fronts that one store reads the registry for all."""
@@ -147,12 +145,10 @@
         rng = random.Random(f"watches/{self.seed}/{machine.process.name}")
         watches: FrontWatches | ReplicaWatches
         if machine.front is not None:
-            watches = FrontWatches(
-                source, REGISTRY_FORMAT, machine.front, TIMES, rng, RUNNER_WAIT_S, PAUSE_S
-            )
+            watches = FrontWatches(source, REGISTRY_FORMAT, machine.front, TIMES, rng, 0.3)
         else:
             assert machine.replica is not None
-            watches = ReplicaWatches(source, REGISTRY_FORMAT, machine.replica, True, rng)
+            watches = ReplicaWatches(source, REGISTRY_FORMAT, machine.replica, TIMES, rng)
         watches.start()
         await asyncio.Event().wait()
 
--- a/src/bendshed/rehearsal/site/sim_objects.py
+++ b/src/bendshed/rehearsal/site/sim_objects.py
@@ -6,6 +6,8 @@
 from typing import Any, TypeVar
 
 from bendshed.ports.objects import (
+    MAX_IDLE_S,
+    WATCH_MARGIN_S,
     HistoryExpired,
     ObjectEvent,
     ObjectEvents,
@@ -13,13 +15,11 @@
     ObjectSource,
     StoredObject,
 )
-from bendshed.ports.store import StoreUnavailable
+from bendshed.ports.store import StoreSilent
 from bendshed.rehearsal.site.metadata import MetadataModel
 
 ONE_WAY_S = 0.002
 CALL_TIMEOUT_S = 1.0
-WATCH_MARGIN_S = 0.6
-MAX_IDLE_S = 4.0
 
 ResultT = TypeVar("ResultT")
 
@@ -113,7 +113,7 @@
             return result
         except TimeoutError as error:
             self._close_idle()
-            raise StoreUnavailable("no answer in time") from error
+            raise StoreSilent("no answer in time") from error
         finally:
             if is_complete:
                 connection.idle_since_s = asyncio.get_running_loop().time()
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -55,7 +55,7 @@
 HISTORY_S = 20.0
 CONTACT_S = 3.0
 """A machine is in touch once nothing has disturbed it for this long."""
-TIMES = CatalogTimes.within(APPLY_S, HISTORY_S, ZONE_CLOSE_S)
+TIMES = CatalogTimes.within(APPLY_S, HISTORY_S, ZONE_CLOSE_S, CONTACT_S)
 START_LIMIT_S = 20.0
 QUIET_S = 40.0
 CATCH_UP_S = 4.4
--- a/src/bendshed/services/registry_watches.py
+++ b/src/bendshed/services/registry_watches.py
@@ -24,8 +24,7 @@
         source: read access to the registry.
         registry_format: names and encoding of its objects.
         node: gets all changes.
-        times: waits and pauses of the watches.
-        runner_wait_s: longest wait of the watch of runners, in seconds.
+        times: longest waits of the watches.
         pause_s: pause between two watches of a kind, in seconds.
 
     Attributes:
@@ -40,7 +39,6 @@
         node: ServiceNode,
         times: CatalogTimes,
         rng: random.Random,
-        runner_wait_s: float,
         pause_s: float,
     ) -> None:
         self._source = source
@@ -52,7 +50,7 @@
         self._runners = self._watch(
             registry_format.runner_kind,
             KindHandler(self._set_runners, self._on_runner, node.catalog.note_registry_read),
-            runner_wait_s,
+            times.idle_wait_s,
         )
         others = [
             self._watch(
--- a/src/bendshed/turns/registry_watches.py
+++ b/src/bendshed/turns/registry_watches.py
@@ -7,7 +7,7 @@
 from bendshed.catalog.confirmations import CatalogPart
 from bendshed.catalog.reading import RegistryReading
 from bendshed.catalog.state import KnownRunner
-from bendshed.catalog.times import ReadingPace
+from bendshed.catalog.times import CatalogTimes, ReadingPace
 from bendshed.catalog.watcher import KindHandler, KindWatcher
 from bendshed.catalog.zones import make_registry_update
 from bendshed.ports.objects import ObjectEvent, ObjectList, ObjectSource, StoredObject
@@ -15,7 +15,6 @@
 from bendshed.tasks import start_loop
 from bendshed.turns.node import TurnLogNode
 
-WATCH_WAIT_S = 8.0
 MAX_RETRY_GROWTH = 2.0
 """Limit of retry interval growth for a lost store; the first replica to reach it informs all."""
 REPLICA_BATCH_INTERVAL_S = 0.25
@@ -30,7 +29,7 @@
         source: read access to the registry.
         registry_format: names and encoding of its objects.
         node: gets all changes; its demand sets the pace.
-        follows_zones: whether operators close zones in this installation.
+        times: longest waits of the watches.
 
     Attributes:
         reading: pauses and resumes the watches.
@@ -42,7 +41,7 @@
         source: ObjectSource,
         registry_format: RegistryFormat,
         node: TurnLogNode,
-        follows_zones: bool,
+        times: CatalogTimes,
         rng: random.Random,
     ) -> None:
         self._source = source
@@ -62,8 +61,8 @@
             registry_format.closed_zone_kind, KindHandler.of_names(self._on_zones)
         )
         self._zones.is_first_watch_short = True
-        others = [self._configuration, *self._watch_replica_machines()]
-        if follows_zones:
+        others = [self._configuration, *self._watch_replica_machines(times.idle_wait_s)]
+        if times.follows_zones:
             others.append(self._zones)
         self._watches = [self._runners, *others]
         self.reading = RegistryReading(node.follower, self._runners, others, node.set_registry_lost)
@@ -75,12 +74,12 @@
             self._source, kind, handler, pace.wait_s, self._rng, pace.pause_s, MAX_RETRY_GROWTH
         )
 
-    def _watch_replica_machines(self) -> list[KindWatcher]:
+    def _watch_replica_machines(self, wait_s: float) -> list[KindWatcher]:
         replicas = KindWatcher(
             self._source,
             self._format.replica_kind,
             KindHandler.of_items(self._put_replica),
-            WATCH_WAIT_S,
+            wait_s,
             self._rng,
             REPLICA_BATCH_INTERVAL_S,
             MAX_RETRY_GROWTH,
@@ -89,7 +88,7 @@
             self._source,
             self._format.retirement_kind,
             KindHandler(self._replace_retirements, self._on_retirement),
-            WATCH_WAIT_S,
+            wait_s,
             self._rng,
         )
         return [replicas, retirements]
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -13,9 +13,9 @@
 from bendshed.platform.objects import ObjectApi
 from bendshed.platform.registry import PlatformReplicaRegistry
 from bendshed.platform.translate import read_document, read_runner
-from bendshed.ports.objects import HistoryExpired, StoredObject
+from bendshed.ports.objects import MAX_IDLE_S, HistoryExpired, StoredObject
 from bendshed.ports.registry import RegistryUnavailable, ReplicaNode
-from bendshed.ports.store import StoreUnavailable, VersionConflict
+from bendshed.ports.store import StoreSilent, StoreUnavailable, VersionConflict
 from bendshed.rehearsal.site.documents import all_keys, make_document
 from bendshed.rehearsal.site.metadata import PAGE, MetadataModel, MetadataServer
 from tests.stalling_proxy import StallingProxy
@@ -189,6 +189,25 @@
         with contextlib.suppress(asyncio.CancelledError):
             await self.serving
 
+    # Guards against a watch whose silent connection cannot be told from a store that refuses.
+    async def test_unanswered_watch_is_reported_as_silent(self) -> None:
+        await self.api.get("kind", "a")
+        self.proxy.stall()
+        with self.assertRaises(StoreSilent):
+            await self.api.watch("kind", self.model.revision, 0.0)
+        self.assertEqual((await self.api.watch("kind", self.model.revision, 0.0)).events, [])
+
+    # Guards against a call on a pooled connection that became silent while it was idle.
+    async def test_connection_that_was_idle_for_long_is_not_reused(self) -> None:
+        loop = asyncio.get_running_loop()
+        real_time, ahead_s = loop.time, 0.0
+        loop.time = lambda: real_time() + ahead_s  # type: ignore[method-assign]
+        await self.api.get("kind", "a")
+        self.proxy.stall()
+        ahead_s = 1.1 * MAX_IDLE_S
+        await self.api.get("kind", "a")
+        self.assertEqual(self.proxy.num_opened, 2)
+
     async def test_one_timeout_discards_all_pooled_connections(self) -> None:
         self.model.put("kind", "a", {})
         await asyncio.gather(*(self.api.get("kind", "a") for _ in range(self.NUM_POOLED)))
--- /dev/null
+++ b/tests/test_silences.py
@@ -0,0 +1,134 @@
+"""Connections to the platform's store that become silent, while new ones work."""
+
+import logging
+import unittest
+from collections.abc import Callable
+from contextlib import AbstractContextManager
+
+from bendshed.catalog.server import CATALOG_METHOD
+from bendshed.identifiers import rendezvous_rank
+from bendshed.platform import names
+from bendshed.rehearsal.site.layout import SMALL
+from bendshed.rehearsal.site.silence_world import LARGE, Part, SilenceWorld, known_level
+from bendshed.rehearsal.site.silences import SILENCES, STEPS_PER_SILENCE
+from bendshed.rehearsal.site.sim_world import APPLY_S, CONTACT_S, SimMachine
+from bendshed.rehearsal.site.sim_zones import RUNNER_ZONES, ZONE_CLOSE_S
+from tests.site_silence_defects import DEFECTS
+
+NUM_SEEDS = 6
+MAX_DEFECT_SEEDS = 12
+KINDS = {
+    Part.CONFIGURATION: names.CONFIGURATION_KIND,
+    Part.RUNNERS: names.RUNNER_KIND,
+    Part.ZONES: names.CLOSED_ZONE_KIND,
+}
+CHANGE_TIMES_S = (0.0, 0.5, 1.0, 2.0, CONTACT_S)
+"""From the silence to the change: before, when and after the machines are in touch again."""
+
+
+class SilentLogsTestCase(unittest.TestCase):
+    def setUp(self) -> None:
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+
+class SilentWatchTest(SilentLogsTestCase):
+    """A front and the store that it follows both wait on connections that became silent."""
+
+    def open_world(self, seed: int) -> SilenceWorld:
+        world = SilenceWorld.started(seed, SMALL)
+        self.addCleanup(world.close)
+        world.run_for(2 * CONTACT_S)
+        return world
+
+    def silence_front_and_its_store(self, world: SilenceWorld, kind: str) -> list[SimMachine]:
+        first = rendezvous_rank(CATALOG_METHOD, world.stores)[0]
+        machines = [world.fronts["front-1"], world.stores[first]]
+        for machine in machines:
+            world.silence_watch(machine, kind)
+        return machines
+
+    # Guards against a configuration that is applied 9 to 11 s late behind a silent connection.
+    def test_configuration_behind_a_silent_watch_is_applied_in_time(self) -> None:
+        world = self.open_world(1)
+        machines = self.silence_front_and_its_store(world, names.CONFIGURATION_KIND)
+        world.run_for(CONTACT_S)
+        world.publish()
+        world.run_for(APPLY_S)
+        versions = {known_level(machine, Part.CONFIGURATION) for machine in machines}
+        self.assertEqual(versions, {world.document.version})
+
+    # Guards against any kind of change that is known late, whenever its watch became silent.
+    def test_each_part_is_known_once_the_machines_are_in_touch(self) -> None:
+        for part, kind in KINDS.items():
+            for change_s in CHANGE_TIMES_S:
+                with self.subTest(part=part, change_s=change_s):
+                    world = self.open_world(2)
+                    machines = self.silence_front_and_its_store(world, kind)
+                    world.run_for(change_s)
+                    bound_s = self.change(world, part)
+                    world.run_for(max(bound_s, CONTACT_S - change_s))
+                    for machine in machines:
+                        level = world.newest_level(part)
+                        self.assertGreaterEqual(known_level(machine, part), level)
+
+    def change(self, world: SilenceWorld, part: Part) -> float:
+        """Make a change; return the time within which it must be known, in seconds."""
+        match part:
+            case Part.CONFIGURATION:
+                world.publish()
+            case Part.RUNNERS:
+                world.drain_runner("engine-1")
+            case Part.ZONES:
+                world.close_zone(RUNNER_ZONES[0])
+                return ZONE_CLOSE_S
+        return APPLY_S
+
+    # Guards against a retirement that a store learns of after its machine was removed.
+    def test_retirement_behind_a_silent_watch_is_known_in_time(self) -> None:
+        world = self.open_world(3)
+        world.run_for(CONTACT_S)
+        machine = world.stores["store-1"]
+        for store in world.stores.values():
+            world.silence_watch(store, names.RETIREMENT_KIND)
+        world.model.put(names.RETIREMENT_KIND, "store-9", {})
+        world.run_for(CONTACT_S)
+        assert machine.replica is not None
+        self.assertEqual(machine.replica.directory.retiring, {"store-9"})
+
+    # Guards against a node that resumes its watches on pooled connections that became silent.
+    def test_watches_resumed_after_a_silence_use_new_connections(self) -> None:
+        world = SilenceWorld.started(4, LARGE)
+        self.addCleanup(world.close)
+        world.run_for(2 * CONTACT_S)
+        front = world.fronts["front-1"]
+        assert front.front is not None
+        self.assertTrue(front.front.catalog.is_fresh)
+        world.silence(front, 1.0)
+        world.run_for(CONTACT_S)
+        for store in world.stores.values():
+            world.network.cuts |= {(front.host, store.host), (store.host, front.host)}
+        world.publish()
+        world.run_for(APPLY_S)
+        self.assertEqual(known_level(front, Part.CONFIGURATION), world.document.version)
+
+
+class SeededSilencesTest(SilentLogsTestCase):
+    def test_seeded_silences(self) -> None:
+        for seed in range(NUM_SEEDS):
+            with self.subTest(seed=seed):
+                steps = SILENCES.random_steps(seed, STEPS_PER_SILENCE)
+                world, late = SILENCES.run(seed, steps)
+                world.close()
+                self.assertEqual(late, [])
+
+    def test_planted_defects_are_found(self) -> None:
+        for name, plant in DEFECTS.items():
+            with self.subTest(defect=name):
+                self.assertTrue(any(self.is_found(plant, seed) for seed in range(MAX_DEFECT_SEEDS)))
+
+    def is_found(self, plant: Callable[[], AbstractContextManager[object]], seed: int) -> bool:
+        with plant():
+            world, late = SILENCES.run(seed, SILENCES.random_steps(seed, STEPS_PER_SILENCE))
+            world.close()
+        return bool(late)
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -10,6 +10,7 @@
 from bendshed.catalog.watcher import (
     LOST_WAIT_S,
     RETRY_MAX_S,
+    RETRY_MIN_S,
     KindHandler,
     KindWatcher,
 )
@@ -20,7 +21,7 @@
     ObjectList,
     StoredObject,
 )
-from bendshed.ports.store import StoreUnavailable
+from bendshed.ports.store import StoreSilent, StoreUnavailable
 from bendshed.rehearsal.simulator.loop import VirtualTimeLoop
 
 WATCH_S = 20.0
@@ -204,6 +205,29 @@
         waits = [call.args[2] for call in watch.call_args_list if call.args[2] != 2.0]
         self.assertEqual(waits, [LOST_WAIT_S, WATCH_S])
 
+    # Guards against a silent connection that is replaced only after the delay of a lost store.
+    def test_silent_watch_begins_again_at_once(self) -> None:
+        self.run_for(1.0)
+        with mock.patch.object(self.store, "watch", side_effect=StoreSilent("no answer")) as watch:
+            self.long.restart()
+            self.run_for(0.05)
+            self.assertEqual(watch.call_count, 2)
+            self.run_for(RETRY_MIN_S - 0.1)
+            self.assertEqual(watch.call_count, 2)
+        self.run_for(1.0)
+        self.store.change(5)
+        self.run_for(0.1)
+        self.assertEqual(self.seen, [1, 5])
+
+    def test_refused_watch_begins_again_after_a_delay(self) -> None:
+        self.run_for(1.0)
+        with mock.patch.object(
+            self.store, "watch", side_effect=StoreUnavailable("status 503")
+        ) as watch:
+            self.long.restart()
+            self.run_for(RETRY_MIN_S - 0.1)
+        self.assertEqual(watch.call_count, 1)
+
     def test_expired_history_is_listed_again(self) -> None:
         self.run_for(1.0)
         self.store.history_from = 8
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -35,8 +35,8 @@
     ZoneRecord,
     ZoneUpdate,
 )
-from bendshed.platform.objects import CALL_TIMEOUT_S, WATCH_MARGIN_S
-from bendshed.ports.objects import ObjectEvent, ObjectList, StoredObject
+from bendshed.platform.objects import CALL_TIMEOUT_S
+from bendshed.ports.objects import MAX_IDLE_S, WATCH_MARGIN_S, ObjectEvent, ObjectList, StoredObject
 from bendshed.services.runners import RunnerTable
 from bendshed.wire import catalog_pb2 as wire
 
@@ -274,6 +274,19 @@
         dead_s = max(LOST_WAIT_S + WATCH_MARGIN_S, CALL_TIMEOUT_S)
         self.assertLess(old_s + dead_s + retry_s, ZONE_CLOSE_S)
 
+    def test_silent_connection_is_replaced_within_the_time_to_be_in_touch(self) -> None:
+        times = CatalogTimes.within(2.0, 20.0, contact_s=3.0)
+        self.assertEqual(times.silence_s, 3.0)
+        self.assertLess(MAX_IDLE_S + times.idle_wait_s + WATCH_MARGIN_S, times.silence_s)
+
+    def test_longer_bound_of_a_change_saves_calls(self) -> None:
+        times = CatalogTimes.within(13.0, 20.0, contact_s=3.0)
+        self.assertEqual(times.silence_s, 13.0)
+        self.assertLess(MAX_IDLE_S + times.idle_wait_s + WATCH_MARGIN_S, times.silence_s)
+
+    def test_watch_is_shorter_than_the_history(self) -> None:
+        self.assertEqual(CatalogTimes.within(13.0, 4.0).idle_wait_s, 3.0)
+
 
 if __name__ == "__main__":
     unittest.main()
