A front refuses unknown routes for good only by a configuration confirmed lately

What callers saw: 404 (401 for a credential) from a front whose watch of the configuration fails while its watch of the runners is answered, however old its configuration is.

Cause: whether the configuration is current was judged by RegistryReading.is_lost, which speaks of the watch of the runners alone.

Change: ServiceNode.configuration_age, confirmed by replies to the watch of the configuration and by fresh updates of stores. Over the time to be in touch the front answers 503, which a caller may repeat. The age is a metric, bendshed_configuration_age_seconds.

--- a/src/bendshed/catalog/confirmations.py
+++ b/src/bendshed/catalog/confirmations.py
@@ -1,6 +1,8 @@
 """Age of a replica machine's catalog: when the registry last confirmed each part of it."""
 
 import asyncio
+import math
+from collections.abc import Callable
 from enum import StrEnum
 
 from bendshed.catalog.messages import NEVER_CONFIRMED_MS
@@ -16,6 +18,32 @@
     ZONES = "zones"
 
 
+NEVER_CONFIRMED_S = -1.0
+"""Age in the metrics of what the registry has not confirmed."""
+
+
+class ConfirmationAge:
+    """Time since the registry confirmed one part of what a node knows."""
+
+    def __init__(self) -> None:
+        self._clock: Callable[[], float] = lambda: math.inf  # the loop's clock once confirmed
+        self._confirmed_at_s = -math.inf
+
+    def confirm(self, age_s: float) -> None:
+        """Record that the registry confirmed the part ``age_s`` ago."""
+        self._clock = asyncio.get_running_loop().time
+        self._confirmed_at_s = max(self._confirmed_at_s, self._clock() - age_s)
+
+    @property
+    def seconds(self) -> float:
+        """Age in seconds; infinite: never confirmed."""
+        return self._clock() - self._confirmed_at_s
+
+    def read(self) -> float:
+        """Return the age as metrics show it."""
+        return self.seconds if self._confirmed_at_s > -math.inf else NEVER_CONFIRMED_S
+
+
 class Confirmations:
     """Loop times at which the registry confirmed each part since the process started."""
 
--- a/src/bendshed/catalog/follower.py
+++ b/src/bendshed/catalog/follower.py
@@ -297,8 +297,10 @@
         self._apply_fronts(update)
         self.upstream.num_dependents = update.num_dependents
         self._is_reading_shared = self._may_share and is_reading_shared(update.num_dependents)
-        if self._is_reading_shared and is_current and update.age_s < self._times.max_age_s:
-            self._intake.confirm(update.age_s)
+        if not is_current or update.confirmed_age_ms is None:
+            return
+        self._intake.confirm(update.age_s)
+        if self._is_reading_shared and update.age_s < self._times.max_age_s:
             self._freshness.renew(self._times.max_age_s - update.age_s)
 
     def _apply_directory(self, update: CatalogUpdate) -> None:
--- a/src/bendshed/catalog/reading.py
+++ b/src/bendshed/catalog/reading.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import contextlib
-import math
 from collections.abc import Awaitable, Callable, Sequence
-from functools import partial
 from typing import Protocol
 
 from prometheus_client import Gauge
@@ -19,9 +17,6 @@
 """A node that has no update this long after its start reads the registry itself. Updates usually
 arrive within a few round trips, and when all nodes start at once each own read costs a call."""
 
-NEVER_READ = -1.0
-"""Age in the metrics of a kind that this process has not read."""
-
 log = PartLog("registry")
 
 
@@ -72,7 +67,7 @@
             "bendshed_registry_age_seconds", "Since the store last replied to the watch", "kind"
         )
         for watcher in (self._primary, *self._others):
-            ages.labels(watcher.kind).set_function(partial(_read_age_s, watcher))
+            ages.labels(watcher.kind).set_function(watcher.age.read)
 
     async def wait_for_update(
         self, discover: Callable[[], Awaitable[bool]], settle_s: float
@@ -123,7 +118,3 @@
                 watcher.restart()
                 watcher.resume()
         self._on_change(self.is_lost)
-
-
-def _read_age_s(watcher: KindWatcher) -> float:
-    return watcher.age_s if watcher.confirmed_at_s > -math.inf else NEVER_READ
--- a/src/bendshed/catalog/watcher.py
+++ b/src/bendshed/catalog/watcher.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from bendshed.catalog.confirmations import ConfirmationAge
 from bendshed.logs import PartLog
 from bendshed.ports.objects import (
     HistoryExpired,
@@ -122,7 +123,7 @@
             ``LOST_WAIT_S``, so that missed changes, or a dead connection, are detected at once; it
             costs a call.
         failed_at_s: loop time of the last failed call.
-        confirmed_at_s: loop time of the store's last reply.
+        age: since the store's last reply.
         on_loss_change: called when the store is lost and when it answers again: a watch begun in
             between may hang on a dead connection.
 
@@ -138,7 +139,8 @@
         pause_s: float = WATCH_PAUSE_S,
         max_retry_growth: float = 1.0,
     ) -> None:
-        self.failed_at_s = self.confirmed_at_s = -math.inf
+        self.failed_at_s = -math.inf
+        self.age = ConfirmationAge()
         self.on_loss_change: list[Callable[[], None]] = []
         self.is_first_watch_short = False
         self._is_next_watch_short = False
@@ -155,7 +157,6 @@
         self._listed: dict[str, int] = {}
         self._call: asyncio.Task[None] | None = None
         self._is_lost = False
-        self._clock: Callable[[], float] = lambda: math.inf  # the loop's clock once it runs
         self._is_active = asyncio.Event()
         self._is_active.set()
 
@@ -164,11 +165,6 @@
         """Whether the last call failed."""
         return self._is_lost
 
-    @property
-    def age_s(self) -> float:
-        """Time since the store last replied to this watch, in seconds; infinite: never."""
-        return self._clock() - self.confirmed_at_s
-
     @property
     def kind(self) -> str:
         """Kind of the objects that are followed."""
@@ -182,7 +178,6 @@
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         loop = asyncio.get_running_loop()
-        self._clock = loop.time
         while True:
             await self._is_active.wait()
             self._call = loop.create_task(self._call_store())
@@ -253,7 +248,7 @@
         self._note_confirmed(changes.revision)
 
     def _note_confirmed(self, revision: int) -> None:
-        self.confirmed_at_s = self._clock()
+        self.age.confirm(0.0)
         self._handler.on_confirmed(revision)
 
     def _is_outdated(self, event: ObjectEvent) -> bool:
@@ -267,11 +262,11 @@
         self.failed_at_s = asyncio.get_running_loop().time()
         self._num_failed += 1
         if not self._is_lost:
-            age_s = round(self.age_s, 3) if self.confirmed_at_s > -math.inf else None
+            confirmed_ago_s = round(self.age.seconds, 3) if self.age.seconds < math.inf else None
             log.say(
                 "platform store lost: call failed",
                 kind=self._kind,
-                confirmed_ago_s=age_s,
+                confirmed_ago_s=confirmed_ago_s,
                 reason=str(error),
             )
             self._is_lost = True
--- a/src/bendshed/rehearsal/site/sim_objects.py
+++ b/src/bendshed/rehearsal/site/sim_objects.py
@@ -15,7 +15,7 @@
     ObjectSource,
     StoredObject,
 )
-from bendshed.ports.store import StoreSilent
+from bendshed.ports.store import StoreSilent, StoreUnavailable
 from bendshed.rehearsal.site.metadata import MetadataModel
 
 ONE_WAY_S = 0.002
@@ -50,6 +50,7 @@
     Attributes:
         connections: the open ones.
         num_calls: calls since the process started.
+        refused_kinds: kinds whose calls are refused.
 
     """
 
@@ -58,6 +59,7 @@
         self._is_reachable = is_reachable
         self.connections: list[SimStoreConnection] = []
         self.num_calls = 0
+        self.refused_kinds: frozenset[str] = frozenset()
 
     async def list(self, kind: str, may_be_stale: bool = False) -> ObjectList:
         """Read all objects of a kind."""
@@ -73,6 +75,8 @@
         """Wait for changes after a revision."""
 
         async def wait() -> ObjectEvents:
+            if kind in self.refused_kinds:
+                raise StoreUnavailable("refused")
             await self._wait_for_events(kind, after_revision, wait_s)
             if after_revision < self._model.history_from:
                 raise HistoryExpired(kind)
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -7,6 +7,7 @@
 from functools import partial
 
 from bendshed.catalog.cold_runner_tracker import ColdRunnerTracker
+from bendshed.catalog.confirmations import ConfirmationAge
 from bendshed.catalog.follower import CatalogFollower, FollowerPaths
 from bendshed.catalog.quarantine_client import QuarantineClient
 from bendshed.catalog.quarantine_messages import ENDS_METHOD
@@ -82,6 +83,7 @@
         forwarder: serves requests.
         quotas: admits requests within the quota of each tenant.
         zones: zones that operators closed.
+        configuration_age: since the registry confirmed the configuration, read or received.
         on_document: called with each document that comes into force.
 
     """
@@ -105,6 +107,7 @@
         self.directory.on_change.append(self._knows_replicas.set)
         self.on_document: Callable[[ServiceDocument], None] = lambda _document: None
         self.is_draining = False
+        self.configuration_age = ConfirmationAge()
         self._policy = policy
         self._groups = groups
         self._places = location.places
@@ -237,6 +240,10 @@
         fresh.set_function(lambda: float(self.catalog.is_fresh))
         version = metrics.gauge("bendshed_configuration_version", "Configuration applied")
         version.set_function(self._version)
+        age = metrics.gauge(
+            "bendshed_configuration_age_seconds", "Since the registry confirmed it; -1: never"
+        )
+        age.set_function(self.configuration_age.read)
         runners = metrics.labelled_gauge("bendshed_runners", "Runners by state", "state")
         for state in ObservedState:
             runners.labels(state.value).set_function(partial(self._table.count, state))
@@ -390,7 +397,8 @@
         self._node.apply_zones(update)
 
     def confirm_all(self, age_s: float, _runners_at: int) -> None:
-        """Use only the age of the closed zones."""
+        """Use the ages of the configuration and of the closed zones."""
+        self._node.configuration_age.confirm(age_s)
         self._node.confirm_zones(age_s)
 
 
--- a/src/bendshed/services/registry_watches.py
+++ b/src/bendshed/services/registry_watches.py
@@ -55,7 +55,9 @@
         others = [
             self._watch(
                 registry_format.configuration_kind,
-                KindHandler.of_items(self._apply_configuration),
+                KindHandler.of_items(
+                    self._apply_configuration, lambda _revision: node.configuration_age.confirm(0.0)
+                ),
                 times.idle_wait_s,
             ),
             self._watch(
@@ -88,8 +90,12 @@
         return [*tasks, start_loop(waiting, "registry")]
 
     def _is_configuration_current(self) -> bool:
-        """Return whether replica machines or the registry keep the configuration current."""
-        return self._node.catalog.is_fresh or not self.reading.is_lost
+        """Return whether replica machines or the registry keep the configuration current.
+
+        That the registry answers for another kind says nothing of the configuration.
+        """
+        is_confirmed = self._node.configuration_age.seconds <= self._times.silence_s
+        return self._node.catalog.is_fresh or (is_confirmed and not self.reading.is_lost)
 
     async def _load_replicas(self) -> bool:
         """Read the list of replica machines; a list that is seconds old is sufficient."""
--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -24,6 +24,8 @@
 }
 CHANGE_TIMES_S = (0.0, 0.5, 1.0, 2.0, CONTACT_S)
 """From the silence to the change: before, when and after the machines are in touch again."""
+START_S = 0.3
+"""A front that starts has an update of a store by then, and has not read for itself."""
 
 
 class SilentLogsTestCase(unittest.TestCase):
@@ -113,6 +115,50 @@
         self.assertEqual(known_level(front, Part.CONFIGURATION), world.document.version)
 
 
+class UnconfirmedConfigurationTest(SilentLogsTestCase):
+    """The store answers a front's watch of the runners, and refuses that of the configuration."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.world = SilenceWorld.started(5, SMALL)
+        self.addCleanup(self.world.close)
+        self.world.run_for(2 * CONTACT_S)
+
+    def refuse(self, kind: str) -> None:
+        for source in self.world.sources.values():
+            source.refused_kinds = frozenset({kind})
+
+    def is_current(self) -> bool:
+        front = self.world.fronts["front-1"].front
+        assert front is not None
+        return front.forwarder.is_current()
+
+    # Guards against a 404 by a configuration that the store has not confirmed for long.
+    def test_unknown_route_is_refused_for_good_only_by_a_confirmed_configuration(self) -> None:
+        self.assertTrue(self.is_current())
+        self.refuse(names.CONFIGURATION_KIND)
+        self.world.run_for(2 * CONTACT_S)
+        self.assertFalse(self.is_current())
+        self.refuse("")
+        self.world.run_for(2 * CONTACT_S)
+        self.assertTrue(self.is_current())
+
+    # Guards against 503 for unknown routes from a front that knows them from a store.
+    def test_configuration_of_a_store_counts_with_its_age(self) -> None:
+        front = self.world.fronts["front-1"]
+        self.world.kill(front)
+        self.world.restart(front)
+        self.world.run_for(START_S)
+        assert front.front is not None
+        self.assertEqual(known_level(front, Part.CONFIGURATION), 1)
+        self.assertTrue(self.is_current())
+
+    def test_other_kinds_do_not_matter_to_the_configuration(self) -> None:
+        self.refuse(names.REPLICA_KIND)
+        self.world.run_for(2 * CONTACT_S)
+        self.assertTrue(self.is_current())
+
+
 class SeededSilencesTest(SilentLogsTestCase):
     def test_seeded_silences(self) -> None:
         for seed in range(NUM_SEEDS):
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -117,11 +117,11 @@
 
     def test_age_counts_from_the_last_reply(self) -> None:
         self.run_for(1.0)
-        self.assertLess(self.long.age_s, 1.0)
+        self.assertLess(self.long.age.seconds, 1.0)
         self.store.is_down = True
         self.run_for(WATCH_S + 1.0)
-        self.assertGreater(self.long.age_s, WATCH_S)
-        self.assertLess(self.short.age_s, math.inf)
+        self.assertGreater(self.long.age.seconds, WATCH_S)
+        self.assertLess(self.short.age.seconds, math.inf)
 
     def test_change_after_an_outage_is_seen_soon(self) -> None:
         self.run_for(1.0)
