A store pauses between two watches for a share of the bound of a change

What callers saw: nothing that was reported. A store that reads for itself (fewer than eight dependent nodes), and may lead, knew a change that came just after a watch had returned 2.0 s later, with a bound of 2.0 s; on a site with a shorter bound all changes could be late.

Cause: IDLE_PAUSE_S was a constant, not derived from the bound, while fronts paused for 0.15 of it.

Change: CatalogTimes.pause_s, 0.15 of the bound, for both. The platform's front has no pace of its own any more.

The test, test_silences.PauseTest, failed before: version 1 at the store, 4 written 2 s before.

--- a/src/bendshed/catalog/times.py
+++ b/src/bendshed/catalog/times.py
@@ -14,11 +14,11 @@
 everything would have to be listed again."""
 REREAD_S = 0.3
 """Allowance for reading a kind again on a new connection after a watch that was not answered."""
-IDLE_PAUSE_S = 2.0
-"""Pause between two watches of a machine with few dependent nodes: a burst of changes costs one
-call in this time."""
+PAUSE_SHARE = 0.15
+"""Share of the time within which a change must be applied: the pause between two watches, so that a
+burst of changes costs one call. A change in the pause is known that much later."""
 DEMAND_PAUSE_S = 0.05
-"""The same for a machine that reads for others, since each pause delays all of them."""
+"""The pause of a machine that reads for others, since it delays all of them."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +46,7 @@
             requests.
         max_age_s: with an older catalog a node reads the registry itself.
         idle_wait_s: longest wait of a watch on which no other node depends.
+        pause_s: pause between two such watches.
         silence_s: a connection to the registry may be silent for this long before the node knows
             the registry's state again.
         zones_lag_s: closed zones may be older than the rest by this and count as equally old;
@@ -56,6 +57,7 @@
     interval_s: float
     max_age_s: float
     idle_wait_s: float
+    pause_s: float
     silence_s: float
     zones_lag_s: float | None = None
 
@@ -89,7 +91,14 @@
         silence_s = max(bound_s, contact_s)
         detected_wait_s = silence_s - MAX_IDLE_S - WATCH_MARGIN_S - REREAD_S
         idle_wait_s = max(interval_s, min(detected_wait_s, HISTORY_SHARE * history_s))
-        return cls(interval_s, MAX_AGE_SHARE * bound_s, idle_wait_s, silence_s, lag_s)
+        return cls(
+            interval_s,
+            MAX_AGE_SHARE * bound_s,
+            idle_wait_s,
+            PAUSE_SHARE * bound_s,
+            silence_s,
+            lag_s,
+        )
 
     @property
     def follows_zones(self) -> bool:
@@ -110,4 +119,4 @@
         """Read pace of a replica machine; in demand: often enough that its updates are fresh."""
         if is_in_demand:
             return ReadingPace(self.interval_s, DEMAND_PAUSE_S, self.zones_wait_s)
-        return ReadingPace(self.idle_wait_s, IDLE_PAUSE_S, self.idle_wait_s)
+        return ReadingPace(self.idle_wait_s, self.pause_s, self.idle_wait_s)
--- a/src/bendshed/platform/front.py
+++ b/src/bendshed/platform/front.py
@@ -26,8 +26,6 @@
 from bendshed.tasks import start_loop
 
 RUNNER_CONNECT_TIMEOUT_S = 0.6
-BATCH_INTERVAL_SHARE = 0.15
-"""Changes within this fraction of the apply time limit are fetched in one call."""
 READINESS_DETECTION_S = 2.6
 """Drain delay: the platform stops sending clients after two failed readiness checks, 1 s apart."""
 STOP_MARGIN_S = 0.8
@@ -76,7 +74,6 @@
             self._node,
             times,
             self._rng,
-            BATCH_INTERVAL_SHARE * settings.apply_s,
         )
         self._watches.reading.add_gauges(metrics)
 
--- a/src/bendshed/rehearsal/site/silence_world.py
+++ b/src/bendshed/rehearsal/site/silence_world.py
@@ -145,7 +145,7 @@
         rng = random.Random(f"watches/{self.seed}/{machine.process.name}")
         watches: FrontWatches | ReplicaWatches
         if machine.front is not None:
-            watches = FrontWatches(source, REGISTRY_FORMAT, machine.front, TIMES, rng, 0.3)
+            watches = FrontWatches(source, REGISTRY_FORMAT, machine.front, TIMES, rng)
         else:
             assert machine.replica is not None
             watches = ReplicaWatches(source, REGISTRY_FORMAT, machine.replica, TIMES, rng)
--- a/src/bendshed/services/registry_watches.py
+++ b/src/bendshed/services/registry_watches.py
@@ -24,8 +24,7 @@
         source: read access to the registry.
         registry_format: names and encoding of its objects.
         node: gets all changes.
-        times: longest waits of the watches.
-        pause_s: pause between two watches of a kind, in seconds.
+        times: waits and pauses of the watches.
 
     Attributes:
         reading: pauses and resumes the watches.
@@ -39,14 +38,12 @@
         node: ServiceNode,
         times: CatalogTimes,
         rng: random.Random,
-        pause_s: float,
     ) -> None:
         self._source = source
         self._format = registry_format
         self._node = node
         self._times = times
         self._rng = rng
-        self._pause_s = pause_s
         self._runners = self._watch(
             registry_format.runner_kind,
             KindHandler(self._set_runners, self._on_runner, node.catalog.note_registry_read),
@@ -74,7 +71,7 @@
 
     def _watch(self, kind: str, handler: KindHandler, wait_s: float) -> KindWatcher:
         return KindWatcher(
-            self._source, kind, handler, wait_s, self._rng, self._pause_s, MAX_RETRY_GROWTH
+            self._source, kind, handler, wait_s, self._rng, self._times.pause_s, MAX_RETRY_GROWTH
         )
 
     def _watch_zones(self) -> KindWatcher:
--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -11,6 +11,7 @@
 from bendshed.rehearsal.site.layout import SMALL
 from bendshed.rehearsal.site.silence_world import LARGE, Part, SilenceWorld, known_level
 from bendshed.rehearsal.site.silences import SILENCES, STEPS_PER_SILENCE
+from bendshed.rehearsal.site.sim_objects import ONE_WAY_S
 from bendshed.rehearsal.site.sim_world import APPLY_S, CONTACT_S, SimMachine
 from bendshed.rehearsal.site.sim_zones import RUNNER_ZONES, ZONE_CLOSE_S
 from tests.site_silence_defects import DEFECTS
@@ -115,6 +116,31 @@
         self.assertEqual(known_level(front, Part.CONFIGURATION), world.document.version)
 
 
+class PauseTest(SilentLogsTestCase):
+    """Nothing is silent; a change comes just after a watch has returned."""
+
+    # Guards against a store that rests between two watches for as long as a change may take.
+    def test_change_during_the_pause_between_two_watches_is_known_in_time(self) -> None:
+        world = SilenceWorld.started(6, SMALL)
+        self.addCleanup(world.close)
+        world.run_for(2 * CONTACT_S)
+        first = rendezvous_rank(CATALOG_METHOD, world.stores)[0]
+        for name in (first, "front-1"):
+            with self.subTest(machine=name):
+                for is_waiting in (False, True):
+                    while self.waits_for_configuration(world, name) is is_waiting:
+                        world.run_for(ONE_WAY_S / 2)
+                world.publish()
+                world.run_for(APPLY_S)
+                machine = world.stores.get(name) or world.fronts[name]
+                version = known_level(machine, Part.CONFIGURATION)
+                self.assertEqual(version, world.document.version)
+
+    def waits_for_configuration(self, world: SilenceWorld, name: str) -> bool:
+        connections = world.sources[name].connections
+        return any(row.watched_kind == names.CONFIGURATION_KIND for row in connections)
+
+
 class UnconfirmedConfigurationTest(SilentLogsTestCase):
     """The store answers a front's watch of the runners, and refuses that of the configuration."""
 
