Calls to the object API are given up when their connection is silent

What callers saw: nothing that was reported. A change of the configuration or an operator's command could hang for 60 s at a node whose connection to the object API had become silent, and a change could be in force nowhere for that long; the bound is 13 s (own interface).

The only limit was the HTTP client's 60 s without a byte, and idle connections were reused for 15 s.

Change: a watch is given up 2 s after its wait, any other call after 5 s (StoreSilent); a watch waits 5 s instead of 10; calls to the platform have a client whose idle connections are closed after 1 s.

--- a/src/bendshed/adapters/http.py
+++ b/src/bendshed/adapters/http.py
@@ -13,6 +13,7 @@
 from blacksheep import Application, Request, Response
 
 CONNECT_TIMEOUT_S = 5.0
+MAX_IDLE_S = 15.0
 READ_TIMEOUT_S = 60.0
 """A stream that delivers no data for this long counts as broken."""
 
@@ -51,15 +52,20 @@
 
 
 class HttpClient:
-    """HTTP client, one per process. It sends each request once and never retries."""
+    """HTTP client. It sends each request once and never retries.
 
-    def __init__(self) -> None:
+    Args:
+        max_idle_s: a connection that was idle for longer is not reused, in seconds.
+
+    """
+
+    def __init__(self, max_idle_s: float = MAX_IDLE_S) -> None:
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=READ_TIMEOUT_S
         )
         self._session = aiohttp.ClientSession(
             timeout=timeout,
-            connector=aiohttp.TCPConnector(limit=0),
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=max_idle_s),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
 
--- a/src/bendshed/adapters/http_store.py
+++ b/src/bendshed/adapters/http_store.py
@@ -4,6 +4,7 @@
 ``If-Match`` and ``If-None-Match``); a watch is a list request that waits (long polling).
 """
 
+import asyncio
 import base64
 from urllib.parse import quote, urlencode
 
@@ -15,13 +16,25 @@
     MachineList,
     ObjectStore,
     StoredObject,
+    StoreSilent,
     StoreUnavailable,
     VersionConflict,
 )
 
+CALL_TIMEOUT_S = 5.0
+WATCH_MARGIN_S = 2.0
+"""A watch without an answer this long after the end of its wait is given up."""
+MAX_IDLE_S = 1.0
+"""Idle time after which the client of the store does not reuse a connection: it may have become
+silent, which only an unanswered call shows."""
+
 
 class HttpObjectStore(ObjectStore):
-    """The platform's object API at ``base_url``."""
+    """The platform's object API at ``base_url``.
+
+    A call without a complete answer in time raises ``StoreSilent``, since its connection may be
+    silent without being closed.
+    """
 
     def __init__(self, client: HttpClient, base_url: str) -> None:
         self._client = client
@@ -52,12 +65,18 @@
 
     async def list_after(self, prefix: str, after_key: str) -> list[StoredObject]:
         """Return the objects under the prefix after ``after_key``."""
-        return await self.watch(prefix, after_key, 0.0)
+        return await self._list(prefix, after_key, 0.0, CALL_TIMEOUT_S)
 
     async def watch(self, prefix: str, after_key: str, wait_s: float) -> list[StoredObject]:
         """Like ``list_after``, but wait up to ``wait_s`` seconds for the first such object."""
+        return await self._list(prefix, after_key, wait_s, wait_s + WATCH_MARGIN_S)
+
+    async def _list(
+        self, prefix: str, after_key: str, wait_s: float, timeout_s: float
+    ) -> list[StoredObject]:
         query = urlencode({"prefix": prefix, "after": after_key, "wait": wait_s})
-        answer = await _send(self._client, "GET", f"{self._base_url}/objects?{query}")
+        url = f"{self._base_url}/objects?{query}"
+        answer = await _send(self._client, "GET", url, timeout_s=timeout_s)
         _expect(answer, 200)
         return [
             StoredObject(row["key"], row["version"], base64.b64decode(row["content"]))
@@ -88,9 +107,14 @@
     url: str,
     content: bytes | None = None,
     headers: dict[str, str] | None = None,
+    timeout_s: float | None = None,
 ) -> HttpAnswer:
+    limit_s = CALL_TIMEOUT_S if timeout_s is None else timeout_s
     try:
-        return await client.send(method, url, content, headers)
+        async with asyncio.timeout(limit_s):
+            return await client.send(method, url, content, headers)
+    except TimeoutError as error:
+        raise StoreSilent(f"{method} {url}: no answer in {limit_s:.1f} s") from error
     except CONNECTION_ERRORS as error:
         raise StoreUnavailable(repr(error)) from error
 
--- a/src/bendshed/configuration/service.py
+++ b/src/bendshed/configuration/service.py
@@ -36,7 +36,9 @@
 CHANGES_PREFIX = "configuration/changes/"
 FETCH_METHOD = "configuration.fetch"
 REVISION_METHOD = "configuration.revision"
-WATCH_TIMEOUT_S = 10.0
+WATCH_TIMEOUT_S = 5.0
+"""Longest wait of a watch. A reader whose connection to the store became silent reads the store
+again within the 13 s in which a change must be in force everywhere."""
 STORE_RETRY_S = 1.0
 FETCH_TIMEOUT_S = 2.0
 MAX_RECENT_CHANGES = 256
--- a/src/bendshed/process.py
+++ b/src/bendshed/process.py
@@ -11,7 +11,7 @@
 from bendshed.adapters.connection_pool import ConnectionPool
 from bendshed.adapters.http import HttpClient
 from bendshed.adapters.http_server import HttpServer, make_server
-from bendshed.adapters.http_store import HttpMachineList, HttpObjectStore
+from bendshed.adapters.http_store import MAX_IDLE_S, HttpMachineList, HttpObjectStore
 from bendshed.adapters.openai_engine import OpenAiEngine
 from bendshed.adapters.sockets import bind
 from bendshed.adapters.tcp_transport import TcpTransport
@@ -61,13 +61,13 @@
     host = str(settings.node.host)
     transport = TcpTransport(host, settings.node.peer_port)
     address = await transport.start()
-    client = HttpClient()
+    client, store_client = HttpClient(), HttpClient(MAX_IDLE_S)
     clock = SystemClock()
     folder = settings.node.data_folder
     ports = NodePorts(
         transport=transport,
-        store=HttpObjectStore(client, settings.platform.object_api),
-        machine_list=HttpMachineList(client, settings.platform.machine_list),
+        store=HttpObjectStore(store_client, settings.platform.object_api),
+        machine_list=HttpMachineList(store_client, settings.platform.machine_list),
         new_engine=lambda machine: OpenAiEngine(client, machine.url),
         storage=open_storage(settings),
         cache=FileConfigurationCache(folder) if folder is not None else None,
@@ -97,6 +97,7 @@
     await _stop(settings, node, server, serving)
     services.close()
     await client.close()
+    await store_client.close()
     if failed:
         raise NodeFailed("; ".join(failed))
 
