--- a/src/bendshed/catalog/times.py
+++ b/src/bendshed/catalog/times.py
@@ -89,8 +89,8 @@
         lag_s = MAX_AGE_SHARE * (zone_close_s - bound_s) if zone_close_s is not None else None
         interval_s = INTERVAL_SHARE * bound_s
         silence_s = max(bound_s, contact_s)
-        detected_wait_s = silence_s - MAX_IDLE_S - WATCH_MARGIN_S - REREAD_S
-        idle_wait_s = max(interval_s, min(detected_wait_s, HISTORY_SHARE * history_s))
+        max_wait_s = silence_s - MAX_IDLE_S - WATCH_MARGIN_S - REREAD_S
+        idle_wait_s = max(interval_s, min(max_wait_s, HISTORY_SHARE * history_s))
         return cls(
             interval_s,
             MAX_AGE_SHARE * bound_s,
--- a/src/bendshed/rehearsal/site/sim_objects.py
+++ b/src/bendshed/rehearsal/site/sim_objects.py
@@ -50,7 +50,7 @@
     Attributes:
         connections: the open ones.
         num_calls: calls since the process started.
-        refused_kinds: kinds whose calls are refused.
+        refused_kinds: kinds whose watches are refused.
 
     """
 
--- a/tests/test_http_store.py
+++ b/tests/test_http_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from contextlib import AbstractContextManager
 from unittest import mock
 
 from bendshed.adapters import http_store
@@ -21,10 +22,6 @@
 
 class SilentConnectionTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        for name in ("CALL_TIMEOUT_S", "WATCH_MARGIN_S"):
-            patch = mock.patch.object(http_store, name, SHORT_TIMEOUT_S)
-            patch.start()
-            self.addCleanup(patch.stop)
         self.server = await asyncio.start_server(self.answer, LOCAL, 0)
         target = Address(*self.server.sockets[0].getsockname()[:2])
         self.proxy = StallingProxy(target)
@@ -46,12 +43,16 @@
         except asyncio.IncompleteReadError:
             writer.close()
 
+    @staticmethod
+    def short(timeout: str) -> AbstractContextManager[object]:
+        return mock.patch.object(http_store, timeout, SHORT_TIMEOUT_S)
+
     # Guards against a change that a reader misses for as long as its silent connection is open.
     async def test_silent_watch_is_given_up_after_its_wait(self) -> None:
         await self.store.watch("changes/", "", 0.0)
         self.proxy.stall()
         async with asyncio.timeout(HANG_TIMEOUT_S):
-            with self.assertRaises(StoreSilent):
+            with self.short("WATCH_MARGIN_S"), self.assertRaises(StoreSilent):
                 await self.store.watch("changes/", "", 0.0)
             self.assertEqual(await self.store.watch("changes/", "", 0.0), [])
 
@@ -60,6 +61,6 @@
         await self.machines.read()
         self.proxy.stall()
         async with asyncio.timeout(HANG_TIMEOUT_S):
-            with self.assertRaises(StoreSilent):
+            with self.short("CALL_TIMEOUT_S"), self.assertRaises(StoreSilent):
                 await self.machines.read()
             self.assertEqual(await self.machines.read(), [])
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -3,12 +3,13 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
 from bendshed.adapters.http_server import make_server
 from bendshed.adapters.sockets import bind
 from bendshed.model.address import Address
 from bendshed.model.runner import RunnerState, ServiceRunner
-from bendshed.platform import names
+from bendshed.platform import names, objects
 from bendshed.platform.encode import write_document, write_runner
 from bendshed.platform.objects import ObjectApi
 from bendshed.platform.registry import PlatformReplicaRegistry
@@ -195,7 +196,9 @@
         self.proxy.stall()
         with self.assertRaises(StoreSilent):
             await self.api.watch("kind", self.model.revision, 0.0)
-        self.assertEqual((await self.api.watch("kind", self.model.revision, 0.0)).events, [])
+        with mock.patch.object(objects, "WATCH_MARGIN_S", HANG_TIMEOUT_S):
+            changes = await self.api.watch("kind", self.model.revision, 0.0)
+        self.assertEqual(changes.events, [])
 
     # Guards against a call on a pooled connection that became silent while it was idle.
     async def test_connection_that_was_idle_for_long_is_not_reused(self) -> None:
