Tests of silent watches: a watch is under way when its connection becomes silent

A machine in the pause between two watches has none, and the test would show nothing. The retirement is tested at the store that follows no other, from the beginning of its watch.

--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -29,6 +29,16 @@
 """A front that starts has an update of a store by then, and has not read for itself."""
 
 
+def is_watching(world: SilenceWorld, name: str, kind: str) -> bool:
+    return any(row.watched_kind == kind for row in world.sources[name].connections)
+
+
+def wait_for_watches(world: SilenceWorld, machines: list[SimMachine], kind: str) -> None:
+    """Wait until each machine has a watch of a kind under way."""
+    while not all(is_watching(world, machine.name, kind) for machine in machines):
+        world.run_for(ONE_WAY_S)
+
+
 class SilentLogsTestCase(unittest.TestCase):
     def setUp(self) -> None:
         logging.disable(logging.CRITICAL)
@@ -47,6 +57,7 @@
     def silence_front_and_its_store(self, world: SilenceWorld, kind: str) -> list[SimMachine]:
         first = rendezvous_rank(CATALOG_METHOD, world.stores)[0]
         machines = [world.fronts["front-1"], world.stores[first]]
+        wait_for_watches(world, machines, kind)
         for machine in machines:
             world.silence_watch(machine, kind)
         return machines
@@ -90,10 +101,11 @@
     # Guards against a retirement that a store learns of after its machine was removed.
     def test_retirement_behind_a_silent_watch_is_known_in_time(self) -> None:
         world = self.open_world(3)
-        world.run_for(CONTACT_S)
-        machine = world.stores["store-1"]
-        for store in world.stores.values():
-            world.silence_watch(store, names.RETIREMENT_KIND)
+        machine = world.stores[rendezvous_rank(CATALOG_METHOD, world.stores)[0]]
+        for is_waiting in (True, False):
+            while is_watching(world, machine.name, names.RETIREMENT_KIND) is is_waiting:
+                world.run_for(ONE_WAY_S)
+        world.silence_watch(machine, names.RETIREMENT_KIND)
         world.model.put(names.RETIREMENT_KIND, "store-9", {})
         world.run_for(CONTACT_S)
         assert machine.replica is not None
@@ -128,7 +140,7 @@
         for name in (first, "front-1"):
             with self.subTest(machine=name):
                 for is_waiting in (False, True):
-                    while self.waits_for_configuration(world, name) is is_waiting:
+                    while is_watching(world, name, names.CONFIGURATION_KIND) is is_waiting:
                         world.run_for(ONE_WAY_S / 2)
                 world.publish()
                 world.run_for(APPLY_S)
@@ -136,10 +148,6 @@
                 version = known_level(machine, Part.CONFIGURATION)
                 self.assertEqual(version, world.document.version)
 
-    def waits_for_configuration(self, world: SilenceWorld, name: str) -> bool:
-        connections = world.sources[name].connections
-        return any(row.watched_kind == names.CONFIGURATION_KIND for row in connections)
-
 
 class UnconfirmedConfigurationTest(SilentLogsTestCase):
     """The store answers a front's watch of the runners, and refuses that of the configuration."""
