--- a/review/standins-2/small_site.py
+++ b/review/standins-2/small_site.py
@@ -22,6 +22,8 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 FRONT, READY, PEER, METRICS, RUNNER, STORE = 8149, 8141, 7380, 9464, 8369, 8142
 ZONES = ("zone-a", "zone-b", "zone-c")
+FRONT_ZONES = ZONES[:2]
+REGION = "cr-central"
 HOST = "ficu95.example"
 BOUNDS = {
     "seedLagS": 3, "reuseAfterS": 2, "contactMs": 3000, "ackMs": 4000, "catchUpS": 4.3, "drainMs": 2000,
@@ -167,14 +169,9 @@
 class Site:
     """Two fronts, three stores, some runners, the platform's store and the record of what they did."""
 
-    def __init__(self, record: Record, services: dict, num_fronts: int = 2, regions: dict | None = None) -> None:
-        """``regions``: region of each zone; each zone then has a store, each region a front in its first zone."""
+    def __init__(self, record: Record, services: dict) -> None:
+        """``services``: number of runners of each."""
         self.record, self.services = record, services
-        self.regions = regions or {zone: "cr-central" for zone in ZONES}
-        zones = list(self.regions)
-        self.store_zones = zones
-        first = {region: zone for zone, region in reversed(self.regions.items())}
-        self.front_zones = sorted(first.values()) if regions else zones[:num_fronts]
         self.runs: list[Run] = []
         self.runners: dict[str, Runner] = {}
         self.fronts: dict[str, Process] = {}
@@ -214,16 +211,16 @@
         number = 2
         for service, count in self.services.items():
             for index in range(count):
-                zones = list(self.regions)
-                runner = Runner(self, f"i-{service}-{index + 1}", service, zones[index % len(zones)], self._ip(number))
+                zone = ZONES[index % len(ZONES)]
+                runner = Runner(self, f"i-{service}-{index + 1}", service, zone, self._ip(number))
                 number += 1
                 await runner.start()
                 self.runners[runner.name] = runner
                 self.metadata.put("servers", runner.name, runner.entry())
         self.configure(configuration)
-        for index, zone in enumerate(self.store_zones):
+        for index, zone in enumerate(ZONES):
             self._plan(f"store-{zone}", "store", zone, self._ip(15 + index), self.stores)
-        for index, zone in enumerate(self.front_zones):
+        for index, zone in enumerate(FRONT_ZONES):
             self._plan(f"front-{zone}", "node", zone, self._ip(24 + index), self.fronts)
         for process in [*self.stores.values(), *self.fronts.values()]:
             await self.launch(process)
@@ -240,7 +237,7 @@
         settings = {
             "nodeName": name, "role": role, "class": "front" if role == "node" else "store",
             "serves": ["front"] if role == "node" else ["store"], "ip": ip, "zone": zone,
-            "region": self.regions[zone], "zones": self.regions,
+            "region": REGION, "zones": {each: REGION for each in ZONES},
             "listen": {"front": f"{ip}:{FRONT}", "ready": f"{ip}:{READY}"} if role == "node" else {},
             "portRange": [PEER, PEER + 15], "seeds": [], "bootstrap": True, "inTolerance": role == "store",
             "dataDir": str(data) if data else None, "discovery": "platform", "entry": "vip",
@@ -294,15 +291,6 @@
         self.metadata.delete("servers", runner.name)
         self.record.add(runner.name, "its entry has gone from the store")
 
-    def data_of(self, process: Process) -> bytes:
-        """All that a store's machine holds on its disk."""
-        folder = Path(self._folder.name) / process.name
-        return b"".join(path.read_bytes() for path in sorted(folder.rglob("*")) if path.is_file())
-
-    def logged(self, process: Process, text: str) -> list:
-        """Lines of a process's log that contain a text."""
-        return [line for line in process.log.read_text().splitlines() if text in line]
-
     # --- clients ---------------------------------------------------------------------------
 
     async def send(self, front: Process, method: str, target: str, headers: dict, body: bytes = b"",
@@ -363,10 +351,6 @@
         if self._server is not None:
             self._server.should_exit = self._server.force_exit = True
             await asyncio.wait([self._serving], timeout=2.0)
-        keep = os.environ.get("KEEP_LOGS")
-        if keep:
-            for process in [*self.fronts.values(), *self.stores.values()]:
-                (Path(keep) / process.log.name).write_bytes(process.log.read_bytes())
         self._folder.cleanup()
 
 
