review: an error of a script is no broken rule

Cause: without the build, or at any error, a script exited with 1, and a SIGTERM left the processes that it had started.

--- a/review/standins-2/small_site.py
+++ b/review/standins-2/small_site.py
@@ -386,22 +386,29 @@
     return {**headers, **{name.replace("_", "-"): value for name, value in more.items()}}
 
 
+HELD, CANNOT_RUN, BROKEN = 0, 2, 3
+"""Results of ``main``; run.sh turns 3 into 1 and all others but 0 into 2, so that no error counts as a broken rule."""
+
+
 def main(play, folder: Path) -> int:
-    """Play a case: 1 if the rule was broken, 0 if it held, 2 if it could not run."""
+    """Play a case; also on a signal or an error, every process that it started is ended."""
     record = Record()
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add("case", f"TROUBLE={int(trouble)}")
 
     async def bounded() -> int:
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with asyncio.timeout(112):
-            return await play(record, trouble)
+            return BROKEN if await play(record, trouble) else HELD
 
     try:
-        code = asyncio.run(bounded())
-    except (CannotRun, TimeoutError) as error:
+        result = asyncio.run(bounded())
+    except (Exception, asyncio.CancelledError) as error:  # whatever it is, it shows nothing of the rule
         record.add("case", f"could not run: {error!r}")
-        code = 2
-    record.add("case", {0: "the rule held", 1: "THE RULE WAS BROKEN", 2: "the case could not run"}[code])
+        result = CANNOT_RUN
+    record.add("case", {HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN", CANNOT_RUN: "the case could not run"}[result])
     record.write(folder / "record.txt")
     print(record.lines[-1])
-    return code
+    return result
