Logs tell why a turn that continues another one got 404

A turn refused since its chain may expire before its end and one whose previous turn is not stored were answered alike, and the leader said nothing. Nothing else changes.

--- a/src/bendshed/turns/service.py
+++ b/src/bendshed/turns/service.py
@@ -158,10 +158,13 @@
         if refusal is not None:
             return refusal
         if await self._is_chain_expiring(group, command):
+            _log_expiring_chain(command, group)
             return wire.TurnReply(answer=wire.TURN_ANSWER_UNKNOWN_TURN)
         command.ClearField("turn_left_ms")
         self._set_expected_version(command.begin)
         reply = await group.commit(command, answer_by_s)
+        if reply.answer == wire.TURN_ANSWER_UNKNOWN_TURN:
+            _log_unknown_chain(command)
         if _needs_gather(command, reply):
             gathered = await self.shares.gather(command.group, command.begin)
             reply = await group.commit(command, answer_by_s)
@@ -365,6 +368,32 @@
     )
 
 
+def _log_expiring_chain(command: wire.TurnCommand, group: LedGroup) -> None:
+    begin = command.begin
+    state, _ = group.leader_state()
+    expires_ms = state.previous_expiry_ms(begin)
+    log.say(
+        "turn refused: the turn before may expire before its end",
+        request=begin.turn_id,
+        program=begin.program_id,
+        previous=begin.previous_turn,
+        group=command.group,
+        expires_in_ms=expires_ms - group.elapsed_ms() if expires_ms is not None else None,
+        turn_left_ms=command.turn_left_ms,
+    )
+
+
+def _log_unknown_chain(command: wire.TurnCommand) -> None:
+    begin = command.begin
+    log.say(
+        "turn refused: the turn before is not stored",
+        request=begin.turn_id,
+        program=begin.program_id,
+        previous=begin.previous_turn,
+        group=command.group,
+    )
+
+
 def _needs_gather(command: wire.TurnCommand, reply: wire.TurnReply) -> bool:
     """Whether this group must take over the other groups' shares for a begin."""
     is_other_group = reply.answer == wire.TURN_ANSWER_OTHER_GROUP
