A chain is stored until the turn that continues it has ended, whatever its time-out

Cause: how long a turn is stored was fixed at its end by the time-out in force then; whether a turn may continue it was forecast at the begin by the new turn's time-out. The two agree only while nothing changes.

Fix: the forecast is gone. A chain that would expire under the turn is extended by a commit before the begin; replicas of every build apply that command alike, since it is the end of a turn without content. The begin is decided by what is stored when it is applied.

--- a/src/bendshed/rehearsal/site/documents.py
+++ b/src/bendshed/rehearsal/site/documents.py
@@ -1,6 +1,6 @@
 """The configuration of rehearsed sites."""
 
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from bendshed.admission.quota_limits import QuotaTolerance
 from bendshed.identifiers import credential_digest
@@ -42,8 +42,19 @@
     return own * (1 + QUOTA_TERMS.excess_share) + QUOTA_TERMS.slack
 
 
+@dataclass(frozen=True, slots=True)
+class TurnRouteTimes:
+    """What operators change of the route that stores turns, in ms."""
+
+    timeout_ms: int = TURN_TIMEOUT_MS
+    retention_ms: int = RETENTION_MS
+
+
 def make_document(
-    version: int, has_guest: bool = True, has_tenants: bool = True
+    version: int,
+    has_guest: bool = True,
+    has_tenants: bool = True,
+    times: TurnRouteTimes = TurnRouteTimes(),
 ) -> ServiceDocument:
     """Turns of two kinds, repeatable and unrepeatable calls; two or three tenants, or none."""
     turn = Route(
@@ -51,18 +62,19 @@
         host=SITE_HOST,
         path_prefix="/turn/",
         kind=RouteKind.STREAM,
-        timeout_ms=TURN_TIMEOUT_MS,
+        timeout_ms=times.timeout_ms,
         target_ms=200,
         priority=1,
         targets=(WeightedService(STREAM_SERVICE, 1),),
         keeps_turns=True,
-        retention_ms=RETENTION_MS,
+        retention_ms=times.retention_ms,
         is_sticky=True,
     )
     resumable = replace(
         turn,
         name="resumable",
         path_prefix="/resumable/",
+        timeout_ms=TURN_TIMEOUT_MS,
         keeps_turns=False,
         retention_ms=0,
         is_resumable=True,
--- a/src/bendshed/rehearsal/site/sim_caller.py
+++ b/src/bendshed/rehearsal/site/sim_caller.py
@@ -86,8 +86,8 @@
         self._deliver(lambda: self._end(self._request, False))
 
 
-def to_service_request(request: SiteRequest, now_s: float) -> ServiceRequest:
-    """What a front reads of a client's request."""
+def to_service_request(request: SiteRequest, now_s: float, wait_s: float) -> ServiceRequest:
+    """What a front reads of the request of a client that waits for ``wait_s``."""
     turn = None
     if request.kind in (Kind.TURN, Kind.RESUMABLE_TURN):
         most = tokens_of(request.most_events)
@@ -109,7 +109,7 @@
         path=path,
         headers=headers,
         body=request.body,
-        wait_ms=int(CALLER_TIMEOUT_S * 1000),
+        wait_ms=int(wait_s * 1000),
         program_id=request.program_id,
         session=request.program_id,
         last_event_id=str(request.after_event or ""),
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -21,7 +21,14 @@
 from bendshed.rehearsal.simulator.platform import SimDisk, SimLogStorage
 from bendshed.rehearsal.simulator.timed_world import TimedWorld
 from bendshed.rehearsal.site.cold import COLD_START_S, COLD_TERMS, ColdSpell
-from bendshed.rehearsal.site.documents import GUEST, NARROW, QUOTA_TERMS, WIDE, make_document
+from bendshed.rehearsal.site.documents import (
+    GUEST,
+    NARROW,
+    QUOTA_TERMS,
+    WIDE,
+    TurnRouteTimes,
+    make_document,
+)
 from bendshed.rehearsal.site.layout import ONE_REGION, SiteLayout
 from bendshed.rehearsal.site.oracle import Violation, check_all
 from bendshed.rehearsal.site.programs import AgentProgram, ProgramPlan
@@ -142,6 +149,8 @@
     ended_runners_are_silent: bool = False
     ended_runners_stay_listed: bool = False
     fronts_end_with_runners: bool = False
+    turn_route_times: TurnRouteTimes = field(default_factory=TurnRouteTimes)
+    caller_wait_s: float = CALLER_TIMEOUT_S
     _waiting: dict[str, asyncio.Event] = field(default_factory=dict)
     _served_by: dict[str, SimProcess] = field(default_factory=dict)
     _num_ids: int = 0
@@ -463,7 +472,7 @@
         serving = machine.process.spawn(self.loop, self._serve(machine, request, caller))
         self._served_by[request.request_id] = machine.process
         try:
-            await asyncio.wait_for(over.wait(), CALLER_TIMEOUT_S)
+            await asyncio.wait_for(over.wait(), self.caller_wait_s)
         except TimeoutError:
             self.leave(request)
         if request.left_s is not None and not machine.process.dead:
@@ -479,7 +488,8 @@
 
     async def _serve(self, machine: SimMachine, request: SiteRequest, caller: SimCaller) -> None:
         assert machine.front is not None
-        await machine.front.forwarder.serve(to_service_request(request, self.loop.time()), caller)
+        read = to_service_request(request, self.loop.time(), self.caller_wait_s)
+        await machine.front.forwarder.serve(read, caller)
 
     def end_request(self, request: SiteRequest, whole: bool) -> None:
         """The client's connection ended."""
@@ -670,7 +680,14 @@
 
     def _make_document(self, version: int) -> ServiceDocument:
         has_guest = GUEST not in self.seen.removed_s
-        return make_document(version, has_guest, self.layout.has_tenants)
+        return make_document(version, has_guest, self.layout.has_tenants, self.turn_route_times)
+
+    def change_turn_route(self, times: TurnRouteTimes) -> None:
+        """The operator changes the route that stores turns; clients wait as long as it allows."""
+        self.count("the times of a route change")
+        self.turn_route_times = times
+        self.caller_wait_s = max(CALLER_TIMEOUT_S, times.timeout_ms / 1000)
+        self.publish()
 
     def remove_guest(self) -> None:
         """The operator removes a tenant's key."""
--- a/src/bendshed/turns/led_group.py
+++ b/src/bendshed/turns/led_group.py
@@ -20,6 +20,7 @@
 )
 from bendshed.turns.quota_counting import QuotaCounting
 from bendshed.turns.refused_begins import RefusedBegins
+from bendshed.turns.retention import make_extension
 from bendshed.turns.state import TurnLogState
 from bendshed.turns.unanswered_begins import ProposedBegins, UnansweredBegins, turn_key
 from bendshed.wire import turns_pb2 as wire
@@ -48,8 +49,8 @@
 class LedGroup:
     """Commits commands of one group.
 
-    ``leader_state``, ``elapsed_ms``, ``commit``, ``withdraw`` and ``admit_call`` raise
-    ``NotLeader`` where this process does not lead the group.
+    ``leader_state``, ``elapsed_ms``, ``commit``, ``extend_chain``, ``withdraw`` and ``admit_call``
+    raise ``NotLeader`` where this process does not lead the group.
 
     Attributes:
         group_id: id of the group.
@@ -144,6 +145,30 @@
             self._proposed_begins.settle(begin)
         return applied
 
+    async def extend_chain(self, begin: wire.BeginTurn, turn_left_ms: int) -> None:
+        """Store the chain that a begin continues until the begun turn has ended, if it is stored.
+
+        ``turn_left_ms``: until the turn's end is committed at the latest; 0: a node of an earlier
+        build did not say, so nothing is extended.
+
+        Raise ``NotLeader``, ``NotCommitted`` or ``CommitUnknown``.
+        """
+        state, _ = self.leader_state()
+        expires_ms, now_ms = state.previous_expiry_ms(begin), self.elapsed_ms()
+        if expires_ms is None or not turn_left_ms or expires_ms >= now_ms + turn_left_ms:
+            return
+        extension = make_extension(begin, turn_left_ms)
+        await self.commit(wire.TurnCommand(finish=extension, group=self.group_id))
+        log.say(
+            "chain extended: a turn that continues it may outlast it",
+            request=begin.turn_id,
+            program=begin.program_id,
+            previous=begin.previous_turn,
+            group=self.group_id,
+            expires_in_ms=expires_ms - now_ms,
+            turn_left_ms=turn_left_ms,
+        )
+
     def due_withdrawals(self) -> list[wire.WithdrawBegin]:
         """Return due withdrawals of this process's begins; the group's leader decides on them."""
         group = self._host.groups.get(self.group_id)
--- a/src/bendshed/turns/service.py
+++ b/src/bendshed/turns/service.py
@@ -25,7 +25,7 @@
 from bendshed.turns.methods import PREVIEW_METHOD, QUOTA_METHOD, RUNNER_METHOD, TURN_METHOD
 from bendshed.turns.metrics import CommandOutcome, TurnLogMetrics
 from bendshed.turns.quota_counting import QuotaCounting
-from bendshed.turns.retention import PREVIEW_MARGIN_MS, expires_before
+from bendshed.turns.retention import PREVIEW_MARGIN_MS
 from bendshed.turns.shares import ShareGatherer
 from bendshed.turns.state import TurnLogState
 from bendshed.turns.turn_placement import TurnPlacement
@@ -157,9 +157,7 @@
         refusal = self._rejected_by_preview(command.begin, state)
         if refusal is not None:
             return refusal
-        if await self._is_chain_expiring(group, command):
-            _log_expiring_chain(command, group)
-            return wire.TurnReply(answer=wire.TURN_ANSWER_UNKNOWN_TURN)
+        await group.extend_chain(command.begin, command.turn_left_ms)
         command.ClearField("turn_left_ms")
         self._set_expected_version(command.begin)
         reply = await group.commit(command, answer_by_s)
@@ -174,17 +172,6 @@
             self.shares.gather_later(command.group, command.begin)
         return reply
 
-    async def _is_chain_expiring(self, group: LedGroup, command: wire.TurnCommand) -> bool:
-        """Whether the turn that a begin continues may expire before the begun turn's end.
-
-        That is certain only after a commit: a leader that was replaced may not know a later turn
-        of the chain, which extends its storage.
-        """
-        if not _ends_too_late(command, group):
-            return False
-        await group.commit(wire.TurnCommand())
-        return _ends_too_late(command, group)
-
     def _set_expected_version(self, begin: wire.BeginTurn) -> None:
         """Set the software version of the runner where the preview placed the turn.
 
@@ -264,8 +251,9 @@
         now_ms = group.elapsed_ms()
         begin = preview.begin
         reply = state.preview(begin)
-        until_ms = now_ms + preview.turn_left_ms + PREVIEW_MARGIN_MS
-        if preview.turn_left_ms and expires_before(state.previous_expiry_ms(begin), until_ms):
+        expires_ms = state.previous_expiry_ms(begin)
+        if expires_ms is not None and expires_ms < now_ms + PREVIEW_MARGIN_MS:
+            # The begin decides: it may be applied after the chain has expired.
             return wire.TurnReply(answer=wire.TURN_ANSWER_UNKNOWN_TURN)
         if reply.answer not in (wire.TURN_ANSWER_GRANTED, wire.TURN_ANSWER_BUDGET_SPENT):
             return reply
@@ -354,35 +342,6 @@
             group.begin_term(asyncio.get_running_loop().time())
 
 
-def _ends_too_late(command: wire.TurnCommand, group: LedGroup) -> bool:
-    """Whether the end of a begun turn may come after its chain has expired.
-
-    One that was granted before, or dispatched on a preview, was found in time then.
-    """
-    begin = command.begin
-    state, _ = group.leader_state()
-    if not command.turn_left_ms or begin.has_left or state.is_reserved(begin):
-        return False
-    return expires_before(
-        state.previous_expiry_ms(begin), group.elapsed_ms() + command.turn_left_ms
-    )
-
-
-def _log_expiring_chain(command: wire.TurnCommand, group: LedGroup) -> None:
-    begin = command.begin
-    state, _ = group.leader_state()
-    expires_ms = state.previous_expiry_ms(begin)
-    log.say(
-        "turn refused: the turn before may expire before its end",
-        request=begin.turn_id,
-        program=begin.program_id,
-        previous=begin.previous_turn,
-        group=command.group,
-        expires_in_ms=expires_ms - group.elapsed_ms() if expires_ms is not None else None,
-        turn_left_ms=command.turn_left_ms,
-    )
-
-
 def _log_unknown_chain(command: wire.TurnCommand) -> None:
     begin = command.begin
     log.say(
--- a/tests/test_turn_state.py
+++ b/tests/test_turn_state.py
@@ -5,6 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from bendshed.turns.retention import EXTENSION_MARGIN_MS, make_extension
 from bendshed.turns.state import TurnLogState
 from bendshed.wire import turns_pb2 as wire
 
@@ -107,6 +108,31 @@
         log.now_ms = 4 * RETENTION_MS
         self.assertEqual(log.begin("d", "b").answer, wire.TURN_ANSWER_UNKNOWN_TURN)
 
+    # Guards against an extension that charges a program or changes what its chain contains.
+    def test_extension_stores_the_chain_longer_and_changes_nothing_else(self) -> None:
+        log = TurnLog()
+        for turn, previous in (("a", ""), ("b", "a")):
+            log.begin(turn, previous)
+            log.finish(turn, previous)
+        before = log.begin("c", "b")
+        left_ms = 10 * RETENTION_MS
+        begin = wire.BeginTurn(program_id="p", turn_id="c", previous_turn="b")
+        extended = log.apply(finish=make_extension(begin, left_ms))
+        self.assertEqual(extended.spent_tokens, before.spent_tokens)
+        self.assertEqual(extended.reserved_tokens, before.reserved_tokens)
+        log.now_ms = left_ms
+        self.assertEqual(log.begin("c", "b").chain, before.chain)
+        log.finish("c", "b")
+        log.now_ms += 2 * EXTENSION_MARGIN_MS
+        log.begin("other")  # sweeps what has expired
+        self.assertEqual([turn for _, turn in log.state.turns], ["a", "b", "c"])
+
+    def test_extension_of_a_chain_that_is_gone_makes_nothing_known(self) -> None:
+        log = TurnLog()
+        begin = wire.BeginTurn(program_id="p", turn_id="b", previous_turn="a")
+        log.apply(finish=make_extension(begin, 1_000))
+        self.assertEqual(log.begin("b", "a").answer, wire.TURN_ANSWER_UNKNOWN_TURN)
+
     def test_clock_never_runs_backwards(self) -> None:
         log = TurnLog()
         log.now_ms = 5000
