A program's budget is stored for as long as one of its turns may run

What callers would have seen: a turn that runs for more than two minutes and more than twice its retention gives its program the whole budget again, since the program expires meanwhile.

Evidence: test_budget_is_stored_as_long_as_a_turn_may_run, on the replicated state alone, failed before: the second turn of 60 tokens of 100 was granted while the first still ran.

Fix: a begin names the longer of the retention and the time-out; the command carries it, so replicas of every build apply it alike.

--- a/src/bendshed/services/turn_codec.py
+++ b/src/bendshed/services/turn_codec.py
@@ -9,7 +9,7 @@
 from bendshed.services.permit_client import no_room_refusal
 from bendshed.services.quota_client import quota_refusal_of
 from bendshed.services.turn_output import TurnOutput
-from bendshed.turns.retention import stored_ms
+from bendshed.turns.retention import budget_retention_ms, stored_ms
 from bendshed.wire import turns_pb2 as wire
 
 
@@ -59,7 +59,7 @@
             budget_tokens=turn.budget_tokens or 0,
             has_budget=turn.budget_tokens is not None,
             most_tokens=turn.max_answer_tokens,
-            retention_ms=self.route.retention_ms,
+            retention_ms=budget_retention_ms(self.route.retention_ms, self.route.timeout_ms),
             tenant=self.tenant,
             num_groups=num_groups,
             origin=origin,
--- a/src/bendshed/turns/retention.py
+++ b/src/bendshed/turns/retention.py
@@ -29,6 +29,15 @@
     return retention_ms + 2 * timeout_ms + COMMIT_MARGIN_MS
 
 
+def budget_retention_ms(retention_ms: int, timeout_ms: int) -> int:
+    """Return the retention that a begin names, by which its program's budget is stored.
+
+    The budget is stored for a multiple of it after the begin. It outlasts the turn, since its end
+    would otherwise be charged to a budget that is granted whole again.
+    """
+    return max(retention_ms, timeout_ms)
+
+
 def make_extension(begin: wire.BeginTurn, turn_left_ms: int) -> wire.FinishTurn:
     """Return a command that stores the chain which a begin continues until its turn has ended.
 
--- a/tests/test_late_returns.py
+++ b/tests/test_late_returns.py
@@ -11,6 +11,8 @@
 from bendshed.services.turn_codec import TurnCodec, TurnEnd
 from bendshed.services.turn_output import TurnOutput
 from bendshed.turns.retention import COMMIT_MARGIN_MS
+from bendshed.turns.state import MIN_PROGRAM_RETENTION_MS, TurnLogState
+from bendshed.wire import turns_pb2 as wire
 from tests.test_dispatch_restrictions import STREAM
 
 WORLDS = ((RETURNS, (1,)), (RETURNS_IN_TWO_REGIONS, (1, 4)))
@@ -41,6 +43,19 @@
         route = replace(STREAM, retention_ms=RETENTION_MS, timeout_ms=TIMEOUT_MS)
         self.assertEqual(self.retention_of(route, None), RETENTION_MS)
 
+    # Guards against a budget that is forgotten, and granted again, while a turn of its program runs.
+    def test_budget_is_stored_as_long_as_a_turn_may_run(self) -> None:
+        timeout_ms = 10 * MIN_PROGRAM_RETENTION_MS
+        route = replace(STREAM, keeps_turns=True, retention_ms=RETENTION_MS, timeout_ms=timeout_ms)
+        state = TurnLogState()
+        begin = TurnCodec(_request(timeout_ms), route, "").encode_begin(num_groups=1)
+        begin.has_budget, begin.budget_tokens, begin.most_tokens = True, 100, 60
+        state.apply(wire.TurnCommand(begin=begin).SerializeToString())
+        begin.turn_id = "other"
+        later = wire.TurnCommand(begin=begin, elapsed_ms=timeout_ms)
+        reply = state.apply(later.SerializeToString())
+        self.assertEqual((reply.answer, reply.reserved_tokens), (wire.TURN_ANSWER_BUDGET_SPENT, 60))
+
     @staticmethod
     def retention_of(route: Route, wait_ms: int | None) -> int:
         codec = TurnCodec(_request(wait_ms), route, "")
