--- a/src/bendshed/cli/rehearse.py
+++ b/src/bendshed/cli/rehearse.py
@@ -120,6 +120,7 @@
         option("streams", None, "Two software versions serve, streams are resumed", flag=True),
         option("restarts", None, "With --streams: runners start again under their ids", flag=True),
         option("returns", None, "Clients return just before a turn is forgotten", flag=True),
+        option("routes", None, "With --returns: time-outs of turns change", flag=True),
         option("fatal", None, "Requests under which runners end", flag=True),
         option("closings", None, "Sites that lose power as a whole at their end", flag=True),
         option("silences", None, "Connections to the platform's store become silent", flag=True),
@@ -128,7 +129,7 @@
     def handle(self) -> int:
         """Search or replay."""
         from bendshed.rehearsal.search import STEPS_PER_WORLD
-        from bendshed.rehearsal.site.fuzz import REGIONS, RETURNS, RETURNS_IN_TWO_REGIONS, SITE
+        from bendshed.rehearsal.site import fuzz
 
         if self.option("closings"):
             from bendshed.rehearsal.site.closings import CLOSINGS, STEPS_PER_CLOSING
@@ -151,9 +152,13 @@
 
             game = FATAL_IN_TWO_REGIONS if self.option("regions") else FATAL
         elif self.option("returns"):
-            game = RETURNS_IN_TWO_REGIONS if self.option("regions") else RETURNS
+            if self.option("routes"):
+                one, two = fuzz.CHANGED_ROUTES, fuzz.CHANGED_ROUTES_IN_TWO_REGIONS
+            else:
+                one, two = fuzz.RETURNS, fuzz.RETURNS_IN_TWO_REGIONS
+            game = two if self.option("regions") else one
         else:
-            game = REGIONS if self.option("regions") else SITE
+            game = fuzz.REGIONS if self.option("regions") else fuzz.SITE
         return self.search(game, int(self.option("worlds")) * STEPS_PER_WORLD)
 
 
--- a/src/bendshed/rehearsal/site/actions.py
+++ b/src/bendshed/rehearsal/site/actions.py
@@ -63,6 +63,7 @@
     START_FATAL = "start a program with a request under which runners end"
     RESTART_ENDED = "runners that end are replaced, start again under their ids, or fall silent"
     RETURN_LATE = "a client returns just before a turn's retention is over"
+    CHANGE_TIMEOUT = "operators change the time-out of turns"
 
 
 CALM = (Action.ADVANCE, Action.START_PROGRAM, Action.HEAL, Action.RESTART, Action.RESUME)
@@ -74,9 +75,13 @@
 """What only searches with restarts draw."""
 OF_RETURNS = (Action.RETURN_LATE,)
 """What only searches with late returns draw: each takes up to the retention."""
+OF_ROUTES = (Action.CHANGE_TIMEOUT,)
+"""What only searches with changed routes draw."""
 OF_FATAL = (Action.START_FATAL, Action.RESTART_ENDED)
 """What only searches with requests that end runners draw."""
 OF_REGIONS = tuple(
-    action for action in Action if action not in (*OF_STREAMS, *OF_RESTARTS, *OF_RETURNS, *OF_FATAL)
+    action
+    for action in Action
+    if action not in (*OF_STREAMS, *OF_RESTARTS, *OF_RETURNS, *OF_ROUTES, *OF_FATAL)
 )
 WITHIN_A_REGION = tuple(action for action in OF_REGIONS if action not in BETWEEN_REGIONS)
--- a/src/bendshed/rehearsal/site/fuzz.py
+++ b/src/bendshed/rehearsal/site/fuzz.py
@@ -5,8 +5,21 @@
 from functools import partial
 
 from bendshed.rehearsal.search import Game, Step
-from bendshed.rehearsal.site.actions import CALM, OF_REGIONS, OF_RETURNS, WITHIN_A_REGION, Action
-from bendshed.rehearsal.site.documents import GUEST, NARROW, WIDE
+from bendshed.rehearsal.site.actions import (
+    CALM,
+    OF_REGIONS,
+    OF_RETURNS,
+    OF_ROUTES,
+    WITHIN_A_REGION,
+    Action,
+)
+from bendshed.rehearsal.site.documents import (
+    GUEST,
+    NARROW,
+    TURN_TIMEOUT_MS,
+    WIDE,
+    TurnRouteTimes,
+)
 from bendshed.rehearsal.site.layout import TWO_REGIONS, TWO_REGIONS_WITH_TENANTS
 from bendshed.rehearsal.site.oracle import Violation
 from bendshed.rehearsal.site.programs import ProgramPlan
@@ -23,6 +36,8 @@
 MAX_COLD_S = 6.0
 MAX_EARLY_S = 1.0
 """A client that returns late comes up to this long before the retention is over."""
+TURN_TIMEOUTS_MS = (1_200, TURN_TIMEOUT_MS, 12_000, 30_000)
+"""What operators set."""
 HTTP_OK = 200
 
 
@@ -82,6 +97,7 @@
             Action.COOL_RUNNER: lambda s: self._cool([self._runner(s).runner_id], s.amount),
             Action.COOL_SERVICE: lambda s: self._cool(list(world.listed), s.amount),
             Action.CONFIGURATION: lambda _s: self._configuration(),
+            Action.CHANGE_TIMEOUT: self._change_timeout,
             Action.PLANNED_STOP: lambda s: world.planned_stop(_pick(world.fronts, s.which)),
             Action.CLOSE_ZONE: lambda s: world.close_zone(RUNNER_ZONES[s.which % 2]),
             Action.OPEN_ZONES: lambda _s: world.open_zones(),
@@ -383,6 +399,10 @@
         self.world.count("configuration")
         self.world.publish()
 
+    def _change_timeout(self, step: Step[Action]) -> None:
+        timeout_ms = TURN_TIMEOUTS_MS[step.which % len(TURN_TIMEOUTS_MS)]
+        self.world.change_turn_route(TurnRouteTimes(timeout_ms))
+
     def _close_zone_in_the_dark(self, step: Step[Action]) -> None:
         """All machines have stored a closed zone; then all start without the metadata store."""
         if not self._calm_stores():
@@ -421,3 +441,7 @@
 REGIONS = replace(SITE, start=start_in_two_regions, actions=(*OF_REGIONS, *CALM * 3))
 RETURNS = replace(SITE, actions=(*SITE.actions, *OF_RETURNS * 8))
 RETURNS_IN_TWO_REGIONS = replace(REGIONS, actions=(*REGIONS.actions, *OF_RETURNS * 8))
+CHANGED_ROUTES = replace(RETURNS, actions=(*RETURNS.actions, *OF_ROUTES * 8))
+CHANGED_ROUTES_IN_TWO_REGIONS = replace(
+    RETURNS_IN_TWO_REGIONS, actions=(*RETURNS_IN_TWO_REGIONS.actions, *OF_ROUTES * 8)
+)
--- a/tests/site_defects.py
+++ b/tests/site_defects.py
@@ -15,7 +15,7 @@
 from bendshed.model.route_index import RouteIndex
 from bendshed.model.service_document import ServiceDocument, Tenant
 from bendshed.ports.http_messages import ResponseBroken
-from bendshed.rehearsal.site.documents import GUEST, NARROW, WIDE
+from bendshed.rehearsal.site.documents import GUEST, NARROW, WIDE, TurnRouteTimes
 from bendshed.rehearsal.site.oracle import Rule, Violation
 from bendshed.rehearsal.site.programs import ProgramPlan
 from bendshed.rehearsal.site.sim_runners import SimConnection
@@ -26,8 +26,11 @@
 from bendshed.services.node import ServiceNode
 from bendshed.services.runners import RunnerTable
 from bendshed.services.turn_record import TurnRecord
+from bendshed.turns import service
 from bendshed.turns.client import TranscriptCache
+from bendshed.turns.led_group import LedGroup
 from bendshed.turns.state import TurnLogState
+from bendshed.wire import turns_pb2 as wire
 from tests.region_defects import REGION_DEFECTS
 
 Scenario = Callable[[int], list[Violation]]
@@ -70,6 +73,24 @@
         return site.settle()
 
 
+def timeout_rises_before_clients_return(seed: int) -> list[Violation]:
+    """Turns end at a route with a short time-out; later turns are long and have more time."""
+    with world(seed) as site:
+        site.change_turn_route(TurnRouteTimes(timeout_ms=1_200))
+        site.run_for(2.0)
+        site.start_program(ONE_TURN)
+        site.run_for(3.0)
+        turn = site.seen.requests[-1]
+        site.change_turn_route(TurnRouteTimes(timeout_ms=30_000))
+        return_s = turn.ended_s + site.seen.retention_s - JUST_BEFORE_S
+        site.run_for(return_s - site.loop.time())
+        for runner in site.runners.values():
+            runner.troubles.slow = 80.0
+        site.start_program(ONE_TURN, continues=turn.request_id)
+        site.run_for(15.0)
+        return site.settle()
+
+
 def runners_truncate_answers(seed: int) -> list[Violation]:
     with world(seed) as site:
         for runner in site.runners.values():
@@ -327,6 +348,28 @@
     return True
 
 
+async def _do_nothing(*_args: object) -> None:
+    """Stand for a step that is left out."""
+
+
+async def _refuse_turn_that_may_outlast_its_chain(
+    group: LedGroup, begin: wire.BeginTurn, turn_left_ms: int
+) -> None:
+    expires_ms = group.leader_state()[0].previous_expiry_ms(begin)
+    if expires_ms is not None and expires_ms < group.elapsed_ms() + turn_left_ms:
+        begin.previous_turn = "a turn that is not stored"
+
+
+@contextlib.contextmanager
+def _refuse_turns_that_may_outlast_their_chains() -> Iterator[None]:
+    """Previews leave the decision to the begin, which is refused."""
+    with (
+        mock.patch.object(service, "PREVIEW_MARGIN_MS", 30_000),
+        mock.patch.object(LedGroup, "extend_chain", _refuse_turn_that_may_outlast_its_chain),
+    ):
+        yield
+
+
 def patch(target: object, name: str, value: object) -> Callable[[], object]:
     return lambda: mock.patch.object(target, name, value)
 
@@ -359,6 +402,16 @@
         clients_return_late,
         patch(turn_codec, "stored_ms", lambda retention_ms, _timeout_ms: retention_ms),
     ),
+    "a turn is refused since it may outlast the chain that it continues": Defect(
+        Rule.FOUND,
+        timeout_rises_before_clients_return,
+        _refuse_turns_that_may_outlast_their_chains,
+    ),
+    "a chain expires under a turn that continues it": Defect(
+        Rule.FOUND,
+        timeout_rises_before_clients_return,
+        patch(LedGroup, "extend_chain", _do_nothing),
+    ),
     "one replica is a majority": Defect(
         Rule.FOUND,
         leader_loses_its_disk_in_three_worlds,
--- a/tests/test_changed_routes.py
+++ b/tests/test_changed_routes.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 from functools import partial
 
+from bendshed.rehearsal.search import STEPS_PER_WORLD
 from bendshed.rehearsal.site.documents import TurnRouteTimes
+from bendshed.rehearsal.site.fuzz import CHANGED_ROUTES, CHANGED_ROUTES_IN_TWO_REGIONS
 from bendshed.rehearsal.site.layout import TWO_REGIONS, TWO_REGIONS_WITH_TENANTS
 from bendshed.rehearsal.site.programs import AgentProgram, ProgramPlan
 from bendshed.rehearsal.site.records import SiteRequest
@@ -17,6 +19,7 @@
 LONGEST = TurnRouteTimes(timeout_ms=200_000)
 LONG_AND_FORGETFUL = TurnRouteTimes(timeout_ms=30_000, retention_ms=2_000)
 APPLIED_S = 2.0
+SEED = 1
 BEFORE_THE_END_S = 0.02
 """How long before its retention is over a turn is continued."""
 SLOWNESS = 40.0
@@ -110,6 +113,13 @@
             third = self.continue_at(site, front, second.last_turn)
             self.assertEqual(third.statuses, [200], front)
 
+    # Guards against the same beside random failures.
+    def test_seeded_worlds_with_changed_routes(self) -> None:
+        for game in (CHANGED_ROUTES, CHANGED_ROUTES_IN_TWO_REGIONS):
+            world, violations = game.run(SEED, game.random_steps(SEED, STEPS_PER_WORLD))
+            world.close()
+            self.assertEqual(violations, [])
+
     def continue_turns(self, world: SiteWorld, apply: Change, early_s: float) -> None:
         """Continue a turn twice after a change, then the newer ones at each front."""
         site = self.site(world)
--- a/tests/test_late_returns.py
+++ b/tests/test_late_returns.py
@@ -43,7 +43,7 @@
         route = replace(STREAM, retention_ms=RETENTION_MS, timeout_ms=TIMEOUT_MS)
         self.assertEqual(self.retention_of(route, None), RETENTION_MS)
 
-    # Guards against a budget that is forgotten, and granted again, while a turn of its program runs.
+    # Guards against a budget that is forgotten, and granted again, while one of its turns runs.
     def test_budget_is_stored_as_long_as_a_turn_may_run(self) -> None:
         timeout_ms = 10 * MIN_PROGRAM_RETENTION_MS
         route = replace(STREAM, keeps_turns=True, retention_ms=RETENTION_MS, timeout_ms=timeout_ms)
