--- a/tests/test_budget_after_refused_begins.py
+++ b/tests/test_budget_after_refused_begins.py
@@ -77,7 +77,7 @@
         attempts.principal.is_limited = False
         request = MagicMock(request_id="q", program_id="p", body=b"")
         request.turn = MagicMock(previous_turn="", budget_tokens=9, max_answer_tokens=3)
-        route = MagicMock(keeps_turns=False, retention_ms=0)
+        route = MagicMock(keeps_turns=False, retention_ms=0, timeout_ms=0)
         deadline_s = asyncio.get_running_loop().time() + 60
         record = TurnRecord(self.ports, request, route, attempts, None, deadline_s)
         return StreamExchange(request, attempts, MagicMock(), record)
--- a/tests/test_previewed_turns.py
+++ b/tests/test_previewed_turns.py
@@ -55,7 +55,7 @@
         attempts.open = open_answer
         request = MagicMock(request_id="q", program_id="p", body=b"")
         request.turn = MagicMock(previous_turn="", budget_tokens=9, max_answer_tokens=3)
-        route = MagicMock(keeps_turns=False, retention_ms=0)
+        route = MagicMock(keeps_turns=False, retention_ms=0, timeout_ms=0)
         deadline_s = asyncio.get_running_loop().time() + 60
         record = TurnRecord(ports, request, route, attempts, None, deadline_s)
         outcome = await StreamExchange(request, attempts, MagicMock(), record).run()
