--- a/src/bendshed/catalog/codec.py
+++ b/src/bendshed/catalog/codec.py
@@ -125,7 +125,7 @@
         catalog.apply_document(decode_document(reply.document))
     if reply.has_runners:
         runners = [runner_from_wire(row) for row in reply.runners]
-        catalog.replace_runners(runners, reply.runners_at, is_trusted=False)
+        catalog.replace_runners(runners, reply.runners_at)
     return catalog
 
 
@@ -183,5 +183,14 @@
 
 def _removal_to_wire(removal: Removal) -> wire.RemovedRunner:
     return wire.RemovedRunner(
-        runner_id=removal.runner_id, revision=removal.revision, is_trusted=removal.is_trusted
+        runner_id=removal.runner_id,
+        revision=removal.revision,
+        is_trusted=not removal.last_resort_s,
+        last_resort_ms=round(1000 * (removal.last_resort_s or 0.0)),
     )
+
+
+def removal_from_wire(row: wire.RemovedRunner) -> Removal:
+    """Convert a removed runner from its wire message."""
+    last_resort_s = row.last_resort_ms / 1000 if row.HasField("last_resort_ms") else None
+    return Removal(row.runner_id, row.revision, 0.0 if row.is_trusted else last_resort_s)
--- a/src/bendshed/catalog/messages.py
+++ b/src/bendshed/catalog/messages.py
@@ -9,6 +9,7 @@
 from bendshed.catalog.codec import (
     address_from_wire,
     address_to_wire,
+    removal_from_wire,
     runner_from_wire,
     zones_from_wire,
 )
@@ -99,6 +100,7 @@
 
     Attributes:
         since: revision to which the update applies; 0: it contains all runners.
+        removed: runners that were removed; of all runners those alone that are a last resort.
         revision: revision after the update.
 
     """
@@ -190,10 +192,7 @@
 
 
 def _runners_from_wire(reply: wire.CatalogReply) -> RunnerUpdate:
-    removed = (
-        Removal(removal.runner_id, removal.revision, removal.is_trusted)
-        for removal in reply.removed
-    )
+    removed = (removal_from_wire(row) for row in reply.removed)
     runners = tuple(runner_from_wire(row) for row in reply.runners)
     return RunnerUpdate(reply.since, reply.runners_at, runners, tuple(removed))
 
--- a/src/bendshed/catalog/replica_catalog.py
+++ b/src/bendshed/catalog/replica_catalog.py
@@ -54,10 +54,10 @@
         return is_newer
 
     def replace_runners(
-        self, runners: Collection[KnownRunner], revision: int, is_trusted: bool
+        self, runners: Collection[KnownRunner], revision: int, last_resort_s: float = 0.0
     ) -> None:
         """Replace the whole list of runners."""
-        if self.catalog.replace_runners(runners, revision, is_trusted):
+        if self.catalog.replace_runners(runners, revision, last_resort_s):
             self.notify_change()
 
     def put_runner(self, known: KnownRunner) -> None:
@@ -65,9 +65,9 @@
         if self.catalog.put_runner(known):
             self.notify_change()
 
-    def remove_runner(self, runner_id: str, revision: int, is_trusted: bool) -> None:
+    def remove_runner(self, runner_id: str, revision: int, last_resort_s: float = 0.0) -> None:
         """Remove a runner that is no longer listed."""
-        if self.catalog.remove_runner(runner_id, revision, is_trusted):
+        if self.catalog.remove_runner(runner_id, revision, last_resort_s):
             self.notify_change()
 
     def apply_zones(self, update: ZoneUpdate) -> None:
--- a/src/bendshed/catalog/state.py
+++ b/src/bendshed/catalog/state.py
@@ -5,8 +5,8 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Collection
-from dataclasses import dataclass, field
+from collections.abc import Callable, Collection, Iterator
+from dataclasses import dataclass, field, replace
 
 from bendshed.catalog.cold_runner_tracker import ColdRunnerTracker
 from bendshed.catalog.known_runners import EntryGaps, KnownRunner
@@ -26,13 +26,22 @@
     """A runner that is no longer listed.
 
     Attributes:
-        is_trusted: the registry had not failed recently when it reported the removal.
+        last_resort_s: for how long from now it is used if no other runner is listed, in seconds; 0:
+            it has left; ``None``: it may have left, as a machine of an earlier build says.
 
     """
 
     runner_id: str
     revision: int
-    is_trusted: bool
+    last_resort_s: float | None = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class _RecordedRemoval:
+    """A removal with the time, by the catalog's clock, until which the runner is a last resort."""
+
+    revision: int
+    last_resort_until_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +79,7 @@
     cold: ColdRunnerTracker = field(default_factory=ColdRunnerTracker)
     _runners: dict[str, KnownRunner] = field(default_factory=dict)
     _ready: dict[str, dict[str, ServiceRunner]] = field(default_factory=dict)
-    _removed: "OrderedDict[str, Removal]" = field(default_factory=OrderedDict)
+    _removed: "OrderedDict[str, _RecordedRemoval]" = field(default_factory=OrderedDict)
     _gaps: EntryGaps = field(default_factory=EntryGaps)
     _history_from: int = 0
     _encoded: bytes = b""
@@ -138,15 +147,18 @@
         return True
 
     def replace_runners(
-        self, runners: Collection[KnownRunner], revision: int, is_trusted: bool
+        self, runners: Collection[KnownRunner], revision: int, last_resort_s: float = 0.0
     ) -> bool:
-        """Replace the whole list as of a revision; ``False``: nothing changed."""
+        """Replace the whole list as of a revision; ``False``: nothing changed.
+
+        ``last_resort_s``: of the runners that are not listed any more.
+        """
         if revision < self.runners_at:
             return False
         listed = {known.runner.runner_id: known for known in runners}
         changed = False
         for runner_id in [name for name in self._runners if name not in listed]:
-            changed |= self.remove_runner(runner_id, revision, is_trusted)
+            changed |= self.remove_runner(runner_id, revision, last_resort_s)
         for known in runners:
             changed |= self.put_runner(known)
         if self.runners_at == 0:
@@ -179,20 +191,28 @@
         else:
             ready.pop(runner.runner_id, None)
 
-    def remove_runner(self, runner_id: str, revision: int, is_trusted: bool) -> bool:
+    def remove_runner(self, runner_id: str, revision: int, last_resort_s: float = 0.0) -> bool:
         """Remove a runner that is no longer listed; ``False``: it was not known."""
+        until_s = self.cold.clock() + last_resort_s
         current = self._runners.pop(runner_id, None)
         if current is None:
+            self._extend_last_resort(runner_id, until_s)
             return False
         self._set_ready(current.runner, False)
         self._gaps.forget((runner_id,))
         self.cold.note_removed(runner_id)
-        self._removed[runner_id] = Removal(runner_id, revision, is_trusted)
+        self._removed[runner_id] = _RecordedRemoval(revision, until_s)
         while len(self._removed) > MAX_REMOVED:
             _, dropped = self._removed.popitem(last=False)
             self._history_from = max(self._history_from, dropped.revision)
         return True
 
+    def _extend_last_resort(self, runner_id: str, until_s: float) -> None:
+        """Apply what another machine says of a removal that is known already."""
+        known = self._removed.get(runner_id)
+        if known is not None and until_s > known.last_resort_until_s:
+            self._removed[runner_id] = replace(known, last_resort_until_s=until_s)
+
     def begin_incarnation(self, clock: Callable[[], float]) -> None:
         """Treat what is known so far as saved before a restart, and start the clock."""
         self.cold.clock = clock
@@ -204,9 +224,21 @@
         self.runners_at = max(self.runners_at, revision)
 
     def changes_since(self, since: int) -> RunnerChanges:
-        """Changes after revision ``since``, or everything if that is before the kept history."""
+        """Changes after revision ``since``, or everything if that is before the kept history.
+
+        All runners that are a last resort are included: a node that has read the registry itself
+        knows their removal, and may know less of the registry's outage.
+        """
+        removed = self._removals()
         if since < self._history_from or since > self.runners_at:
-            return RunnerChanges(0, self.runners_at, tuple(self._runners.values()), ())
+            last_resorts = tuple(removal for removal in removed if removal.last_resort_s)
+            return RunnerChanges(0, self.runners_at, tuple(self._runners.values()), last_resorts)
         runners = tuple(known for known in self._runners.values() if known.revision > since)
-        removed = tuple(removal for removal in self._removed.values() if removal.revision > since)
-        return RunnerChanges(since, self.runners_at, runners, removed)
+        told = tuple(row for row in removed if row.revision > since or row.last_resort_s)
+        return RunnerChanges(since, self.runners_at, runners, told)
+
+    def _removals(self) -> Iterator[Removal]:
+        now_s = self.cold.clock()
+        for runner_id, recorded in self._removed.items():
+            left_s = max(0.0, recorded.last_resort_until_s - now_s)
+            yield Removal(runner_id, recorded.revision, left_s)
--- a/src/bendshed/catalog/times.py
+++ b/src/bendshed/catalog/times.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from bendshed.catalog.registry_outage import MAX_LAST_RESORT_S
 from bendshed.ports.objects import MAX_IDLE_S, WATCH_MARGIN_S
 
 INTERVAL_SHARE = 0.2
@@ -49,6 +50,11 @@
         pause_s: pause between two such watches.
         silence_s: a connection to the registry may be silent for this long before the node knows
             the registry's state again.
+        contact_s: the registry has settled once it has been well for this long.
+        drain_s: a runner that has left gets no new request this long after the registry, once
+            settled, acknowledged it.
+        default_last_resort_s: how long a runner is a last resort if it is not known whether the
+            registry was well when it reported the removal.
         zones_lag_s: closed zones may be older than the rest by this and count as equally old;
             ``None``: operators close no zones, and the registry is not read for closed zones.
 
@@ -59,6 +65,9 @@
     idle_wait_s: float
     pause_s: float
     silence_s: float
+    contact_s: float
+    drain_s: float
+    default_last_resort_s: float
     zones_lag_s: float | None = None
 
     @classmethod
@@ -68,6 +77,7 @@
         history_s: float,
         zone_close_s: float | None = None,
         contact_s: float = 0.0,
+        drain_s: float = 0.0,
     ) -> "CatalogTimes":
         """Derive times such that a change is applied within ``apply_s``, even if updates stop.
 
@@ -83,6 +93,8 @@
                 shorter than ``apply_s`` it applies to everything; a longer one saves calls.
             contact_s: a node must know the registry's state this long after a disruption of its
                 connections, in seconds.
+            drain_s: a runner that has left gets no new request this long after the registry
+                acknowledged it, in seconds.
 
         """
         bound_s = min(apply_s, zone_close_s or apply_s)
@@ -91,12 +103,17 @@
         silence_s = max(bound_s, contact_s)
         max_wait_s = silence_s - MAX_IDLE_S - WATCH_MARGIN_S - REREAD_S
         idle_wait_s = max(interval_s, min(max_wait_s, HISTORY_SHARE * history_s))
+        max_age_s = MAX_AGE_SHARE * bound_s
         return cls(
             interval_s,
-            MAX_AGE_SHARE * bound_s,
+            max_age_s,
             idle_wait_s,
             PAUSE_SHARE * bound_s,
             silence_s,
+            contact_s,
+            drain_s,
+            # A removal may have been acknowledged as long ago as an update is used.
+            min(MAX_LAST_RESORT_S, max(0.0, drain_s - max_age_s)),
             lag_s,
         )
 
--- a/src/bendshed/catalog/update_intake.py
+++ b/src/bendshed/catalog/update_intake.py
@@ -23,11 +23,13 @@
     def put_runner(self, known: KnownRunner) -> None:
         """Apply one runner's state."""
 
-    def remove_runner(self, runner_id: str, revision: int, is_trusted: bool) -> None:
-        """Remove a runner that is no longer listed."""
+    def remove_runner(self, runner_id: str, revision: int, last_resort_s: float) -> None:
+        """Remove a runner that is no longer listed; for how long it stays a last resort."""
 
-    def replace_runners(self, runners: list[KnownRunner], revision: int, is_trusted: bool) -> None:
-        """Replace the whole list of runners."""
+    def replace_runners(
+        self, runners: list[KnownRunner], revision: int, last_resort_s: float
+    ) -> None:
+        """Replace the whole list of runners; for how long the missing ones are a last resort."""
 
     def apply_zones(self, update: ZoneUpdate) -> None:
         """Apply which zones are closed; an older update changes nothing."""
@@ -108,12 +110,12 @@
             return False
         if changes.since == 0:
             self.gaps.clear()
+            self._remove_runners(changes)
             self._replace_runners(changes, update)
         elif changes.since == self.runners_at:
             for known in changes.runners:
                 self._sink.put_runner(known)
-            for removal in changes.removed:
-                self._sink.remove_runner(removal.runner_id, removal.revision, removal.is_trusted)
+            self._remove_runners(changes)
         else:
             return False
         for known in changes.runners:
@@ -122,10 +124,18 @@
         self.runners_at = changes.revision
         return True
 
+    def _remove_runners(self, changes: RunnerUpdate) -> None:
+        for removal in changes.removed:
+            last_resort_s = removal.last_resort_s
+            if last_resort_s is None:
+                last_resort_s = self._times.default_last_resort_s
+            self._sink.remove_runner(removal.runner_id, removal.revision, last_resort_s)
+
     def _replace_runners(self, changes: RunnerUpdate, update: CatalogUpdate) -> None:
         is_first = self.runners_at == 0
-        is_trusted = update.age_s < self._times.max_age_s
-        self._sink.replace_runners(list(changes.runners), changes.revision, is_trusted)
+        is_fresh = update.age_s < self._times.max_age_s
+        last_resort_s = 0.0 if is_fresh else self._times.default_last_resort_s
+        self._sink.replace_runners(list(changes.runners), changes.revision, last_resort_s)
         if is_first:
             log.say(
                 "first runner list received", at=changes.revision, age_ms=update.confirmed_age_ms
--- a/src/bendshed/catalog/watcher.py
+++ b/src/bendshed/catalog/watcher.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from bendshed.catalog.confirmations import ConfirmationAge
+from bendshed.catalog.registry_outage import RegistryOutage
 from bendshed.logs import PartLog
 from bendshed.ports.objects import (
     HistoryExpired,
@@ -31,8 +32,6 @@
 """While the store is lost, a watch waits only this long, so that its failure is detected soon."""
 WATCH_PAUSE_S = 0.05
 """Pause between two watches, so that a burst of changes costs few calls."""
-RECENT_FAILURE_S = 5.0
-"""For this long after a failed call, missing objects and removals are not trusted."""
 
 log = PartLog("registry")
 
@@ -122,7 +121,7 @@
         is_first_watch_short: the first watch after a pause or a change of pace waits
             ``LOST_WAIT_S``, so that missed changes, or a dead connection, are detected at once; it
             costs a call.
-        failed_at_s: loop time of the last failed call.
+        outage: what the calls show of the registry's latest outage.
         age: since the store's last reply.
         on_loss_change: called when the store is lost and when it answers again: a watch begun in
             between may hang on a dead connection.
@@ -138,8 +137,9 @@
         rng: random.Random,
         pause_s: float = WATCH_PAUSE_S,
         max_retry_growth: float = 1.0,
+        outage: RegistryOutage | None = None,
     ) -> None:
-        self.failed_at_s = -math.inf
+        self.outage = outage or RegistryOutage()
         self.age = ConfirmationAge()
         self.on_loss_change: list[Callable[[], None]] = []
         self.is_first_watch_short = False
@@ -170,16 +170,16 @@
         """Kind of the objects that are followed."""
         return self._kind
 
-    @property
-    def is_trusted(self) -> bool:
-        """Whether what the store lists is complete: it has not failed for ``RECENT_FAILURE_S``."""
-        return asyncio.get_running_loop().time() - self.failed_at_s >= RECENT_FAILURE_S
+    def last_resort_s(self) -> float:
+        """How long a runner whose removal the store reports now may be used as a last resort."""
+        return self.outage.last_resort_s(asyncio.get_running_loop().time())
 
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
             await self._is_active.wait()
+            began_s = loop.time()
             self._call = loop.create_task(self._call_store())
             try:
                 await self._call
@@ -189,7 +189,7 @@
                 log.say("listing again: change history expired", kind=self._kind)
                 self._revision = None
             except (StoreUnavailable, KeyError, ValueError, TypeError) as error:
-                self._note_failure(error)
+                self._note_failure(error, began_s)
                 await asyncio.sleep(self._retry_s(error))
             except asyncio.CancelledError:
                 current = asyncio.current_task()
@@ -215,11 +215,13 @@
 
     def pause(self) -> None:
         """Send no calls until ``resume``, while other nodes send updates of this kind."""
+        self.outage.note_others_informed()
         self._is_active.clear()
         self.restart()
 
     def resume(self, revision: int = 0) -> None:
         """Watch again; ``revision``: up to which everything is known from other nodes."""
+        self.outage.note_others_silent()
         if revision:
             self._revision = max(self._revision or 0, revision)
         self._is_active.set()
@@ -233,6 +235,7 @@
     async def _call_store(self) -> None:
         if self._revision is None:
             listed = await self._source.list(self._kind)
+            self._note_reply()
             self._revision = listed.revision
             self._listed = {item.name: item.revision for item in listed.items}
             self._handler.on_list(listed)
@@ -240,6 +243,7 @@
             return
         wait_s = LOST_WAIT_S if self._is_lost or self._is_next_watch_short else self.wait_s
         changes = await self._source.watch(self._kind, self._revision, wait_s)
+        self._note_reply()
         self._is_next_watch_short = False
         self._revision = changes.revision
         for event in changes.events:
@@ -247,6 +251,9 @@
                 self._handler.on_event(event)
         self._note_confirmed(changes.revision)
 
+    def _note_reply(self) -> None:
+        self.outage.note_reply(asyncio.get_running_loop().time())
+
     def _note_confirmed(self, revision: int) -> None:
         self.age.confirm(0.0)
         self._handler.on_confirmed(revision)
@@ -258,8 +265,8 @@
         """
         return event.object.revision < self._listed.get(event.object.name, 0)
 
-    def _note_failure(self, error: Exception) -> None:
-        self.failed_at_s = asyncio.get_running_loop().time()
+    def _note_failure(self, error: Exception, began_s: float) -> None:
+        self.outage.note_failure(began_s, isinstance(error, StoreSilent))
         self._num_failed += 1
         if not self._is_lost:
             confirmed_ago_s = round(self.age.seconds, 3) if self.age.seconds < math.inf else None
--- a/src/bendshed/gateway/services.py
+++ b/src/bendshed/gateway/services.py
@@ -119,5 +119,5 @@
 
     def _remove_runner(self, runner_id: str) -> None:
         address = self.table.by_id[runner_id].listed.address
-        self.table.remove(runner_id, now_s=0.0, is_trusted=True)
+        self.table.remove(runner_id, now_s=0.0, last_resort_s=0.0)
         self._connections.close_idle(address)
--- a/src/bendshed/placement/eligibility.py
+++ b/src/bendshed/placement/eligibility.py
@@ -15,11 +15,6 @@
 from bendshed.model.runner import RunnerState, ServiceRunner
 from bendshed.placement.runner_record import RunnerRecord
 
-UNLISTED_GRACE_S = 2.5
-"""Time, in seconds, for which a runner that vanished from an untrusted list is a last resort.
-Bridges a restart of the registry: a live runner registers again within 2 s of it, and its entry
-takes up to 0.5 s to arrive."""
-
 
 class Located(Protocol):
     """An object that is located in a zone."""
@@ -77,9 +72,9 @@
 def eligible_runners(
     records: Iterable[RunnerRecord], runner_filter: RunnerFilter, regions: Collection[str] | None
 ) -> list[RunnerRecord]:
-    """Eligible runners of a service; if none are, those that vanished from an untrusted list."""
+    """Eligible runners of a service; if none are listed, its last resorts."""
     allowed = _allowed(_ready(records), runner_filter, regions)
-    listed = [record for record in allowed if record.unlisted_at_s is None]
+    listed = [record for record in allowed if record.is_listed]
     return listed or allowed
 
 
@@ -101,12 +96,6 @@
     return not software_version or runner.software_version == software_version
 
 
-def is_outdated(record: RunnerRecord, now_s: float) -> bool:
-    """Whether a runner vanished from the list too long ago to be a last resort."""
-    unlisted_at_s = record.unlisted_at_s
-    return unlisted_at_s is not None and now_s - unlisted_at_s > UNLISTED_GRACE_S
-
-
 def _ready(records: Iterable[RunnerRecord]) -> list[RunnerRecord]:
     return [record for record in records if record.listed.state is RunnerState.READY]
 
--- a/src/bendshed/placement/runner_record.py
+++ b/src/bendshed/placement/runner_record.py
@@ -27,7 +27,7 @@
     READY = "ready"
     DRAINING = "draining"
     UNLISTED = "unlisted"
-    """The runner vanished from an untrusted list."""
+    """The runner is not listed, and is a last resort."""
 
 
 @dataclass(slots=True)
@@ -39,7 +39,8 @@
         in_flight: requests of this node that run there.
         failures: consecutive failures: broken answers, and connections that could not be opened.
         avoid_until_s: loop time until which it gets work only if no other can take it.
-        unlisted_at_s: loop time at which it vanished from an untrusted list; ``None``: listed.
+        last_resort_until_s: loop time until which it is a last resort although it is not listed any
+            more; ``None``: it is listed.
         doubted_until_s: loop time until which streams that may be resumed avoid it, since another
             process than the one that wrote its entry reported; ``None``: none has.
         no_report_until_s: loop time until which its reports are not requested, since one was not
@@ -55,7 +56,7 @@
     health: RunnerHealth = field(default_factory=RunnerHealth)
     failures: int = 0
     avoid_until_s: float = 0.0
-    unlisted_at_s: float | None = None
+    last_resort_until_s: float | None = None
     doubted_until_s: float | None = None
     no_report_until_s: float = 0.0
     answered_s: float = 0.0
@@ -63,10 +64,19 @@
     @property
     def observed_state(self) -> ObservedState:
         """State of the runner as observed by this node."""
-        if self.unlisted_at_s is not None:
+        if not self.is_listed:
             return ObservedState.UNLISTED
         return ObservedState(self.listed.state.value)
 
+    @property
+    def is_listed(self) -> bool:
+        """Whether the runner's entry is listed."""
+        return self.last_resort_until_s is None
+
+    def has_left(self, now_s: float) -> bool:
+        """Whether the runner is not listed, and no last resort any more."""
+        return self.last_resort_until_s is not None and now_s >= self.last_resort_until_s
+
     def is_avoided(self, now_s: float) -> bool:
         """Whether the runner was full, broken or unreachable recently."""
         return now_s < self.avoid_until_s
--- a/src/bendshed/platform/settings.py
+++ b/src/bendshed/platform/settings.py
@@ -72,6 +72,7 @@
     graceS: Seconds = 8.0  # noqa: N815 (the platform's spelling)
     contactMs: Milliseconds = 3000  # noqa: N815
     applyMs: Milliseconds = 2000  # noqa: N815
+    drainMs: Milliseconds = 2000  # noqa: N815
     quotaWindowS: Window = 5.0  # noqa: N815
     quotaOver: Share = 0.0  # noqa: N815
     quotaSlack: Share = 0.0  # noqa: N815
@@ -145,7 +146,11 @@
         """Polling intervals of the store, derived from the time limits."""
         bounds = self.bounds
         return CatalogTimes.within(
-            self.apply_s, self.platform.historyS, bounds.zone_close_s, bounds.contactMs / 1000
+            self.apply_s,
+            self.platform.historyS,
+            bounds.zone_close_s,
+            bounds.contactMs / 1000,
+            bounds.drainMs / 1000,
         )
 
     @property
--- a/src/bendshed/rehearsal/site/metadata.py
+++ b/src/bendshed/rehearsal/site/metadata.py
@@ -101,13 +101,14 @@
         """Watches from before must list again."""
         self.history.clear()
         self.history_from = self.revision
-        self._wake()
+        self.wake()
 
     def _note(self, kind: str, row: StoredRow, is_gone: bool) -> None:
         self.history.append((self.revision, kind, row.to_json(), is_gone))
-        self._wake()
+        self.wake()
 
-    def _wake(self) -> None:
+    def wake(self) -> None:
+        """Wake the watches that wait."""
         self.changed.set()
         self.changed = asyncio.Event()
 
--- a/src/bendshed/rehearsal/site/silence_world.py
+++ b/src/bendshed/rehearsal/site/silence_world.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from bendshed.model.runner import ServiceRunner
 from bendshed.platform import names
 from bendshed.platform.encode import write_document, write_runner
 from bendshed.platform.translate import REGISTRY_FORMAT, write_replica
@@ -14,6 +15,7 @@
 from bendshed.rehearsal.site.layout import SMALL, SiteLayout
 from bendshed.rehearsal.site.metadata import MetadataModel
 from bendshed.rehearsal.site.programs import ProgramPlan
+from bendshed.rehearsal.site.records import Departure
 from bendshed.rehearsal.site.sim_objects import SimObjectSource, SimStoreConnection
 from bendshed.rehearsal.site.sim_registry import SimRegistry
 from bendshed.rehearsal.site.sim_world import APPLY_S, CONTACT_S, TIMES, SimMachine, SiteWorld
@@ -96,6 +98,7 @@
         disturbed_s: by machine, when it was last killed or started.
         silenced_s: when connections of any machine last became silent.
         core_disturbed_s: when the platform's store or a replica machine was last in trouble.
+        is_registry_busy: the platform's store refuses every call at once.
 
     """
 
@@ -106,6 +109,7 @@
     disturbed_s: dict[str, float] = field(default_factory=dict)
     silenced_s: float = float("-inf")
     core_disturbed_s: float = float("-inf")
+    is_registry_busy: bool = False
     _changes: dict[Part, list[Change]] = field(default_factory=lambda: {part: [] for part in Part})
     _is_judging: bool = False
 
@@ -140,7 +144,9 @@
 
     async def _follow(self, machine: SimMachine, update: Callable[[SimMachine], None]) -> None:
         """Run the watches of one process."""
-        source = SimObjectSource(self.model, lambda: not self.registry.is_down)
+        source = SimObjectSource(
+            self.model, lambda: not self.registry.is_down, lambda: self.is_registry_busy
+        )
         self.sources[machine.name] = source
         rng = random.Random(f"watches/{self.seed}/{machine.process.name}")
         watches: FrontWatches | ReplicaWatches
@@ -207,6 +213,39 @@
         self.registry.is_down = is_down
         self.core_disturbed_s = self.loop.time()
 
+    def set_registry_busy(self, is_busy: bool) -> None:
+        """The platform's store refuses all calls, or answers them again."""
+        self.is_registry_busy = is_busy
+        self.core_disturbed_s = self.loop.time()
+
+    def cut_watches(self) -> None:
+        """The platform's store breaks all connections on which machines wait for changes."""
+        for source in self.sources.values():
+            source.cut_watches()
+
+    # --- runners that leave without a word ---------------------------------------------------
+
+    def runners_of(self, service: str) -> list[str]:
+        """Names of a service's listed runners."""
+        return [name for name, entry in self.listed.items() if entry.service == service]
+
+    def unlist(self, name: str) -> ServiceRunner:
+        """The entry of a runner goes, while the runner serves on."""
+        entry = self.listed.pop(name)
+        self._put_runners()
+        return entry
+
+    def leave_without_notice(self, name: str) -> None:
+        """A runner leaves, which only its missing entry shows."""
+        self.count("a runner leaves without a word")
+        self.unlist(name)
+        self.seen.departures.append(Departure(name, self.loop.time()))
+
+    def relist(self, entry: ServiceRunner) -> None:
+        """A live runner writes its entry again."""
+        self.listed[entry.runner_id] = entry
+        self._put_runners()
+
     # --- silent connections --------------------------------------------------------------
 
     def silence(self, machine: SimMachine, share: float) -> None:
--- a/src/bendshed/rehearsal/site/sim_objects.py
+++ b/src/bendshed/rehearsal/site/sim_objects.py
@@ -46,6 +46,7 @@
     Args:
         model: what the store holds.
         is_reachable: whether the store answers this process.
+        is_refused: whether it refuses every call at once.
 
     Attributes:
         connections: the open ones.
@@ -54,12 +55,24 @@
 
     """
 
-    def __init__(self, model: MetadataModel, is_reachable: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        model: MetadataModel,
+        is_reachable: Callable[[], bool],
+        is_refused: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._model = model
         self._is_reachable = is_reachable
+        self._is_refused = is_refused
         self.connections: list[SimStoreConnection] = []
         self.num_calls = 0
         self.refused_kinds: frozenset[str] = frozenset()
+        self._num_cuts = 0
+
+    def cut_watches(self) -> None:
+        """The store breaks the connections on which this process waits for changes."""
+        self._num_cuts += 1
+        self._model.wake()
 
     async def list(self, kind: str, may_be_stale: bool = False) -> ObjectList:
         """Read all objects of a kind."""
@@ -90,13 +103,15 @@
         return await self._call(wait, kind, wait_s + WATCH_MARGIN_S)
 
     async def _wait_for_events(self, kind: str, after_revision: int, wait_s: float) -> None:
-        model = self._model
+        model, num_cuts = self._model, self._num_cuts
         try:
             async with asyncio.timeout(wait_s):
                 while after_revision >= model.history_from and not model.events(
                     kind, after_revision
                 ):
                     await model.changed.wait()
+                    if self._num_cuts > num_cuts:
+                        raise StoreUnavailable("cut")
         except TimeoutError:
             return
 
@@ -109,6 +124,8 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await asyncio.sleep(ONE_WAY_S)
+                if self._is_refused():
+                    raise StoreUnavailable("refused")
                 result = await work()
                 await asyncio.sleep(ONE_WAY_S)
                 if connection.is_silent or not self._is_reachable():
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -30,7 +30,7 @@
     make_document,
 )
 from bendshed.rehearsal.site.layout import ONE_REGION, SiteLayout
-from bendshed.rehearsal.site.oracle import Violation, check_all
+from bendshed.rehearsal.site.oracle import DRAIN_S, Violation, check_all
 from bendshed.rehearsal.site.programs import AgentProgram, ProgramPlan
 from bendshed.rehearsal.site.records import Departure, Kind, SiteRecords, SiteRequest
 from bendshed.rehearsal.site.runner import (
@@ -62,7 +62,7 @@
 HISTORY_S = 20.0
 CONTACT_S = 3.0
 """A machine is in touch once nothing has disturbed it for this long."""
-TIMES = CatalogTimes.within(APPLY_S, HISTORY_S, ZONE_CLOSE_S, CONTACT_S)
+TIMES = CatalogTimes.within(APPLY_S, HISTORY_S, ZONE_CLOSE_S, CONTACT_S, DRAIN_S)
 START_LIMIT_S = 20.0
 QUIET_S = 40.0
 CATCH_UP_S = 4.4
@@ -349,7 +349,7 @@
             machine.front.apply_document(self.older_document)
         machine.front.apply_document(self.document)
         machine.front.apply_zones(self._zone_update(machine.front.zones.record.zones.revision))
-        machine.front.replace_runners(list(self.listed.values()), is_trusted=True)
+        machine.front.replace_runners(list(self.listed.values()))
         self._note_runners()
         machine.front.note_runners_read(self._revision)
         for node in self.registry.announced.values():
@@ -386,7 +386,7 @@
         self._note_runners()
         catalog = machine.replica.catalog
         catalog.apply_document(self.document)
-        catalog.replace_runners(list(self._known.values()), self._revision, is_trusted=True)
+        catalog.replace_runners(list(self._known.values()), self._revision)
         catalog.confirm(CatalogPart.DOCUMENT, self._revision)
         catalog.confirm(CatalogPart.RUNNERS, self._revision)
         machine.replica.apply_zones(
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -326,11 +326,13 @@
         """Whether no other node has answered for some time on any path."""
         return self._turn_ports.client.is_isolated
 
-    def replace_runners(self, runners: Collection[ServiceRunner], is_trusted: bool) -> None:
-        """Replace the list of runners; see ``remove_runner`` for ``is_trusted``."""
+    def replace_runners(
+        self, runners: Collection[ServiceRunner], last_resort_s: float = 0.0
+    ) -> None:
+        """Replace the list of runners; see ``remove_runner`` for ``last_resort_s``."""
         listed = {runner.runner_id for runner in runners}
         for runner_id in [name for name in self._table.by_id if name not in listed]:
-            self.remove_runner(runner_id, is_trusted)
+            self.remove_runner(runner_id, last_resort_s)
         for runner in runners:
             self.put_runner(runner)
 
@@ -348,11 +350,14 @@
         self.host_locations.put(runner.address.host, runner.zone)
         self._table.put(runner)
 
-    def remove_runner(self, runner_id: str, is_trusted: bool) -> None:
-        """Remove a runner that is no longer listed; ``is_trusted``: the registry was healthy."""
+    def remove_runner(self, runner_id: str, last_resort_s: float = 0.0) -> None:
+        """Remove a runner that is no longer listed.
+
+        ``last_resort_s``: for how long it is used if no other is listed; 0: it has left.
+        """
         record = self._table.by_id.get(runner_id)
-        self._table.remove(runner_id, asyncio.get_running_loop().time(), is_trusted)
-        if record is not None and is_trusted:
+        self._table.remove(runner_id, asyncio.get_running_loop().time(), last_resort_s)
+        if record is not None and runner_id not in self._table.by_id:
             self._pool.close_idle(record.listed.address)
 
     def apply_zones(self, update: ZoneUpdate) -> None:
@@ -398,13 +403,13 @@
         """Add or update one runner."""
         self._node.put_runner(known.runner)
 
-    def remove_runner(self, runner_id: str, _at: int, is_trusted: bool) -> None:
+    def remove_runner(self, runner_id: str, _at: int, last_resort_s: float) -> None:
         """Remove a runner that is no longer listed."""
-        self._node.remove_runner(runner_id, is_trusted)
+        self._node.remove_runner(runner_id, last_resort_s)
 
-    def replace_runners(self, runners: list[KnownRunner], _at: int, is_trusted: bool) -> None:
+    def replace_runners(self, runners: list[KnownRunner], _at: int, last_resort_s: float) -> None:
         """Replace the list of runners."""
-        self._node.replace_runners([known.runner for known in runners], is_trusted)
+        self._node.replace_runners([known.runner for known in runners], last_resort_s)
 
     def apply_zones(self, update: ZoneUpdate) -> None:
         """Apply an update of the closed zones."""
--- a/src/bendshed/services/registry_watches.py
+++ b/src/bendshed/services/registry_watches.py
@@ -4,6 +4,7 @@
 import random
 
 from bendshed.catalog.reading import RegistryReading
+from bendshed.catalog.registry_outage import RegistryOutage
 from bendshed.catalog.times import CatalogTimes
 from bendshed.catalog.watcher import MAX_RETRY_GROWTH, KindHandler, KindWatcher
 from bendshed.catalog.zones import make_registry_update
@@ -48,6 +49,12 @@
             registry_format.runner_kind,
             KindHandler(self._set_runners, self._on_runner, node.note_runners_read),
             times.idle_wait_s,
+            RegistryOutage(
+                times.contact_s,
+                times.drain_s,
+                is_informed=True,
+                is_isolated=lambda: node.is_isolated,
+            ),
         )
         others = [
             self._watch(
@@ -69,9 +76,22 @@
         self.reading = RegistryReading(node.catalog, self._runners, others)
         node.forwarder.is_current = self._is_configuration_current
 
-    def _watch(self, kind: str, handler: KindHandler, wait_s: float) -> KindWatcher:
+    def _watch(
+        self,
+        kind: str,
+        handler: KindHandler,
+        wait_s: float,
+        outage: RegistryOutage | None = None,
+    ) -> KindWatcher:
         return KindWatcher(
-            self._source, kind, handler, wait_s, self._rng, self._times.pause_s, MAX_RETRY_GROWTH
+            self._source,
+            kind,
+            handler,
+            wait_s,
+            self._rng,
+            self._times.pause_s,
+            MAX_RETRY_GROWTH,
+            outage,
         )
 
     def _watch_zones(self) -> KindWatcher:
@@ -109,11 +129,11 @@
 
     def _set_runners(self, listed: ObjectList) -> None:
         runners = [self._format.read_runner(item) for item in listed.items]
-        self._node.replace_runners(runners, is_trusted=self._runners.is_trusted)
+        self._node.replace_runners(runners, self._runners.last_resort_s())
 
     def _on_runner(self, event: ObjectEvent) -> None:
         if event.is_deleted:
-            self._node.remove_runner(event.object.name, self._runners.is_trusted)
+            self._node.remove_runner(event.object.name, self._runners.last_resort_s())
         else:
             self._node.put_runner(self._format.read_runner(event.object))
 
--- a/src/bendshed/services/runners.py
+++ b/src/bendshed/services/runners.py
@@ -16,7 +16,6 @@
     RunnerFilter,
     are_all_excluded,
     eligible_runners,
-    is_outdated,
     may_continue_stream,
 )
 from bendshed.placement.runner_record import AVOID_S, ObservedState, RunnerRecord, WorkTimes
@@ -77,7 +76,7 @@
     def put(self, runner: ServiceRunner) -> None:
         """Add or update a listed runner."""
         record = self.by_id.get(runner.runner_id)
-        if record is not None and record.listed == runner and record.unlisted_at_s is None:
+        if record is not None and record.listed == runner and record.is_listed:
             return
         if record is None:
             record = _LoggedRecord(runner)
@@ -92,7 +91,7 @@
                 self._by_service(record.listed.service).pop(runner.runner_id, None)
         self._count(runner, 1)
         record.listed = runner
-        record.unlisted_at_s = None
+        record.last_resort_until_s = None
         record.doubted_until_s = None
         self.cold.note_listed(runner)
         self._by_service(runner.service)[runner.runner_id] = record
@@ -106,27 +105,37 @@
             born_ms=runner.born_ms,
         )
 
-    def remove(self, runner_id: str, now_s: float, is_trusted: bool) -> None:
+    def remove(self, runner_id: str, now_s: float, last_resort_s: float) -> None:
         """Remove a runner that is no longer listed.
 
+        Of one that is unlisted already, the news is of the same removal. Each time told is safe by
+        what its teller knows of the registry, so the longest counts.
+
         Args:
             runner_id: id of the runner.
             now_s: loop time.
-            is_trusted: the registry was healthy; otherwise the runner may still run and is a last
-                resort for ``UNLISTED_GRACE_S``.
+            last_resort_s: for how long it is used if no other runner is listed, since it may be
+                listed again; 0: it has left.
 
         """
         record = self.by_id.get(runner_id)
         if record is None:
             return
-        log.say("runner is not listed any more", runner=runner_id, trusted=is_trusted)
-        if record.unlisted_at_s is None:
-            self.quarantine.note_leaving(record.listed)
+        if record.last_resort_until_s is not None:
+            until_s = max(record.last_resort_until_s, now_s + last_resort_s)
+            record.last_resort_until_s = until_s
+            return
+        log.say(
+            "runner is not listed any more",
+            runner=runner_id,
+            last_resort_s=round(last_resort_s, 3),
+        )
+        self.quarantine.note_leaving(record.listed)
         self.cold.note_removed(runner_id)
-        if is_trusted:
+        if last_resort_s > 0:
+            record.last_resort_until_s = now_s + last_resort_s
+        else:
             self._drop(record)
-        elif record.unlisted_at_s is None:
-            record.unlisted_at_s = now_s
 
     def confirm_list(self, age_s: float) -> None:
         """Record that the registry confirmed the list ``age_s`` ago."""
@@ -135,7 +144,7 @@
     def is_listed(self, process: RunnerProcess) -> bool:
         """Whether the list names a process."""
         record = self._record_of(process)
-        return record is not None and record.unlisted_at_s is None
+        return record is not None and record.is_listed
 
     def has_answered(self, process: RunnerProcess, after_s: float) -> bool:
         """Whether a process answered a request of this node that was sent after a loop time."""
@@ -200,7 +209,7 @@
         """
         records = self._by_service(service)
         for record in list(records.values()):
-            if is_outdated(record, now_s):
+            if record.has_left(now_s):
                 self._drop(record)
         candidates: Collection[RunnerRecord] = records.values()
         if software_version:
--- a/src/bendshed/turns/registry_watches.py
+++ b/src/bendshed/turns/registry_watches.py
@@ -6,6 +6,7 @@
 
 from bendshed.catalog.confirmations import CatalogPart
 from bendshed.catalog.reading import RegistryReading
+from bendshed.catalog.registry_outage import RegistryOutage
 from bendshed.catalog.state import KnownRunner
 from bendshed.catalog.times import CatalogTimes, ReadingPace
 from bendshed.catalog.watcher import KindHandler, KindWatcher
@@ -51,6 +52,7 @@
         self._runners = self._watch(
             registry_format.runner_kind,
             KindHandler(self._set_runners, self._on_runner, self._confirm_runners),
+            RegistryOutage(times.contact_s, times.drain_s),
         )
         confirm_document = partial(node.catalog.confirm, CatalogPart.DOCUMENT)
         self._configuration = self._watch(
@@ -68,10 +70,19 @@
         self.reading = RegistryReading(node.follower, self._runners, others, node.set_registry_lost)
         node.demand.on_pace_change.append(self._set_pace)
 
-    def _watch(self, kind: str, handler: KindHandler) -> KindWatcher:
+    def _watch(
+        self, kind: str, handler: KindHandler, outage: RegistryOutage | None = None
+    ) -> KindWatcher:
         pace = self._node.demand.pace
         return KindWatcher(
-            self._source, kind, handler, pace.wait_s, self._rng, pace.pause_s, MAX_RETRY_GROWTH
+            self._source,
+            kind,
+            handler,
+            pace.wait_s,
+            self._rng,
+            pace.pause_s,
+            MAX_RETRY_GROWTH,
+            outage,
         )
 
     def _watch_replica_machines(self, wait_s: float) -> list[KindWatcher]:
@@ -112,13 +123,14 @@
         runners = [
             KnownRunner(self._format.read_runner(item), item.revision) for item in listed.items
         ]
-        self._node.catalog.replace_runners(runners, listed.revision, self._runners.is_trusted)
+        last_resort_s = self._runners.last_resort_s()
+        self._node.catalog.replace_runners(runners, listed.revision, last_resort_s)
 
     def _on_runner(self, event: ObjectEvent) -> None:
         item = event.object
         if event.is_deleted:
-            is_trusted = self._runners.is_trusted
-            self._node.catalog.remove_runner(item.name, event.revision, is_trusted)
+            last_resort_s = self._runners.last_resort_s()
+            self._node.catalog.remove_runner(item.name, event.revision, last_resort_s)
         else:
             known = KnownRunner(self._format.read_runner(item), item.revision)
             self._node.catalog.put_runner(known)
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -26,7 +26,7 @@
 class CatalogTest(unittest.TestCase):
     def setUp(self) -> None:
         self.catalog = Catalog()
-        self.catalog.replace_runners([known("a", 3), known("b", 5)], revision=6, is_trusted=True)
+        self.catalog.replace_runners([known("a", 3), known("b", 5)], revision=6, last_resort_s=0.0)
 
     def test_requester_without_revision_gets_the_full_list(self) -> None:
         changes = self.catalog.changes_since(0)
@@ -34,7 +34,7 @@
 
     def test_requester_gets_only_changes_since_its_revision(self) -> None:
         self.catalog.put_runner(known("b", 8, RunnerState.DRAINING))
-        self.catalog.remove_runner("a", 9, is_trusted=True)
+        self.catalog.remove_runner("a", 9, last_resort_s=0.0)
         self.catalog.advance(9)
         changes = self.catalog.changes_since(6)
         self.assertEqual((changes.since, changes.revision), (6, 9))
@@ -48,7 +48,7 @@
     def test_revision_before_the_oldest_removal_gets_the_full_list(self) -> None:
         for number in range(MAX_REMOVED + 1):
             self.catalog.put_runner(known(f"r{number}", 10 + 2 * number))
-            self.catalog.remove_runner(f"r{number}", 11 + 2 * number, is_trusted=True)
+            self.catalog.remove_runner(f"r{number}", 11 + 2 * number, last_resort_s=0.0)
         self.catalog.advance(20 + 2 * MAX_REMOVED)
         self.assertEqual(self.catalog.changes_since(10).since, 0)
         self.assertEqual(self.catalog.changes_since(12).since, 12)
@@ -57,7 +57,7 @@
         self.catalog.apply_document(make_document(4))
         self.assertFalse(self.catalog.apply_document(make_document(3)))
         self.assertFalse(self.catalog.put_runner(known("a", 2, RunnerState.DRAINING)))
-        self.assertFalse(self.catalog.replace_runners([], revision=5, is_trusted=True))
+        self.assertFalse(self.catalog.replace_runners([], revision=5, last_resort_s=0.0))
         self.assertEqual((self.catalog.version, self.catalog.runners_at), (4, 6))
 
     def test_stored_catalog_round_trips_and_an_unreadable_file_is_empty(self) -> None:
--- a/tests/test_cold_runner_dispatch.py
+++ b/tests/test_cold_runner_dispatch.py
@@ -17,6 +17,7 @@
     runner_from_wire,
 )
 from bendshed.catalog.cold_runner_tracker import ColdRunnerTracker
+from bendshed.catalog.registry_outage import MAX_LAST_RESORT_S
 from bendshed.catalog.state import Catalog, KnownRunner
 from bendshed.errors import ErrorKind, Refusal, WasRun
 from bendshed.model.address import Address
@@ -81,21 +82,21 @@
 
     def test_reply_subtracts_the_elapsed_time(self) -> None:
         runners = [KnownRunner(runner("a", 5_000), 1), KnownRunner(runner("b"), 2)]
-        self.catalog.replace_runners(runners, 2, is_trusted=True)
+        self.catalog.replace_runners(runners, 2, last_resort_s=0.0)
         self.clock.now_s += 3.0
         self.assertEqual(self.reported_cold_ms(self.catalog), {"a": 2_000, "b": 0})
         self.clock.now_s += 3.0
         self.assertEqual(self.reported_cold_ms(self.catalog), {"a": 0, "b": 0})
 
     def test_receiver_counts_from_the_receipt(self) -> None:
-        self.catalog.replace_runners([KnownRunner(runner("a", 5_000), 1)], 1, is_trusted=True)
+        self.catalog.replace_runners([KnownRunner(runner("a", 5_000), 1)], 1, last_resort_s=0.0)
         self.clock.now_s += 3.0
         rows = make_reply(self.catalog, since=0, known_version=0).runners
         other_clock = Clock(7.0)
         receiver = Catalog()
         receiver.begin_incarnation(other_clock)
         receiver.apply_document(DOCUMENT)
-        receiver.replace_runners([runner_from_wire(row) for row in rows], 1, is_trusted=True)
+        receiver.replace_runners([runner_from_wire(row) for row in rows], 1, last_resort_s=0.0)
         other_clock.now_s += 1.9
         self.assertTrue(receiver.cold.is_cold("a"))
         other_clock.now_s += 0.2
@@ -103,27 +104,27 @@
 
     def test_repeated_entry_does_not_restart_the_countdown(self) -> None:
         known = [KnownRunner(runner("a", 5_000), 1)]
-        self.catalog.replace_runners(known, 1, is_trusted=True)
+        self.catalog.replace_runners(known, 1, last_resort_s=0.0)
         self.clock.now_s += 3.0
-        self.catalog.replace_runners(known, 2, is_trusted=True)
+        self.catalog.replace_runners(known, 2, last_resort_s=0.0)
         self.assertEqual(self.reported_cold_ms(self.catalog), {"a": 2_000})
 
     def test_entry_that_reappears_counts_as_just_started(self) -> None:
-        self.catalog.replace_runners([KnownRunner(runner("a"), 1)], 1, is_trusted=True)
-        self.catalog.remove_runner("a", 2, is_trusted=False)
+        self.catalog.replace_runners([KnownRunner(runner("a"), 1)], 1, last_resort_s=0.0)
+        self.catalog.remove_runner("a", 2, last_resort_s=MAX_LAST_RESORT_S)
         self.clock.now_s += 1.0
         self.catalog.put_runner(KnownRunner(runner("a"), 3))
         self.assertEqual(self.reported_cold_ms(self.catalog), {"a": START_MS})
 
     def test_stored_cold_time_counts_in_full_until_it_is_updated(self) -> None:
         runners = [KnownRunner(runner("a", 5_000), 1), KnownRunner(runner("b"), 2)]
-        self.catalog.replace_runners(runners, 2, is_trusted=True)
+        self.catalog.replace_runners(runners, 2, last_resort_s=0.0)
         self.clock.now_s += 1.0
         content = encode_stored(StoredCatalog(self.catalog))
         restored = decode_stored(content).catalog
         restored.begin_incarnation(Clock(3_600.0))
         self.assertEqual(self.reported_cold_ms(restored), {"a": 4_000, "b": 0})
-        restored.replace_runners([KnownRunner(runner("a"), 1)], 2, is_trusted=True)
+        restored.replace_runners([KnownRunner(runner("a"), 1)], 2, last_resort_s=0.0)
         self.assertEqual(self.reported_cold_ms(restored), {"a": 0})
 
 
@@ -136,7 +137,7 @@
         catalog.begin_incarnation(self.clock)
         catalog.apply_document(DOCUMENT)
         runners = [KnownRunner(runner(name, 60_000), 1) for name in ("a", "b")]
-        catalog.replace_runners(runners, 1, is_trusted=True)
+        catalog.replace_runners(runners, 1, last_resort_s=0.0)
         self.catalog = catalog
         self.metrics = TurnLogMetrics(CollectorRegistry())
         cold = ColdAdmission(catalog.cold, TERMS, self.metrics)
--- a/tests/test_dispatch_restrictions.py
+++ b/tests/test_dispatch_restrictions.py
@@ -11,6 +11,7 @@
 
 from prometheus_client import CollectorRegistry
 
+from bendshed.catalog.registry_outage import MAX_LAST_RESORT_S
 from bendshed.catalog.state import Catalog, KnownRunner
 from bendshed.errors import ErrorKind, WasRun
 from bendshed.model.address import Address
@@ -294,7 +295,7 @@
     """All runners disappeared from a list of an unhealthy registry."""
     now_s = asyncio.get_running_loop().time()
     for runner_id in (*OPEN_RUNNERS, *CLOSED_RUNNERS):
-        front.table.remove(runner_id, now_s, is_trusted=False)
+        front.table.remove(runner_id, now_s, last_resort_s=MAX_LAST_RESORT_S)
     return await front.send(number)
 
 
@@ -345,7 +346,7 @@
         for regions, filter_ in (([], ZONE_B_CLOSED), (list(ALLOWED_REGIONS), NO_ZONE_CLOSED)):
             catalog = Catalog(filter=filter_)
             runners = [KnownRunner(listed(name), 3) for name in (*CLOSED_RUNNERS, *OPEN_RUNNERS)]
-            catalog.replace_runners(runners, 4, is_trusted=True)
+            catalog.replace_runners(runners, 4, last_resort_s=0.0)
             metrics = TurnLogMetrics(CollectorRegistry())
             cold = ColdAdmission(catalog.cold, ColdRateLimit(), metrics)
             placement_service = TurnPlacement(catalog, cold, random.Random(1))
--- a/tests/test_listed_births.py
+++ b/tests/test_listed_births.py
@@ -69,7 +69,7 @@
         catalog = self.earlier_catalog()
         self.assertEqual((births_of(catalog), catalog.lacks_births), ({None}, True))
         self.assertFalse(catalog.lacks_software_versions)
-        catalog.replace_runners([born("a", 3), born("b", 5)], RUNNERS_AT, is_trusted=True)
+        catalog.replace_runners([born("a", 3), born("b", 5)], RUNNERS_AT, last_resort_s=0.0)
         self.assertEqual((births_of(catalog), catalog.lacks_births), ({BORN_MS}, False))
 
     def test_entry_of_an_earlier_build_does_not_replace_a_whole_one(self) -> None:
--- a/tests/test_proven_version.py
+++ b/tests/test_proven_version.py
@@ -110,5 +110,5 @@
         table.put(ENTRY)
         table.put(replace(ENTRY, born_ms=LATER_MS))
         self.assertTrue(table.are_births_listed)
-        table.remove("i", 0.0, is_trusted=True)
+        table.remove("i", 0.0, last_resort_s=0.0)
         self.assertFalse(table.are_births_listed)
--- a/tests/test_relayed_follower.py
+++ b/tests/test_relayed_follower.py
@@ -36,11 +36,11 @@
     def put_runner(self, known: KnownRunner) -> None:
         self.catalog.put_runner(known)
 
-    def remove_runner(self, runner_id: str, at: int, is_trusted: bool) -> None:
-        self.catalog.remove_runner(runner_id, at, is_trusted)
+    def remove_runner(self, runner_id: str, at: int, last_resort_s: float) -> None:
+        self.catalog.remove_runner(runner_id, at, last_resort_s)
 
-    def replace_runners(self, runners: list[KnownRunner], at: int, is_trusted: bool) -> None:
-        self.catalog.replace_runners(runners, at, is_trusted)
+    def replace_runners(self, runners: list[KnownRunner], at: int, last_resort_s: float) -> None:
+        self.catalog.replace_runners(runners, at, last_resort_s)
 
     def apply_zones(self, update: ZoneUpdate) -> None:
         self.zone_revisions.append(update.zones.revision)
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -78,7 +78,7 @@
         self.assertIs(caller.refusal.kind, ErrorKind.QUARANTINED)
         self.assertEqual(self.answer_to(caller), (503, str(int(LAPSE_S))))
         for runner_id in RUNNERS:
-            self.front.table.remove(runner_id, 0.0, is_trusted=True)
+            self.front.table.remove(runner_id, 0.0, last_resort_s=0.0)
         self.assertEqual(self.answer_to(await self.front.send()), (503, str(int(QUARANTINE_S))))
 
     def answer_to(self, caller: RecordingCaller) -> tuple[int, str | None]:
@@ -285,7 +285,7 @@
             await self.answer_with_error([], is_framed=True)
         self.front.runners.watched.pop()()
         for runner_id in RUNNERS:
-            self.front.table.remove(runner_id, 0.0, is_trusted=True)
+            self.front.table.remove(runner_id, 0.0, last_resort_s=0.0)
         self.assertEqual(len(self.quarantine.all_ends()), 1)
 
     async def test_an_error_answer_behind_an_end_counts(self) -> None:
@@ -384,7 +384,7 @@
 
     async def remove(self, runner_id: str) -> list[RunnerEnd]:
         now_s = asyncio.get_running_loop().time()
-        self.front.table.remove(runner_id, now_s, is_trusted=True)
+        self.front.table.remove(runner_id, now_s, last_resort_s=0.0)
         return self.quarantine.all_ends()
 
     # Guards against requests that end runners which fall silent instead of closing connections.
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -184,7 +184,7 @@
         self.assertEqual(table.sole_version("s"), "")
         table.put(replace(listed("other"), service="t", software_version="v3"))
         self.assertEqual((table.sole_version("s"), table.sole_version("t")), ("v1", "v3"))
-        table.remove("other", 0.0, is_trusted=True)
+        table.remove("other", 0.0, last_resort_s=0.0)
         self.assertEqual((table.sole_version("s"), table.sole_version("t")), ("v1", ""))
 
     async def test_stream_that_is_no_turn_records_its_version(self) -> None:
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -6,11 +6,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from bendshed.catalog.registry_outage import MAX_LAST_RESORT_S
 from bendshed.model.address import Address
 from bendshed.model.route_index import RouteIndex, choose_target
 from bendshed.model.runner import RunnerState, ServiceRunner
 from bendshed.model.service_document import Route, RouteKind, ServiceDocument, WeightedService
-from bendshed.placement.eligibility import UNLISTED_GRACE_S
 from bendshed.placement.node_choice import (
     AFFINITY_MAX_EXTRA_REQUESTS,
     SESSION_MAX_EXTRA_REQUESTS,
@@ -81,28 +81,28 @@
         self.assertEqual(self.eligible(), ["b"])
 
     def test_a_removed_runner_gets_no_new_requests(self) -> None:
-        self.table.remove("a", 0.0, is_trusted=True)
-        self.table.remove("b", 0.0, is_trusted=True)
+        self.table.remove("a", 0.0, last_resort_s=0.0)
+        self.table.remove("b", 0.0, last_resort_s=0.0)
         self.assertEqual(self.eligible(), [])
 
     def test_runners_unlisted_while_the_store_fails_are_a_last_resort(self) -> None:
-        self.table.remove("a", 0.0, is_trusted=False)
+        self.table.remove("a", 0.0, last_resort_s=MAX_LAST_RESORT_S)
         self.assertEqual(self.eligible(), ["b"])
-        self.table.remove("b", 0.0, is_trusted=False)
+        self.table.remove("b", 0.0, last_resort_s=MAX_LAST_RESORT_S)
         self.assertEqual(self.eligible(), ["a", "b"])
         self.table.put(runner("b"))
         self.assertEqual(self.eligible(), ["b"])
-        self.table.remove("b", 0.0, is_trusted=True)
-        self.assertEqual(self.eligible(UNLISTED_GRACE_S + 1), [])
+        self.table.remove("b", 0.0, last_resort_s=0.0)
+        self.assertEqual(self.eligible(MAX_LAST_RESORT_S + 1), [])
 
     def test_a_runner_not_listed_after_the_store_returns_is_removed(self) -> None:
         """Entries that expired with the store are listed again 2 s after its return, or removed."""
-        self.table.remove("a", 10.0, is_trusted=False)
-        self.table.remove("b", 10.0, is_trusted=False)
+        self.table.remove("a", 10.0, last_resort_s=MAX_LAST_RESORT_S)
+        self.table.remove("b", 10.0, last_resort_s=MAX_LAST_RESORT_S)
         self.assertEqual(self.eligible(12.0), ["a", "b"])
         self.table.put(runner("b"))
         self.assertEqual(self.eligible(12.2), ["b"])
-        self.table.remove("b", 12.3, is_trusted=True)
+        self.table.remove("b", 12.3, last_resort_s=0.0)
         self.assertEqual(self.eligible(13.0), [])
 
     def test_a_runner_of_another_service_is_not_used(self) -> None:
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -29,7 +29,7 @@
 
 def catalog_of(*runners: KnownRunner) -> Catalog:
     catalog = Catalog()
-    catalog.replace_runners(runners, RUNNERS_AT, is_trusted=True)
+    catalog.replace_runners(runners, RUNNERS_AT, last_resort_s=0.0)
     return catalog
 
 
@@ -58,7 +58,7 @@
     def test_list_adds_versions_to_what_an_earlier_build_stored(self) -> None:
         catalog = self.earlier_catalog()
         self.assertTrue(catalog.lacks_software_versions)
-        catalog.replace_runners([known("a", 3), known("b", 5)], RUNNERS_AT, is_trusted=True)
+        catalog.replace_runners([known("a", 3), known("b", 5)], RUNNERS_AT, last_resort_s=0.0)
         self.assertEqual(catalog.software_version_of("b"), "v1")
         self.assertFalse(catalog.lacks_software_versions)
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -10,6 +10,7 @@
     zones_from_wire,
 )
 from bendshed.catalog.follower import REPLY_MARGIN_S
+from bendshed.catalog.registry_outage import MAX_LAST_RESORT_S
 from bendshed.catalog.state import Catalog, KnownRunner
 from bendshed.catalog.times import CatalogTimes
 from bendshed.catalog.watcher import LOST_WAIT_S, RETRY_MAX_S, KindHandler
@@ -132,7 +133,7 @@
         table = RunnerTable(filter=self.filter)
         for zone in "ab":
             table.put(runner(zone, zone))
-        table.remove("b", 0.0, is_trusted=False)
+        table.remove("b", 0.0, last_resort_s=MAX_LAST_RESORT_S)
         self.assertEqual([one.listed.runner_id for one in table.eligible("s", 0.0, None)], ["b"])
 
     def test_no_eligible_runner_only_because_of_closed_zones_or_regions(self) -> None:
