A request is not sent to a runner that left while it connected

What operators would have seen: a runner that had left, or said that it leaves, got a request that had chosen it before and waited for a connection to it.

Cause: after connecting, zone, region, version and permit were asked again, not whether the runner was there.

Fix: RunnerTable.is_leaving is asked at the same place, and the dispatch withdrawn.

--- a/src/bendshed/services/attempts.py
+++ b/src/bendshed/services/attempts.py
@@ -387,15 +387,23 @@
     def _withdraw_dispatch(self, choice: Choice, connection: RunnerConnection) -> None:
         """Withdraw a dispatch whose preconditions no longer hold after connecting.
 
-        Either the runner's zone was closed in the meantime, or its entry names another software
-        version than that of a resumed stream, or the permit for a cold runner expired while
-        connecting, or the runner has just turned cold.
+        Either the runner has left in the meantime, or its zone was closed, or its entry names
+        another software version than that of a resumed stream, or the permit for a cold runner
+        expired while connecting, or the runner has just turned cold.
         """
         runner = choice.record.listed
-        if not self.placement.is_allowed(choice.record):
+        now_s = asyncio.get_running_loop().time()
+        is_leaving = self.ports.table.is_leaving(choice.record, now_s)
+        if is_leaving or not self.placement.is_allowed(choice.record):
             connection.finish()
             self.ports.pool.release(runner.address, connection)
-            if self.placement.is_of_version(choice.record):
+            if is_leaving:
+                self._say(
+                    "dispatch withdrawn: runner leaves",
+                    choice,
+                    reason="the runner left, or said that it leaves, while connecting",
+                )
+            elif self.placement.is_of_version(choice.record):
                 self._say(
                     "dispatch withdrawn: zone closed",
                     choice,
--- a/src/bendshed/services/runner_placement.py
+++ b/src/bendshed/services/runner_placement.py
@@ -127,7 +127,7 @@
 
     def may_dispatch_to(self, record: RunnerRecord, permit: TimedPermit, now_s: float) -> bool:
         """Whether a runner may still get the request, and is warm or permitted."""
-        if not self.is_allowed(record):
+        if not self.is_allowed(record) or self.ports.table.is_leaving(record, now_s):
             return False
         return permit.is_valid(now_s) or not self.ports.table.cold.is_cold(record.listed.runner_id)
 
--- a/src/bendshed/services/runners.py
+++ b/src/bendshed/services/runners.py
@@ -11,7 +11,7 @@
 
 from bendshed.catalog.cold_runner_tracker import ColdRunnerTracker
 from bendshed.logs import PartLog
-from bendshed.model.runner import RunnerProcess, ServiceRunner
+from bendshed.model.runner import RunnerProcess, RunnerState, ServiceRunner
 from bendshed.placement.eligibility import (
     RunnerFilter,
     are_all_excluded,
@@ -146,6 +146,12 @@
         record = self._record_of(process)
         return record is not None and record.is_listed
 
+    def is_leaving(self, record: RunnerRecord, now_s: float) -> bool:
+        """Whether a runner that was eligible has left since, or says that it leaves."""
+        is_known = self.by_id.get(record.listed.runner_id) is record
+        is_ready = record.listed.state is RunnerState.READY
+        return not is_known or not is_ready or record.has_left(now_s)
+
     def has_answered(self, process: RunnerProcess, after_s: float) -> bool:
         """Whether a process answered a request of this node that was sent after a loop time."""
         record = self._record_of(process)
--- a/tests/test_dispatch_restrictions.py
+++ b/tests/test_dispatch_restrictions.py
@@ -426,6 +426,58 @@
         self.assertEqual(front.runners.sent, [])
 
 
+class RunnerLeavesWhileConnectingTest(unittest.IsolatedAsyncioTestCase):
+    """A runner leaves while a request waits for a connection to it."""
+
+    # Guards against a request that reaches a runner later than it may, since it chose the runner
+    # before that left and had to connect.
+    async def test_request_goes_to_another_runner(self) -> None:
+        for leave in (remove_runner, drain_runner, end_last_resort):
+            for route, turn in ((ROUTE, None), (STREAM, TURN)):
+                for number in range(NUM_REQUESTS):
+                    with self.subTest(leave=leave.__name__, kind=route.kind):
+                        await self.check(leave, route, turn, number)
+
+    async def check(
+        self,
+        leave: Callable[[FrontFixture, str], None],
+        route: Route,
+        turn: TurnDetails | None,
+        number: int,
+    ) -> None:
+        front = FrontFixture(NO_ZONE_CLOSED, (), has_turns=True)
+        front.put(route)
+        left: list[str] = []
+
+        def leave_once(runner_id: str) -> None:
+            if not left:
+                left.append(runner_id)
+                leave(front, runner_id)
+
+        front.runners.before_connecting = leave_once
+        caller = await front.send(number, turn) if turn is not None else await front.send(number)
+        self.assertTrue(caller.is_complete)
+        self.assertEqual(len(left), 1)
+        self.assertNotIn(left[0], front.runners.sent)
+
+
+def remove_runner(front: FrontFixture, runner_id: str) -> None:
+    """The registry does not list a runner any more."""
+    front.table.remove(runner_id, asyncio.get_running_loop().time(), last_resort_s=0.0)
+
+
+def drain_runner(front: FrontFixture, runner_id: str) -> None:
+    """A runner says that it leaves."""
+    entry = front.table.by_id[runner_id].listed
+    front.table.put(replace(entry, state=RunnerState.DRAINING))
+
+
+def end_last_resort(front: FrontFixture, runner_id: str) -> None:
+    """The time for which an unlisted runner was a last resort is over."""
+    now_s = asyncio.get_running_loop().time()
+    front.table.by_id[runner_id].last_resort_until_s = now_s
+
+
 class NoEligibleRunnerTest(unittest.IsolatedAsyncioTestCase):
     """Refused with the right reason, before any request to the turn log or the quota."""
 
