Planted defect: draining is ignored when a runner is chosen and when a request is sent

Since a request is also stopped behind the choice, so that the defect, which broke the choice alone, was no longer found (test_site_rules failed). It breaks both now; the check and its bound are as before.

--- a/tests/site_defects.py
+++ b/tests/site_defects.py
@@ -335,6 +335,16 @@
     return list(table.by_service.get(service, {}).values())
 
 
+@contextlib.contextmanager
+def _ignore_drained_runners() -> Iterator[None]:
+    """Neither when a runner is chosen nor when a request is sent to it."""
+    with (
+        mock.patch.object(RunnerTable, "eligible", _all_runners_of_service),
+        mock.patch.object(RunnerTable, "is_leaving", lambda *_: False),
+    ):
+        yield
+
+
 async def _finish_late(record: TurnRecord) -> bool:
     import asyncio  # noqa: PLC0415
 
@@ -418,7 +428,7 @@
         patch(RaftReplica, "_quorum", property(lambda _s: 1)),
     ),
     "draining of a runner is ignored": Defect(
-        Rule.DRAIN, runners_are_drained, patch(RunnerTable, "eligible", _all_runners_of_service)
+        Rule.DRAIN, runners_are_drained, _ignore_drained_runners
     ),
     "a runner connection stays open after its client disconnected": Defect(
         Rule.LEAVE, clients_disconnect, patch(SimConnection, "abort", lambda self: None)
