--- a/src/bendshed/catalog/confirmations.py
+++ b/src/bendshed/catalog/confirmations.py
@@ -59,6 +59,10 @@
         if part is CatalogPart.ZONES:
             self._zones.confirm(age_s)
 
+    def confirmed_s(self, part: CatalogPart) -> float:
+        """Loop time at which the registry last confirmed a part; minus infinity: never."""
+        return self._at_s.get(part, -math.inf)
+
     def confirm_all(self, age_s: float) -> None:
         """Record that another machine's catalog was confirmed ``age_s`` ago.
 
--- a/src/bendshed/catalog/registry_outage.py
+++ b/src/bendshed/catalog/registry_outage.py
@@ -17,8 +17,11 @@
 MAX_LAST_RESORT_S = REENTRY_S + ENTRY_WAY_S
 DISPATCH_MARGIN_S = 0.2
 """Covers the way of the removal to a node, and that of the last request to the runner."""
-MIN_FAILURES = 2
-"""A watch is cut now and then; the call after it is answered, and no entry lapses in between."""
+
+
+def _always_confirmed() -> float:
+    """Default of watches whose removals do not matter."""
+    return math.inf
 
 
 @dataclass(slots=True)
@@ -30,8 +33,12 @@
     Attributes:
         settled_s: the registry has settled once it has been well for this long.
         drain_s: a runner gets no new request this long after a removal that binds.
+        max_gap_s: longest time between two confirmations of a registry that is well, also where a
+            watch is cut.
+        confirmed_s: when the registry last confirmed the list to this process, or to a machine that
+            informs it.
         is_informed: other machines inform this process within ``settled_s`` of the registry's
-            return, so none has returned earlier than that if its own call is answered first.
+            return, so it returned later than that if this process's own call is answered first.
         is_isolated: whether no other node answers this process either. Then its own path failed:
             the registry may have been well, and entries that it removed meanwhile are gone.
 
@@ -39,40 +46,29 @@
 
     settled_s: float = 0.0
     drain_s: float = 0.0
+    max_gap_s: float = 0.0
+    confirmed_s: Callable[[], float] = _always_confirmed
     is_informed: bool = False
     is_isolated: Callable[[], bool] = lambda: False
-    _num_failed: int = 0
-    _is_silent: bool = False
+    _has_failed: bool = False
     _failure_began_s: float = -math.inf
     _returned_s: float = -math.inf
     _reply_s: float = -math.inf
     _previous_reply_s: float = -math.inf
 
-    def note_failure(self, began_s: float, is_silent: bool) -> None:
+    def note_failure(self, began_s: float) -> None:
         """Record a call that failed; the registry may have been well since it began."""
-        if self.is_isolated():
-            self._num_failed, self._is_silent = 0, False
-            return
-        self._num_failed += 1
-        self._is_silent = is_silent
-        self._failure_began_s = began_s
-
-    def note_others_informed(self) -> None:
-        """Record that the registry answers other machines, which report removals from now on."""
-        self._num_failed, self._is_silent = 0, False
-
-    def note_others_silent(self) -> None:
-        """Record that other machines report nothing new: as much of a sign as a failed call."""
-        self._num_failed = max(self._num_failed, 1)
+        self._has_failed = not self.is_isolated()
+        if self._has_failed:
+            self._failure_began_s = began_s
 
     def note_reply(self, now_s: float) -> None:
-        """Record a reply of the registry, before the removals that it reports."""
-        if self._num_failed >= MIN_FAILURES or self._is_silent:
+        """Record a reply of the registry, before the list counts as confirmed by it."""
+        if self._has_failed and now_s - self.confirmed_s() > self.max_gap_s:
             self._returned_s = now_s
             if self.is_informed:
                 self._failure_began_s = max(self._failure_began_s, now_s - self.settled_s)
-        self._num_failed = 0
-        self._is_silent = False
+        self._has_failed = False
         self._previous_reply_s, self._reply_s = self._reply_s, now_s
 
     def last_resort_s(self, now_s: float) -> float:
--- a/src/bendshed/catalog/server.py
+++ b/src/bendshed/catalog/server.py
@@ -73,8 +73,7 @@
             return False
         if self._adds_versions(request):
             return True
-        changes = catalog.changes_since(request.runners_at)
-        return bool(changes.runners or changes.removed)
+        return catalog.has_changes_since(request.runners_at)
 
     def _adds_versions(self, request: ReadRequest) -> bool:
         """Whether a node needs the whole list again, for what its entries of runners lack."""
--- a/src/bendshed/catalog/state.py
+++ b/src/bendshed/catalog/state.py
@@ -237,6 +237,12 @@
         told = tuple(row for row in removed if row.revision > since or row.last_resort_s)
         return RunnerChanges(since, self.runners_at, runners, told)
 
+    def has_changes_since(self, since: int) -> bool:
+        """Whether ``changes_since`` contains anything that is newer than revision ``since``."""
+        changes = self.changes_since(since)
+        is_removed = any(removal.revision > since for removal in changes.removed)
+        return bool(changes.runners) or is_removed
+
     def _removals(self) -> Iterator[Removal]:
         now_s = self.cold.clock()
         for runner_id, recorded in self._removed.items():
--- a/src/bendshed/catalog/times.py
+++ b/src/bendshed/catalog/times.py
@@ -18,6 +18,8 @@
 PAUSE_SHARE = 0.15
 """Share of the time within which a change must be applied: the pause between two watches, so that a
 burst of changes costs one call. A change in the pause is known that much later."""
+RETRY_ALLOWANCE_S = 1.0
+"""Allowance for the first retry of a failed call (`catalog/watcher.py`, 0.9 s) and its answer."""
 DEMAND_PAUSE_S = 0.05
 """The pause of a machine that reads for others, since it delays all of them."""
 
@@ -50,6 +52,8 @@
         pause_s: pause between two such watches.
         silence_s: a connection to the registry may be silent for this long before the node knows
             the registry's state again.
+        max_gap_s: longest time between two confirmations of a registry that is well, also where a
+            watch is cut.
         contact_s: the registry has settled once it has been well for this long.
         drain_s: a runner that has left gets no new request this long after the registry, once
             settled, acknowledged it.
@@ -65,6 +69,7 @@
     idle_wait_s: float
     pause_s: float
     silence_s: float
+    max_gap_s: float
     contact_s: float
     drain_s: float
     default_last_resort_s: float
@@ -104,12 +109,14 @@
         max_wait_s = silence_s - MAX_IDLE_S - WATCH_MARGIN_S - REREAD_S
         idle_wait_s = max(interval_s, min(max_wait_s, HISTORY_SHARE * history_s))
         max_age_s = MAX_AGE_SHARE * bound_s
+        pause_s = PAUSE_SHARE * bound_s
         return cls(
             interval_s,
             max_age_s,
             idle_wait_s,
-            PAUSE_SHARE * bound_s,
+            pause_s,
             silence_s,
+            pause_s + idle_wait_s + RETRY_ALLOWANCE_S,
             contact_s,
             drain_s,
             # A removal may have been acknowledged as long ago as an update is used.
--- a/src/bendshed/catalog/watcher.py
+++ b/src/bendshed/catalog/watcher.py
@@ -215,13 +215,11 @@
 
     def pause(self) -> None:
         """Send no calls until ``resume``, while other nodes send updates of this kind."""
-        self.outage.note_others_informed()
         self._is_active.clear()
         self.restart()
 
     def resume(self, revision: int = 0) -> None:
         """Watch again; ``revision``: up to which everything is known from other nodes."""
-        self.outage.note_others_silent()
         if revision:
             self._revision = max(self._revision or 0, revision)
         self._is_active.set()
@@ -266,7 +264,7 @@
         return event.object.revision < self._listed.get(event.object.name, 0)
 
     def _note_failure(self, error: Exception, began_s: float) -> None:
-        self.outage.note_failure(began_s, isinstance(error, StoreSilent))
+        self.outage.note_failure(began_s)
         self._num_failed += 1
         if not self._is_lost:
             confirmed_ago_s = round(self.age.seconds, 3) if self.age.seconds < math.inf else None
--- a/src/bendshed/cli/rehearse.py
+++ b/src/bendshed/cli/rehearse.py
@@ -124,6 +124,7 @@
         option("fatal", None, "Requests under which runners end", flag=True),
         option("closings", None, "Sites that lose power as a whole at their end", flag=True),
         option("silences", None, "Connections to the platform's store become silent", flag=True),
+        option("departures", None, "Runners leave around outages of the store", flag=True),
     ]
 
     def handle(self) -> int:
@@ -139,6 +140,10 @@
             from bendshed.rehearsal.site.silences import SILENCES, STEPS_PER_SILENCE
 
             return self.search(SILENCES, int(self.option("worlds")) * STEPS_PER_SILENCE)
+        if self.option("departures"):
+            from bendshed.rehearsal.site.departures import DEPARTURES, STEPS_PER_DEPARTURE
+
+            return self.search(DEPARTURES, int(self.option("worlds")) * STEPS_PER_DEPARTURE)
         if self.option("streams"):
             from bendshed.rehearsal.site import stream_steps
 
--- a/src/bendshed/rehearsal/site/programs.py
+++ b/src/bendshed/rehearsal/site/programs.py
@@ -105,7 +105,7 @@
         kind = self.plan.fatal_kind
         num_events = 0 if kind is Kind.REPEATABLE else 1
         while not until.is_set():
-            request = self._request(kind, body=fatal, events=num_events, operation="equal")
+            request = self.make_request(kind, body=fatal, events=num_events, operation="equal")
             request.is_harmless = True
             await self.send(request)
             self.statuses.append(request.status)
@@ -122,7 +122,7 @@
             case kind:
                 for _ in range(SENDINGS):
                     await self._try_for(
-                        lambda: self._request(kind, body=fatal, operation=fatal.decode())
+                        lambda: self.make_request(kind, body=fatal, operation=fatal.decode())
                     )
                     await asyncio.sleep(self.rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
 
@@ -145,7 +145,7 @@
 
     async def _tool_call(self, number: int) -> bool:
         kind = Kind.UNREPEATABLE if number % 2 else Kind.REPEATABLE
-        request = await self._try_for(lambda: self._request(kind))
+        request = await self._try_for(lambda: self.make_request(kind))
         return request.status == 200 and request.is_whole
 
     async def _turn(self, previous: str, fatal: bytes = b"") -> str | None:
@@ -154,7 +154,7 @@
         events = self.rng.randint(2, 8)
         for _ in range(SENDINGS):
             request = await self._try_for(
-                lambda: self._request(Kind.TURN, body=body, previous=previous, events=events)
+                lambda: self.make_request(Kind.TURN, body=body, previous=previous, events=events)
             )
             if request.status == 200 and request.is_whole:
                 return request.request_id
@@ -172,7 +172,7 @@
         body = fatal or f"[{self.program_id} {self.rng.random():.6f}]".encode()
         resumes, after_event = "", 0
         for _ in range(STREAM_ATTEMPTS):
-            request = self._request(Kind.RESUMABLE_TURN, body=body, events=events)
+            request = self.make_request(Kind.RESUMABLE_TURN, body=body, events=events)
             request.resumes, request.after_event = resumes, after_event
             await self.send(request)
             self.statuses.append(request.status)
@@ -198,7 +198,7 @@
             await asyncio.sleep(self.rng.uniform(0.02, 0.1))
         raise AssertionError("unreachable")
 
-    def _request(
+    def make_request(
         self,
         kind: Kind,
         body: bytes = b"",
@@ -206,6 +206,7 @@
         events: int = 0,
         operation: str = "",
     ) -> SiteRequest:
+        """Make one attempt, at a node that the program picks."""
         return SiteRequest(
             request_id=self.next_id(),
             kind=kind,
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -341,6 +341,11 @@
         self.catalog.note_registry_read(revision)
         self._table.confirm_list(0.0)
 
+    @property
+    def runners_confirmed_s(self) -> float:
+        """Loop time at which the registry last confirmed the list; minus infinity: never."""
+        return self._table.confirmed.until_s
+
     def confirm_runners(self, age_s: float) -> None:
         """Record that the registry confirmed the list of runners ``age_s`` ago."""
         self._table.confirm_list(age_s)
--- a/src/bendshed/services/registry_watches.py
+++ b/src/bendshed/services/registry_watches.py
@@ -52,6 +52,8 @@
             RegistryOutage(
                 times.contact_s,
                 times.drain_s,
+                times.max_gap_s,
+                lambda: node.runners_confirmed_s,
                 is_informed=True,
                 is_isolated=lambda: node.is_isolated,
             ),
--- a/src/bendshed/turns/registry_watches.py
+++ b/src/bendshed/turns/registry_watches.py
@@ -52,7 +52,12 @@
         self._runners = self._watch(
             registry_format.runner_kind,
             KindHandler(self._set_runners, self._on_runner, self._confirm_runners),
-            RegistryOutage(times.contact_s, times.drain_s),
+            RegistryOutage(
+                times.contact_s,
+                times.drain_s,
+                times.max_gap_s,
+                lambda: node.catalog.confirmations.confirmed_s(CatalogPart.RUNNERS),
+            ),
         )
         confirm_document = partial(node.catalog.confirm, CatalogPart.DOCUMENT)
         self._configuration = self._watch(
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -53,6 +53,36 @@
         self.assertEqual(self.catalog.changes_since(10).since, 0)
         self.assertEqual(self.catalog.changes_since(12).since, 12)
 
+    # Guards against requests that are answered at once, again and again, while a runner is a last
+    # resort.
+    def test_last_resort_is_told_to_nodes_that_know_its_removal_and_is_no_news(self) -> None:
+        self.catalog.remove_runner("a", 9, last_resort_s=2.0)
+        self.catalog.advance(9)
+        for since in (0, 9):
+            (removal,) = self.catalog.changes_since(since).removed
+            self.assertEqual((removal.runner_id, removal.last_resort_s), ("a", 2.0))
+        self.assertTrue(self.catalog.has_changes_since(6))
+        self.assertFalse(self.catalog.has_changes_since(9))
+
+    def test_last_resort_gets_shorter_as_time_passes(self) -> None:
+        now_s = 10.0
+        self.catalog.begin_incarnation(lambda: now_s)
+        self.catalog.remove_runner("a", 9, last_resort_s=2.0)
+        self.catalog.advance(9)
+        now_s = 11.5
+        (removal,) = self.catalog.changes_since(6).removed
+        self.assertEqual(removal.last_resort_s, 0.5)
+        now_s = 13.0
+        (removal,) = self.catalog.changes_since(6).removed
+        self.assertEqual(removal.last_resort_s, 0.0)
+
+    def test_longer_last_resort_of_another_machine_counts(self) -> None:
+        self.catalog.remove_runner("a", 9, last_resort_s=1.0)
+        for told_s, expected_s in ((0.5, 1.0), (2.5, 2.5)):
+            self.assertFalse(self.catalog.remove_runner("a", 9, last_resort_s=told_s))
+            (removal,) = self.catalog.changes_since(0).removed
+            self.assertEqual(removal.last_resort_s, expected_s)
+
     def test_older_revisions_are_ignored(self) -> None:
         self.catalog.apply_document(make_document(4))
         self.assertFalse(self.catalog.apply_document(make_document(3)))
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -10,19 +10,22 @@
 
 from bendshed.catalog.times import CatalogTimes
 from bendshed.rehearsal.site import oracle, silence_world, sim_world
+from bendshed.rehearsal.site.departures import DEPARTURES, STEPS_PER_DEPARTURE
 from bendshed.rehearsal.site.documents import WIDE
 from bendshed.rehearsal.site.layout import SMALL
-from bendshed.rehearsal.site.oracle import DRAIN_S, check_drains
+from bendshed.rehearsal.site.oracle import DRAIN_S, Violation, check_drains
 from bendshed.rehearsal.site.programs import ProgramPlan
 from bendshed.rehearsal.site.records import Kind, SiteRequest
 from bendshed.rehearsal.site.silence_world import LARGE, SilenceWorld
 from bendshed.rehearsal.site.sim_world import APPLY_S, CONTACT_S, HISTORY_S
 from bendshed.rehearsal.site.sim_zones import ZONE_CLOSE_S
+from tests.site_departure_defects import DEFECTS
 
 OUTAGE_S = 4.5
 REENTRY_S = 1.8
 """Live runners whose entries lapsed write them again this long after the outage."""
 REQUEST_INTERVAL_S = 0.05
+SEEDS = (5, 12)
 SERVICES = {"tools": Kind.UNREPEATABLE, "engines": Kind.TURN}
 SITES = ((SMALL, 1), (SMALL, 2), (LARGE, 3))
 """Sites whose nodes each read the registry, and one where a store reads it for all."""
@@ -101,6 +104,22 @@
                     meanwhile = [at for at in sent_s if at < returned_s + REENTRY_S]
                     self.assertEqual(meanwhile, [])
 
+    def test_seeded_worlds_with_departures(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(self.play(seed), [])
+
+    def test_planted_defects_are_found(self) -> None:
+        for name, plant in DEFECTS.items():
+            with self.subTest(defect=name), plant():
+                self.assertTrue(any(self.play(seed) for seed in SEEDS))
+
+    def play(self, seed: int) -> list[Violation]:
+        steps = DEPARTURES.random_steps(seed, STEPS_PER_DEPARTURE)
+        world, violations = DEPARTURES.run(seed, steps)
+        world.close()
+        return violations
+
     def outages(self, lapsing: str = "") -> Iterator[tuple[str, SilenceWorld]]:
         """Worlds in which the registry has just returned.
 
@@ -140,7 +159,7 @@
         number = 0
         while True:
             number += 1
-            request = program._request(kind, body=b"x", events=2)
+            request = program.make_request(kind, body=b"x", events=2)
             request.node = fronts[number % len(fronts)]
             world.clients.spawn(world.loop, world.send(request))
             await asyncio.sleep(REQUEST_INTERVAL_S)
