A watch goes on after any number of failed calls

Cause: the delay is 2.0 ** (failures - 1), cut to its limit after the power, which overflows at 1,024.

Evidence: test_watch_goes_on_after_any_number_of_failed_calls failed before: the watch had ended; the backoff of machines that may get a replica raised OverflowError at the 1,025th failure of one.

Fix: one function bounds the exponent for both and for the own interface's retries.

--- a/src/bendshed/catalog/watcher.py
+++ b/src/bendshed/catalog/watcher.py
@@ -17,6 +17,7 @@
     StoredObject,
 )
 from bendshed.ports.store import StoreSilent, StoreUnavailable
+from bendshed.retries.backoff import exponential_backoff
 
 INITIAL_RETRY_MIN_S = 0.15
 INITIAL_RETRY_MAX_S = 0.4
@@ -210,7 +211,7 @@
             return 0.0
         if self._revision is None and not self.has_peer_updates:
             return self._rng.uniform(INITIAL_RETRY_MIN_S, INITIAL_RETRY_MAX_S)
-        growth = min(self._max_retry_growth, 2.0 ** (self._num_failed - 1))
+        growth = exponential_backoff(1.0, self._num_failed - 1, self._max_retry_growth)
         return growth * self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
 
     def pause(self) -> None:
--- a/src/bendshed/consensus/replica_candidates.py
+++ b/src/bendshed/consensus/replica_candidates.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from bendshed.logs import PartLog
+from bendshed.retries.backoff import exponential_backoff
 
 INITIAL_BACKOFF_S = 3.0
 """Backoff for a machine that was added and did not answer; it doubles with each further failure."""
@@ -33,7 +34,7 @@
         """Start the backoff of a machine that was added and did not answer."""
         num_failures = self._num_failures.get(node, 0)
         self._num_failures[node] = num_failures + 1
-        wait_s = min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2.0**num_failures)
+        wait_s = exponential_backoff(INITIAL_BACKOFF_S, num_failures, MAX_BACKOFF_S)
         self._backoff_until_s[node] = asyncio.get_running_loop().time() + wait_s
 
     def record_caught_up(self, nodes: Iterable[str]) -> None:
--- a/src/bendshed/retries/retry_budget.py
+++ b/src/bendshed/retries/retry_budget.py
@@ -12,6 +12,8 @@
 
 import random
 
+from bendshed.retries.backoff import exponential_backoff
+
 BACKOFF_BASE_S = 0.05
 """The backoff before the first retry is at most twice this, in seconds; the limit doubles at each
 further one."""
@@ -47,4 +49,4 @@
 
 def backoff_s(attempt: int, rng: random.Random) -> float:
     """Full jitter (Brooker 2015): uniform between 0 and an exponential cap, in seconds."""
-    return rng.uniform(0, min(BACKOFF_MAX_S, BACKOFF_BASE_S * 2.0**attempt))
+    return rng.uniform(0, exponential_backoff(BACKOFF_BASE_S, attempt, BACKOFF_MAX_S))
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -26,6 +26,8 @@
 
 WATCH_S = 20.0
 MARGIN_S = 0.6
+MANY_CALLS = 1_200
+"""More than a float has binary exponents."""
 
 
 class FakeStore:
@@ -177,6 +179,20 @@
             self.run_for(10.0)
         self.assertLessEqual(listed.call_count, 5)
 
+    # Guards against a watch that ends for good in an outage of half an hour.
+    def test_watch_goes_on_after_any_number_of_failed_calls(self) -> None:
+        self.run_for(1.0)
+        watcher = self.watcher([], 2.0, max_retry_growth=8.0)
+        watcher.has_peer_updates = True
+        task = self.loop.create_task(watcher.run())
+        self.tasks.append(task)
+        with mock.patch.object(self.store, "list", side_effect=StoreUnavailable("away")) as listed:
+            while listed.call_count < MANY_CALLS and not task.done():
+                self.run_for(600.0)
+        self.run_for(8 * RETRY_MAX_S + 1.0)
+        self.assertFalse(task.done())
+        self.assertFalse(watcher.is_lost)
+
     def test_short_first_watch_detects_a_dead_connection(self) -> None:
         """The first watch after a pause is short, since its connection may be dead."""
         seen: list[int] = []
