A front that has just started knows earlier ends before it serves

What operators saw: a request under which three runners had ended, and that waited at a front until that had started, went to a fourth runner some 10 ms before the front knew of the ends (KNOWN-RED.txt).

Cause: requests were held until routes and runners are known; the update that brings these starts the exchange of ends, whose reply comes a round trip later.

Fix: the wait at a start includes the first exchange, for 0.1 s at most. Two tests with a stand-in for the reporter give it the new method.

--- a/src/bendshed/catalog/quarantine_client.py
+++ b/src/bendshed/catalog/quarantine_client.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
@@ -76,6 +77,7 @@
         self._next_exchange_s = 0.0
         self._reporting: asyncio.Task[None] | None = None
         self._exchanging: asyncio.Task[None] | None = None
+        self._is_informed = asyncio.Event()
         transport.one_way_handlers[PUSH_METHOD] = self._receive_push
 
     def report(self, ends: list[RunnerEnd]) -> None:
@@ -89,6 +91,13 @@
         if self._reporting is not None and not self._reporting.done():
             await asyncio.wait([self._reporting], timeout=MAX_WAIT_S)
 
+    async def wait_informed(self) -> None:
+        """Wait for the first exchange since the start, for ``MAX_WAIT_S`` at most."""
+        if not self._is_informed.is_set():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(MAX_WAIT_S):
+                    await self._is_informed.wait()
+
     async def _report_pending(self) -> None:
         """Send what waits; ends that arrive meanwhile go together in the next request."""
         num_failed = 0
@@ -141,6 +150,7 @@
         A machine that knows none, since it has just started, receives what this node knows.
         """
         if version == self._known_version.get(machine, 0) and not self._knows_more(version):
+            self._is_informed.set()
             return
         loop = asyncio.get_running_loop()
         if loop.time() >= self._next_exchange_s:
@@ -152,7 +162,8 @@
 
     async def _exchange_all(self, machine: Address) -> None:
         known = tuple(self._sink.all_ends())
-        await self._exchange(EndsRequest(known, wants_all=True), only=machine)
+        if await self._exchange(EndsRequest(known, wants_all=True), only=machine):
+            self._is_informed.set()
 
     def _receive_push(self, payload: bytes) -> None:
         push = EndsPush.decode(payload)
--- a/src/bendshed/services/forwarder.py
+++ b/src/bendshed/services/forwarder.py
@@ -60,6 +60,7 @@
         self._index: RouteIndex | None = None
         self._access = AccessIndex(ServiceDocument())
         self._has_index = asyncio.Event()
+        self._has_started = False
         self._startup_wait_until_s: float | None = None
         self._runner_ports = runners
         self._metrics = runners.metrics
@@ -78,15 +79,21 @@
         self._has_index.set()
 
     async def _wait_for_index(self) -> RouteIndex | None:
-        """Return the routes; after a start, wait a limited time for routes and runners."""
-        if self._index is None or not self._runner_ports.table.has_runners.is_set():
+        """Return the routes; after a start, wait a limited time for what a request needs.
+
+        That is routes, runners, and under which requests runners ended.
+        """
+        if not self._has_started:
             now_s = asyncio.get_running_loop().time()
             if self._startup_wait_until_s is None:
                 self._startup_wait_until_s = now_s + FIRST_DOCUMENT_WAIT_S
+            table = self._runner_ports.table
             with contextlib.suppress(TimeoutError):  # the request is refused then, and logged
                 async with asyncio.timeout_at(self._startup_wait_until_s):
                     await self._has_index.wait()
-                    await self._runner_ports.table.has_runners.wait()
+                    await table.has_runners.wait()
+                    await table.quarantine.reporter.wait_informed()
+                    self._has_started = True
         return self._index
 
     async def serve(self, request: ServiceRequest, caller: Caller) -> None:
--- a/src/bendshed/services/request_quarantine.py
+++ b/src/bendshed/services/request_quarantine.py
@@ -41,6 +41,9 @@
     async def wait_reported(self) -> None:
         """Wait until others know what was reported, for a limited time."""
 
+    async def wait_informed(self) -> None:
+        """After a start, wait until this node knows what others know, for a limited time."""
+
 
 class NoReporter:
     """For a node that shares nothing with others."""
@@ -51,6 +54,9 @@
     async def wait_reported(self) -> None:
         """Do nothing."""
 
+    async def wait_informed(self) -> None:
+        """Do nothing."""
+
 
 @dataclass(slots=True)
 class _AbandonedRun:
--- a/tests/test_quarantine_soak.py
+++ b/tests/test_quarantine_soak.py
@@ -31,8 +31,7 @@
     """One site under a seeded series of steps.
 
     Attributes:
-        num_restarts: restarts of fronts. Each may take the first end under a request along, and
-            serve a try before it knows earlier ends (KNOWN-RED.txt).
+        num_restarts: restarts of fronts. Each may take the first end under a request along.
 
     """
 
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -114,6 +114,7 @@
         reporter.report = lambda ends: told.extend(
             "cleared" if end.is_cleared else "end" for end in ends
         )
+        reporter.wait_informed = mock.AsyncMock()
         reporter.wait_reported = mock.AsyncMock(side_effect=lambda: told.append("shared"))
         self.quarantine.reporter = reporter
         self.front.put(replace(ROUTE, max_attempts=2))
@@ -131,6 +132,7 @@
 
     async def test_a_try_that_is_answered_does_not_wait(self) -> None:
         reporter = mock.Mock()
+        reporter.wait_informed = mock.AsyncMock()
         reporter.wait_reported = mock.AsyncMock()
         self.quarantine.reporter = reporter
         self.front.put(replace(ROUTE, max_attempts=len(RUNNERS)))
