--- a/src/bendshed/rehearsal/site/departures.py
+++ b/src/bendshed/rehearsal/site/departures.py
@@ -11,7 +11,7 @@
 from bendshed.rehearsal.site.layout import SMALL
 from bendshed.rehearsal.site.oracle import DRAIN_S, Rule, Violation
 from bendshed.rehearsal.site.programs import ProgramPlan
-from bendshed.rehearsal.site.records import Departure, Kind
+from bendshed.rehearsal.site.records import Departure, Kind, SiteRecords
 from bendshed.rehearsal.site.runner import RunRecord
 from bendshed.rehearsal.site.silence_world import LARGE, SilenceWorld
 from bendshed.rehearsal.site.sim_world import CONTACT_S, SimMachine
@@ -45,19 +45,44 @@
 
 
 @dataclass(slots=True)
-class DepartureWorld(SilenceWorld):
-    """A site with traffic to all its services.
+class Disturbances:
+    """When what a removal depends on was in trouble.
 
     Attributes:
-        core_disturbances_s: when the platform's store, a store's machine or connections were in
-            trouble.
-        front_starts_s: when each front started.
+        core_s: the platform's store, the machines of stores, or connections of several machines.
+        front_starts_s: names of fronts that started, and when.
 
     """
 
-    core_disturbances_s: list[float] = field(default_factory=list)
+    core_s: list[float] = field(default_factory=list)
     front_starts_s: list[tuple[str, float]] = field(default_factory=list)
 
+    def late_runs(self, seen: SiteRecords) -> Iterator[Violation]:
+        """Requests that reached a runner too late after a departure that binds."""
+        departures = {row.runner_id: row for row in reversed(seen.departures)}
+        fronts = {request.request_id: request.node for request in seen.requests}
+        for run in seen.runs:
+            departure = departures.get(run.runner_id)
+            if departure is None or run.started_s <= departure.acknowledged_s + DRAIN_S:
+                continue
+            if self._is_binding(departure, run, fronts[run.request_id]):
+                late_s = run.started_s - departure.acknowledged_s
+                detail = f"{run.request_id} at {run.runner_id} {late_s:.2f} s after it left"
+                yield Violation(Rule.DRAIN, detail)
+
+    def _is_binding(self, departure: Departure, run: RunRecord, front: str) -> bool:
+        """Whether the store had settled when it acknowledged, and nothing was disturbed since."""
+        from_s = departure.acknowledged_s - CONTACT_S
+        starts_s = [at_s for name, at_s in self.front_starts_s if name == front]
+        return not any(from_s < at_s <= run.started_s for at_s in [*self.core_s, *starts_s])
+
+
+@dataclass(slots=True)
+class DepartureWorld(SilenceWorld):
+    """A site with traffic to all its services."""
+
+    disturbances: Disturbances = field(default_factory=Disturbances)
+
     @classmethod
     def opened(cls, seed: int) -> "DepartureWorld":
         """A site whose nodes each read for themselves, or one where one store reads for all."""
@@ -85,11 +110,11 @@
 
     def note_core_disturbance(self) -> None:
         """Record trouble of the platform's store, or of what nodes know of it."""
-        self.core_disturbances_s.append(self.loop.time())
+        self.disturbances.core_s.append(self.loop.time())
 
     def start(self, machine: SimMachine) -> None:
         """Start a process of a machine."""
-        self.front_starts_s.append((machine.name, self.loop.time()))
+        self.disturbances.front_starts_s.append((machine.name, self.loop.time()))
         if machine.disk is not None:
             self.note_core_disturbance()
         SilenceWorld.start(self, machine)
@@ -135,26 +160,7 @@
     def settle(self) -> list[Violation]:  # type: ignore[override]
         """Let the last departures be over, and return the requests that came too late."""
         self.run_for(2 * DRAIN_S)
-        return list(self._late_runs())
-
-    def _late_runs(self) -> Iterator[Violation]:
-        departures = {row.runner_id: row for row in reversed(self.seen.departures)}
-        fronts = {request.request_id: request.node for request in self.seen.requests}
-        for run in self.seen.runs:
-            departure = departures.get(run.runner_id)
-            if departure is None or run.started_s <= departure.acknowledged_s + DRAIN_S:
-                continue
-            if self._is_binding(departure, run, fronts[run.request_id]):
-                late_s = run.started_s - departure.acknowledged_s
-                detail = f"{run.request_id} at {run.runner_id} {late_s:.2f} s after it left"
-                yield Violation(Rule.DRAIN, detail)
-
-    def _is_binding(self, departure: Departure, run: RunRecord, front: str) -> bool:
-        """Whether the store had settled when it acknowledged, and nothing was disturbed since."""
-        from_s = departure.acknowledged_s - CONTACT_S
-        starts_s = [at_s for name, at_s in self.front_starts_s if name == front]
-        disturbances_s = [*self.core_disturbances_s, *starts_s]
-        return not any(from_s < at_s <= run.started_s for at_s in disturbances_s)
+        return list(self.disturbances.late_runs(self.seen))
 
 
 @dataclass(slots=True)
--- a/src/bendshed/rehearsal/site/installation.py
+++ b/src/bendshed/rehearsal/site/installation.py
@@ -18,11 +18,16 @@
 from bendshed.platform import names
 from bendshed.platform.encode import write_document, write_runner, write_settings
 from bendshed.ports.http_messages import ClientRequest, ConnectFailed, ResponseBroken
-from bendshed.rehearsal.site.documents import SITE_HOST, all_keys, make_document
+from bendshed.rehearsal.site.documents import (
+    SITE_HOST,
+    TurnRouteTimes,
+    all_keys,
+    make_document,
+)
 from bendshed.rehearsal.site.http_client import send_request
 from bendshed.rehearsal.site.http_runner import RunnerServer
 from bendshed.rehearsal.site.metadata import MetadataModel, MetadataServer
-from bendshed.rehearsal.site.records import SiteRecords, SiteRequest
+from bendshed.rehearsal.site.records import Departure, SiteRecords, SiteRequest
 from bendshed.rehearsal.site.runner import FIRST_SOFTWARE_VERSION, SiteRunner
 
 HOST = "127.0.0.1"
@@ -32,6 +37,7 @@
 """Guards against a hang; how long a stop may take is judged on the bench, in simulated time."""
 CHECK_S = 0.1
 MIN_LIFE_MS = 1
+DEFAULT_TIMES = TurnRouteTimes()
 
 
 class SiteFailed(Exception):
@@ -170,9 +176,16 @@
         loop = asyncio.get_running_loop()
         loop.call_later(entry_after_s, self._list_runner, server)
 
-    def publish(self, version: int) -> None:
+    def unlist_runner(self, server: RunnerServer) -> None:
+        """The entry of a runner goes, while the runner serves on."""
+        name = server.runner.runner_id
+        self.metadata.delete(names.RUNNER_KIND, name)
+        now_s = asyncio.get_running_loop().time()
+        self.seen.departures.append(Departure(name, now_s))
+
+    def publish(self, version: int, times: TurnRouteTimes = DEFAULT_TIMES) -> None:
         """The operator writes a configuration."""
-        spec = write_document(make_document(version), all_keys())
+        spec = write_document(make_document(version, times=times), all_keys())
         self.metadata.put(names.CONFIGURATION_KIND, names.CONFIGURATION_NAME, spec)
         self.seen.newest_version = version
 
