--- a/src/bendshed/catalog/reading.py
+++ b/src/bendshed/catalog/reading.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable, Sequence
+from functools import partial
 from typing import Protocol
 
 from prometheus_client import Gauge
@@ -50,6 +51,7 @@
         self._primary = primary
         self._others = others
         self._may_read = True
+        self._is_loss_logged = False
         primary.on_loss_change.append(self._handle_loss_change)
         follower.on_freshness_change.append(self._handle_freshness_change)
 
@@ -62,12 +64,20 @@
         return self._primary.is_lost
 
     def add_gauges(self, metrics: LabelledGaugeFactory) -> None:
-        """Add a gauge of the age of each kind."""
+        """Add gauges of the age of each kind and of the calls for it."""
         ages = metrics.labelled_gauge(
             "bendshed_registry_age_seconds", "Since the store last replied to the watch", "kind"
         )
+        calls = metrics.labelled_gauge(
+            "bendshed_registry_calls", "Calls of the watch since start", "kind"
+        )
+        failed = metrics.labelled_gauge(
+            "bendshed_registry_failed_calls", "Those without a valid answer", "kind"
+        )
         for watcher in (self._primary, *self._others):
             ages.labels(watcher.kind).set_function(watcher.age.read)
+            calls.labels(watcher.kind).set_function(partial(_num_calls, watcher))
+            failed.labels(watcher.kind).set_function(partial(_num_failed_calls, watcher))
 
     async def wait_for_update(
         self, discover: Callable[[], Awaitable[bool]], settle_s: float
@@ -111,6 +121,15 @@
 
     def _handle_loss_change(self) -> None:
         """Only the primary watch retries a lost registry; restart the others once it answers."""
+        if self._primary.is_lost != self._is_loss_logged:
+            self._is_loss_logged = self._primary.is_lost
+            kinds = [watcher.kind for watcher in self._others]
+            if self._is_loss_logged:
+                log.say(
+                    "watches paused: another kind fails", failing=self._primary.kind, kinds=kinds
+                )
+            else:
+                log.say("watches resumed", kinds=kinds)
         for watcher in self._others:
             if self._primary.is_lost:
                 watcher.pause()
@@ -118,3 +137,11 @@
                 watcher.restart()
                 watcher.resume()
         self._on_change(self.is_lost)
+
+
+def _num_calls(watcher: KindWatcher) -> float:
+    return float(watcher.num_calls)
+
+
+def _num_failed_calls(watcher: KindWatcher) -> float:
+    return float(watcher.num_failed_calls)
--- a/src/bendshed/catalog/watcher.py
+++ b/src/bendshed/catalog/watcher.py
@@ -124,6 +124,7 @@
             costs a call.
         outage: what the calls show of the registry's latest outage.
         age: since the store's last reply.
+        num_calls, num_failed_calls: since the process started.
         on_loss_change: called when the store is lost and when it answers again: a watch begun in
             between may hang on a dead connection.
 
@@ -142,6 +143,8 @@
     ) -> None:
         self.outage = outage or RegistryOutage()
         self.age = ConfirmationAge()
+        self.num_calls = 0
+        self.num_failed_calls = 0
         self.on_loss_change: list[Callable[[], None]] = []
         self.is_first_watch_short = False
         self._is_next_watch_short = False
@@ -181,6 +184,7 @@
         while True:
             await self._is_active.wait()
             began_s = loop.time()
+            self.num_calls += 1
             self._call = loop.create_task(self._call_store())
             try:
                 await self._call
@@ -266,6 +270,7 @@
 
     def _note_failure(self, error: Exception, began_s: float) -> None:
         self.outage.note_failure(began_s)
+        self.num_failed_calls += 1
         self._num_failed += 1
         if not self._is_lost:
             confirmed_ago_s = round(self.age.seconds, 3) if self.age.seconds < math.inf else None
