--- a/src/bendshed/rehearsal/site/metadata.py
+++ b/src/bendshed/rehearsal/site/metadata.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -10,9 +11,10 @@
 
 from bendshed.adapters.http import add_route
 from bendshed.platform import names
+from bendshed.rehearsal.site.registry_faults import SLOW_S, FaultMode, RegistryFault, mode_of
 
 PAGE = 500
-CONFLICT, MISSING, GONE, TOO_MANY, DOWN = 409, 404, 410, 429, 503
+CONFLICT, MISSING, GONE, TOO_MANY, BROKEN, DOWN = 409, 404, 410, 429, 500, 503
 
 
 @dataclass(slots=True)
@@ -49,6 +51,8 @@
         lose_answers: this many further writes are done, and their connections fall silent.
         delay_writes: this many further writes are done only at ``do_late_writes``, unanswered.
         on_page: called after each page of a list is read.
+        faults: troubles of some kinds or machines.
+        num_calls: reading calls by machine and kind, struck ones included.
 
     """
 
@@ -62,6 +66,8 @@
     lose_answers: int = 0
     delay_writes: int = 0
     on_page: Callable[[], None] = lambda: None
+    faults: list[RegistryFault] = field(default_factory=list)
+    num_calls: "Counter[tuple[str, str]]" = field(default_factory=Counter)
     late_writes: list[Callable[[], Response]] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -122,10 +128,11 @@
 
 
 class MetadataServer:
-    """HTTP in front of a model."""
+    """HTTP in front of a model; ``machine``: the one whose calls arrive here, if known."""
 
-    def __init__(self, model: MetadataModel) -> None:
+    def __init__(self, model: MetadataModel, machine: str = "") -> None:
         self.model = model
+        self._machine = machine
 
     def application(self) -> Application:
         """Return the application."""
@@ -151,11 +158,31 @@
             model.calls_left -= 1
         return None
 
+    async def _struck_answer(self, request: Request, kind: str) -> Response | None:
+        """What a struck call is answered; ``None``: as if nothing were wrong, though maybe late."""
+        match mode_of(self.model.faults, self._machine, kind):
+            case FaultMode.REFUSED:
+                return json({}, DOWN)
+            case FaultMode.THROTTLED:
+                return json({}, TOO_MANY)
+            case FaultMode.RESET:
+                return json({}, BROKEN)  # the server cannot reset the connection of one call
+            case FaultMode.SILENT:
+                return await _never()
+            case FaultMode.SLOW:
+                await asyncio.sleep(SLOW_S)
+            case FaultMode.ODD:
+                return json(["items", None])
+            case FaultMode.LATER_PAGES if _query(request, "after"):
+                return json({}, TOO_MANY)
+        return None
+
     async def _list(self, request: Request) -> Response:
-        refusal = self._refusal()
+        kind = _part(request, "kind")
+        self.model.num_calls[self._machine, kind] += 1
+        refusal = self._refusal() or await self._struck_answer(request, kind)
         if refusal is not None:
             return refusal
-        kind = _part(request, "kind")
         since = _query(request, "watch")
         if since:
             return await self._watch(kind, int(since), int(_query(request, names.WAIT_MS) or 0))
--- a/src/bendshed/rehearsal/site/silence_world.py
+++ b/src/bendshed/rehearsal/site/silence_world.py
@@ -99,6 +99,7 @@
         silenced_s: when connections of any machine last became silent.
         core_disturbed_s: when the platform's store or a replica machine was last in trouble.
         is_registry_busy: the platform's store refuses every call at once.
+        odd_entries: runners' entries that another writer put into the store.
 
     """
 
@@ -110,6 +111,7 @@
     silenced_s: float = float("-inf")
     core_disturbed_s: float = float("-inf")
     is_registry_busy: bool = False
+    odd_entries: set[str] = field(default_factory=set)
     _changes: dict[Part, list[Change]] = field(default_factory=lambda: {part: [] for part in Part})
     _is_judging: bool = False
 
@@ -145,7 +147,10 @@
     async def _follow(self, machine: SimMachine, update: Callable[[SimMachine], None]) -> None:
         """Run the watches of one process."""
         source = SimObjectSource(
-            self.model, lambda: not self.registry.is_down, lambda: self.is_registry_busy
+            self.model,
+            lambda: not self.registry.is_down,
+            lambda: self.is_registry_busy,
+            machine.name,
         )
         self.sources[machine.name] = source
         rng = random.Random(f"watches/{self.seed}/{machine.process.name}")
@@ -173,10 +178,15 @@
             if name not in rows or rows[name].spec != spec:
                 self.model.put(names.RUNNER_KIND, name, spec)
                 self._note(Part.RUNNERS, self.model.revision)
-        for name in [name for name in rows if name not in self.listed]:
+        for name in [name for name in rows if name not in {*self.listed, *self.odd_entries}]:
             self.model.delete(names.RUNNER_KIND, name)
             self._note(Part.RUNNERS, self.model.revision)
 
+    def put_odd_entry(self, name: str, spec: object) -> None:
+        """Another writer puts an entry that names no runner."""
+        self.odd_entries.add(name)
+        self.model.put(names.RUNNER_KIND, name, spec)
+
     def _put_document(self) -> None:
         spec = write_document(self.document, all_keys())
         self.model.put(names.CONFIGURATION_KIND, names.CONFIGURATION_NAME, spec)
--- a/src/bendshed/rehearsal/site/sim_objects.py
+++ b/src/bendshed/rehearsal/site/sim_objects.py
@@ -17,6 +17,7 @@
 )
 from bendshed.ports.store import StoreSilent, StoreUnavailable
 from bendshed.rehearsal.site.metadata import MetadataModel
+from bendshed.rehearsal.site.registry_faults import SLOW_S, FaultMode, mode_of
 
 ONE_WAY_S = 0.002
 CALL_TIMEOUT_S = 1.0
@@ -47,6 +48,7 @@
         model: what the store holds.
         is_reachable: whether the store answers this process.
         is_refused: whether it refuses every call at once.
+        machine: whose calls these are, for the faults of the model.
 
     Attributes:
         connections: the open ones.
@@ -60,7 +62,9 @@
         model: MetadataModel,
         is_reachable: Callable[[], bool],
         is_refused: Callable[[], bool] = lambda: False,
+        machine: str = "",
     ) -> None:
+        self._machine = machine
         self._model = model
         self._is_reachable = is_reachable
         self._is_refused = is_refused
@@ -79,10 +83,13 @@
 
         async def read() -> ObjectList:
             rows = sorted(self._model.kinds.get(kind, {}).items())
+            mode = mode_of(self._model.faults, self._machine, kind)
+            if mode is FaultMode.LATER_PAGES and len(rows) > self._model.page:
+                raise StoreUnavailable("status 429")
             items = [_to_object(row.to_json()) for _, row in rows]
             return ObjectList(items, self._model.revision)
 
-        return await self._call(read, "", CALL_TIMEOUT_S)
+        return await self._call(read, kind, "", CALL_TIMEOUT_S)
 
     async def watch(self, kind: str, after_revision: int, wait_s: float) -> ObjectEvents:
         """Wait for changes after a revision."""
@@ -100,7 +107,7 @@
             ]
             return ObjectEvents(events, revision)
 
-        return await self._call(wait, kind, wait_s + WATCH_MARGIN_S)
+        return await self._call(wait, kind, kind, wait_s + WATCH_MARGIN_S)
 
     async def _wait_for_events(self, kind: str, after_revision: int, wait_s: float) -> None:
         model, num_cuts = self._model, self._num_cuts
@@ -116,9 +123,14 @@
             return
 
     async def _call(
-        self, work: Callable[[], Awaitable[ResultT]], watched_kind: str, timeout_s: float
+        self,
+        work: Callable[[], Awaitable[ResultT]],
+        kind: str,
+        watched_kind: str,
+        timeout_s: float,
     ) -> ResultT:
         self.num_calls += 1
+        self._model.num_calls[self._machine, kind] += 1
         connection = self._acquire(watched_kind)
         is_complete = False
         try:
@@ -126,6 +138,7 @@
                 await asyncio.sleep(ONE_WAY_S)
                 if self._is_refused():
                     raise StoreUnavailable("refused")
+                await self._strike(kind)
                 result = await work()
                 await asyncio.sleep(ONE_WAY_S)
                 if connection.is_silent or not self._is_reachable():
@@ -142,6 +155,16 @@
             elif connection in self.connections:
                 self.connections.remove(connection)
 
+    async def _strike(self, kind: str) -> None:
+        """Do to a call what the store's faults do to it."""
+        match mode_of(self._model.faults, self._machine, kind):
+            case FaultMode.REFUSED | FaultMode.THROTTLED | FaultMode.RESET | FaultMode.ODD as mode:
+                raise StoreUnavailable(mode.value)
+            case FaultMode.SILENT:
+                await asyncio.Event().wait()
+            case FaultMode.SLOW:
+                await asyncio.sleep(SLOW_S)
+
     def _acquire(self, watched_kind: str) -> SimStoreConnection:
         """Take the connection that was used last, unless it was idle for too long."""
         oldest_s = asyncio.get_running_loop().time() - MAX_IDLE_S
