--- a/src/bendshed/catalog/reading.py
+++ b/src/bendshed/catalog/reading.py
@@ -4,11 +4,9 @@
 import contextlib
 from collections.abc import Awaitable, Callable, Sequence
 from functools import partial
-from typing import Protocol
-
-from prometheus_client import Gauge
 
 from bendshed.catalog.follower import CatalogFollower
+from bendshed.catalog.metrics_port import LabelledGaugeFactory
 from bendshed.catalog.watcher import KindWatcher
 from bendshed.logs import PartLog
 
@@ -21,13 +19,6 @@
 log = PartLog("registry")
 
 
-class LabelledGaugeFactory(Protocol):
-    """Creates gauges among the metrics of a process."""
-
-    def labelled_gauge(self, name: str, text: str, label: str) -> Gauge:
-        """Add a gauge with one label."""
-
-
 class RegistryReading:
     """Pauses and resumes a node's watches.
 
--- a/src/bendshed/catalog/watcher.py
+++ b/src/bendshed/catalog/watcher.py
@@ -239,19 +239,19 @@
         if self._revision is None:
             listed = await self._source.list(self._kind)
             self._note_reply()
-            self._revision = listed.revision
             self._listed = {item.name: item.revision for item in listed.items}
             self._handler.on_list(listed)
+            self._revision = listed.revision
             self._note_confirmed(listed.revision)
             return
         wait_s = LOST_WAIT_S if self._is_lost or self._is_next_watch_short else self.wait_s
         changes = await self._source.watch(self._kind, self._revision, wait_s)
         self._note_reply()
         self._is_next_watch_short = False
-        self._revision = changes.revision
         for event in changes.events:
             if not self._is_outdated(event):
                 self._handler.on_event(event)
+        self._revision = changes.revision
         self._note_confirmed(changes.revision)
 
     def _note_reply(self) -> None:
--- a/src/bendshed/platform/objects.py
+++ b/src/bendshed/platform/objects.py
@@ -1,7 +1,8 @@
 """Client of the platform's metadata store: objects by kind and name, watches."""
 
 import asyncio
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 from urllib.parse import quote
 
 import orjson
@@ -25,10 +26,14 @@
 
 CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
+ANSWER_ERRORS = (KeyError, ValueError, TypeError, AttributeError)
+"""What reading an answer of another form raises."""
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 """Several pages of a list, which hold about 1 MB, or as many changes of the largest objects."""
 JSON_TYPE = (b"content-type", b"application/json")
 
+ReadT = TypeVar("ReadT")
+
 
 class ObjectApi(ObjectSource):
     """Client of the store; each call raises ``StoreUnavailable`` without a valid answer in time.
@@ -50,8 +55,9 @@
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Read one object; ``None`` if it does not exist."""
-        status, content = await self._call(b"GET", _path(kind, name), None, self._call_timeout_s)
-        return None if status == 404 else _read_object(content)
+        path = _path(kind, name)
+        status, content = await self._call(b"GET", path, None, self._call_timeout_s)
+        return None if status == 404 else _read_answer(path, _read_object, content)
 
     async def list(self, kind: str, may_be_stale: bool = False) -> ObjectList:
         """Read all objects of a kind, page by page.
@@ -66,28 +72,23 @@
             parameters = [f"after={quote(after, safe='')}"] if after else []
             parameters += [names.STALE] if may_be_stale else []
             query = f"?{'&'.join(parameters)}" if parameters else ""
-            _, content = await self._call(b"GET", _path(kind) + query, None, self._call_timeout_s)
-            items.extend(_read_object(row) for row in content["items"])
+            target = _path(kind) + query
+            _, content = await self._call(b"GET", target, None, self._call_timeout_s)
+            page, has_more = _read_answer(target, _read_page, content)
+            items.extend(page.items)
             if first_page_revision is None:
-                first_page_revision = int(content["at"])
-            if not content.get(names.HAS_MORE) or not items:
+                first_page_revision = page.revision
+            if not has_more or not items:
                 return ObjectList(items, first_page_revision)
             after = items[-1].name
 
     async def watch(self, kind: str, after_revision: int, wait_s: float) -> ObjectEvents:
         """Wait for changes after a revision; raise ``HistoryExpired`` if they are discarded."""
-        query = f"?watch={after_revision}&{names.WAIT_MS}={int(wait_s * 1000)}"
-        status, content = await self._call(
-            b"GET", _path(kind) + query, None, wait_s + WATCH_MARGIN_S
-        )
+        target = f"{_path(kind)}?watch={after_revision}&{names.WAIT_MS}={int(wait_s * 1000)}"
+        status, content = await self._call(b"GET", target, None, wait_s + WATCH_MARGIN_S)
         if status == 410:
             raise HistoryExpired(kind)
-        revision = int(content["at"])
-        events = [
-            ObjectEvent(_read_object(row["object"]), bool(row["gone"]), revision)
-            for row in content["events"]
-        ]
-        return ObjectEvents(events, revision)
+        return _read_answer(target, _read_events, content)
 
     async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Create an object; raise ``VersionConflict`` if it exists."""
@@ -95,7 +96,7 @@
         status, content = await self._call(b"POST", _path(kind), body, self._call_timeout_s)
         if status == 409:
             raise VersionConflict(f"{kind}/{name} exists")
-        return _read_object(content)
+        return _read_answer(_path(kind), _read_object, content)
 
     async def replace(self, kind: str, name: str, spec: Any) -> bool:
         """Replace the spec unconditionally; ``False`` if the object does not exist."""
@@ -161,3 +162,26 @@
     return StoredObject(
         str(meta["name"]), int(meta.get("rev", 0)), content.get("spec"), content.get("status")
     )
+
+
+def _read_page(content: Any) -> tuple[ObjectList, bool]:
+    """One page of a list, and whether more follow."""
+    items = [_read_object(row) for row in content["items"]]
+    return ObjectList(items, int(content["at"])), bool(content.get(names.HAS_MORE))
+
+
+def _read_events(content: Any) -> ObjectEvents:
+    revision = int(content["at"])
+    events = [
+        ObjectEvent(_read_object(row["object"]), bool(row["gone"]), revision)
+        for row in content["events"]
+    ]
+    return ObjectEvents(events, revision)
+
+
+def _read_answer(target: str, read: Callable[[Any], ReadT], content: Any) -> ReadT:
+    """Read an answer; raise ``StoreUnavailable`` if it is none that this call may get."""
+    try:
+        return read(content)
+    except ANSWER_ERRORS as error:
+        raise StoreUnavailable(f"{target}: unexpected answer: {error!r}") from error
--- a/src/bendshed/platform/replica.py
+++ b/src/bendshed/platform/replica.py
@@ -60,7 +60,7 @@
             settings.catalog_times,
             self._rng,
         )
-        self._watches.reading.add_gauges(metrics)
+        self._watches.add_gauges(metrics)
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve until ``stopping`` is set."""
--- a/src/bendshed/platform/translate.py
+++ b/src/bendshed/platform/translate.py
@@ -1,6 +1,9 @@
 """Converts objects of the metadata store to and from the product's types."""
 
-from typing import Any
+from collections.abc import Callable
+from typing import Annotated, Any, TypeVar
+
+import msgspec
 
 from bendshed.identifiers import credential_digest
 from bendshed.model.address import Address
@@ -18,11 +21,48 @@
 from bendshed.platform import names
 from bendshed.ports.objects import StoredObject
 from bendshed.ports.registry import ReplicaNode
-from bendshed.ports.registry_objects import RegistryFormat
+from bendshed.ports.registry_objects import RegistryFormat, UnreadableObject
+
+MAX_FIGURE = 2**31 - 1
+"""Larger figures do not fit the messages between nodes."""
+READ_ERRORS = (KeyError, ValueError, TypeError, AttributeError, OverflowError)
+"""What a reader raises for content of another form; ``msgspec.ValidationError`` is one of these."""
+
+ReadT = TypeVar("ReadT")
+Figure = Annotated[int, msgspec.Meta(ge=0, le=MAX_FIGURE)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_FIGURE)]
+Text = Annotated[str, msgspec.Meta(min_length=1)]
+
+
+class RunnerEntry(msgspec.Struct, rename={"cold_left_ms": "coldLeftMs"}):
+    """A runner's entry. It can be used whatever the fields of type ``Any`` hold.
+
+    Attributes:
+        state: any other text than ``ready`` means that the runner gets no new request.
+        version, born: empty or not known if they are of another type.
+
+    """
+
+    service: Text
+    addr: Text
+    zone: str | None = None
+    slots: Figure | None = None
+    state: Any = None
+    cold_left_ms: Milliseconds | None = None
+    version: Any = None
+    born: Any = None
+
+
+class ReplicaEntry(msgspec.Struct, rename={"node_id": "nodeId"}):
+    """A replica machine's announcement."""
+
+    node_id: Text
+    addr: Text
+    zone: str
 
 
 def read_document(spec: Any) -> ServiceDocument:
-    """Parse the configuration; raise ``KeyError``, ``ValueError`` or ``TypeError``."""
+    """Parse the configuration; raise one of ``READ_ERRORS``."""
     services = [_read_service(row) for row in spec["services"]]
     return ServiceDocument(
         version=int(spec["version"]),
@@ -105,32 +145,55 @@
 
 
 def read_runner(item: StoredObject) -> ServiceRunner:
-    """Parse a runner's entry."""
-    row = item.spec
+    """Parse a runner's entry; raise one of ``READ_ERRORS``."""
+    entry = msgspec.convert(item.spec, RunnerEntry)
     return ServiceRunner(
         runner_id=item.name,
-        service=str(row["service"]),
-        address=Address.parse(str(row["addr"])),
-        zone=str(row.get("zone") or ""),
-        slots=int(row.get("slots") or 1),
-        state=RunnerState.READY if row.get("state") == "ready" else RunnerState.DRAINING,
-        cold_left_ms=int(row.get("coldLeftMs") or 0),
-        software_version=row["version"] if isinstance(row.get("version"), str) else "",
-        born_ms=birth_ms(row.get("born")),
+        service=entry.service,
+        address=_read_address(entry.addr),
+        zone=entry.zone or "",
+        slots=entry.slots or 1,
+        state=RunnerState.READY if entry.state == "ready" else RunnerState.DRAINING,
+        cold_left_ms=int(entry.cold_left_ms or 0),
+        software_version=entry.version if isinstance(entry.version, str) else "",
+        born_ms=birth_ms(entry.born),
     )
 
 
+def _read_address(text: str) -> Address:
+    address = Address.parse(text)
+    if not address.host or not 0 < address.port < 2**16:
+        raise ValueError(f"addr: {text} is not IP:PORT")
+    return address
+
+
 def write_replica(node: ReplicaNode) -> dict[str, str]:
     """Encode a replica machine's announcement."""
     return {"nodeId": node.node_id, "addr": str(node.address), "zone": node.zone}
 
 
 def read_replica(item: StoredObject) -> ReplicaNode:
-    """Parse a replica machine's announcement."""
-    row = item.spec
-    return ReplicaNode(
-        item.name, str(row["nodeId"]), Address.parse(str(row["addr"])), str(row["zone"])
-    )
+    """Parse a replica machine's announcement; raise one of ``READ_ERRORS``."""
+    entry = msgspec.convert(item.spec, ReplicaEntry)
+    return ReplicaNode(item.name, entry.node_id, _read_address(entry.addr), entry.zone)
+
+
+def _read_configuration(item: StoredObject) -> ServiceDocument:
+    return read_document(item.spec)
+
+
+def _safe(
+    read: Callable[[StoredObject], ReadT],
+) -> Callable[[StoredObject], ReadT | UnreadableObject]:
+    """Return the outcome of a reader, whatever the object holds."""
+
+    def read_safely(item: StoredObject) -> ReadT | UnreadableObject:
+        try:
+            return read(item)
+        except READ_ERRORS as error:
+            return UnreadableObject(f"{type(error).__name__}: {error}")
+
+    return read_safely
 
 
 REGISTRY_FORMAT = RegistryFormat(
@@ -140,7 +203,7 @@
     names.REPLICA_KIND,
     names.RETIREMENT_KIND,
     names.CLOSED_ZONE_KIND,
-    read_document,
-    read_runner,
-    read_replica,
+    _safe(_read_configuration),
+    _safe(read_runner),
+    _safe(read_replica),
 )
--- a/src/bendshed/services/registry_watches.py
+++ b/src/bendshed/services/registry_watches.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+from bendshed.catalog.metrics_port import LabelledGaugeFactory
+from bendshed.catalog.object_reader import ObjectReader
 from bendshed.catalog.reading import RegistryReading
 from bendshed.catalog.registry_outage import RegistryOutage
 from bendshed.catalog.times import CatalogTimes
@@ -42,6 +44,7 @@
     ) -> None:
         self._source = source
         self._format = registry_format
+        self._reader = ObjectReader(registry_format)
         self._node = node
         self._times = times
         self._rng = rng
@@ -102,6 +105,11 @@
         zones.is_first_watch_short = True
         return zones
 
+    def add_gauges(self, metrics: LabelledGaugeFactory) -> None:
+        """Add gauges of the calls to the registry and of what it holds."""
+        self.reading.add_gauges(metrics)
+        self._reader.add_gauge(metrics)
+
     def start(self) -> "list[asyncio.Task[None]]":
         """Start the watches; they begin to read once other machines had time to send updates."""
         tasks = [start_loop(watcher.run(), "platform") for watcher in self._watches]
@@ -130,22 +138,31 @@
     # --- changes -----------------------------------------------------------------------------
 
     def _set_runners(self, listed: ObjectList) -> None:
-        runners = [self._format.read_runner(item) for item in listed.items]
+        runners = [runner for _, runner in self._reader.runners(listed.items)]
         self._node.replace_runners(runners, self._runners.last_resort_s())
 
     def _on_runner(self, event: ObjectEvent) -> None:
+        item = event.object
         if event.is_deleted:
-            self._node.remove_runner(event.object.name, self._runners.last_resort_s())
+            self._reader.forget_runner(item.name)
+            self._node.remove_runner(item.name, self._runners.last_resort_s())
+            return
+        runner = self._reader.runner(item)
+        if runner is None:
+            self._node.remove_runner(item.name)
         else:
-            self._node.put_runner(self._format.read_runner(event.object))
+            self._node.put_runner(runner)
 
     def _apply_configuration(self, item: StoredObject) -> None:
-        if item.name == self._format.configuration_name:
-            self._node.apply_document(self._format.read_document(item.spec))
+        document = self._reader.document(item)
+        if document is not None:
+            self._node.apply_document(document)
 
     def _apply_zones(self, zones: frozenset[str], revision: int, deleted: frozenset[str]) -> None:
         self._node.apply_zones(make_registry_update(zones, revision, deleted))
         self._node.zones.confirm(0.0)
 
     def _put_replica(self, item: StoredObject) -> None:
-        self._node.directory.put(self._format.read_replica(item))
+        replica = self._reader.replica(item)
+        if replica is not None:
+            self._node.directory.put(replica)
--- a/src/bendshed/turns/registry_watches.py
+++ b/src/bendshed/turns/registry_watches.py
@@ -5,6 +5,8 @@
 from functools import partial
 
 from bendshed.catalog.confirmations import CatalogPart
+from bendshed.catalog.metrics_port import LabelledGaugeFactory
+from bendshed.catalog.object_reader import ObjectReader
 from bendshed.catalog.reading import RegistryReading
 from bendshed.catalog.registry_outage import RegistryOutage
 from bendshed.catalog.state import KnownRunner
@@ -47,6 +49,7 @@
     ) -> None:
         self._source = source
         self._format = registry_format
+        self._reader = ObjectReader(registry_format)
         self._node = node
         self._rng = rng
         self._runners = self._watch(
@@ -109,6 +112,11 @@
         )
         return [replicas, retirements]
 
+    def add_gauges(self, metrics: LabelledGaugeFactory) -> None:
+        """Add gauges of the calls to the registry and of what it holds."""
+        self.reading.add_gauges(metrics)
+        self._reader.add_gauge(metrics)
+
     def start(self) -> "list[asyncio.Task[None]]":
         """Start the watches."""
         return [start_loop(watcher.run(), "platform") for watcher in self._watches]
@@ -125,24 +133,27 @@
         self._node.follower.note_registry_read(revision)
 
     def _set_runners(self, listed: ObjectList) -> None:
-        runners = [
-            KnownRunner(self._format.read_runner(item), item.revision) for item in listed.items
-        ]
+        decoded = self._reader.runners(listed.items)
+        runners = [KnownRunner(runner, item.revision) for item, runner in decoded]
         last_resort_s = self._runners.last_resort_s()
         self._node.catalog.replace_runners(runners, listed.revision, last_resort_s)
 
     def _on_runner(self, event: ObjectEvent) -> None:
         item = event.object
         if event.is_deleted:
+            self._reader.forget_runner(item.name)
             last_resort_s = self._runners.last_resort_s()
             self._node.catalog.remove_runner(item.name, event.revision, last_resort_s)
+            return
+        runner = self._reader.runner(item)
+        if runner is None:
+            self._node.catalog.remove_runner(item.name, event.revision)
         else:
-            known = KnownRunner(self._format.read_runner(item), item.revision)
-            self._node.catalog.put_runner(known)
+            self._node.catalog.put_runner(KnownRunner(runner, item.revision))
 
     def _put_configuration(self, item: StoredObject) -> None:
-        if item.name == self._format.configuration_name:
-            document = self._format.read_document(item.spec)
+        document = self._reader.document(item)
+        if document is not None:
             self._node.catalog.apply_document(document)
             self._node.follower.note_revisions(document.version, 0)
 
@@ -150,7 +161,9 @@
         self._node.apply_zones(make_registry_update(zones, revision, deleted))
 
     def _put_replica(self, item: StoredObject) -> None:
-        self._node.directory.put(self._format.read_replica(item))
+        replica = self._reader.replica(item)
+        if replica is not None:
+            self._node.directory.put(replica)
 
     def _replace_retirements(self, listed: ObjectList) -> None:
         self._node.directory.set_retiring([item.name for item in listed.items])
