--- a/src/bendshed/catalog/confirmations.py
+++ b/src/bendshed/catalog/confirmations.py
@@ -1,23 +1,14 @@
-"""Age of a replica machine's catalog: when the registry last confirmed each part of it."""
+"""Age of a node's catalog: when the registry last confirmed each part of it."""
 
 import asyncio
 import math
 from collections.abc import Callable
-from enum import StrEnum
 
 from bendshed.catalog.messages import NEVER_CONFIRMED_MS
+from bendshed.catalog.parts import SERVED_PARTS, CatalogPart
 from bendshed.catalog.times import CatalogTimes
 from bendshed.catalog.zones import ClosedZoneTracker
 
-
-class CatalogPart(StrEnum):
-    """Parts that the registry confirms separately."""
-
-    DOCUMENT = "document"
-    RUNNERS = "runners"
-    ZONES = "zones"
-
-
 NEVER_CONFIRMED_S = -1.0
 """Age in the metrics of what the registry has not confirmed."""
 
@@ -63,31 +54,25 @@
         """Loop time at which the registry last confirmed a part; minus infinity: never."""
         return self._at_s.get(part, -math.inf)
 
-    def confirm_all(self, age_s: float) -> None:
-        """Record that another machine's catalog was confirmed ``age_s`` ago.
-
-        Its closed zones may have been confirmed earlier, by the lag that is allowed for them.
-        """
-        for part in self._parts:
-            self.confirm(part, age_s + self._lag_s(part))
+    def ages_s(self) -> dict[CatalogPart, float]:
+        """Age of each part that the registry confirmed since the process started, in seconds."""
+        now_s = asyncio.get_running_loop().time()
+        return {part: max(0.0, now_s - at_s) for part, at_s in self._at_s.items()}
 
     def age_ms(self) -> int:
         """Age of the oldest part; ``NEVER_CONFIRMED_MS`` while one was never confirmed.
 
-        The lag that is allowed for closed zones does not count.
+        The lag that is allowed for closed zones does not count. Machines of an earlier build know
+        no other age.
         """
-        now_s = asyncio.get_running_loop().time()
-        if any(part not in self._at_s for part in self._parts):
+        ages_s = self.ages_s()
+        if any(part not in ages_s for part in self._parts):
             return NEVER_CONFIRMED_MS
-        ages_s = [now_s - self._at_s[part] - self._lag_s(part) for part in self._parts]
-        return int(max(0.0, *ages_s) * 1000)
+        oldest_s = max(ages_s[part] - self._times.lag_s(part) for part in self._parts)
+        return int(max(0.0, oldest_s) * 1000)
 
     @property
     def _parts(self) -> list[CatalogPart]:
-        """Parts that this installation reads from the registry."""
+        """Parts that this installation reads from the registry, and that requests depend on."""
         is_read = {CatalogPart.ZONES: self._times.follows_zones}
-        return [part for part in CatalogPart if is_read.get(part, True)]
-
-    def _lag_s(self, part: CatalogPart) -> float:
-        """How much older than the other parts a part may be, in seconds."""
-        return (self._times.zones_lag_s or 0.0) if part is CatalogPart.ZONES else 0.0
+        return [part for part in SERVED_PARTS if is_read.get(part, True)]
--- a/src/bendshed/catalog/follower.py
+++ b/src/bendshed/catalog/follower.py
@@ -3,19 +3,21 @@
 Fronts and replica machines follow one machine, the first in a ranking that all nodes share, which
 reads the registry for all. Only the parts of an update that are newer than what the node knows are
 applied, so an old update does no harm, and it is useful to a front that knows nothing. Only a fresh
-update allows the node to stop reading the registry itself.
+part of an update allows the node to stop reading that part from the registry itself.
 """
 
 import asyncio
 import contextlib
+import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 from bendshed.catalog.demand import is_reading_shared
 from bendshed.catalog.freshness import Freshness
 from bendshed.catalog.known_fronts import KnownFronts
 from bendshed.catalog.messages import CatalogUpdate, ReadRequest, decode_update, encode_request
+from bendshed.catalog.parts import CatalogPart
 from bendshed.catalog.reader_choice import ReaderChoice, RequestingNode
 from bendshed.catalog.server import CATALOG_METHOD
 from bendshed.catalog.times import CatalogTimes
@@ -116,7 +118,7 @@
         )
         self._intake = UpdateIntake(sink, times)
         self._fronts = KnownFronts()
-        self.upstream = Upstream(host_locations, is_replica)
+        self.upstream = Upstream(host_locations, is_replica, follows_zones=times.follows_zones)
         self._freshness = Freshness(self.upstream)
         self.first_update = asyncio.Event()
         self.on_ends_version: Callable[[Address, int], None] = lambda _machine, _version: None
@@ -129,12 +131,16 @@
 
     @property
     def is_fresh(self) -> bool:
-        """Whether the node need not read the registry itself."""
+        """Whether the node need not read itself what requests depend on."""
         return self.upstream.is_fresh
 
+    def is_part_fresh(self, part: CatalogPart) -> bool:
+        """Whether the node need not read one part itself."""
+        return part in self.upstream.fresh_parts
+
     @property
     def on_freshness_change(self) -> list[Callable[[], None]]:
-        """Called after each change of ``is_fresh``."""
+        """Called after each change of which parts are fresh."""
         return self._freshness.on_change
 
     @property
@@ -190,7 +196,7 @@
                 continue
             self._apply(machine, update)
             if update.is_lost:
-                self._avoid(machine, "the machine lost the registry")
+                self._avoid(machine, "the machine lost the registry", self._old_parts(update))
                 await asyncio.sleep(self._retry_s())
             elif not self._is_reading_shared and self._target() == machine:
                 await asyncio.sleep(IDLE_INTERVAL_S)
@@ -234,11 +240,24 @@
             self._num_failed = 0
         self._freshness.end()
 
-    def _avoid(self, machine: Address, reason: str) -> None:
+    def _old_parts(self, update: CatalogUpdate) -> list[CatalogPart]:
+        """Parts of an update that are too old to be fresh."""
+        times = self._times
+        return [
+            part for part in CatalogPart if update.age_s(part, times) > times.max_part_age_s(part)
+        ]
+
+    def _avoid(self, machine: Address, reason: str, old_parts: Sequence[CatalogPart] = ()) -> None:
         """Follow another machine for some time."""
         self._num_failed += 1
         for_s = self._choice.avoid(machine, asyncio.get_running_loop().time())
-        log.say("machine avoided", instead_of=str(machine), reason=reason, for_s=for_s)
+        log.say(
+            "machine avoided",
+            instead_of=str(machine),
+            reason=reason,
+            old_parts=list(old_parts),
+            for_s=for_s,
+        )
 
     async def _request(self, machine: Address, is_long_poll: bool) -> CatalogUpdate | None:
         """Request the catalog once; ``None``: no reply in time.
@@ -288,8 +307,7 @@
         if not update.is_lost:
             self._num_failed = 0
             self._choice.readmit(machine)
-        is_current = self._intake.apply(update)
-        self._apply_directory(update)
+        known_parts = self._intake.apply(update) | self._apply_directory(update)
         self.upstream.machine = machine
         self.upstream.directory_digest = update.directory_digest
         self.first_update.set()
@@ -297,19 +315,36 @@
         self._apply_fronts(update)
         self.upstream.num_dependents = update.num_dependents
         self._is_reading_shared = self._may_share and is_reading_shared(update.num_dependents)
-        if not is_current or update.confirmed_age_ms is None:
-            return
-        self._intake.confirm(update.age_s)
-        if self._is_reading_shared and update.age_s < self._times.max_age_s:
-            self._freshness.renew(self._times.max_age_s - update.age_s)
-
-    def _apply_directory(self, update: CatalogUpdate) -> None:
+        self._confirm(known_parts, update)
+
+    def _confirm(self, parts: Iterable[CatalogPart], update: CatalogUpdate) -> None:
+        """Use the age of each part; while one machine reads for all, parts may be fresh by it."""
+        fresh_s: dict[CatalogPart, float] = {}
+        for part in parts:
+            age_s = update.age_s(part, self._times)
+            if age_s == math.inf:
+                continue
+            self._intake.confirm(part, age_s)
+            left_s = self._times.max_part_age_s(part) - age_s
+            if self._is_reading_shared and left_s > 0:
+                fresh_s[part] = left_s
+        if fresh_s:
+            self._freshness.renew(fresh_s)
+
+    def _apply_directory(self, update: CatalogUpdate) -> frozenset[CatalogPart]:
+        """Apply replica machines and retirements; return which of them the machine knows."""
+        known = {CatalogPart.MACHINES}
+        if self._directory.knows_retiring:
+            known.add(CatalogPart.RETIREMENTS)
         if update.directory is None:
-            return
+            return frozenset(known)
         for node in update.directory.replicas:
             self._directory.put(node)
-        if update.directory.retiring is not None:
-            self._directory.set_retiring(update.directory.retiring)
+        retiring = update.directory.retiring
+        if retiring is None or self._intake.is_older(CatalogPart.RETIREMENTS, update):
+            return frozenset(known - {CatalogPart.RETIREMENTS})
+        self._directory.set_retiring(retiring)
+        return frozenset(known | {CatalogPart.RETIREMENTS})
 
     def _apply_fronts(self, update: CatalogUpdate) -> None:
         for front in update.fronts:
--- a/src/bendshed/catalog/messages.py
+++ b/src/bendshed/catalog/messages.py
@@ -4,6 +4,8 @@
 ``num_askers`` how many nodes depend on the machine that replies.
 """
 
+import math
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from bendshed.catalog.codec import (
@@ -13,7 +15,9 @@
     runner_from_wire,
     zones_from_wire,
 )
+from bendshed.catalog.parts import CatalogPart
 from bendshed.catalog.state import KnownRunner, Removal
+from bendshed.catalog.times import CatalogTimes
 from bendshed.consensus.directory import from_wire
 from bendshed.model.address import Address
 from bendshed.placement.zones import ZoneUpdate
@@ -138,6 +142,8 @@
 
     Attributes:
         age_ms: time since the registry last confirmed all of it.
+        part_ages_s: time since it last confirmed each part, without those that it has not
+            confirmed; ``None``: the machine's build tells no more than ``age_ms``.
         num_dependents: number of fronts and replica machines that depend on the machine.
         is_lost: the registry does not answer the machine, so it must not be followed.
         document_version: of the configuration that the machine knows.
@@ -161,16 +167,15 @@
     directory_digest: int
     fronts: tuple[FrontLocation, ...]
     ends_version: int = 0
+    part_ages_s: dict[CatalogPart, float] | None = None
 
-    @property
-    def age_s(self) -> float:
-        """Time since the registry last confirmed all of it, in seconds."""
-        return self.age_ms / 1000
-
-    @property
-    def confirmed_age_ms(self) -> int | None:
-        """Age for the log; ``None``: not confirmed since the machine started."""
-        return self.age_ms if self.age_ms < NEVER_CONFIRMED_MS else None
+    def age_s(self, part: CatalogPart, times: CatalogTimes) -> float:
+        """Time since the registry confirmed a part; infinite: not since the machine started."""
+        if self.part_ages_s is not None:
+            return self.part_ages_s.get(part, math.inf)
+        if self.age_ms >= NEVER_CONFIRMED_MS:
+            return math.inf
+        return self.age_ms / 1000 + times.lag_s(part)
 
 
 def decode_update(content: bytes) -> CatalogUpdate:
@@ -188,9 +193,26 @@
         reply.directory_digest,
         fronts_from_wire(reply),
         reply.ends_version,
+        _part_ages_from_wire(reply.part_ages) if reply.HasField("part_ages") else None,
     )
 
 
+def part_ages_to_wire(ages_s: Mapping[CatalogPart, float]) -> wire.PartAges:
+    """Convert the ages of parts, in seconds."""
+    ages = wire.PartAges()
+    for part, age_s in ages_s.items():
+        setattr(ages, f"{part}_ms", min(NEVER_CONFIRMED_MS, int(age_s * 1000)))
+    return ages
+
+
+def _part_ages_from_wire(ages: wire.PartAges) -> dict[CatalogPart, float]:
+    return {
+        part: getattr(ages, f"{part}_ms") / 1000
+        for part in CatalogPart
+        if ages.HasField(f"{part}_ms")  # type: ignore[arg-type]  # a name of the message
+    }
+
+
 def _runners_from_wire(reply: wire.CatalogReply) -> RunnerUpdate:
     removed = (removal_from_wire(row) for row in reply.removed)
     runners = tuple(runner_from_wire(row) for row in reply.runners)
--- a/src/bendshed/catalog/reading.py
+++ b/src/bendshed/catalog/reading.py
@@ -1,12 +1,14 @@
-"""Decides when a node reads the registry itself: only while no machine reads it for the node."""
+"""Decides which parts a node reads from the registry: those that no machine reads for it."""
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping
 from functools import partial
 
+from bendshed.catalog.call_schedule import CallSchedule
 from bendshed.catalog.follower import CatalogFollower
 from bendshed.catalog.metrics_port import LabelledGaugeFactory
+from bendshed.catalog.parts import SERVED_PARTS, CatalogPart
 from bendshed.catalog.watcher import KindWatcher
 from bendshed.logs import PartLog
 
@@ -20,39 +22,45 @@
 
 
 class RegistryReading:
-    """Pauses and resumes a node's watches.
+    """Pauses and resumes a node's watches, each by whether its own part is fresh.
 
     Args:
         follower: receives updates of other machines.
-        primary: the watch that retries a lost registry.
-        others: watches that restart once the registry answers again.
-        on_change: called with ``is_lost`` after it or the follower's freshness may have changed.
+        watches: the watch of each part.
+        schedule: shared by the watches.
+        on_change: called after a watch is lost or regained, and after a change of fresh parts.
 
     """
 
     def __init__(
         self,
         follower: CatalogFollower,
-        primary: KindWatcher,
-        others: Sequence[KindWatcher],
-        on_change: Callable[[bool], None] = lambda _is_lost: None,
+        watches: Mapping[CatalogPart, KindWatcher],
+        schedule: CallSchedule,
+        on_change: Callable[[], None] = lambda: None,
     ) -> None:
         self._on_change = on_change
         self._follower = follower
-        self._primary = primary
-        self._others = others
+        self._watches = watches
+        self._schedule = schedule
         self._may_read = True
-        self._is_loss_logged = False
-        primary.on_loss_change.append(self._handle_loss_change)
+        for watch in watches.values():
+            watch.on_loss_change.append(partial(self._handle_loss_change, watch))
+            watch.on_failed_call = self._note_failed_call
         follower.on_freshness_change.append(self._handle_freshness_change)
 
     @property
     def is_lost(self) -> bool:
-        """Whether the registry did not answer this node's last call.
+        """Whether the registry did not answer this node's last call for a part served to others.
 
         That does not change while other machines update this node: they must not follow it.
         """
-        return self._primary.is_lost
+        return any(self._watches[part].is_lost for part in SERVED_PARTS if part in self._watches)
+
+    @property
+    def fails_partly(self) -> bool:
+        """Whether the registry did not answer the last call for any part."""
+        return any(watch.is_lost for watch in self._watches.values())
 
     def add_gauges(self, metrics: LabelledGaugeFactory) -> None:
         """Add gauges of the age of each kind and of the calls for it."""
@@ -65,7 +73,7 @@
         failed = metrics.labelled_gauge(
             "bendshed_registry_failed_calls", "Those without a valid answer", "kind"
         )
-        for watcher in (self._primary, *self._others):
+        for watcher in self._watches.values():
             ages.labels(watcher.kind).set_function(watcher.age.read)
             calls.labels(watcher.kind).set_function(partial(_num_calls, watcher))
             failed.labels(watcher.kind).set_function(partial(_num_failed_calls, watcher))
@@ -81,8 +89,8 @@
 
         """
         self._may_read = False
-        for watcher in (self._primary, *self._others):
-            watcher.pause()
+        for watch in self._watches.values():
+            watch.pause()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FIRST_UPDATE_TIMEOUT_S):
                 is_found = await discover()
@@ -97,37 +105,30 @@
         self._handle_freshness_change()
 
     def _handle_freshness_change(self) -> None:
-        """Read the registry only while no fresh updates arrive."""
+        """Read each part only while no fresh updates of it arrive."""
         if not self._may_read:
             return
-        for watcher in (self._primary, *self._others):
-            watcher.has_peer_updates = self._follower.first_update.is_set()
-        if self._follower.is_fresh:
-            for watcher in (self._primary, *self._others):
-                watcher.pause()
-        else:
-            self._primary.resume(self._follower.runners_at)
-            self._handle_loss_change()
-        self._on_change(self.is_lost)
-
-    def _handle_loss_change(self) -> None:
-        """Only the primary watch retries a lost registry; restart the others once it answers."""
-        if self._primary.is_lost != self._is_loss_logged:
-            self._is_loss_logged = self._primary.is_lost
-            kinds = [watcher.kind for watcher in self._others]
-            if self._is_loss_logged:
-                log.say(
-                    "watches paused: another kind fails", failing=self._primary.kind, kinds=kinds
-                )
+        for part, watch in self._watches.items():
+            watch.has_peer_updates = self._follower.first_update.is_set()
+            if self._follower.is_part_fresh(part):
+                watch.pause()
             else:
-                log.say("watches resumed", kinds=kinds)
-        for watcher in self._others:
-            if self._primary.is_lost:
-                watcher.pause()
-            elif self._may_read and not self._follower.is_fresh:
-                watcher.restart()
-                watcher.resume()
-        self._on_change(self.is_lost)
+                watch.resume(self._follower.runners_at if part is CatalogPart.RUNNERS else 0)
+        self._on_change()
+
+    def _handle_loss_change(self, watch: KindWatcher) -> None:
+        """Restart other watches after a silent one: they may hang on connections as dead as its."""
+        if not watch.is_lost and watch.was_silent:
+            for other in self._watches.values():
+                if other is not watch and not other.is_lost:
+                    other.restart()
+        self._on_change()
+
+    def _note_failed_call(self, began_s: float) -> None:
+        """Count a failed call for any kind as one for the runners, which are called more rarely."""
+        runners = self._watches[CatalogPart.RUNNERS]
+        if self._schedule.is_away and runners.is_lost:
+            runners.outage.note_failure(began_s)
 
 
 def _num_calls(watcher: KindWatcher) -> float:
--- a/src/bendshed/catalog/replica_catalog.py
+++ b/src/bendshed/catalog/replica_catalog.py
@@ -1,9 +1,11 @@
 """The catalog of a replica machine: applies updates of the registry and of other machines."""
 
 import asyncio
+import math
 from collections.abc import Collection
 
-from bendshed.catalog.confirmations import CatalogPart, Confirmations
+from bendshed.catalog.confirmations import Confirmations
+from bendshed.catalog.parts import CatalogPart
 from bendshed.catalog.persistence import CatalogPersistence
 from bendshed.catalog.state import KnownRunner
 from bendshed.catalog.times import CatalogTimes
@@ -23,7 +25,8 @@
         catalog: configuration and runners, initially as loaded from the disk.
         zones: closed zones, if operators close zones in this installation.
         confirmations: when the registry confirmed each part.
-        is_lost: the registry does not answer this machine.
+        is_lost: the registry does not answer this machine for a part that requests depend on.
+        registry_fails_partly: it does not answer for some kind of objects, or for none.
 
     """
 
@@ -35,6 +38,7 @@
         self.catalog.filter = self.zones.filter
         self.confirmations = Confirmations(times, self.zones)
         self.is_lost = False
+        self.registry_fails_partly = False
         self._persistence = persistence
         self._changed = asyncio.Event()
 
@@ -82,13 +86,19 @@
         if part is CatalogPart.RUNNERS:
             self.catalog.advance(revision)
 
-    def confirm_all(self, age_s: float, runners_at: int) -> None:
-        """Record that the registry confirmed another machine's catalog ``age_s`` ago."""
-        self.confirmations.confirm_all(age_s)
-        self.catalog.advance(runners_at)
+    def confirm_received(self, part: CatalogPart, age_s: float, runners_at: int) -> None:
+        """Record that the registry confirmed a part of another machine's catalog ``age_s`` ago."""
+        self.confirmations.confirm(part, age_s)
+        if part is CatalogPart.RUNNERS:
+            self.catalog.advance(runners_at)
+
+    def age_s(self, part: CatalogPart) -> float:
+        """Time since the registry confirmed a part; infinite: not since the process started."""
+        return self.confirmations.ages_s().get(part, math.inf)
 
-    def set_registry_lost(self, is_lost: bool) -> None:
+    def set_registry_lost(self, is_lost: bool, fails_partly: bool) -> None:
         """Record whether this machine lost the registry; waiting nodes are notified at once."""
+        self.registry_fails_partly = fails_partly
         if is_lost != self.is_lost:
             self.is_lost = is_lost
             self.notify_change()
--- a/src/bendshed/catalog/replica_parts.py
+++ b/src/bendshed/catalog/replica_parts.py
@@ -78,7 +78,7 @@
             self.demand,
             self._relay_list,
             self._persistence,
-            lambda: self.catalog.is_lost,
+            lambda: self.catalog.registry_fails_partly,
         )
         self.follower = CatalogFollower(
             FollowerPaths(
@@ -154,10 +154,10 @@
         zones = self.catalog.zones.record
         while True:
             await asyncio.sleep(SHARE_INTERVAL_S)
-            is_lost = self.catalog.is_lost
-            self.demand.expire_silent(keep_fronts=is_lost)
+            fails_partly = self.catalog.registry_fails_partly
+            self.demand.expire_silent(keep_fronts=fails_partly)
             # While the registry is lost, fronts are known only to the machines that keep them.
-            self._relay_list.forget_unnamed(math.inf if is_lost else SILENT_FRONT_EXPIRY_S)
+            self._relay_list.forget_unnamed(math.inf if fails_partly else SILENT_FRONT_EXPIRY_S)
             self._relay_list.retain_only(self.demand.front_requested_at_s)
             if zones.forget_old(asyncio.get_running_loop().time()):
                 self.catalog.schedule_save()
--- a/src/bendshed/catalog/server.py
+++ b/src/bendshed/catalog/server.py
@@ -5,7 +5,7 @@
 
 from bendshed.catalog.codec import add_zones, make_reply
 from bendshed.catalog.demand import Demand
-from bendshed.catalog.messages import ReadRequest, decode_request
+from bendshed.catalog.messages import ReadRequest, decode_request, part_ages_to_wire
 from bendshed.catalog.relay_list import RelayList
 from bendshed.catalog.replica_catalog import ReplicaCatalog
 from bendshed.catalog.upstream import Upstream
@@ -90,6 +90,7 @@
         now_s = asyncio.get_running_loop().time()
         add_zones(reply, self._catalog.zones.record.make_update(now_s), request.zones_at)
         reply.age_ms = self._catalog.confirmations.age_ms()
+        reply.part_ages.CopyFrom(part_ages_to_wire(self._catalog.confirmations.ages_s()))
         reply.num_askers = max(
             self._demand.num_dependents, self._upstream.num_dependents_across_regions
         )
--- a/src/bendshed/catalog/times.py
+++ b/src/bendshed/catalog/times.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from bendshed.catalog.parts import SERVED_PARTS, CatalogPart
 from bendshed.catalog.registry_outage import MAX_LAST_RESORT_S
 from bendshed.ports.objects import MAX_IDLE_S, WATCH_MARGIN_S
 
@@ -129,6 +130,19 @@
         """Whether operators close zones in this installation."""
         return self.zones_lag_s is not None
 
+    def lag_s(self, part: CatalogPart) -> float:
+        """How much older than the configuration a part may be, in seconds."""
+        if part is CatalogPart.ZONES:
+            return self.zones_lag_s or 0.0
+        if part not in SERVED_PARTS:
+            # These are read at the pace of a node that reads for itself alone.
+            return self.silence_s - self.max_age_s
+        return 0.0
+
+    def max_part_age_s(self, part: CatalogPart) -> float:
+        """With an older part a node reads that part itself."""
+        return self.max_age_s + self.lag_s(part)
+
     @property
     def zones_wait_s(self) -> float:
         """Longest wait of a watch for closed zones by a node that must know them in time.
--- a/src/bendshed/catalog/update_intake.py
+++ b/src/bendshed/catalog/update_intake.py
@@ -1,10 +1,12 @@
 """Applies the parts of an update that are newer: configuration, runners, closed zones."""
 
+import math
 from typing import Protocol
 
 from bendshed.catalog.codec import DocumentDecodeError, decode_document
 from bendshed.catalog.known_runners import EntryGaps
 from bendshed.catalog.messages import CatalogUpdate, RunnerUpdate
+from bendshed.catalog.parts import CatalogPart
 from bendshed.catalog.state import KnownRunner
 from bendshed.catalog.times import CatalogTimes
 from bendshed.logs import PartLog
@@ -34,8 +36,11 @@
     def apply_zones(self, update: ZoneUpdate) -> None:
         """Apply which zones are closed; an older update changes nothing."""
 
-    def confirm_all(self, age_s: float, runners_at: int) -> None:
-        """Record that the registry confirmed all of this ``age_s`` ago."""
+    def confirm_received(self, part: CatalogPart, age_s: float, runners_at: int) -> None:
+        """Record that the registry confirmed a part that was received ``age_s`` ago."""
+
+    def age_s(self, part: CatalogPart) -> float:
+        """Time since the registry confirmed a part, as far as the node knows, in seconds."""
 
 
 class UpdateIntake:
@@ -62,20 +67,27 @@
         """Ids of runners whose software version was not passed on."""
         return self.gaps.without_version
 
-    def apply(self, update: CatalogUpdate) -> bool:
-        """Apply what is newer; ``False``: the machine knows less than this node.
+    def apply(self, update: CatalogUpdate) -> frozenset[CatalogPart]:
+        """Apply what is newer; return the parts of which the machine knows no less than this node.
 
         Closed zones are applied before runners, so that no runner of a closed zone is usable in
         between.
         """
         self._apply_document(update)
-        knows_zones = self._apply_zones(update)
-        knows_runners = self._apply_runners(update)
-        return knows_zones and knows_runners and update.document_version >= self.version
+        is_known = {
+            CatalogPart.ZONES: self._apply_zones(update),
+            CatalogPart.RUNNERS: self._apply_runners(update),
+            CatalogPart.DOCUMENT: update.document_version >= self.version,
+        }
+        return frozenset(part for part, knows in is_known.items() if knows)
+
+    def confirm(self, part: CatalogPart, age_s: float) -> None:
+        """Record that the registry confirmed a part that the node knows ``age_s`` ago."""
+        self._sink.confirm_received(part, age_s, self.runners_at)
 
-    def confirm(self, age_s: float) -> None:
-        """Record that the registry confirmed all that the node knows ``age_s`` ago."""
-        self._sink.confirm_all(age_s, self.runners_at)
+    def is_older(self, part: CatalogPart, update: CatalogUpdate) -> bool:
+        """Whether an update's part was confirmed earlier than what the node knows of it."""
+        return update.age_s(part, self._times) > self._sink.age_s(part)
 
     def _apply_document(self, update: CatalogUpdate) -> None:
         if not update.document or update.document_version <= self.version:
@@ -86,9 +98,8 @@
             log.say("configuration ignored: unreadable", reason=str(error))
             return
         if self._sink.apply_document(document):
-            log.say(
-                "configuration received", version=document.version, age_ms=update.confirmed_age_ms
-            )
+            age_ms = self._age_ms(CatalogPart.DOCUMENT, update)
+            log.say("configuration received", version=document.version, age_ms=age_ms)
         self.version = max(self.version, document.version)
 
     def _apply_zones(self, update: CatalogUpdate) -> bool:
@@ -133,10 +144,14 @@
 
     def _replace_runners(self, changes: RunnerUpdate, update: CatalogUpdate) -> None:
         is_first = self.runners_at == 0
-        is_fresh = update.age_s < self._times.max_age_s
+        is_fresh = update.age_s(CatalogPart.RUNNERS, self._times) < self._times.max_age_s
         last_resort_s = 0.0 if is_fresh else self._times.default_last_resort_s
         self._sink.replace_runners(list(changes.runners), changes.revision, last_resort_s)
         if is_first:
-            log.say(
-                "first runner list received", at=changes.revision, age_ms=update.confirmed_age_ms
-            )
+            age_ms = self._age_ms(CatalogPart.RUNNERS, update)
+            log.say("first runner list received", at=changes.revision, age_ms=age_ms)
+
+    def _age_ms(self, part: CatalogPart, update: CatalogUpdate) -> int | None:
+        """Age for the log; ``None``: not confirmed since the machine started."""
+        age_s = update.age_s(part, self._times)
+        return int(age_s * 1000) if age_s < math.inf else None
--- a/src/bendshed/catalog/upstream.py
+++ b/src/bendshed/catalog/upstream.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from bendshed.catalog.parts import SERVED_PARTS, CatalogPart
 from bendshed.model.address import Address
 from bendshed.paths.host_locations import HostLocations
 
@@ -16,7 +17,8 @@
         machine: ``None``: this node reads the registry itself, or has not received an update.
         directory_digest: digest of the directory that the machine sent.
         num_dependents: number of nodes that depend on the machine, also indirectly.
-        is_fresh: the registry confirmed the catalog so recently that this node need not read it.
+        fresh_parts: those confirmed so recently that this node does not read them itself.
+        follows_zones: whether operators close zones in this installation.
 
     """
 
@@ -25,7 +27,14 @@
     machine: Address | None = None
     directory_digest: int = 0
     num_dependents: int = 0
-    is_fresh: bool = False
+    fresh_parts: frozenset[CatalogPart] = frozenset()
+    follows_zones: bool = False
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether this node need not read any part that requests depend on."""
+        is_read = {CatalogPart.ZONES: self.follows_zones}
+        return all(part in self.fresh_parts for part in SERVED_PARTS if is_read.get(part, True))
 
     @property
     def is_regional_reader(self) -> bool:
--- a/src/bendshed/catalog/watcher.py
+++ b/src/bendshed/catalog/watcher.py
@@ -1,11 +1,12 @@
 """Follows all objects of one kind in the registry."""
 
 import asyncio
+import contextlib
 import math
-import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from bendshed.catalog.call_schedule import CallSchedule
 from bendshed.catalog.confirmations import ConfirmationAge
 from bendshed.catalog.registry_outage import RegistryOutage
 from bendshed.logs import PartLog
@@ -17,20 +18,9 @@
     StoredObject,
 )
 from bendshed.ports.store import StoreSilent, StoreUnavailable
-from bendshed.retries.backoff import exponential_backoff
-
-INITIAL_RETRY_MIN_S = 0.15
-INITIAL_RETRY_MAX_S = 0.4
-"""Retry delay of a process that does not know the objects of the kind yet."""
-RETRY_MIN_S = 0.5
-RETRY_MAX_S = 0.9
-"""Retry delay of a process that knows the kind and can serve requests meanwhile, since calls to a
-store that is down cost as much as others."""
-MAX_RETRY_GROWTH = 8.0
-"""Largest factor by which a process that other nodes update extends its retry delay while the store
-fails."""
+
 LOST_WAIT_S = 0.1
-"""While the store is lost, a watch waits only this long, so that its failure is detected soon."""
+"""While a kind is lost, its watch waits only this long, so that its failure is detected soon."""
 WATCH_PAUSE_S = 0.05
 """Pause between two watches, so that a burst of changes costs few calls."""
 
@@ -118,15 +108,18 @@
         wait_s: how long a watch may wait for a change.
         pause_s: pause between two watches.
         has_peer_updates: whether updates of other nodes contain the kind.
-        max_retry_growth: largest factor of the retry delay while the store is lost; 1: constant.
+        schedule: when kinds are called again after failed calls; shared by the watches of a node.
         is_first_watch_short: the first watch after a pause or a change of pace waits
             ``LOST_WAIT_S``, so that missed changes, or a dead connection, are detected at once; it
             costs a call.
         outage: what the calls show of the registry's latest outage.
         age: since the store's last reply.
         num_calls, num_failed_calls: since the process started.
-        on_loss_change: called when the store is lost and when it answers again: a watch begun in
-            between may hang on a dead connection.
+        is_lost: whether the last call failed.
+        was_silent: whether the last failed call had no answer at all, so that connections on which
+            other calls wait may be dead too.
+        on_failed_call: called with the time at which a call began that failed.
+        on_loss_change: called when calls for the kind begin to fail and when one is answered again.
 
     """
 
@@ -136,9 +129,8 @@
         kind: str,
         handler: KindHandler,
         wait_s: float,
-        rng: random.Random,
+        schedule: CallSchedule,
         pause_s: float = WATCH_PAUSE_S,
-        max_retry_growth: float = 1.0,
         outage: RegistryOutage | None = None,
     ) -> None:
         self.outage = outage or RegistryOutage()
@@ -146,6 +138,7 @@
         self.num_calls = 0
         self.num_failed_calls = 0
         self.on_loss_change: list[Callable[[], None]] = []
+        self.on_failed_call: Callable[[float], None] = lambda _began_s: None
         self.is_first_watch_short = False
         self._is_next_watch_short = False
         self._source = source
@@ -153,22 +146,19 @@
         self._handler = handler
         self.has_peer_updates = False
         self.wait_s = wait_s
-        self._rng = rng
         self.pause_s = pause_s
-        self._max_retry_growth = max_retry_growth
-        self._num_failed = 0
+        self.is_lost = False
+        self.was_silent = False
+        self._schedule = schedule
+        self._schedule.add(kind)
+        self._schedule.on_change.append(self._wake)
+        self._may_call = asyncio.Event()
         self._revision: int | None = None
         self._listed: dict[str, int] = {}
         self._call: asyncio.Task[None] | None = None
-        self._is_lost = False
         self._is_active = asyncio.Event()
         self._is_active.set()
 
-    @property
-    def is_lost(self) -> bool:
-        """Whether the last call failed."""
-        return self._is_lost
-
     @property
     def kind(self) -> str:
         """Kind of the objects that are followed."""
@@ -182,7 +172,7 @@
         """Follow the kind until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
-            await self._is_active.wait()
+            await self._wait_for_turn()
             began_s = loop.time()
             self.num_calls += 1
             self._call = loop.create_task(self._call_store())
@@ -193,14 +183,30 @@
             except HistoryExpired:
                 log.say("listing again: change history expired", kind=self._kind)
                 self._revision = None
-            except (StoreUnavailable, KeyError, ValueError, TypeError) as error:
-                self._note_failure(error, began_s)
-                await asyncio.sleep(self._retry_s(error))
+                self._note_regained()
             except asyncio.CancelledError:
                 current = asyncio.current_task()
                 if current is not None and current.cancelling():
                     self._call.cancel()
                     raise
+            except Exception as error:  # whatever it is, the kind is followed again
+                self._note_failure(error, began_s)
+
+    async def _wait_for_turn(self) -> None:
+        """Wait until the kind is read by this node, and may be called after failed calls."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await self._is_active.wait()
+            delay_s = self._schedule.delay_s(self._kind, loop.time())
+            if delay_s <= 0:
+                return
+            self._may_call.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(delay_s if delay_s < math.inf else None):
+                    await self._may_call.wait()
+
+    def _wake(self) -> None:
+        self._may_call.set()
 
     def set_pace(self, wait_s: float, pause_s: float) -> None:
         """Change the wait and the pause; a shorter wait takes effect at once."""
@@ -209,25 +215,22 @@
         if is_shorter:
             self.restart()
 
-    def _retry_s(self, error: Exception) -> float:
-        """Delay of the next call: none after a silent connection, since a new one may work."""
-        if isinstance(error, StoreSilent) and self._num_failed == 1:
-            return 0.0
-        if self._revision is None and not self.has_peer_updates:
-            return self._rng.uniform(INITIAL_RETRY_MIN_S, INITIAL_RETRY_MAX_S)
-        growth = exponential_backoff(1.0, self._num_failed - 1, self._max_retry_growth)
-        return growth * self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
-
     def pause(self) -> None:
         """Send no calls until ``resume``, while other nodes send updates of this kind."""
+        if not self._is_active.is_set():
+            return
         self._is_active.clear()
+        self._schedule.set_read(self._kind, False, asyncio.get_running_loop().time())
         self.restart()
 
     def resume(self, revision: int = 0) -> None:
         """Watch again; ``revision``: up to which everything is known from other nodes."""
         if revision:
             self._revision = max(self._revision or 0, revision)
+        if self._is_active.is_set():
+            return
         self._is_active.set()
+        self._schedule.set_read(self._kind, True, asyncio.get_running_loop().time())
 
     def restart(self) -> None:
         """Cancel a watch that may hang on a dead connection, and begin a new one."""
@@ -244,7 +247,7 @@
             self._revision = listed.revision
             self._note_confirmed(listed.revision)
             return
-        wait_s = LOST_WAIT_S if self._is_lost or self._is_next_watch_short else self.wait_s
+        wait_s = LOST_WAIT_S if self.is_lost or self._is_next_watch_short else self.wait_s
         changes = await self._source.watch(self._kind, self._revision, wait_s)
         self._note_reply()
         self._is_next_watch_short = False
@@ -271,16 +274,24 @@
     def _note_failure(self, error: Exception, began_s: float) -> None:
         self.outage.note_failure(began_s)
         self.num_failed_calls += 1
-        self._num_failed += 1
-        if not self._is_lost:
+        self.was_silent = isinstance(error, StoreSilent)
+        is_known = self._revision is not None or self.has_peer_updates
+        now_s = asyncio.get_running_loop().time()
+        self._schedule.note_failure(self._kind, now_s, self.was_silent, is_known)
+        self.on_failed_call(began_s)
+        if not self.is_lost:
             confirmed_ago_s = round(self.age.seconds, 3) if self.age.seconds < math.inf else None
+            is_answered = not isinstance(error, StoreUnavailable)
             log.say(
-                "platform store lost: call failed",
+                "update failed: unexpected error"
+                if is_answered
+                else "platform store lost: call failed",
                 kind=self._kind,
                 confirmed_ago_s=confirmed_ago_s,
-                reason=str(error),
+                reason=repr(error) if is_answered else str(error),
+                is_away=self._schedule.is_away,
             )
-            self._is_lost = True
+            self.is_lost = True
             self._notify_loss_change()
 
     def _notify_loss_change(self) -> None:
@@ -288,8 +299,8 @@
             on_loss_change()
 
     def _note_regained(self) -> None:
-        self._num_failed = 0
-        if self._is_lost:
+        self._schedule.note_reply(self._kind, asyncio.get_running_loop().time())
+        if self.is_lost:
             log.say("platform store answers again", kind=self._kind)
-            self._is_lost = False
+            self.is_lost = False
             self._notify_loss_change()
--- a/src/bendshed/rehearsal/site/sim_world.py
+++ b/src/bendshed/rehearsal/site/sim_world.py
@@ -8,7 +8,7 @@
 
 from prometheus_client import CollectorRegistry
 
-from bendshed.catalog.confirmations import CatalogPart
+from bendshed.catalog.parts import CatalogPart
 from bendshed.catalog.state import KnownRunner
 from bendshed.catalog.times import CatalogTimes
 from bendshed.model.address import Address
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -1,6 +1,7 @@
 """A node that forwards requests: builds its components and applies updates to them."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
@@ -9,6 +10,7 @@
 from bendshed.catalog.cold_runner_tracker import ColdRunnerTracker
 from bendshed.catalog.confirmations import ConfirmationAge
 from bendshed.catalog.follower import CatalogFollower, FollowerPaths
+from bendshed.catalog.parts import CatalogPart
 from bendshed.catalog.quarantine_client import QuarantineClient
 from bendshed.catalog.quarantine_messages import ENDS_METHOD
 from bendshed.catalog.server import CATALOG_METHOD
@@ -112,7 +114,6 @@
         self._policy = policy
         self._groups = groups
         self._places = location.places
-        self._zones_lag_s = times.zones_lag_s
         self._pool = connections
         self.zones = ClosedZoneTracker(location.places)
         self._table = self._build_table(times)
@@ -374,11 +375,6 @@
         self._table.filter = self.zones.filter
         self.catalog.note_zones_revision(update.zones.revision)
 
-    def confirm_zones(self, age_s: float) -> None:
-        """Record the age of the registry's last confirmation; closed zones may lag behind it."""
-        if self._zones_lag_s is not None:
-            self.zones.confirm(age_s + self._zones_lag_s)
-
     def start_drain(self) -> None:
         """Report not ready from now on; requests that still arrive are served."""
         self.is_draining = True
@@ -420,11 +416,19 @@
         """Apply an update of the closed zones."""
         self._node.apply_zones(update)
 
-    def confirm_all(self, age_s: float, _runners_at: int) -> None:
+    def confirm_received(self, part: CatalogPart, age_s: float, _runners_at: int) -> None:
         """Use the ages of the configuration, the runners and the closed zones."""
-        self._node.configuration_age.confirm(age_s)
-        self._node.confirm_runners(age_s)
-        self._node.confirm_zones(age_s)
+        match part:
+            case CatalogPart.DOCUMENT:
+                self._node.configuration_age.confirm(age_s)
+            case CatalogPart.RUNNERS:
+                self._node.confirm_runners(age_s)
+            case CatalogPart.ZONES:
+                self._node.zones.confirm(age_s)
+
+    def age_s(self, _part: CatalogPart) -> float:
+        """A front follows no retirements, and uses what any machine says of the others."""
+        return math.inf
 
 
 def _loop_time() -> float:
--- a/src/bendshed/services/registry_watches.py
+++ b/src/bendshed/services/registry_watches.py
@@ -3,12 +3,14 @@
 import asyncio
 import random
 
+from bendshed.catalog.call_schedule import CallSchedule
 from bendshed.catalog.metrics_port import LabelledGaugeFactory
 from bendshed.catalog.object_reader import ObjectReader
+from bendshed.catalog.parts import CatalogPart
 from bendshed.catalog.reading import RegistryReading
 from bendshed.catalog.registry_outage import RegistryOutage
 from bendshed.catalog.times import CatalogTimes
-from bendshed.catalog.watcher import MAX_RETRY_GROWTH, KindHandler, KindWatcher
+from bendshed.catalog.watcher import KindHandler, KindWatcher
 from bendshed.catalog.zones import make_registry_update
 from bendshed.logs import PartLog
 from bendshed.ports.objects import ObjectEvent, ObjectList, ObjectSource, StoredObject
@@ -17,6 +19,9 @@
 from bendshed.services.node import ServiceNode
 from bendshed.tasks import start_loop
 
+MAX_RETRY_GROWTH = 8.0
+"""Limit of retry interval growth: replica machines try more often and inform the fronts."""
+
 log = PartLog("front")
 
 
@@ -47,7 +52,7 @@
         self._reader = ObjectReader(registry_format)
         self._node = node
         self._times = times
-        self._rng = rng
+        self._schedule = CallSchedule(rng, MAX_RETRY_GROWTH)
         self._runners = self._watch(
             registry_format.runner_kind,
             KindHandler(self._set_runners, self._on_runner, node.note_runners_read),
@@ -61,24 +66,25 @@
                 is_isolated=lambda: node.is_isolated,
             ),
         )
-        others = [
-            self._watch(
-                registry_format.configuration_kind,
-                KindHandler.of_items(
-                    self._apply_configuration, lambda _revision: node.configuration_age.confirm(0.0)
-                ),
-                times.idle_wait_s,
+        self._configuration = self._watch(
+            registry_format.configuration_kind,
+            KindHandler.of_items(
+                self._apply_configuration, lambda _revision: node.configuration_age.confirm(0.0)
             ),
-            self._watch(
+            times.idle_wait_s,
+        )
+        self._watches = {
+            CatalogPart.RUNNERS: self._runners,
+            CatalogPart.DOCUMENT: self._configuration,
+            CatalogPart.MACHINES: self._watch(
                 registry_format.replica_kind,
                 KindHandler.of_items(self._put_replica),
                 times.idle_wait_s,
             ),
-        ]
+        }
         if times.follows_zones:
-            others.append(self._watch_zones())
-        self._watches = [self._runners, *others]
-        self.reading = RegistryReading(node.catalog, self._runners, others)
+            self._watches[CatalogPart.ZONES] = self._watch_zones()
+        self.reading = RegistryReading(node.catalog, self._watches, self._schedule)
         node.forwarder.is_current = self._is_configuration_current
 
     def _watch(
@@ -88,16 +94,8 @@
         wait_s: float,
         outage: RegistryOutage | None = None,
     ) -> KindWatcher:
-        return KindWatcher(
-            self._source,
-            kind,
-            handler,
-            wait_s,
-            self._rng,
-            self._times.pause_s,
-            MAX_RETRY_GROWTH,
-            outage,
-        )
+        pause_s = self._times.pause_s
+        return KindWatcher(self._source, kind, handler, wait_s, self._schedule, pause_s, outage)
 
     def _watch_zones(self) -> KindWatcher:
         handler = KindHandler.of_names(self._apply_zones)
@@ -112,7 +110,7 @@
 
     def start(self) -> "list[asyncio.Task[None]]":
         """Start the watches; they begin to read once other machines had time to send updates."""
-        tasks = [start_loop(watcher.run(), "platform") for watcher in self._watches]
+        tasks = [start_loop(watch.run(), "platform") for watch in self._watches.values()]
         waiting = self.reading.wait_for_update(self._load_replicas, self._times.max_age_s)
         return [*tasks, start_loop(waiting, "registry")]
 
@@ -121,8 +119,10 @@
 
         That the registry answers for another kind says nothing of the configuration.
         """
+        if self._node.catalog.is_part_fresh(CatalogPart.DOCUMENT):
+            return True
         is_confirmed = self._node.configuration_age.seconds <= self._times.silence_s
-        return self._node.catalog.is_fresh or (is_confirmed and not self.reading.is_lost)
+        return is_confirmed and not self._configuration.is_lost
 
     async def _load_replicas(self) -> bool:
         """Read the list of replica machines; a list that is seconds old is sufficient."""
--- a/src/bendshed/turns/node.py
+++ b/src/bendshed/turns/node.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from bendshed.admission.quota_limits import NO_TOLERANCE, QuotaTolerance
-from bendshed.catalog.confirmations import CatalogPart
+from bendshed.catalog.parts import CatalogPart
 from bendshed.catalog.replica_parts import CatalogDependencies, ReplicaCatalogParts
 from bendshed.catalog.times import CatalogTimes
 from bendshed.consensus.directory import ReplicaDirectory
@@ -248,9 +248,12 @@
 
         return ElectionOrder.across_regions(is_home)
 
-    def set_registry_lost(self, is_lost: bool) -> None:
-        """Record whether this machine has lost the registry; if so, nodes use other replicas."""
-        self.catalog.set_registry_lost(is_lost)
+    def set_registry_lost(self, is_lost: bool, fails_partly: bool | None = None) -> None:
+        """Record whether this machine has lost the registry; if so, nodes use other replicas.
+
+        ``fails_partly``: the registry does not answer for some kind of objects.
+        """
+        self.catalog.set_registry_lost(is_lost, is_lost if fails_partly is None else fails_partly)
         self.follower.note_registry_lost(is_lost)
 
     def apply_zones(self, update: ZoneUpdate) -> None:
--- a/src/bendshed/turns/registry_watches.py
+++ b/src/bendshed/turns/registry_watches.py
@@ -4,9 +4,10 @@
 import random
 from functools import partial
 
-from bendshed.catalog.confirmations import CatalogPart
+from bendshed.catalog.call_schedule import CallSchedule
 from bendshed.catalog.metrics_port import LabelledGaugeFactory
 from bendshed.catalog.object_reader import ObjectReader
+from bendshed.catalog.parts import CatalogPart
 from bendshed.catalog.reading import RegistryReading
 from bendshed.catalog.registry_outage import RegistryOutage
 from bendshed.catalog.state import KnownRunner
@@ -51,7 +52,7 @@
         self._format = registry_format
         self._reader = ObjectReader(registry_format)
         self._node = node
-        self._rng = rng
+        self._schedule = CallSchedule(rng, MAX_RETRY_GROWTH)
         self._runners = self._watch(
             registry_format.runner_kind,
             KindHandler(self._set_runners, self._on_runner, self._confirm_runners),
@@ -71,11 +72,17 @@
             registry_format.closed_zone_kind, KindHandler.of_names(self._on_zones)
         )
         self._zones.is_first_watch_short = True
-        others = [self._configuration, *self._watch_replica_machines(times.idle_wait_s)]
+        self._watches = {
+            CatalogPart.RUNNERS: self._runners,
+            CatalogPart.DOCUMENT: self._configuration,
+            CatalogPart.MACHINES: self._watch_machines(times.idle_wait_s),
+            CatalogPart.RETIREMENTS: self._watch_retirements(times.idle_wait_s),
+        }
         if times.follows_zones:
-            others.append(self._zones)
-        self._watches = [self._runners, *others]
-        self.reading = RegistryReading(node.follower, self._runners, others, node.set_registry_lost)
+            self._watches[CatalogPart.ZONES] = self._zones
+        self.reading = RegistryReading(
+            node.follower, self._watches, self._schedule, self._report_losses
+        )
         node.demand.on_pace_change.append(self._set_pace)
 
     def _watch(
@@ -83,34 +90,32 @@
     ) -> KindWatcher:
         pace = self._node.demand.pace
         return KindWatcher(
-            self._source,
-            kind,
-            handler,
-            pace.wait_s,
-            self._rng,
-            pace.pause_s,
-            MAX_RETRY_GROWTH,
-            outage,
+            self._source, kind, handler, pace.wait_s, self._schedule, pace.pause_s, outage
         )
 
-    def _watch_replica_machines(self, wait_s: float) -> list[KindWatcher]:
-        replicas = KindWatcher(
+    def _watch_machines(self, wait_s: float) -> KindWatcher:
+        confirm = partial(self._node.catalog.confirm, CatalogPart.MACHINES)
+        return KindWatcher(
             self._source,
             self._format.replica_kind,
-            KindHandler.of_items(self._put_replica),
+            KindHandler.of_items(self._put_replica, confirm),
             wait_s,
-            self._rng,
+            self._schedule,
             REPLICA_BATCH_INTERVAL_S,
-            MAX_RETRY_GROWTH,
         )
-        retirements = KindWatcher(
+
+    def _watch_retirements(self, wait_s: float) -> KindWatcher:
+        confirm = partial(self._node.catalog.confirm, CatalogPart.RETIREMENTS)
+        return KindWatcher(
             self._source,
             self._format.retirement_kind,
-            KindHandler(self._replace_retirements, self._on_retirement),
+            KindHandler(self._replace_retirements, self._on_retirement, confirm),
             wait_s,
-            self._rng,
+            self._schedule,
         )
-        return [replicas, retirements]
+
+    def _report_losses(self) -> None:
+        self._node.set_registry_lost(self.reading.is_lost, self.reading.fails_partly)
 
     def add_gauges(self, metrics: LabelledGaugeFactory) -> None:
         """Add gauges of the calls to the registry and of what it holds."""
@@ -119,7 +124,7 @@
 
     def start(self) -> "list[asyncio.Task[None]]":
         """Start the watches."""
-        return [start_loop(watcher.run(), "platform") for watcher in self._watches]
+        return [start_loop(watch.run(), "platform") for watch in self._watches.values()]
 
     def _set_pace(self, pace: ReadingPace) -> None:
         for watcher in (self._runners, self._configuration):
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -25,7 +25,7 @@
 REENTRY_S = 1.8
 """Live runners whose entries lapsed write them again this long after the outage."""
 REQUEST_INTERVAL_S = 0.05
-SEEDS = (5, 12)
+SEEDS = (5, 12, 22)
 SERVICES = {"tools": Kind.UNREPEATABLE, "engines": Kind.TURN}
 SITES = ((SMALL, 1), (SMALL, 2), (LARGE, 3))
 """Sites whose nodes each read the registry, and one where a store reads it for all."""
--- a/tests/test_registry_faults.py
+++ b/tests/test_registry_faults.py
@@ -3,11 +3,15 @@
 import logging
 import unittest
 
+from bendshed.catalog.call_schedule import RETRY_MIN_S
+from bendshed.catalog.server import CATALOG_METHOD
+from bendshed.identifiers import rendezvous_rank
 from bendshed.platform import names
 from bendshed.rehearsal.site.layout import SMALL, SiteLayout
 from bendshed.rehearsal.site.registry_faults import FaultMode, RegistryFault
 from bendshed.rehearsal.site.silence_world import LARGE, Part, SilenceWorld, known_level
 from bendshed.rehearsal.site.sim_world import APPLY_S, CONTACT_S, SimMachine
+from bendshed.rehearsal.site.sim_zones import RUNNER_ZONES, ZONE_CLOSE_S
 
 ALL_KINDS = (
     names.RUNNER_KIND,
@@ -16,6 +20,11 @@
     names.RETIREMENT_KIND,
     names.CLOSED_ZONE_KIND,
 )
+KIND_PARTS = {
+    names.CONFIGURATION_KIND: Part.CONFIGURATION,
+    names.RUNNER_KIND: Part.RUNNERS,
+    names.CLOSED_ZONE_KIND: Part.ZONES,
+}
 LONG_S = 15.0
 """Longer than any delay between two calls that fail."""
 HEARTBEAT_S = 1.2
@@ -37,6 +46,16 @@
     return [row.name for row in machines_of(world) if known_level(row, part) < level]
 
 
+def change(world: SilenceWorld, part: Part) -> None:
+    match part:
+        case Part.CONFIGURATION:
+            world.publish()
+        case Part.RUNNERS:
+            world.drain_runner("engine-1")
+        case Part.ZONES:
+            world.close_zone(RUNNER_ZONES[0])
+
+
 class RegistryFaultTestCase(unittest.TestCase):
     def setUp(self) -> None:
         logging.disable(logging.CRITICAL)
@@ -91,3 +110,65 @@
             world.run_for(APPLY_S)
             stale += stale_machines(world, Part.CONFIGURATION)
         self.assertEqual(stale, [])
+
+
+class AwayRegistryTest(RegistryFaultTestCase):
+    """The platform's store answers nothing for a long time."""
+
+    # Guards against calls for every kind, by every node, to a store that is away.
+    def test_store_that_is_away_gets_no_more_calls_than_by_one_kind_each_node(self) -> None:
+        for layout in (SMALL, LARGE):
+            with self.subTest(fronts=len(layout.front_zones)):
+                world = self.open_world(layout)
+                world.model.faults.append(RegistryFault(FaultMode.REFUSED))
+                world.run_for(LONG_S)
+                before = world.model.num_calls.total()
+                world.run_for(LONG_S)
+                calls = world.model.num_calls.total() - before
+                self.assertLessEqual(calls, len(machines_of(world)) * (LONG_S / RETRY_MIN_S + 1))
+
+    # Guards against a store whose return is noticed only by calls for one kind.
+    def test_return_of_any_kind_is_noticed(self) -> None:
+        for kind, part in KIND_PARTS.items():
+            with self.subTest(kind=kind):
+                world = self.open_world(SMALL)
+                world.model.faults.append(RegistryFault(FaultMode.REFUSED))
+                world.run_for(LONG_S)
+                others = frozenset(ALL_KINDS) - {kind}
+                world.model.faults[:] = [RegistryFault(FaultMode.REFUSED, others)]
+                world.run_for(LONG_S)
+                change(world, part)
+                world.run_for(ZONE_CLOSE_S if part is Part.ZONES else APPLY_S)
+                self.assertEqual(stale_machines(world, part), [])
+
+
+class StruckMachinesTest(RegistryFaultTestCase):
+    """The platform's store turns some machines away and answers the others."""
+
+    # Guards against a part that one store cannot read and that nobody reads then.
+    def test_each_part_is_known_while_the_reader_cannot_read_it(self) -> None:
+        for layout in (SMALL, LARGE):
+            for kind, part in KIND_PARTS.items():
+                with self.subTest(fronts=len(layout.front_zones), kind=kind):
+                    world = self.open_world(layout)
+                    reader = rendezvous_rank(CATALOG_METHOD, world.stores)[0]
+                    fault = RegistryFault(FaultMode.REFUSED, frozenset({kind}), frozenset({reader}))
+                    world.model.faults.append(fault)
+                    world.run_for(LONG_S)
+                    change(world, part)
+                    world.run_for(ZONE_CLOSE_S if part is Part.ZONES else APPLY_S)
+                    self.assertEqual(stale_machines(world, part), [])
+
+    # Guards against a retirement that no store knows, since the reader cannot read retirements.
+    def test_retirement_is_known_while_the_reader_cannot_read_retirements(self) -> None:
+        world = self.open_world(LARGE)
+        reader = rendezvous_rank(CATALOG_METHOD, world.stores)[0]
+        kinds = frozenset({names.RETIREMENT_KIND})
+        world.model.faults.append(RegistryFault(FaultMode.REFUSED, kinds, frozenset({reader})))
+        world.run_for(LONG_S)
+        world.model.put(names.RETIREMENT_KIND, "store-9", {})
+        world.run_for(CONTACT_S)
+        for name, store in world.stores.items():
+            assert store.replica is not None
+            if name != reader:
+                self.assertEqual(store.replica.directory.retiring, {"store-9"}, name)
--- a/tests/test_relayed_follower.py
+++ b/tests/test_relayed_follower.py
@@ -1,11 +1,13 @@
 """A follower that reaches its source only through relays, which time out requests that wait."""
 
 import asyncio
+import math
 import random
 import unittest
 
 from bendshed.catalog.demand import MIN_SHARED_REQUESTERS
 from bendshed.catalog.follower import CatalogFollower, FollowerPaths
+from bendshed.catalog.parts import CatalogPart
 from bendshed.catalog.state import Catalog, KnownRunner
 from bendshed.catalog.times import CatalogTimes
 from bendshed.consensus.directory import ReplicaDirectory
@@ -45,9 +47,12 @@
     def apply_zones(self, update: ZoneUpdate) -> None:
         self.zone_revisions.append(update.zones.revision)
 
-    def confirm_all(self, age_s: float, runners_at: int) -> None:
+    def confirm_received(self, part: CatalogPart, age_s: float, runners_at: int) -> None:
         pass
 
+    def age_s(self, part: CatalogPart) -> float:
+        return math.inf
+
 
 class RecordingRelays:
     """Replies to relayed requests and records the wait that each asked for."""
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -5,15 +5,11 @@
 import math
 import random
 import unittest
+from collections.abc import Callable
 from unittest import mock
 
-from bendshed.catalog.watcher import (
-    LOST_WAIT_S,
-    RETRY_MAX_S,
-    RETRY_MIN_S,
-    KindHandler,
-    KindWatcher,
-)
+from bendshed.catalog.call_schedule import RETRY_MAX_S, RETRY_MIN_S, CallSchedule
+from bendshed.catalog.watcher import LOST_WAIT_S, KindHandler, KindWatcher
 from bendshed.ports.objects import (
     HistoryExpired,
     ObjectEvent,
@@ -104,10 +100,15 @@
             "kind",
             handler,
             wait_s,
-            random.Random(1),
-            max_retry_growth=max_retry_growth,
+            CallSchedule(random.Random(1), max_retry_growth),
         )
 
+    def in_loop(self, call: Callable[[], None]) -> None:
+        async def run() -> None:
+            call()
+
+        self.loop.run_until_complete(run())
+
     def run_for(self, seconds: float) -> None:
         self.loop.run_until_complete(asyncio.sleep(seconds))
 
@@ -149,11 +150,11 @@
 
     def test_paused_watch_resumes_at_the_revision_known_from_peers(self) -> None:
         self.run_for(1.0)
-        self.long.pause()
+        self.in_loop(self.long.pause)
         self.store.change(5)
         self.run_for(3.0)
         self.assertEqual(self.seen, [1])
-        self.long.resume(revision=5)
+        self.in_loop(lambda: self.long.resume(revision=5))
         self.run_for(0.5)
         self.assertEqual(self.seen, [1])
         self.store.change(6)
@@ -163,8 +164,8 @@
     def test_watch_resumed_at_a_known_revision_does_not_list(self) -> None:
         self.run_for(0.5)
         watcher = self.watcher([], 2.0)
-        watcher.pause()
-        watcher.resume(revision=1)
+        self.in_loop(watcher.pause)
+        self.in_loop(lambda: watcher.resume(revision=1))
         self.tasks.append(self.loop.create_task(watcher.run()))
         with mock.patch.object(self.store, "list") as listed:
             self.run_for(1.0)
@@ -200,10 +201,10 @@
         watcher.is_first_watch_short = True
         self.tasks.append(self.loop.create_task(watcher.run()))
         self.run_for(1.0)
-        watcher.pause()
+        self.in_loop(watcher.pause)
         self.run_for(3.0)
         self.store.is_down = True
-        watcher.resume()
+        self.in_loop(watcher.resume)
         self.run_for(0.3)
         self.store.is_down = False
         self.store.change(5)
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from bendshed.catalog.call_schedule import RETRY_MAX_S
 from bendshed.catalog.codec import (
     StoredCatalog,
     add_zones,
@@ -13,7 +14,7 @@
 from bendshed.catalog.registry_outage import MAX_LAST_RESORT_S
 from bendshed.catalog.state import Catalog, KnownRunner
 from bendshed.catalog.times import CatalogTimes
-from bendshed.catalog.watcher import LOST_WAIT_S, RETRY_MAX_S, KindHandler
+from bendshed.catalog.watcher import LOST_WAIT_S, KindHandler
 from bendshed.catalog.zones import make_registry_update
 from bendshed.model.address import Address
 from bendshed.model.places import Places
