--- a/src/bendshed/catalog/follower.py
+++ b/src/bendshed/catalog/follower.py
@@ -87,6 +87,7 @@
     Attributes:
         upstream: the machine that replied last.
         first_update: set once any machine has replied.
+        on_older_document: called with a machine that has an older configuration than this node.
         on_ends_version: called with the machine that replied and the version of the ends of runners
             that it knows.
 
@@ -122,6 +123,7 @@
         self._freshness = Freshness(self.upstream)
         self.first_update = asyncio.Event()
         self.on_ends_version: Callable[[Address, int], None] = lambda _machine, _version: None
+        self.on_older_document: Callable[[Address], None] = lambda _machine: None
         self._is_registry_lost = False
         self._is_reading_shared = False
         self._num_failed = 0
@@ -316,6 +318,8 @@
         self.upstream.num_dependents = update.num_dependents
         self._is_reading_shared = self._may_share and is_reading_shared(update.num_dependents)
         self._confirm(known_parts, update)
+        if CatalogPart.DOCUMENT not in known_parts:
+            self.on_older_document(machine)
 
     def _confirm(self, parts: Iterable[CatalogPart], update: CatalogUpdate) -> None:
         """Use the age of each part; while one machine reads for all, parts may be fresh by it."""
--- a/src/bendshed/catalog/replica_parts.py
+++ b/src/bendshed/catalog/replica_parts.py
@@ -9,6 +9,7 @@
 
 from bendshed.catalog.codec import StoredCatalog
 from bendshed.catalog.demand import SILENT_FRONT_EXPIRY_S, Demand
+from bendshed.catalog.document_exchange import DocumentReceiver, send_document
 from bendshed.catalog.follower import CatalogFollower, FollowerPaths
 from bendshed.catalog.front_exchange import FrontExchange
 from bendshed.catalog.persistence import CatalogPersistence
@@ -105,6 +106,14 @@
             dependencies.transport, dependencies.transport, list, self._quarantine
         )
         self.follower.on_ends_version = quarantine_client.note_version
+        self.follower.on_older_document = self._send_document
+        self._document_receiver = DocumentReceiver(
+            self.catalog,
+            dependencies.directory,
+            dependencies.transport,
+            dependencies.own_address,
+            lambda version: self.follower.note_revisions(version, 0),
+        )
         self.server = CatalogServer(
             self.catalog,
             dependencies.directory,
@@ -129,6 +138,7 @@
         self.catalog.schedule_save()
         self.server.start(self._dependencies.transport)
         self._exchange.start()
+        self._document_receiver.start()
         self._quarantine.start()
         catalog, zones_at = self.catalog.catalog, self.catalog.zones.record.zones.revision
         log.say(
@@ -140,6 +150,11 @@
         self.follower.note_revisions(catalog.version, catalog.runners_at)
         self.follower.note_zones_revision(zones_at)
 
+    def _send_document(self, machine: Address) -> None:
+        document = self.catalog.catalog.document
+        if document is not None:
+            send_document(self._dependencies.transport, machine, document)
+
     def background_loops(self) -> list[Coroutine[Any, Any, None]]:
         """Coroutines that run in the background until cancelled."""
         return [
--- a/src/bendshed/services/node.py
+++ b/src/bendshed/services/node.py
@@ -9,6 +9,7 @@
 
 from bendshed.catalog.cold_runner_tracker import ColdRunnerTracker
 from bendshed.catalog.confirmations import ConfirmationAge
+from bendshed.catalog.document_exchange import send_document
 from bendshed.catalog.follower import CatalogFollower, FollowerPaths
 from bendshed.catalog.parts import CatalogPart
 from bendshed.catalog.quarantine_client import QuarantineClient
@@ -121,6 +122,7 @@
             transport, rng, self._other_nodes, RELAYED_METHODS, self.host_locations
         )
         self.catalog = self._build_follower(transport, location, times, rng)
+        self.catalog.on_older_document = partial(self._send_document, transport)
         self._share_quarantine(transport, location)
         self._turn_ports = self._build_turn_ports(location, rng, metrics)
         self.quotas = self._turn_ports.quotas
@@ -148,6 +150,10 @@
             self._policy.shared_reading,
         )
 
+    def _send_document(self, transport: Transport, machine: Address) -> None:
+        if self.forwarder.index is not None:
+            send_document(transport, machine, self.forwarder.index.document)
+
     def _build_table(self, times: CatalogTimes) -> RunnerTable:
         table = RunnerTable(
             filter=self.zones.filter,
--- a/tests/test_registry_faults.py
+++ b/tests/test_registry_faults.py
@@ -159,6 +159,22 @@
                     world.run_for(ZONE_CLOSE_S if part is Part.ZONES else APPLY_S)
                     self.assertEqual(stale_machines(world, part), [])
 
+    # Guards against a version that stays unknown at fronts which are turned away with all stores.
+    def test_configuration_reaches_machines_that_are_turned_away(self) -> None:
+        for layout in (SMALL, LARGE):
+            for kinds in (frozenset[str](), frozenset({names.CONFIGURATION_KIND})):
+                with self.subTest(fronts=len(layout.front_zones), kinds=kinds):
+                    world = self.open_world(layout)
+                    served = sorted(world.fronts)[-1]
+                    others = {row.name for row in machines_of(world)} - {served}
+                    fault = RegistryFault(FaultMode.REFUSED, kinds, frozenset(others))
+                    world.model.faults.append(fault)
+                    for _ in range(3):
+                        world.run_for(LONG_S)
+                        world.publish()
+                        world.run_for(APPLY_S)
+                        self.assertEqual(stale_machines(world, Part.CONFIGURATION), [])
+
     # Guards against a retirement that no store knows, since the reader cannot read retirements.
     def test_retirement_is_known_while_the_reader_cannot_read_retirements(self) -> None:
         world = self.open_world(LARGE)
