--- a/src/bendshed/cli/rehearse.py
+++ b/src/bendshed/cli/rehearse.py
@@ -125,6 +125,7 @@
         option("closings", None, "Sites that lose power as a whole at their end", flag=True),
         option("silences", None, "Connections to the platform's store become silent", flag=True),
         option("departures", None, "Runners leave around outages of the store", flag=True),
+        option("registry", None, "The store fails for some kinds or machines", flag=True),
     ]
 
     def handle(self) -> int:
@@ -144,6 +145,13 @@
             from bendshed.rehearsal.site.departures import DEPARTURES, STEPS_PER_DEPARTURE
 
             return self.search(DEPARTURES, int(self.option("worlds")) * STEPS_PER_DEPARTURE)
+        if self.option("registry"):
+            from bendshed.rehearsal.site.registry_fault_search import (
+                REGISTRY_FAULTS,
+                STEPS_PER_FAULT_WORLD,
+            )
+
+            return self.search(REGISTRY_FAULTS, int(self.option("worlds")) * STEPS_PER_FAULT_WORLD)
         if self.option("streams"):
             from bendshed.rehearsal.site import stream_steps
 
--- a/tests/run.py
+++ b/tests/run.py
@@ -45,6 +45,7 @@
     "test_turn_groups",
     "test_fuzz",
     "test_promises",
+    "test_registry_fault_search",
 )
 """Modules whose parts begin first, so that none is left for the end."""
 SPLIT_CLASSES = (
