--- a/src/bendshed/catalog/call_schedule.py
+++ b/src/bendshed/catalog/call_schedule.py
@@ -19,6 +19,10 @@
 """Retry delay of a process that knows the kind and can serve requests meanwhile, since calls to a
 store that is down cost as much as others."""
 
+MAX_RETRY_GROWTH = 2.0
+"""Limit of the growth of a retry delay. A node is in touch again soon after an outage, also if no
+other informs it, so the longest delay and the calls after it must fit into that time."""
+
 
 @dataclass(slots=True)
 class _Kind:
@@ -55,7 +59,7 @@
 
     """
 
-    def __init__(self, rng: random.Random, max_growth: float = 1.0) -> None:
+    def __init__(self, rng: random.Random, max_growth: float = MAX_RETRY_GROWTH) -> None:
         self.on_change: list[Callable[[], None]] = []
         self._rng = rng
         self._max_growth = max_growth
--- a/src/bendshed/services/registry_watches.py
+++ b/src/bendshed/services/registry_watches.py
@@ -19,9 +19,6 @@
 from bendshed.services.node import ServiceNode
 from bendshed.tasks import start_loop
 
-MAX_RETRY_GROWTH = 8.0
-"""Limit of retry interval growth: replica machines try more often and inform the fronts."""
-
 log = PartLog("front")
 
 
@@ -52,7 +49,7 @@
         self._reader = ObjectReader(registry_format)
         self._node = node
         self._times = times
-        self._schedule = CallSchedule(rng, MAX_RETRY_GROWTH)
+        self._schedule = CallSchedule(rng)
         self._runners = self._watch(
             registry_format.runner_kind,
             KindHandler(self._set_runners, self._on_runner, node.note_runners_read),
--- a/src/bendshed/turns/registry_watches.py
+++ b/src/bendshed/turns/registry_watches.py
@@ -19,8 +19,6 @@
 from bendshed.tasks import start_loop
 from bendshed.turns.node import TurnLogNode
 
-MAX_RETRY_GROWTH = 2.0
-"""Limit of retry interval growth for a lost store; the first replica to reach it informs all."""
 REPLICA_BATCH_INTERVAL_S = 0.25
 """Changes within this interval, such as many replicas starting at once, are fetched in one call;
 the first change after an idle period is delivered immediately."""
@@ -52,7 +50,7 @@
         self._format = registry_format
         self._reader = ObjectReader(registry_format)
         self._node = node
-        self._schedule = CallSchedule(rng, MAX_RETRY_GROWTH)
+        self._schedule = CallSchedule(rng)
         self._runners = self._watch(
             registry_format.runner_kind,
             KindHandler(self._set_runners, self._on_runner, self._confirm_runners),
--- a/tests/test_registry_faults.py
+++ b/tests/test_registry_faults.py
@@ -175,6 +175,20 @@
                         world.run_for(APPLY_S)
                         self.assertEqual(stale_machines(world, Part.CONFIGURATION), [])
 
+    # Guards against fronts that wait for stores to tell them of the registry's return.
+    def test_fronts_find_the_return_of_the_registry_without_stores(self) -> None:
+        for layout in (SMALL, LARGE):
+            for part in Part:
+                with self.subTest(fronts=len(layout.front_zones), part=part):
+                    world = self.open_world(layout)
+                    world.model.faults.append(RegistryFault(FaultMode.REFUSED))
+                    world.run_for(2 * LONG_S)
+                    change(world, part)
+                    stores = frozenset(world.stores)
+                    world.model.faults[:] = [RegistryFault(FaultMode.REFUSED, machines=stores)]
+                    world.run_for(CONTACT_S)
+                    self.assertEqual(set(stale_machines(world, part)) - stores, set())
+
     # Guards against a retirement that no store knows, since the reader cannot read retirements.
     def test_retirement_is_known_while_the_reader_cannot_read_retirements(self) -> None:
         world = self.open_world(LARGE)
