--- a/src/bendshed/rehearsal/site/installation.py
+++ b/src/bendshed/rehearsal/site/installation.py
@@ -1,6 +1,7 @@
 """A small site of real processes: fronts and stores, with the platform's stand-ins beside them."""
 
 import asyncio
+import contextlib
 import os
 import random
 import signal
@@ -15,6 +16,7 @@
 from bendshed.adapters.sockets import bind
 from bendshed.model.address import Address
 from bendshed.model.runner import RunnerState, ServiceRunner
+from bendshed.model.service_document import ServiceDocument
 from bendshed.platform import names
 from bendshed.platform.encode import write_document, write_runner, write_settings
 from bendshed.ports.http_messages import ClientRequest, ConnectFailed, ResponseBroken
@@ -36,6 +38,7 @@
 STOP_LIMIT_S = 60.0
 """Guards against a hang; how long a stop may take is judged on the bench, in simulated time."""
 CHECK_S = 0.1
+MIN_PORT, MAX_PORT = 10_000, 30_000
 MIN_LIFE_MS = 1
 DEFAULT_TIMES = TurnRouteTimes()
 
@@ -101,13 +104,10 @@
     fronts: dict[str, SiteProcess] = field(default_factory=dict)
     stores: dict[str, SiteProcess] = field(default_factory=dict)
     runners: list[RunnerServer] = field(default_factory=list)
-    _store_server: HttpServer | None = None
-    _store_serving: "asyncio.Task[None] | None" = None
-    _store_address: Address | None = None
+    _store_servers: "dict[HttpServer, asyncio.Task[None]]" = field(default_factory=dict)
 
     async def start(self, num_fronts: int = 3, num_stores: int = 3) -> None:
         """Start everything and wait until all fronts are ready and the turn log is bootstrapped."""
-        await self._start_metadata()
         for number in range(2):
             await self.add_runner(f"engine-{number + 1}", "engines", ZONES[number])
             await self.add_runner(f"tool-{number + 1}", "tools", ZONES[number])
@@ -131,16 +131,18 @@
         await asyncio.gather(*(p.end(signal.SIGKILL) for p in started), return_exceptions=True)
         for runner in self.runners:
             await runner.stop()
-        if self._store_server is not None and self._store_serving is not None:
-            self._store_server.should_exit = self._store_server.force_exit = True
-            await asyncio.wait([self._store_serving], timeout=2.0)
+        for server in self._store_servers:
+            server.should_exit = server.force_exit = True
+        if self._store_servers:
+            await asyncio.wait(self._store_servers.values(), timeout=2.0)
 
-    async def _start_metadata(self) -> None:
+    def _serve_store(self, machine: str) -> Address:
+        """Serve the platform's store at an address of its own for one machine."""
         listener = bind(HOST, 0)
-        self._store_address = Address(HOST, listener.getsockname()[1])
-        self._store_server = make_server(MetadataServer(self.metadata).application())
-        serve = self._store_server.serve(sockets=[listener])
-        self._store_serving = asyncio.get_running_loop().create_task(serve)
+        server = make_server(MetadataServer(self.metadata, machine).application())
+        serving = asyncio.get_running_loop().create_task(server.serve(sockets=[listener]))
+        self._store_servers[server] = serving
+        return Address(HOST, listener.getsockname()[1])
 
     async def add_runner(
         self, name: str, service: str, zone: str, version: str = FIRST_SOFTWARE_VERSION
@@ -185,13 +187,16 @@
 
     def publish(self, version: int, times: TurnRouteTimes = DEFAULT_TIMES) -> None:
         """The operator writes a configuration."""
-        spec = write_document(make_document(version, times=times), all_keys())
+        self.publish_document(make_document(version, times=times))
+
+    def publish_document(self, document: ServiceDocument) -> None:
+        """The operator writes this configuration."""
+        spec = write_document(document, all_keys())
         self.metadata.put(names.CONFIGURATION_KIND, names.CONFIGURATION_NAME, spec)
-        self.seen.newest_version = version
+        self.seen.newest_version = document.version
 
     def _plan(self, name: str, role: str, zone: str, among: dict[str, SiteProcess]) -> None:
-        peer, front, ready = free_ports(3)
-        assert self._store_address is not None
+        peer, front, ready = free_ports()
         data_folder = self.folder / name if role == "store" else None
         if data_folder is not None:
             data_folder.mkdir()
@@ -200,7 +205,7 @@
             name,
             zone,
             (peer, front, ready),
-            self._store_address,
+            self._serve_store(name),
             HOST,
             str(data_folder) if data_folder is not None else None,
             self.zone_close_ms,
@@ -252,12 +257,13 @@
         return False
 
 
-def free_ports(count: int) -> tuple[int, int, int]:
-    """Ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((HOST, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports[0], ports[1], ports[2]
+def free_ports() -> tuple[int, int, int]:
+    """Three ports that are free now, and that the system gives to no outgoing connection."""
+    found: list[int] = []
+    while len(found) < 3:
+        port = random.SystemRandom().randrange(MIN_PORT, MAX_PORT)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            if port not in found:
+                found.append(port)
+    return found[0], found[1], found[2]
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -38,7 +38,7 @@
 
 class ListenBeforeImportTest(unittest.TestCase):
     def test_front_accepts_connections_before_role_is_imported(self) -> None:
-        ports = free_ports(3)
+        ports = free_ports()
         seen_listeners: list[Listeners] = []
 
         def run_role(
