--- a/src/bendshed/cli/rehearse.py
+++ b/src/bendshed/cli/rehearse.py
@@ -119,6 +119,7 @@
         option("regions", None, "Sites of two regions", flag=True),
         option("streams", None, "Two software versions serve, streams are resumed", flag=True),
         option("restarts", None, "With --streams: runners start again under their ids", flag=True),
+        option("unnamed", None, "With --streams: clients name no stream", flag=True),
         option("returns", None, "Clients return just before a turn is forgotten", flag=True),
         option("routes", None, "With --returns: time-outs of turns change", flag=True),
         option("fatal", None, "Requests under which runners end", flag=True),
@@ -155,7 +156,9 @@
         if self.option("streams"):
             from bendshed.rehearsal.site import stream_steps
 
-            if self.option("restarts"):
+            if self.option("unnamed"):
+                one = two = stream_steps.UNNAMED_STREAMS
+            elif self.option("restarts"):
                 one, two = stream_steps.STREAMS_WITH_RESTARTS, stream_steps.RESTARTS_IN_TWO_REGIONS
             else:
                 one, two = stream_steps.STREAMS, stream_steps.STREAMS_OF_TWO_REGIONS
--- a/src/bendshed/rehearsal/site/actions.py
+++ b/src/bendshed/rehearsal/site/actions.py
@@ -56,6 +56,8 @@
     OPEN_ZONES = "operators open all zones"
     CLOSE_ZONE_IN_THE_DARK = "all start with a closed zone while the metadata store is down"
     START_STREAMS = "start programs that resume their streams"
+    START_UNNAMED_STREAMS = "start programs that resume streams without naming them"
+    POWER_OFF_FRONTS = "all fronts lose power at once"
     RELEASE = "a runner of another version takes the place of one"
     CUT_STREAMS = "all runners cut streams"
     RESTART_RUNNER = "a runner starts again under its id with another version"
@@ -71,6 +73,8 @@
 """What only a site of several regions knows."""
 OF_STREAMS = (Action.START_STREAMS, Action.RELEASE, Action.CUT_STREAMS)
 """What only searches with resumed streams draw, so that the others keep their worlds."""
+OF_UNNAMED = (Action.START_UNNAMED_STREAMS, Action.POWER_OFF_FRONTS)
+"""What only searches draw whose clients do not name the streams that they take up again."""
 OF_RESTARTS = (Action.RESTART_RUNNER, Action.RESTART_RUNNERS)
 """What only searches with restarts draw."""
 OF_RETURNS = (Action.RETURN_LATE,)
@@ -82,6 +86,6 @@
 OF_REGIONS = tuple(
     action
     for action in Action
-    if action not in (*OF_STREAMS, *OF_RESTARTS, *OF_RETURNS, *OF_ROUTES, *OF_FATAL)
+    if action not in (*OF_STREAMS, *OF_UNNAMED, *OF_RESTARTS, *OF_RETURNS, *OF_ROUTES, *OF_FATAL)
 )
 WITHIN_A_REGION = tuple(action for action in OF_REGIONS if action not in BETWEEN_REGIONS)
--- a/src/bendshed/rehearsal/site/documents.py
+++ b/src/bendshed/rehearsal/site/documents.py
@@ -82,6 +82,7 @@
     routes = (
         turn,
         resumable,
+        replace(resumable, name="resumable-call", path_prefix="/resumable-call/"),
         _plain("repeatable", RouteKind.IDEMPOTENT, 2),
         _plain("unrepeatable", RouteKind.NON_IDEMPOTENT, 1),
     )
--- a/src/bendshed/rehearsal/site/http_client.py
+++ b/src/bendshed/rehearsal/site/http_client.py
@@ -60,7 +60,8 @@
         headers.append((HARMLESS_HEADER, b"1"))
     if request.after_event:
         headers.append((names.LAST_EVENT_ID, str(request.after_event).encode()))
-        headers.append((names.RESUMES, request.resumes.encode()))
+        if request.names_stream:
+            headers.append((names.RESUMES, request.resumes.encode()))
     if request.kind in (Kind.TURN, Kind.RESUMABLE_TURN):
         counts = f"{len(request.body)},{tokens_of(request.most_events)}"
         headers.append((names.TOKEN_COUNTS, counts.encode()))
--- a/src/bendshed/rehearsal/site/oracle.py
+++ b/src/bendshed/rehearsal/site/oracle.py
@@ -9,7 +9,7 @@
 from bendshed.rehearsal.site.cold import overfull_seconds
 from bendshed.rehearsal.site.documents import NARROW, QUOTA_TERMS, narrow_most
 from bendshed.rehearsal.site.endings import runs_behind_endings
-from bendshed.rehearsal.site.records import Kind, SiteRecords, SiteRequest
+from bendshed.rehearsal.site.records import RESUMABLE_KINDS, Kind, SiteRecords, SiteRequest
 from bendshed.rehearsal.site.runner import EVENT_TOKENS, event_bytes, plain_answer, stream_output
 from bendshed.rehearsal.site.sim_streams import mixed_streams, neglected_resumptions
 from bendshed.rehearsal.site.sim_zones import runs_in_closed_zones
@@ -90,7 +90,7 @@
 
 
 def _expected_answer(request: SiteRequest) -> bytes:
-    if request.kind not in (Kind.TURN, Kind.RESUMABLE_TURN):
+    if request.kind not in (Kind.TURN, *RESUMABLE_KINDS):
         return plain_answer(request.request_id)
     numbers = range(request.after_event, request.most_events)
     events = (event_bytes(request.request_id, number) for number in numbers)
--- a/src/bendshed/rehearsal/site/records.py
+++ b/src/bendshed/rehearsal/site/records.py
@@ -15,6 +15,11 @@
     UNREPEATABLE = "unrepeatable"
     RESUMABLE_TURN = "resumable"
     """A turn whose stream may be taken up again, and which is not stored."""
+    RESUMABLE_CALL = "resumable-call"
+    """The same without a budget: no turn."""
+
+
+RESUMABLE_KINDS = (Kind.RESUMABLE_TURN, Kind.RESUMABLE_CALL)
 
 
 @dataclass(slots=True)
@@ -36,6 +41,7 @@
         operation: the same for all attempts of a client to have one request served.
         is_calm: when it was sent, all machines were in touch.
         is_harmless: runners survive it, though an equal one may end them.
+        names_stream: the client names ``resumes``; otherwise that is known to the oracle alone.
 
     """
 
@@ -62,6 +68,7 @@
     operation: str = ""
     is_calm: bool = False
     is_harmless: bool = False
+    names_stream: bool = True
 
     @property
     def num_events(self) -> int:
--- a/src/bendshed/rehearsal/site/sim_caller.py
+++ b/src/bendshed/rehearsal/site/sim_caller.py
@@ -113,7 +113,7 @@
         program_id=request.program_id,
         session=request.program_id,
         last_event_id=str(request.after_event or ""),
-        resumes=request.resumes,
+        resumes=request.resumes if request.names_stream else "",
         turn=turn,
         arrived_s=now_s,
         credential=credential_digest(key_of(request.tenant)),
--- a/src/bendshed/rehearsal/site/stream_steps.py
+++ b/src/bendshed/rehearsal/site/stream_steps.py
@@ -5,11 +5,19 @@
 
 from bendshed.model.runner import RunnerState, ServiceRunner
 from bendshed.rehearsal.search import Game, Step
-from bendshed.rehearsal.site.actions import CALM, OF_RESTARTS, OF_STREAMS, WITHIN_A_REGION, Action
-from bendshed.rehearsal.site.documents import STREAM_SERVICE
+from bendshed.rehearsal.site.actions import (
+    CALM,
+    OF_RESTARTS,
+    OF_STREAMS,
+    OF_UNNAMED,
+    WITHIN_A_REGION,
+    Action,
+)
+from bendshed.rehearsal.site.documents import STREAM_SERVICE, WIDE
 from bendshed.rehearsal.site.fuzz import MAX_PROGRAMS, SITE, SiteFuzzer, start_in_two_regions
 from bendshed.rehearsal.site.oracle import Violation
 from bendshed.rehearsal.site.programs import ProgramPlan
+from bendshed.rehearsal.site.records import RESUMABLE_KINDS
 from bendshed.rehearsal.site.sim_world import BOTH_BIRTHS, SiteWorld, ToldBirths
 
 STREAMS_PER_PROGRAM = 4
@@ -36,6 +44,10 @@
     match step.action:
         case Action.START_STREAMS:
             _start_streams(world)
+        case Action.START_UNNAMED_STREAMS:
+            _start_unnamed_streams(world, step)
+        case Action.POWER_OFF_FRONTS:
+            _power_off_fronts(world, step)
         case Action.RELEASE:
             _release(world, step)
         case Action.CUT_STREAMS:
@@ -71,6 +83,32 @@
             program.pick_node = partial(_pick_front, world)
 
 
+def _start_unnamed_streams(world: SiteWorld, step: Step[Action]) -> None:
+    """Start programs whose streams are turns, or are none; their clients name no attempt."""
+    if len(world.programs) < MAX_PROGRAMS:
+        kind = RESUMABLE_KINDS[step.which % len(RESUMABLE_KINDS)]
+        plan = ProgramPlan(
+            turns=0,
+            tools=0,
+            streams=STREAMS_PER_PROGRAM,
+            stream_kind=kind,
+            names_streams=False,
+            stream_retry_s=step.amount,
+        )
+        for _ in range(2):
+            program = world.start_program(plan, tenant=WIDE)
+            program.pick_node = partial(_pick_front, world)
+
+
+def _power_off_fronts(world: SiteWorld, step: Step[Action]) -> None:
+    world.count("all fronts lose power")
+    for front in world.fronts.values():
+        world.kill(front)
+    world.run_for(2 * step.amount)
+    for front in world.fronts.values():
+        world.restart(front)
+
+
 def _release(world: SiteWorld, step: Step[Action]) -> None:
     """Start a runner of a new or an old version; the oldest one that serves leaves."""
     serving = _serving(world)
@@ -111,6 +149,7 @@
 STREAMS: Game[Action, SiteWorld, Violation] = replace(
     SITE, apply=apply_step, actions=(*WITHIN_A_REGION, *CALM * 2, *OF_STREAMS * 8)
 )
+UNNAMED_STREAMS = replace(STREAMS, actions=(*STREAMS.actions, *OF_UNNAMED * 10))
 STREAMS_WITH_RESTARTS = replace(STREAMS, actions=(*STREAMS.actions, *OF_RESTARTS * 6))
 STREAMS_OF_TWO_REGIONS = replace(
     STREAMS,
--- a/src/bendshed/services/forwarder.py
+++ b/src/bendshed/services/forwarder.py
@@ -233,6 +233,9 @@
             return refusal
         if is_stream:
             origin = self._build_origin_recorder(request, attempts)
+            not_recordable = origin.reject_if_not_recordable() if origin is not None else None
+            if not_recordable is not None:
+                return not_recordable
             return await StreamExchange(request, attempts, caller, None, origin).run()
         return await self._serve_plain(attempts, caller)
 
--- a/src/bendshed/services/stream_origins.py
+++ b/src/bendshed/services/stream_origins.py
@@ -233,6 +233,13 @@
         is_recorded = await self._record(answering, group)
         return is_recorded or not recorded_version
 
+    def reject_if_not_recordable(self) -> Refusal | None:
+        """Refuse a stream that is no turn while the turn log does not answer."""
+        if self.origins.client.unreachable_since_s is None:
+            return None
+        detail = "the version of a stream that may be resumed cannot be recorded"
+        return Refusal(ErrorKind.TURN_LOG_UNAVAILABLE, detail)
+
     async def confirm_of_call(self, answering: AnsweringProcess) -> bool:
         """The same for a stream that is not a turn, of which nothing is recorded yet.
 
@@ -241,10 +248,8 @@
         """
         if not self._is_bound_to(answering.software_version):
             return False
-        if self.origins.client.unreachable_since_s is None:
-            group = self.origins.group_locator.group_of(self.tenant, self.request.program_id, "")
-            await self._record(answering, group)
-        return True
+        group = self.origins.group_locator.group_of(self.tenant, self.request.program_id, "")
+        return await self._record(answering, group)
 
     def _is_bound_to(self, version: str) -> bool:
         return not self.bound_version or version == self.bound_version
@@ -252,7 +257,9 @@
     async def _record(self, answering: AnsweringProcess, group: int) -> bool:
         version, process = answering.software_version, answering.origin_process
         origin = wire.StreamOrigin(
-            service=self.expected.service, software_version=version, ttl_ms=self.expected.ttl_ms
+            service=self.expected.service,
+            software_version=version,
+            ttl_ms=self.expected.ttl_ms,
         )
         if process is not None:
             origin.runner_id, origin.born_ms = process.runner_id, process.born_ms
--- a/tests/site_stream_defects.py
+++ b/tests/site_stream_defects.py
@@ -2,23 +2,39 @@
 
 import contextlib
 from collections.abc import Iterator
+from dataclasses import replace
+from functools import partial
+from unittest import mock
 
 from bendshed.errors import ErrorKind, Refusal
-from bendshed.model.runner import ServiceRunner
+from bendshed.model.runner import RunnerState, ServiceRunner
 from bendshed.model.stream_origin import StreamOrigin
 from bendshed.placement.proven_version import NOT_PROVEN
 from bendshed.rehearsal.site.documents import STREAM_SERVICE, WIDE
 from bendshed.rehearsal.site.oracle import Rule, Violation
 from bendshed.rehearsal.site.programs import ProgramPlan
+from bendshed.rehearsal.site.records import Kind
 from bendshed.rehearsal.site.runner import FIRST_SOFTWARE_VERSION
-from bendshed.rehearsal.site.sim_world import BOTH_BIRTHS, SiteWorld, ToldBirths
+from bendshed.rehearsal.site.sim_world import (
+    BOTH_BIRTHS,
+    START_LIMIT_S,
+    SiteWorld,
+    ToldBirths,
+)
 from bendshed.services.runner_placement import RunnerPlacement
-from bendshed.services.stream_origins import OriginRecorder, StreamOriginClient
+from bendshed.services.stream_origins import (
+    AnsweringProcess,
+    OriginRecorder,
+    StreamOriginClient,
+)
 from bendshed.turns.stream_origins import StreamOrigins
 from tests.site_defects import Defect, patch
 
 STREAMS = ProgramPlan(turns=0, tools=0, streams=3)
 NEXT_VERSION = "v2"
+UNLIMITED_TOKENS = 10**9
+SLOW_STREAMS = 8.0
+"""Streams last for seconds."""
 RELEASE_S = 4.0
 """By then every front has applied the new list, and all machines are in touch."""
 CUT_SHARE = 0.4
@@ -69,6 +85,82 @@
         return site.settle()
 
 
+def lose_power(site: SiteWorld, with_stores: bool, for_s: float) -> None:
+    """All fronts are down at once, and the stores if wanted, and come back."""
+    machines = [*site.fronts.values(), *(site.stores.values() if with_stores else [])]
+    for machine in machines:
+        site.kill(machine)
+    site.run_for(for_s)
+    for machine in machines:
+        site.restart(machine)
+
+
+def fronts_lose_power_in_a_release(seed: int) -> list[Violation]:
+    """All fronts are killed just as the last runners of a version have left.
+
+    Half of the clients name no attempt, half of the streams are no turns; in every other series the
+    stores lose power too.
+    """
+    with half_released_site(seed) as site:
+        for number in range(4):
+            for kind in (Kind.RESUMABLE_TURN, Kind.RESUMABLE_CALL):
+                for is_named in (True, False):
+                    plan = replace(STREAMS, stream_kind=kind, names_streams=is_named)
+                    for _ in range(4):
+                        site.start_program(plan, budget_tokens=UNLIMITED_TOKENS, tenant=WIDE)
+            site.run_for(site.rng.uniform(0.2, 0.8))
+            _release_next_version(site, number)
+            site.run_for(site.rng.uniform(0.0, 0.3))
+            lose_power(site, with_stores=number % 2 == 1, for_s=site.rng.uniform(0.1, 2.5))
+            site.run_for(4.0)
+        return site.settle()
+
+
+def fronts_lose_power_behind_a_silent_turn_log(seed: int) -> list[Violation]:
+    """Streams that are no turns begin while no store answers; then their version leaves."""
+    with half_released_site(seed) as site:
+        for row in list(site.listed.values()):
+            if row.software_version == NEXT_VERSION:
+                site.drain_runner(row.runner_id)
+        site.run_for(RELEASE_S)
+        for runner in site.runners.values():
+            runner.troubles.cut, runner.troubles.slow = 0.0, SLOW_STREAMS
+        for store in site.stores.values():
+            site.kill(store)
+        plan = replace(
+            STREAMS, stream_kind=Kind.RESUMABLE_CALL, names_streams=False, stream_retry_s=0.5
+        )
+        start = partial(site.start_program, plan, budget_tokens=UNLIMITED_TOKENS, tenant=WIDE)
+        for _ in range(8):
+            start()
+        site.run_for(1.5)
+        _release_next_version(site, 0)
+        for store in site.stores.values():
+            site.restart(store)
+        site.wait_for(site.is_led, START_LIMIT_S)
+        site.run_for(0.5)
+        for _ in range(4):
+            start()
+        site.run_for(site.rng.uniform(0.2, 0.5))
+        lose_power(site, with_stores=False, for_s=0.1)
+        site.run_for(8.0)
+        return site.settle()
+
+
+def _release_next_version(site: SiteWorld, number: int) -> None:
+    """Runners of the oldest version leave at once, others of a new one are there."""
+    serving = [row for row in site.listed.values() if row.service == STREAM_SERVICE]
+    ready = [row for row in serving if row.state is RunnerState.READY]
+    oldest = ready[0].software_version
+    for index in range(2):
+        name = f"next-{number}-{index}"
+        site.add_runner(name, STREAM_SERVICE, 8, software_version=f"v{3 + number}")
+        site.runners[name].troubles.cut = CUT_SHARE
+    for row in ready:
+        if row.software_version == oldest:
+            site.drain_runner(row.runner_id)
+
+
 def leaders_are_killed(seed: int) -> list[Violation]:
     with half_released_site(seed) as site:
         for _ in range(3):
@@ -228,7 +320,28 @@
     return True
 
 
+async def _confirm_unrecorded(recorder: OriginRecorder, answering: AnsweringProcess) -> bool:
+    if not recorder._is_bound_to(answering.software_version):
+        return False
+    await recorder._record(answering, 0)
+    return True
+
+
+@contextlib.contextmanager
+def _answer_unrecorded() -> Iterator[None]:
+    with (
+        mock.patch.object(OriginRecorder, "confirm_of_call", _confirm_unrecorded),
+        mock.patch.object(OriginRecorder, "reject_if_not_recordable", lambda _recorder: None),
+    ):
+        yield
+
+
 STREAM_DEFECTS: dict[str, Defect] = {
+    "streams that are no turns are answered unrecorded": Defect(
+        Rule.VERSION,
+        fronts_lose_power_behind_a_silent_turn_log,
+        _answer_unrecorded,
+    ),
     "a resumed stream is placed like a new one": Defect(
         Rule.VERSION, fronts_are_killed, patch(StreamOriginClient, "find", _find_without_version)
     ),
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -10,17 +10,23 @@
     STREAMS,
     STREAMS_OF_TWO_REGIONS,
     STREAMS_WITH_RESTARTS,
+    UNNAMED_STREAMS,
 )
 from tests.site_stream_defects import (
     RESTARTS,
     fronts_are_killed,
+    fronts_lose_power_behind_a_silent_turn_log,
+    fronts_lose_power_in_a_release,
     leaders_are_killed,
     runners_restart_with_another_version,
 )
 
 SEEDS = range(1, 4)
+UNNAMED_SEEDS = range(1, 7)
+POWER_SEEDS = range(1, 7)
 RESTART_SEEDS = range(1, 3)
 RESTART_WORLD_SEEDS = range(1, 4)
+POWER_SEEDS = range(1, 7)
 WORLD_SEEDS = range(6)
 REGION_SEEDS = (1, 2, 126)
 """With the world in which clients kept a draining front busy."""
@@ -38,6 +44,16 @@
             found += fronts_are_killed(seed)
         self.assertEqual(found, [])
 
+    # Guards against streams joined from two versions where all fronts are killed in a release.
+    def test_streams_stay_at_their_version_while_all_fronts_lose_power(self) -> None:
+        for seed in POWER_SEEDS:
+            self.assertEqual(fronts_lose_power_in_a_release(seed), [], seed)
+
+    # Guards against streams that nobody recorded, which go on at the version of those that are.
+    def test_streams_begun_while_the_turn_log_was_silent_are_not_joined(self) -> None:
+        for seed in POWER_SEEDS:
+            self.assertEqual(fronts_lose_power_behind_a_silent_turn_log(seed), [], seed)
+
     # Guards against origins of streams that are lost, or read from a replaced leader.
     def test_versions_of_streams_outlive_the_leader(self) -> None:
         found: list[Violation] = []
@@ -63,6 +79,14 @@
                 world.close()
                 self.assertEqual(violations, [], seed)
 
+    # Guards against the same where clients name no stream and all fronts lose power at once.
+    def test_seeded_worlds_whose_clients_name_no_stream(self) -> None:
+        for seed in UNNAMED_SEEDS:
+            game = UNNAMED_STREAMS
+            world, violations = game.run(seed, game.random_steps(seed, STEPS_PER_WORLD))
+            world.close()
+            self.assertEqual(violations, [], seed)
+
     # Guards against the same where runners also start again under their ids.
     def test_seeded_worlds_with_restarts_under_an_id(self) -> None:
         for game in (STREAMS_WITH_RESTARTS, RESTARTS_IN_TWO_REGIONS):
