--- a/src/bendshed/services/forwarder.py
+++ b/src/bendshed/services/forwarder.py
@@ -28,7 +28,7 @@
 from bendshed.services.metrics import CALLER_LEFT, NO_ROUTE, ServedOutcome
 from bendshed.services.runner_placement import RunnerPlacement
 from bendshed.services.stream_exchange import StreamExchange
-from bendshed.services.stream_origins import OriginRecorder, is_resumed, ttl_ms
+from bendshed.services.stream_origins import OriginRecorder, is_resumed, route_key, ttl_ms
 from bendshed.services.turn_ports import TurnPorts
 from bendshed.services.turn_record import TurnRecord
 from bendshed.wire import turns_pb2 as wire
@@ -268,6 +268,7 @@
             service=placement.service,
             software_version=placement.expected_version(),
             ttl_ms=ttl_ms(request, attempts.route),
+            route=route_key(attempts.route),
         )
         return OriginRecorder(
             self._turn_ports.origins,
--- a/src/bendshed/services/stream_origins.py
+++ b/src/bendshed/services/stream_origins.py
@@ -37,6 +37,11 @@
     return min(MAX_TTL_MS, max(request.wait_ms or 0, route.timeout_ms))
 
 
+def route_key(route: Route) -> str:
+    """What tells a route from others, whatever it is called."""
+    return route.host + route.path_prefix
+
+
 @dataclass(frozen=True, slots=True)
 class AnsweringProcess:
     """The process that responds to a request.
@@ -80,13 +85,14 @@
         """Return the origin of the stream that a request resumes, with its version.
 
         Args:
-            request, tenant, service, left_s: as for ``find``.
+            request, tenant, left_s: as for ``find``.
+            service: the one that the split of the route gives now.
             route: kind ``VERSION_GONE`` if it does not lead to the origin's service any more.
             find_entry: entry of a runner; kind ``VERSION_UNPROVEN`` if that of the process which
                 began the stream is not written yet.
 
         """
-        found = await self.find(request, tenant, service, left_s)
+        found = await self.find(request, route, tenant, service, left_s)
         origin = found if isinstance(found, Refusal) else _with_version(found, find_entry)
         if isinstance(origin, Refusal):
             return origin
@@ -96,12 +102,12 @@
         return origin
 
     async def find(
-        self, request: ServiceRequest, tenant: str, service: str, left_s: float
+        self, request: ServiceRequest, route: Route, tenant: str, service: str, left_s: float
     ) -> StreamOrigin | Refusal:
         """Return the origin of the stream that a request resumes.
 
-        A caller that does not name the stream gets the origin that all streams of ``service``
-        share, if they share one.
+        A caller that does not name the stream gets the origin that all streams of the route share,
+        whichever services it led to, if they share one.
 
         Kinds: ``STREAM_UNKNOWN``; ``TURN_LOG_UNAVAILABLE`` if a group that may know it did not
         answer in time.
@@ -110,7 +116,7 @@
             return Refusal(ErrorKind.TURN_LOG_UNAVAILABLE, "no other node answers this one")
         find = wire.FindOrigin(tenant=tenant, request_id=request.resumes)
         if not request.resumes:
-            find.service = service
+            find.service, find.route = service, route_key(route)
         found: set[StreamOrigin] = set()
         first = self.group_locator.group_of(tenant, request.program_id, "")
         for group in (first, *self.group_locator.others(tenant, first)):
@@ -260,6 +266,7 @@
             service=self.expected.service,
             software_version=version,
             ttl_ms=self.expected.ttl_ms,
+            route=self.expected.route,
         )
         if process is not None:
             origin.runner_id, origin.born_ms = process.runner_id, process.born_ms
--- a/src/bendshed/turns/stream_origins.py
+++ b/src/bendshed/turns/stream_origins.py
@@ -28,6 +28,7 @@
         recorded_ms, expires_ms: by the log's clock.
         process: the process that began the stream, where its version was not proven; ``None``: not
             recorded.
+        route: host and path prefix of its route; empty: its front named none.
 
     """
 
@@ -37,6 +38,15 @@
     recorded_ms: int
     expires_ms: int
     process: RunnerProcess | None = None
+    route: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class _ServiceVersion:
+    """What the streams of a group share, if they share it."""
+
+    service: str
+    software_version: str
 
 
 class StreamOrigins:
@@ -48,7 +58,9 @@
 
     def __init__(self) -> None:
         self._origins: dict[TenantScopedId, StoredOrigin] = {}
-        self._num_by_version: dict[str, Counter[str]] = {}
+        self._by_service: dict[str, Counter[_ServiceVersion]] = {}
+        self._by_route: dict[str, Counter[_ServiceVersion]] = {}
+        self._without_route: dict[str, Counter[_ServiceVersion]] = {}
 
     def __len__(self) -> int:
         return len(self._origins)
@@ -77,18 +89,31 @@
             now_ms,
             now_ms + origin.ttl_ms,
             RunnerProcess(origin.runner_id, origin.born_ms) if origin.runner_id else None,
+            sys.intern(origin.route),
         )
         self._origins[stream] = stored
-        self._num_by_version.setdefault(stored.service, Counter())[stored.software_version] += 1
+        self._count(stored, 1)
 
     def _remove(self, stream: TenantScopedId) -> None:
         stored = self._origins.pop(stream, None)
-        if stored is None:
-            return
-        versions = self._num_by_version[stored.service]
-        versions[stored.software_version] -= 1
-        if not versions[stored.software_version]:
-            del versions[stored.software_version]
+        if stored is not None:
+            self._count(stored, -1)
+
+    def _count(self, stored: StoredOrigin, change: int) -> None:
+        """Count a stream among those of its service, and of its route if its front named one."""
+        shared = _ServiceVersion(stored.service, stored.software_version)
+        groups = [(self._by_service, stored.service)]
+        if stored.route:
+            groups.append((self._by_route, stored.route))
+        else:
+            groups.append((self._without_route, stored.service))
+        for counters, name in groups:
+            counter = counters.setdefault(name, Counter())
+            counter[shared] += change
+            if not counter[shared]:
+                del counter[shared]
+            if not counter:
+                del counters[name]
 
     def add_to_reply(self, reply: wire.TurnReply, stream: TenantScopedId, now_ms: int) -> None:
         """Add a stream's origin to a reply; without one, the reply names none."""
@@ -101,15 +126,23 @@
         reply.is_origin_confirmed = found.is_confirmed
         reply.origin_age_ms = now_ms - found.recorded_ms
 
-    def add_common_to_reply(self, reply: wire.TurnReply, service: str) -> None:
-        """Add the origin that all streams of a service share; none: no stream is recorded.
+    def add_common_to_reply(self, reply: wire.TurnReply, service: str, route: str) -> None:
+        """Add the origin that all streams of a route share; none: no stream is recorded.
 
-        A reply without a version says that there are several, or one that is not known.
+        Streams whose fronts named no route may be of this one if they are of its service. Without
+        ``route``, the requesting front is of such a build: all streams of the service count. A
+        reply without a version says that there are several origins, or one that is not known.
         """
-        versions = self._num_by_version.get(service)
-        if versions:
-            reply.origin.service = service
-            reply.origin.software_version = next(iter(versions)) if len(versions) == 1 else ""
+        if route:
+            found = {**self._by_route.get(route, {}), **self._without_route.get(service, {})}
+        else:
+            found = dict(self._by_service.get(service, {}))
+        if not found:
+            return
+        shared = next(iter(found))
+        is_sole = len(found) == 1
+        reply.origin.service = shared.service if is_sole else service
+        reply.origin.software_version = shared.software_version if is_sole else ""
 
     def sweep(self, now_ms: int) -> None:
         """Remove expired origins."""
@@ -125,6 +158,7 @@
                 service=stored.service,
                 software_version=stored.software_version,
                 ttl_ms=stored.expires_ms - stored.recorded_ms,
+                route=stored.route,
             )
             _add_process(origin, stored.process)
             part.origins.add(
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -205,3 +205,19 @@
         assert caller.refusal is not None
         self.assertEqual(caller.refusal.kind, ErrorKind.TURN_LOG_UNAVAILABLE)
         self.assertEqual(self.front.runners.sent, [])
+
+    # Guards against a stream that goes on in another service, since its route was split or moved.
+    async def test_stream_that_is_not_named_is_looked_up_by_its_route(self) -> None:
+        await self.front.send(1, resumes="3", is_named=False)
+        (find,) = [c.find_origin for c in self.commands if c.HasField("find_origin")]
+        self.assertEqual(find.route, RESUMABLE.host + RESUMABLE.path_prefix)
+        self.commands.clear()
+        await self.front.send(2, TURN)
+        (begin,) = [c.begin for c in self.commands if c.HasField("begin")]
+        self.assertEqual(begin.origin.route, RESUMABLE.host + RESUMABLE.path_prefix)
+        self.answers["find_origin"] = reply("v1", service="moved away")
+        self.front.runners.sent.clear()
+        caller = await self.front.send(3, resumes="3", is_named=False)
+        assert caller.refusal is not None
+        self.assertEqual(caller.refusal.kind, ErrorKind.VERSION_GONE)
+        self.assertEqual(self.front.runners.sent, [])
