--- a/src/bendshed/adapters/http_store.py
+++ b/src/bendshed/adapters/http_store.py
@@ -8,9 +8,11 @@
 import base64
 from urllib.parse import quote, urlencode
 
+import msgspec
 import orjson
 
 from bendshed.adapters.http import CONNECTION_ERRORS, HttpAnswer, HttpClient
+from bendshed.logs import PartLog
 from bendshed.ports.store import (
     Machine,
     MachineList,
@@ -28,6 +30,12 @@
 """Idle time after which the client of the store does not reuse a connection: it may have become
 silent, which only an unanswered call shows."""
 
+ANSWER_ERRORS = (KeyError, ValueError, TypeError)
+"""What reading an answer of another form raises."""
+MAX_LOGGED_ENTRIES = 5
+
+log = PartLog("machines")
+
 
 class HttpObjectStore(ObjectStore):
     """The platform's object API at ``base_url``.
@@ -78,10 +86,13 @@
         url = f"{self._base_url}/objects?{query}"
         answer = await _send(self._client, "GET", url, timeout_s=timeout_s)
         _expect(answer, 200)
-        return [
-            StoredObject(row["key"], row["version"], base64.b64decode(row["content"]))
-            for row in orjson.loads(answer.body)["objects"]
-        ]
+        try:
+            return [
+                StoredObject(str(row["key"]), int(row["version"]), base64.b64decode(row["content"]))
+                for row in orjson.loads(answer.body)["objects"]
+            ]
+        except ANSWER_ERRORS as error:
+            raise StoreUnavailable(f"unexpected answer: {error!r}") from error
 
     def _url(self, key: str) -> str:
         return f"{self._base_url}/objects/{quote(key, safe='')}"
@@ -93,12 +104,27 @@
     def __init__(self, client: HttpClient, base_url: str) -> None:
         self._client = client
         self._base_url = base_url.rstrip("/")
+        self._unreadable: list[str] = []
 
     async def read(self) -> list[Machine]:
-        """Return all machines."""
+        """Return all machines, without entries that cannot be used."""
         answer = await _send(self._client, "GET", f"{self._base_url}/machines")
         _expect(answer, 200)
-        return [Machine(**row) for row in orjson.loads(answer.body)["machines"]]
+        try:
+            rows = list(orjson.loads(answer.body)["machines"])
+        except ANSWER_ERRORS as error:
+            raise StoreUnavailable(f"unexpected answer: {error!r}") from error
+        machines, unreadable = [], []
+        for row in rows:
+            try:
+                machines.append(msgspec.convert(row, Machine))
+            except msgspec.ValidationError as error:
+                unreadable.append(str(error))
+        if unreadable != self._unreadable:
+            self._unreadable = unreadable
+            shown = unreadable[:MAX_LOGGED_ENTRIES]
+            log.say("machines ignored: unreadable", count=len(unreadable), reasons=shown)
+        return machines
 
 
 async def _send(
--- a/src/bendshed/configuration/service.py
+++ b/src/bendshed/configuration/service.py
@@ -48,6 +48,10 @@
 log = PartLog("configuration")
 
 
+class UnreadableChange(Exception):
+    """The store holds an object among the changes that is none, or one of a later build."""
+
+
 class ConfigurationCache(ABC):
     """Storage in which a disk node persists the newest configuration."""
 
@@ -112,6 +116,7 @@
         self._rng = rng
         self._recent_changes: dict[int, AcceptedChange] = {}
         self._fetching = False
+        self._unreadable_key = ""
         self._task: asyncio.Task[None] | None = None
         self._fetch_tasks: set[asyncio.Task[None]] = set()
         membership.on_revision.append(self._on_revision_seen)
@@ -152,6 +157,9 @@
             try:
                 await self._catch_up()
                 outcome = await self._try_accept(body, author, operation_id)
+            except UnreadableChange as error:
+                detail = f"{error}; remove that object from the store"
+                return Refusal(ErrorKind.STORE_UNAVAILABLE, detail)
             except StoreUnavailable as error:
                 return Refusal(
                     ErrorKind.STORE_UNAVAILABLE,
@@ -196,8 +204,8 @@
                 continue
             if stored is None:
                 return None
+            self._apply_objects([stored])
             change = AcceptedChange.model_validate_json(stored.content)
-            self._apply(revision, change)
             return Accepted(revision) if change.operation_id == operation_id else None
         return None
 
@@ -247,7 +255,7 @@
             try:
                 after = change_key(self.snapshot.revision)
                 self._apply_objects(await self._store.watch(CHANGES_PREFIX, after, WATCH_TIMEOUT_S))
-            except StoreUnavailable:
+            except (StoreUnavailable, UnreadableChange):
                 await asyncio.sleep(STORE_RETRY_S * self._rng.uniform(0.5, 1.5))
 
     async def _catch_up(self) -> None:
@@ -255,9 +263,20 @@
         self._apply_objects(await self._store.list_after(CHANGES_PREFIX, after))
 
     def _apply_objects(self, objects: list[StoredObject]) -> None:
+        """Apply changes in order; raise ``UnreadableChange`` behind those that could be applied.
+
+        Later changes build on one that cannot be read, so the configuration in force stays.
+        """
         for stored in objects:
-            revision = int(stored.key.removeprefix(CHANGES_PREFIX))
-            self._apply(revision, AcceptedChange.model_validate_json(stored.content))
+            try:
+                revision = int(stored.key.removeprefix(CHANGES_PREFIX))
+                change = AcceptedChange.model_validate_json(stored.content)
+            except ValueError as error:
+                if stored.key != self._unreadable_key:
+                    self._unreadable_key = stored.key
+                    log.say("change ignored: unreadable", key=stored.key, reason=str(error))
+                raise UnreadableChange(f"{stored.key} cannot be read") from error
+            self._apply(revision, change)
 
     def _apply(self, revision: int, change: AcceptedChange) -> None:
         if revision != self.snapshot.revision + 1:
