--- a/src/bendshed/catalog/follower.py
+++ b/src/bendshed/catalog/follower.py
@@ -125,6 +125,8 @@
         self.on_ends_version: Callable[[Address, int], None] = lambda _machine, _version: None
         self.on_older_document: Callable[[Address], None] = lambda _machine: None
         self._is_registry_lost = False
+        self._lacks_part = False
+        self._num_requested = 0
         self._is_reading_shared = False
         self._num_failed = 0
         self._directory_changed = asyncio.Event()
@@ -170,9 +172,13 @@
         self._intake.version = max(self._intake.version, version)
         self._intake.runners_at = max(self._intake.runners_at, runners_at)
 
-    def note_registry_lost(self, is_lost: bool) -> None:
-        """Record whether this replica machine itself has lost the registry."""
+    def note_registry_lost(self, is_lost: bool, lacks_part: bool) -> None:
+        """Record whether this replica machine itself has lost the registry.
+
+        ``lacks_part``: it cannot read some part that it serves.
+        """
         self._is_registry_lost = is_lost
+        self._lacks_part = lacks_part
         if not is_lost and not self.is_fresh:
             self._choice.readmit(self._own_address)
 
@@ -188,6 +194,8 @@
             machine = self._target()
             if machine is None:
                 self._become_reader()
+                if self._lacks_part:
+                    await self._request_missing_parts()
                 await self._wait_for_replicas()
                 continue
             is_long_poll = self._is_reading_shared and not self._needs_relay(machine)
@@ -205,6 +213,23 @@
             elif self._is_reading_shared and not is_long_poll:
                 await asyncio.sleep(self._times.interval_s)
 
+    async def _request_missing_parts(self) -> None:
+        """Request what this reader cannot read from the other machines, one after the other.
+
+        They read it themselves, since this machine's updates do not keep it fresh.
+        """
+        others = [node.address for node in self._ranked_replicas()]
+        others = [address for address in others if address != self._own_address]
+        if not others:
+            return
+        machine = others[self._num_requested % len(others)]
+        self._num_requested += 1
+        update = await self._request(machine, is_long_poll=False)
+        if update is not None:
+            parts = self._intake.apply(update) | self._apply_directory(update)
+            self._confirm(parts, update)
+        await asyncio.sleep(self._times.interval_s)
+
     async def _wait_for_replicas(self) -> None:
         """Wait, while no machine can be followed, until one is known or the retry delay ends."""
         self._directory_changed.clear()
--- a/src/bendshed/catalog/parts.py
+++ b/src/bendshed/catalog/parts.py
@@ -14,4 +14,4 @@
 
 
 SERVED_PARTS = (CatalogPart.DOCUMENT, CatalogPart.RUNNERS, CatalogPart.ZONES)
-"""What requests depend on. A node that cannot read one of these follows another."""
+"""What requests depend on. A machine that can read none of these is not followed."""
--- a/src/bendshed/catalog/reading.py
+++ b/src/bendshed/catalog/reading.py
@@ -51,11 +51,12 @@
 
     @property
     def is_lost(self) -> bool:
-        """Whether the registry did not answer this node's last call for a part served to others.
+        """Whether the registry answered no last call of this node for a part served to others.
 
-        That does not change while other machines update this node: they must not follow it.
+        That does not change while other machines update this node: they must not follow it. A node
+        that lacks one part alone is followed for the others; each reads the missing one itself.
         """
-        return any(self._watches[part].is_lost for part in SERVED_PARTS if part in self._watches)
+        return all(self._watches[part].is_lost for part in SERVED_PARTS if part in self._watches)
 
     @property
     def fails_partly(self) -> bool:
--- a/src/bendshed/catalog/replica_catalog.py
+++ b/src/bendshed/catalog/replica_catalog.py
@@ -25,7 +25,7 @@
         catalog: configuration and runners, initially as loaded from the disk.
         zones: closed zones, if operators close zones in this installation.
         confirmations: when the registry confirmed each part.
-        is_lost: the registry does not answer this machine for a part that requests depend on.
+        is_lost: the registry answers this machine for no part that requests depend on.
         registry_fails_partly: it does not answer for some kind of objects, or for none.
 
     """
--- a/src/bendshed/turns/node.py
+++ b/src/bendshed/turns/node.py
@@ -253,8 +253,9 @@
 
         ``fails_partly``: the registry does not answer for some kind of objects.
         """
-        self.catalog.set_registry_lost(is_lost, is_lost if fails_partly is None else fails_partly)
-        self.follower.note_registry_lost(is_lost)
+        lacks_part = is_lost if fails_partly is None else fails_partly
+        self.catalog.set_registry_lost(is_lost, lacks_part)
+        self.follower.note_registry_lost(is_lost, lacks_part)
 
     def apply_zones(self, update: ZoneUpdate) -> None:
         """Apply the closed zones as read from the registry itself."""
