--- a/src/bendshed/services/stream_origins.py
+++ b/src/bendshed/services/stream_origins.py
@@ -117,6 +117,7 @@
         find = wire.FindOrigin(tenant=tenant, request_id=request.resumes)
         if not request.resumes:
             find.service, find.route = service, route_key(route)
+            find.wait_ms = ttl_ms(request, route)
         found: set[StreamOrigin] = set()
         first = self.group_locator.group_of(tenant, request.program_id, "")
         for group in (first, *self.group_locator.others(tenant, first)):
--- a/src/bendshed/turns/state.py
+++ b/src/bendshed/turns/state.py
@@ -283,7 +283,7 @@
         if request.request_id:
             self.origins.add_to_reply(reply, (request.tenant, request.request_id), self.clock_ms)
         else:
-            self.origins.add_common_to_reply(reply, request.service, request.route)
+            self.origins.add_common_to_reply(reply, request, self.clock_ms)
         return reply
 
     # --- finish --------------------------------------------------------------------------
--- a/src/bendshed/turns/stream_origins.py
+++ b/src/bendshed/turns/stream_origins.py
@@ -61,6 +61,7 @@
         self._by_service: dict[str, Counter[_ServiceVersion]] = {}
         self._by_route: dict[str, Counter[_ServiceVersion]] = {}
         self._without_route: dict[str, Counter[_ServiceVersion]] = {}
+        self._awaited_until_ms: dict[str, dict[_ServiceVersion, int]] = {}
 
     def __len__(self) -> int:
         return len(self._origins)
@@ -126,17 +127,27 @@
         reply.is_origin_confirmed = found.is_confirmed
         reply.origin_age_ms = now_ms - found.recorded_ms
 
-    def add_common_to_reply(self, reply: wire.TurnReply, service: str, route: str) -> None:
+    def add_common_to_reply(
+        self, reply: wire.TurnReply, request: wire.FindOrigin, now_ms: int
+    ) -> None:
         """Add the origin that all streams of a route share; none: no stream is recorded.
 
-        Streams whose fronts named no route may be of this one if they are of its service. Without
-        ``route``, the requesting front is of such a build: all streams of the service count. A
-        reply without a version says that there are several origins, or one that is not known.
+        Streams whose fronts named no route may be of this one if they are of its service. Without a
+        route, the requesting front is of such a build: all streams of the service count. A reply
+        without a version says that there are several origins, or one that is not known.
+
+        The client may come back, with a stream of any of these origins: they count on for as long
+        as it waits, whether or not they are recorded then.
         """
+        service, route = request.service, request.route
+        awaited = self._awaited_until_ms.setdefault(route or service, {})
+        found = {shared for shared, until_ms in awaited.items() if until_ms >= now_ms}
         if route:
-            found = {**self._by_route.get(route, {}), **self._without_route.get(service, {})}
+            found.update(self._by_route.get(route, ()), self._without_route.get(service, ()))
         else:
-            found = dict(self._by_service.get(service, {}))
+            found.update(self._by_service.get(service, ()))
+        for shared in found if request.wait_ms else ():
+            awaited[shared] = max(awaited.get(shared, 0), now_ms + request.wait_ms)
         if not found:
             return
         shared = next(iter(found))
@@ -149,10 +160,23 @@
         expired = [name for name, stored in self._origins.items() if stored.expires_ms < now_ms]
         for stream in expired:
             self._remove(stream)
+        self._awaited_until_ms = {
+            group: kept
+            for group, awaited in self._awaited_until_ms.items()
+            if (kept := {name: until for name, until in awaited.items() if until >= now_ms})
+        }
 
     def snapshot_parts(self) -> Iterator[wire.TurnLogSnapshot]:
         """Yield snapshot parts of up to ``ORIGINS_PER_PART`` origins."""
         part = wire.TurnLogSnapshot()
+        for group, awaited in self._awaited_until_ms.items():
+            for shared, until_ms in awaited.items():
+                part.awaited_origins.add(
+                    group=group,
+                    service=shared.service,
+                    software_version=shared.software_version,
+                    until_ms=until_ms,
+                )
         for (tenant, request_id), stored in self._origins.items():
             origin = wire.StreamOrigin(
                 service=stored.service,
@@ -171,7 +195,7 @@
             if len(part.origins) == ORIGINS_PER_PART:
                 yield part
                 part = wire.TurnLogSnapshot()
-        if part.origins:
+        if part.origins or part.awaited_origins:
             yield part
 
     @classmethod
@@ -181,6 +205,10 @@
         for row in snapshot.origins:
             stream = (row.tenant, row.request_id)
             origins._put(stream, row.origin, row.is_confirmed, row.recorded_ms)
+        for awaited in snapshot.awaited_origins:
+            shared = _ServiceVersion(awaited.service, awaited.software_version)
+            group = origins._awaited_until_ms.setdefault(awaited.group, {})
+            group[shared] = awaited.until_ms
         return origins
 
 
--- a/tests/test_common_origins.py
+++ b/tests/test_common_origins.py
@@ -25,9 +25,11 @@
     def apply(self, command: wire.TurnCommand) -> wire.TurnReply:
         return self.state.apply(command.SerializeToString())
 
-    def find(self, service: str, route: str = ROUTE) -> tuple[str, str] | None:
-        find = wire.FindOrigin(service=service, route=route)
-        reply = self.apply(wire.TurnCommand(find_origin=find))
+    def find(
+        self, service: str, route: str = ROUTE, now_ms: int = 0, wait_ms: int = 0
+    ) -> tuple[str, str] | None:
+        find = wire.FindOrigin(service=service, route=route, wait_ms=wait_ms)
+        reply = self.apply(wire.TurnCommand(find_origin=find, elapsed_ms=now_ms))
         if not reply.HasField("origin"):
             return None
         return reply.origin.service, reply.origin.software_version
@@ -71,6 +73,20 @@
         self.record("a", "v2", now_ms=TTL_MS * 5)
         self.assertEqual(self.find("a"), ("a", "v2"))
 
+    # Guards against a stream that goes on at another version once its origin has expired, although
+    # its client has come back meanwhile and said that it still waits.
+    def test_origins_count_for_as_long_as_a_client_that_came_back_waits(self) -> None:
+        self.record("a", "v1")
+        self.assertEqual(self.find("a", now_ms=3_000, wait_ms=TTL_MS), ("a", "v1"))
+        self.record("a", "v2", now_ms=4_500)
+        for now_ms in (6_000, 9_000, 12_500):
+            self.assertEqual(self.find("a", now_ms=now_ms, wait_ms=TTL_MS), ("a", ""))
+            before = self.state.snapshot()
+            self.state = TurnLogState()
+            self.state.restore(before)
+        self.record("a", "v2", now_ms=30_000)
+        self.assertEqual(self.find("a", now_ms=30_000, wait_ms=TTL_MS), ("a", "v2"))
+
     def test_origins_outlive_a_snapshot(self) -> None:
         self.record("a", "v1")
         self.record("a", "v2", OTHER_ROUTE)
