--- a/src/bendshed/rehearsal/site/registry_fault_search.py
+++ b/src/bendshed/rehearsal/site/registry_fault_search.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from bendshed.model.runner import RunnerState
 from bendshed.rehearsal.search import Game, Step
 from bendshed.rehearsal.site.registry_fault_world import ALL_KINDS, RegistryFaultWorld
 from bendshed.rehearsal.site.registry_faults import FaultMode, RegistryFault
@@ -77,9 +76,9 @@
                     world.publish()
                     world.run_for(STORM_GAP_S)
             case Action.DRAIN_RUNNER:
-                self._drain(self._runner(step))
+                world.drain_unless_last(world.numbered_runner(step.which))
             case Action.REPLACE_RUNNER:
-                world.replace_runner(self._runner(step))
+                world.replace_runner(world.numbered_runner(step.which))
             case Action.CLOSE_ZONE:
                 world.close_zone(RUNNER_ZONES[step.which % len(RUNNER_ZONES)])
             case Action.OPEN_ZONES:
@@ -115,21 +114,6 @@
         stores = [name for name in sorted(world.stores) if world.draw.random() < step.amount]
         return frozenset([*fronts, *stores]) or frozenset({sorted(world.fronts)[0]})
 
-    def _runner(self, step: Step[Action]) -> str:
-        listed = sorted(self.world.listed)
-        return listed[step.which % len(listed)]
-
-    def _drain(self, name: str) -> None:
-        """A runner leaves, unless it is the last one of its service."""
-        listed = self.world.listed
-        others = [
-            runner
-            for runner in listed.values()
-            if runner.service == listed[name].service and runner.state is RunnerState.READY
-        ]
-        if len(others) > 1:
-            self.world.drain_runner(name)
-
     def _killed(self, step: Step[Action]) -> list[SimMachine]:
         fronts, stores = list(self.world.fronts.values()), list(self.world.stores.values())
         match step.action:
--- a/src/bendshed/rehearsal/site/silence_world.py
+++ b/src/bendshed/rehearsal/site/silence_world.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from bendshed.model.runner import ServiceRunner
+from bendshed.model.runner import RunnerState, ServiceRunner
 from bendshed.platform import names
 from bendshed.platform.encode import write_document, write_runner
 from bendshed.platform.translate import REGISTRY_FORMAT, write_replica
@@ -203,6 +203,21 @@
         SiteWorld.drain_runner(self, name)
         self._put_runners()
 
+    def numbered_runner(self, number: int) -> str:
+        """Name of a listed runner."""
+        listed = sorted(self.listed)
+        return listed[number % len(listed)]
+
+    def drain_unless_last(self, name: str) -> None:
+        """A runner says that it leaves, unless it is the last one of its service."""
+        others = [
+            runner
+            for runner in self.listed.values()
+            if runner.service == self.listed[name].service and runner.state is RunnerState.READY
+        ]
+        if len(others) > 1:
+            self.drain_runner(name)
+
     def close_zone(self, zone: str) -> None:
         """The operator closes a zone, unless it is the last one."""
         SiteWorld.close_zone(self, zone)
--- a/src/bendshed/rehearsal/site/silences.py
+++ b/src/bendshed/rehearsal/site/silences.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from bendshed.model.runner import RunnerState
 from bendshed.platform import names
 from bendshed.rehearsal.search import Game, Step
 from bendshed.rehearsal.site.silence_world import LateChange, SilenceWorld
@@ -63,9 +62,9 @@
             case Action.CONFIGURATION:
                 world.publish()
             case Action.DRAIN_RUNNER:
-                self._drain(self._runner(step))
+                world.drain_unless_last(world.numbered_runner(step.which))
             case Action.REPLACE_RUNNER:
-                world.replace_runner(self._runner(step))
+                world.replace_runner(world.numbered_runner(step.which))
             case Action.CLOSE_ZONE:
                 world.close_zone(RUNNER_ZONES[step.which % len(RUNNER_ZONES)])
             case Action.OPEN_ZONES:
@@ -85,21 +84,6 @@
         for machine in self._machines():
             self.world.silence(machine, share)
 
-    def _runner(self, step: Step[Action]) -> str:
-        listed = sorted(self.world.listed)
-        return listed[step.which % len(listed)]
-
-    def _drain(self, name: str) -> None:
-        """A runner leaves, unless it is the last one of its service."""
-        listed = self.world.listed
-        others = [
-            runner
-            for runner in listed.values()
-            if runner.service == listed[name].service and runner.state is RunnerState.READY
-        ]
-        if len(others) > 1:
-            self.world.drain_runner(name)
-
     def _kill(self, step: Step[Action]) -> None:
         world = self.world
         machines = world.fronts if step.action is Action.KILL_FRONT else world.stores
--- a/tests/test_registry_faults.py
+++ b/tests/test_registry_faults.py
@@ -8,23 +8,13 @@
 from bendshed.identifiers import rendezvous_rank
 from bendshed.platform import names
 from bendshed.rehearsal.site.layout import SMALL, SiteLayout
+from bendshed.rehearsal.site.registry_fault_world import ALL_KINDS, KINDS
 from bendshed.rehearsal.site.registry_faults import FaultMode, RegistryFault
 from bendshed.rehearsal.site.silence_world import LARGE, Part, SilenceWorld, known_level
 from bendshed.rehearsal.site.sim_world import APPLY_S, CONTACT_S, SimMachine
 from bendshed.rehearsal.site.sim_zones import RUNNER_ZONES, ZONE_CLOSE_S
 
-ALL_KINDS = (
-    names.RUNNER_KIND,
-    names.CONFIGURATION_KIND,
-    names.REPLICA_KIND,
-    names.RETIREMENT_KIND,
-    names.CLOSED_ZONE_KIND,
-)
-KIND_PARTS = {
-    names.CONFIGURATION_KIND: Part.CONFIGURATION,
-    names.RUNNER_KIND: Part.RUNNERS,
-    names.CLOSED_ZONE_KIND: Part.ZONES,
-}
+KIND_PARTS = {kind: part for part, kind in KINDS.items()}
 LONG_S = 15.0
 """Longer than any delay between two calls that fail."""
 HEARTBEAT_S = 1.2
